feat: seams of the packages as compiling types

Cause: the parts are built side by side and need agreed types first. Ruled out: one shared package of models, which every change would touch. Conclusion: domain types live with their owner; the applier composes events of the claim table and the order ledger; the encoder alone has tags.

--- /dev/null
+++ b/applier/command.go
@@ -0,0 +1,96 @@
+// Package applier is the replicated state machine: the catalog, the claims,
+// the orders, the operators' changes and the members. Apply is deterministic:
+// the same commands with the same stamps give the same state everywhere.
+package applier
+
+import (
+	"time"
+
+	"burdocklink/cataloger"
+	"burdocklink/claimer"
+	"burdocklink/orderer"
+)
+
+// Command is one entry of the replicated log. It is one of the types below.
+type Command interface{ command() }
+
+// Claim passes an event to the claim table.
+type Claim struct{ Event claimer.Event }
+
+// Order passes an event to the order ledger.
+type Order struct{ Event orderer.Event }
+
+// Change is an operator's change of the catalog.
+type Change struct {
+	// Operator is the authenticated name of the operator.
+	Operator string
+	// Request is the operator's own number for the change; a resend carries
+	// the same one.
+	Request string
+	// Based is the catalog revision that the operator looked at, or
+	// AnyRevision.
+	Based   uint64
+	Changes []cataloger.Change
+}
+
+// AnyRevision is the value of Change.Based that conflicts with nothing.
+const AnyRevision = ^uint64(0)
+
+// Watch records what the platform's list and the weight store say.
+type Watch struct{ Changes []cataloger.Change }
+
+// Noop does nothing; a new leader commits one.
+type Noop struct{}
+
+func (Claim) command()  {}
+func (Order) command()  {}
+func (Change) command() {}
+func (Watch) command()  {}
+func (Noop) command()   {}
+
+// Result is what Apply answers. It is one of the types below.
+type Result interface{ result() }
+
+// ClaimResult is the claim table's answer.
+type ClaimResult struct{ Result claimer.Result }
+
+// OrderResult is the order ledger's answer.
+type OrderResult struct{ Result orderer.Result }
+
+// Accepted says that a change is accepted at a revision.
+type Accepted struct{ Revision uint64 }
+
+// Conflict says that another change came first.
+type Conflict struct {
+	// Current is the revision to look at before a new try.
+	Current uint64
+}
+
+// Invalid says that a change contradicts the catalog or itself.
+type Invalid struct{ Reason string }
+
+// Nothing is the answer to Noop and to a Watch that changed nothing.
+type Nothing struct{}
+
+func (ClaimResult) result() {}
+func (OrderResult) result() {}
+func (Accepted) result()    {}
+func (Conflict) result()    {}
+func (Invalid) result()     {}
+func (Nothing) result()     {}
+
+// Applied is the result of a command with the catalog change it made.
+type Applied struct {
+	Result Result
+	// Delta has no changes where the catalog stayed as it was.
+	Delta cataloger.Delta
+}
+
+// Record is one accepted change of the operators' history.
+type Record struct {
+	Operator string
+	Request  string
+	At       time.Time
+	Revision uint64
+	Changes  []cataloger.Change
+}
--- /dev/null
+++ b/cataloger/with.go
@@ -0,0 +1,145 @@
+package cataloger
+
+import (
+	"maps"
+	"slices"
+
+	"burdocklink/classifier"
+)
+
+// New returns an empty catalog at revision zero.
+func New() *Catalog {
+	return &Catalog{
+		Classes:    map[string]classifier.Class{},
+		Models:     map[string]Model{},
+		Adapters:   map[string]Adapter{},
+		Upstreams:  map[string]Upstream{},
+		Placements: map[string]Placement{},
+		Holders:    map[string][]string{},
+		Services:   map[string][]string{},
+	}
+}
+
+// With returns the catalog after the delta. It returns a *RevisionGapError
+// where the delta starts at another revision.
+func (c *Catalog) With(delta Delta) (*Catalog, error) {
+	if delta.From != c.Revision {
+		return nil, &RevisionGapError{Have: c.Revision, From: delta.From}
+	}
+	next := c.clone()
+	next.Revision = delta.To
+	for _, change := range delta.Changes {
+		next.apply(change)
+	}
+	return next, nil
+}
+
+// Changes returns the changes that build the catalog from an empty one.
+func (c *Catalog) Changes() []Change {
+	var changes []Change
+	for _, name := range slices.Sorted(maps.Keys(c.Classes)) {
+		changes = append(changes, PutClass{Class: c.Classes[name]})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Models)) {
+		changes = append(changes, PutModel{Model: c.Models[name]})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Adapters)) {
+		changes = append(changes, PutAdapter{Adapter: c.Adapters[name]})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Upstreams)) {
+		changes = append(changes, PutUpstream{Upstream: c.Upstreams[name]})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Placements)) {
+		changes = append(changes, PutPlacement{Placement: c.Placements[name]})
+	}
+	return changes
+}
+
+func (c *Catalog) clone() *Catalog {
+	return &Catalog{
+		Revision:   c.Revision,
+		Classes:    maps.Clone(c.Classes),
+		Models:     maps.Clone(c.Models),
+		Adapters:   maps.Clone(c.Adapters),
+		Upstreams:  maps.Clone(c.Upstreams),
+		Placements: maps.Clone(c.Placements),
+		Holders:    maps.Clone(c.Holders),
+		Services:   maps.Clone(c.Services),
+	}
+}
+
+func (c *Catalog) apply(change Change) {
+	switch change := change.(type) {
+	case PutClass:
+		c.Classes[change.Class.Name] = change.Class
+	case RemoveClass:
+		delete(c.Classes, change.Name)
+	case PutModel:
+		c.Models[change.Model.Name] = change.Model
+	case RemoveModel:
+		delete(c.Models, change.Name)
+	case PutAdapter:
+		c.Adapters[change.Adapter.Name] = change.Adapter
+	case RemoveAdapter:
+		delete(c.Adapters, change.Name)
+	case PutUpstream:
+		c.putUpstream(change.Upstream)
+	case RemoveUpstream:
+		c.removeUpstream(change.Name)
+	case PutPlacement:
+		c.putPlacement(change.Placement)
+	}
+}
+
+func (c *Catalog) putUpstream(upstream Upstream) {
+	if before, ok := c.Upstreams[upstream.Name]; ok {
+		c.Services[before.Service] = without(c.Services[before.Service], upstream.Name)
+	}
+	c.Upstreams[upstream.Name] = upstream
+	c.Services[upstream.Service] = including(c.Services[upstream.Service], upstream.Name)
+}
+
+func (c *Catalog) removeUpstream(name string) {
+	if before, ok := c.Upstreams[name]; ok {
+		c.Services[before.Service] = without(c.Services[before.Service], name)
+	}
+	c.dropPlacement(name)
+	delete(c.Upstreams, name)
+}
+
+func (c *Catalog) putPlacement(placement Placement) {
+	c.dropPlacement(placement.Upstream)
+	c.Placements[placement.Upstream] = placement
+	for _, name := range placement.names() {
+		c.Holders[name] = including(c.Holders[name], placement.Upstream)
+	}
+}
+
+func (c *Catalog) dropPlacement(upstream string) {
+	for _, name := range c.Placements[upstream].names() {
+		c.Holders[name] = without(c.Holders[name], upstream)
+	}
+	delete(c.Placements, upstream)
+}
+
+func (p Placement) names() []string {
+	return slices.Concat(p.Models, p.Adapters)
+}
+
+// including returns a new sorted list; the old one may be shared with an
+// earlier catalog.
+func including(names []string, name string) []string {
+	at, found := slices.BinarySearch(names, name)
+	if found {
+		return names
+	}
+	return slices.Insert(slices.Clone(names), at, name)
+}
+
+func without(names []string, name string) []string {
+	at, found := slices.BinarySearch(names, name)
+	if !found {
+		return names
+	}
+	return slices.Delete(slices.Clone(names), at, at+1)
+}
--- /dev/null
+++ b/orderer/order.go
@@ -0,0 +1,143 @@
+// Package orderer keeps the ledger of orders to upstreams. An order's intent
+// is committed before it is sent, and memory is counted at the most that all
+// unsettled orders could still take. The ledger is pure.
+package orderer
+
+import (
+	"time"
+
+	"burdocklink/cataloger"
+)
+
+// Work is what an order asks an upstream to do. It is one of the types below.
+type Work interface{ work() }
+
+// LoadModel loads a base model.
+type LoadModel struct {
+	Model       string
+	Version     string
+	MemoryBytes int64
+}
+
+// UnloadModel frees a base model.
+type UnloadModel struct{ Model string }
+
+// LoadAdapter loads an adapter beside its base model.
+type LoadAdapter struct {
+	Adapter     string
+	Model       string
+	Version     string
+	MemoryBytes int64
+}
+
+// UnloadAdapter frees an adapter.
+type UnloadAdapter struct{ Adapter string }
+
+// SetRole changes the part of requests that the engine works on.
+type SetRole struct{ Role cataloger.Role }
+
+func (LoadModel) work()     {}
+func (UnloadModel) work()   {}
+func (LoadAdapter) work()   {}
+func (UnloadAdapter) work() {}
+func (SetRole) work()       {}
+
+// Order is one committed intent.
+type Order struct {
+	// ID is unique and ascending.
+	ID          uint64
+	Upstream    string
+	Incarnation string
+	Work        Work
+	// Fence is the fencing number; a higher one replaces a lower one.
+	Fence uint64
+	// NotAfter is when the upstream must no longer begin the order.
+	NotAfter time.Time
+}
+
+// Event is what happens to the ledger. It is one of the types below.
+type Event interface{ event() }
+
+// Intend asks to commit an order. The ledger sets ID.
+type Intend struct{ Order Order }
+
+// Settle records what was seen of an order.
+type Settle struct {
+	ID      uint64
+	Outcome Outcome
+}
+
+// Observe records what an upstream reported to hold, from a report newer than
+// its last settled order.
+type Observe struct{ Placement cataloger.Placement }
+
+// Forget drops all state of an upstream incarnation that is gone.
+type Forget struct{ Upstream, Incarnation string }
+
+func (Intend) event()  {}
+func (Settle) event()  {}
+func (Observe) event() {}
+func (Forget) event()  {}
+
+// Outcome is how an order ended.
+type Outcome int
+
+const (
+	// OutcomeDone means that the upstream was seen to have carried it out.
+	OutcomeDone Outcome = iota + 1
+	// OutcomeRefused means that the upstream refused it and will not do it.
+	OutcomeRefused
+	// OutcomeExpired means that it can no longer begin and was not done.
+	OutcomeExpired
+)
+
+// Result is the ledger's answer. It is one of the types below.
+type Result interface{ result() }
+
+// Committed gives the order as the ledger holds it.
+type Committed struct{ Order Order }
+
+// Recorded acknowledges an event and gives the placement after it.
+type Recorded struct{ Placement cataloger.Placement }
+
+// NoMemory refuses an order that might overcommit accelerator memory.
+type NoMemory struct{ FreeBytes, NeedBytes int64 }
+
+// Busy refuses an order while another one for the upstream is unsettled.
+type Busy struct{ Unsettled uint64 }
+
+// LastCopy refuses to unload the only confirmed copy.
+type LastCopy struct{ Name string }
+
+// StoreFull refuses a load beyond what the weight store allows, until Retry.
+type StoreFull struct{ Retry time.Time }
+
+// UnknownUpstream refuses an order to an upstream incarnation not in the
+// catalog.
+type UnknownUpstream struct{ Upstream string }
+
+// UnknownOrder refuses to settle an order the ledger does not hold.
+type UnknownOrder struct{ ID uint64 }
+
+// Unsuitable refuses an order that cannot be right, with the reason.
+type Unsuitable struct{ Reason string }
+
+func (Committed) result()       {}
+func (Recorded) result()        {}
+func (NoMemory) result()        {}
+func (Busy) result()            {}
+func (LastCopy) result()        {}
+func (StoreFull) result()       {}
+func (UnknownUpstream) result() {}
+func (UnknownOrder) result()    {}
+func (Unsuitable) result()      {}
+
+// StoreLimits are what the weight store and the network allow.
+type StoreLimits struct {
+	// LoadsPerSecond is how many loads may begin each second.
+	LoadsPerSecond float64
+	// LoadsAtOnce is how many loads run at full speed.
+	LoadsAtOnce int
+	// AdaptersInTransit is how many adapters load quickly at once.
+	AdaptersInTransit int
+}
--- /dev/null
+++ b/router/choice.go
@@ -0,0 +1,47 @@
+// Package router chooses the upstream for one request. Choose is pure and
+// does not allocate.
+package router
+
+import "time"
+
+// Request is what the choice depends on.
+type Request struct {
+	// Service names the upstream group; Holds is the model or adapter that
+	// the upstream must hold, empty for plain services.
+	Service string
+	Holds   string
+	// Base is the base model of an adapter, or Holds itself.
+	Base string
+	// PromptTokens and AnswerTokens are estimates.
+	PromptTokens int
+	AnswerTokens int
+	// Prefix is a hash of the prompt's beginning, zero where unknown.
+	Prefix uint64
+	// FirstTokenBy is when the class promises the first token.
+	FirstTokenBy time.Time
+	// AvailabilityZone is the chooser's own.
+	AvailabilityZone string
+	// Avoid lists upstreams already tried.
+	Avoid []string
+	// Seed varies the sampled candidates from request to request.
+	Seed uint64
+}
+
+// Choice is the upstream to send to.
+type Choice struct {
+	Upstream    string
+	Incarnation string
+	Address     string
+	// Predicted is when the first token is expected.
+	Predicted time.Time
+}
+
+// NoUpstreamError says that no live upstream holds what is asked for.
+type NoUpstreamError struct {
+	Service, Holds string
+	// Retry is when a new try makes sense.
+	Retry time.Time
+}
+
+// Error describes the refusal.
+func (e *NoUpstreamError) Error() string { return "no upstream can take the request" }
