refactor(conductor): make each command carry what tells a repeat

Cause: a table of proposal identities would be state that has to expire. Ruled out: sessions per process in the replicated state. Conclusion: claims carry attempts, changes carry request numbers, intents carry tokens; fencing numbers are log indexes.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -14,10 +14,10 @@
 // Proposer accepts commands and answers linearizable reads. Every member
 // implements it; only the leader accepts.
 type Proposer interface {
-	// Propose commits a command and returns its result. Identity makes a
-	// repeated proposal harmless: the second one gets the first result. It
+	// Propose commits a command and returns its result. Every command may be
+	// proposed again without harm: it carries what tells a repeat. Propose
 	// returns *NotLeaderError, *UncertainError or *StoppedError.
-	Propose(ctx context.Context, identity Identity, command applier.Command) (applier.Applied, error)
+	Propose(ctx context.Context, command applier.Command) (applier.Applied, error)
 	// Confirm returns an applied revision that no quorum has gone beyond at
 	// the time of the call.
 	Confirm(ctx context.Context) (uint64, error)
@@ -32,12 +32,6 @@
 	Status() Status
 }
 
-// Identity names one proposal. Number is unique within Process.
-type Identity struct {
-	Process string
-	Number  uint64
-}
-
 // Status describes a member.
 type Status struct {
 	Member string
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -58,8 +58,14 @@
 // Event is what happens to the ledger. It is one of the types below.
 type Event interface{ event() }
 
-// Intend asks to commit an order. The ledger sets ID.
-type Intend struct{ Order Order }
+// Intend asks to commit an order. The ledger sets ID and Fence to the log
+// index of the intent, so that both ascend across leaders.
+type Intend struct {
+	// Token is unique for each intent; a repeat of the same token gets the
+	// first result.
+	Token string
+	Order Order
+}
 
 // Settle records what was seen of an order.
 type Settle struct {
