--- /dev/null
+++ b/applier/check.go
@@ -0,0 +1,176 @@
+package applier
+
+import (
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+)
+
+// draft is a catalog's names while a list of changes is checked step by step.
+type draft struct {
+	classes  map[string]bool
+	models   map[string]bool
+	adapters map[string]string
+	base     *cataloger.Catalog
+}
+
+// checkAll says what is wrong with the changes, taken in order, or nothing.
+func checkAll(catalog *cataloger.Catalog, changes []cataloger.Change) string {
+	d := &draft{
+		classes:  map[string]bool{},
+		models:   map[string]bool{},
+		adapters: map[string]string{},
+		base:     catalog,
+	}
+	for _, change := range changes {
+		if reason := d.check(change); reason != "" {
+			return reason
+		}
+	}
+	return ""
+}
+
+func (d *draft) hasClass(name string) bool {
+	if here, decided := d.classes[name]; decided {
+		return here
+	}
+	_, here := d.base.Classes[name]
+	return here
+}
+
+func (d *draft) hasModel(name string) bool {
+	if here, decided := d.models[name]; decided {
+		return here
+	}
+	_, here := d.base.Models[name]
+	return here
+}
+
+// baseOf returns the base model of an adapter, empty where there is none.
+func (d *draft) baseOf(adapter string) string {
+	if base, decided := d.adapters[adapter]; decided {
+		return base
+	}
+	return d.base.Adapters[adapter].Model
+}
+
+// rides reports whether any adapter has the model as its base.
+func (d *draft) rides(model string) bool {
+	for _, base := range d.adapters {
+		if base == model {
+			return true
+		}
+	}
+	for name := range d.base.Adapters {
+		if d.baseOf(name) == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *draft) check(change cataloger.Change) string {
+	switch change := change.(type) {
+	case cataloger.PutClass:
+		d.classes[change.Class.Name] = true
+		return classFault(change.Class)
+	case cataloger.RemoveClass:
+		if !d.hasClass(change.Name) {
+			return "unknown class " + change.Name
+		}
+		d.classes[change.Name] = false
+	case cataloger.PutModel:
+		return d.putModel(change.Model)
+	case cataloger.RemoveModel:
+		return d.removeModel(change.Name)
+	case cataloger.PutAdapter:
+		return d.putAdapter(change.Adapter)
+	case cataloger.RemoveAdapter:
+		if d.baseOf(change.Name) == "" {
+			return "unknown adapter " + change.Name
+		}
+		d.adapters[change.Name] = ""
+	case cataloger.PutUpstream:
+		return upstreamFault(change.Upstream)
+	case cataloger.RemoveUpstream:
+		return nameFault("upstream", change.Name)
+	default:
+		return "unknown kind of change"
+	}
+	return ""
+}
+
+func nameFault(kind, name string) string {
+	switch {
+	case name == "":
+		return "empty name of a " + kind
+	case len(name) > MaxNameBytes:
+		return "name of a " + kind + " too long"
+	default:
+		return ""
+	}
+}
+
+func classFault(class classifier.Class) string {
+	target := class.Target
+	if target.FirstToken < 0 || target.BetweenTokens < 0 || target.Whole < 0 {
+		return "negative target of class " + class.Name
+	}
+	if target.Whole > 0 && target.FirstToken > target.Whole {
+		return "first token promised after the whole answer in class " + class.Name
+	}
+	return nameFault("class", class.Name)
+}
+
+func (d *draft) putModel(model cataloger.Model) string {
+	switch {
+	case model.MemoryBytes <= 0:
+		return "no memory size of model " + model.Name
+	case model.Service == "":
+		return "no service of model " + model.Name
+	case d.baseOf(model.Name) != "":
+		return "an adapter has the name " + model.Name
+	}
+	d.models[model.Name] = true
+	return nameFault("model", model.Name)
+}
+
+func (d *draft) removeModel(name string) string {
+	switch {
+	case !d.hasModel(name):
+		return "unknown model " + name
+	case d.rides(name):
+		return "an adapter needs the model " + name
+	}
+	d.models[name] = false
+	return ""
+}
+
+func (d *draft) putAdapter(adapter cataloger.Adapter) string {
+	switch {
+	case adapter.MemoryBytes <= 0:
+		return "no memory size of adapter " + adapter.Name
+	case !d.hasModel(adapter.Model):
+		return "unknown base model of adapter " + adapter.Name
+	case d.hasModel(adapter.Name):
+		return "a model has the name " + adapter.Name
+	}
+	d.adapters[adapter.Name] = adapter.Model
+	return nameFault("adapter", adapter.Name)
+}
+
+func upstreamFault(upstream cataloger.Upstream) string {
+	switch {
+	case upstream.Incarnation == "":
+		return "no incarnation of upstream " + upstream.Name
+	case upstream.Address == "":
+		return "no address of upstream " + upstream.Name
+	case upstream.Kind != cataloger.EngineUpstream && upstream.Kind != cataloger.PlainUpstream:
+		return "unknown kind of upstream " + upstream.Name
+	case upstream.State != cataloger.UpstreamLive && upstream.State != cataloger.UpstreamLeaving:
+		return "unknown state of upstream " + upstream.Name
+	case upstream.MemoryBytes < 0:
+		return "negative memory of upstream " + upstream.Name
+	default:
+		return nameFault("upstream", upstream.Name)
+	}
+}
--- /dev/null
+++ b/applier/journal.go
@@ -0,0 +1,89 @@
+package applier
+
+import (
+	"reflect"
+	"time"
+
+	"burdocklink/cataloger"
+)
+
+// Remembered is an operator's change with the first answer it got.
+type Remembered struct {
+	Operator string
+	Request  string
+	Based    uint64
+	At       time.Time
+	Changes  []cataloger.Change
+	// Result is Accepted, Conflict or Invalid.
+	Result Result
+}
+
+// changeKey is what identifies an operator's change. Two operators may hold
+// equal numbers.
+type changeKey struct{ operator, request string }
+
+// journal remembers the latest operators' changes.
+type journal struct {
+	// revision is the one of the last accepted change.
+	revision uint64
+	entries  []Remembered
+	byKey    map[changeKey]Remembered
+	steps    int
+}
+
+func newJournal() *journal { return &journal{byKey: map[changeKey]Remembered{}} }
+
+// find returns the first answer to a change. A resend has the same operator,
+// number and content; the same number with other content is Invalid.
+func (j *journal) find(change Change) (Result, bool) {
+	first, known := j.byKey[changeKey{change.Operator, change.Request}]
+	if !known {
+		return nil, false
+	}
+	if first.Based != change.Based || !sameChanges(first.Changes, change.Changes) {
+		return Invalid{Reason: "request number was used for another change"}, true
+	}
+	return first.Result, true
+}
+
+func sameChanges(a, b []cataloger.Change) bool {
+	return len(a) == len(b) && (len(a) == 0 || reflect.DeepEqual(a, b))
+}
+
+func (j *journal) add(entry Remembered) {
+	if accepted, ok := entry.Result.(Accepted); ok {
+		j.revision = accepted.Revision
+	}
+	j.entries = append(j.entries, entry)
+	j.byKey[changeKey{entry.Operator, entry.Request}] = entry
+	j.steps += len(entry.Changes)
+	for len(j.entries) > MaxJournal || j.steps > MaxJournalSteps {
+		j.dropOldest()
+	}
+}
+
+func (j *journal) dropOldest() {
+	oldest := j.entries[0]
+	j.entries[0] = Remembered{}
+	j.entries = j.entries[1:]
+	j.steps -= len(oldest.Changes)
+	delete(j.byKey, changeKey{oldest.Operator, oldest.Request})
+}
+
+func (j *journal) accepted() []Record {
+	var records []Record
+	for _, entry := range j.entries {
+		accepted, ok := entry.Result.(Accepted)
+		if !ok {
+			continue
+		}
+		records = append(records, Record{
+			Operator: entry.Operator,
+			Request:  entry.Request,
+			At:       entry.At,
+			Revision: accepted.Revision,
+			Changes:  entry.Changes,
+		})
+	}
+	return records
+}
--- /dev/null
+++ b/applier/snapshot.go
@@ -0,0 +1,60 @@
+package applier
+
+import (
+	"slices"
+	"time"
+
+	"burdocklink/cataloger"
+	"burdocklink/claimer"
+	"burdocklink/orderer"
+)
+
+// Snapshot is the whole content of a state.
+type Snapshot struct {
+	Index   uint64
+	Stamp   time.Time
+	Catalog *cataloger.Catalog
+	// Claims are in ascending order of key; ClaimSerial is the number of
+	// answers stored so far.
+	Claims      []claimer.Record
+	ClaimSerial uint64
+	Orders      orderer.Snapshot
+	// OperatorRevision is the revision of the last operator's change.
+	OperatorRevision uint64
+	// Remembered and Departures are oldest first.
+	Remembered []Remembered
+	Departures []Departure
+}
+
+// Snapshot returns the content, for storing. Answers and changes are shared
+// with the state and must not be changed.
+func (s *State) Snapshot() Snapshot {
+	return Snapshot{
+		Index:            s.index,
+		Stamp:            s.stamp,
+		Catalog:          s.catalog,
+		Claims:           s.claims.Records(),
+		ClaimSerial:      s.claims.Serial(),
+		Orders:           s.orders.Snapshot(),
+		OperatorRevision: s.operators.revision,
+		Remembered:       slices.Clone(s.operators.entries),
+		Departures:       slices.Clone(s.departed.entries),
+	}
+}
+
+// Restore returns the state with the given content.
+func Restore(snapshot Snapshot) *State {
+	s := New()
+	s.index, s.stamp = snapshot.Index, snapshot.Stamp
+	s.catalog = snapshot.Catalog
+	s.claims = claimer.Restore(snapshot.Claims, snapshot.ClaimSerial)
+	s.orders = orderer.Restore(snapshot.Orders)
+	for _, entry := range snapshot.Remembered {
+		s.operators.add(entry)
+	}
+	s.operators.revision = snapshot.OperatorRevision
+	for _, departure := range snapshot.Departures {
+		s.departed.add(departure)
+	}
+	return s
+}
--- a/applier/state.go
+++ b/applier/state.go
@@ -4,23 +4,89 @@
 	"time"
 
 	"burdocklink/cataloger"
+	"burdocklink/claimer"
+	"burdocklink/orderer"
 )
 
 // State is the replicated state. It is not safe for concurrent use.
 type State struct {
-	catalog *cataloger.Catalog
+	index     uint64
+	stamp     time.Time
+	catalog   *cataloger.Catalog
+	claims    *claimer.Table
+	orders    *orderer.Ledger
+	operators *journal
+	departed  *departures
 }
 
 // New returns the empty state.
 func New() *State {
-	return &State{catalog: cataloger.New()}
+	return &State{
+		catalog:   cataloger.New(),
+		claims:    claimer.New(),
+		orders:    orderer.New(),
+		operators: newJournal(),
+		departed:  newDepartures(),
+	}
 }
 
+// Index is the log index of the last command applied.
+func (s *State) Index() uint64 { return s.index }
+
+// Stamp is the leader's time of the last command applied.
+func (s *State) Stamp() time.Time { return s.stamp }
+
 // Catalog returns the current catalog, which is immutable.
 func (s *State) Catalog() *cataloger.Catalog { return s.catalog }
 
+// Claims returns the claim table, for reading only.
+func (s *State) Claims() *claimer.Table { return s.claims }
+
+// Orders returns the order ledger, for reading only.
+func (s *State) Orders() *orderer.Ledger { return s.orders }
+
+// Records returns the operators' accepted changes that are still remembered,
+// oldest first.
+func (s *State) Records() []Record { return s.operators.accepted() }
+
+// OperatorRevision is the revision of the last operator's change. A change
+// based on an earlier revision conflicts.
+func (s *State) OperatorRevision() uint64 { return s.operators.revision }
+
 // Apply carries out a command at a log index. Stamp is the leader's time of
-// the command and never steps back.
+// the command; one that steps back counts as the last one.
 func (s *State) Apply(index uint64, stamp time.Time, command Command) Applied {
-	return Applied{Result: Nothing{}}
+	s.index = index
+	if stamp.After(s.stamp) {
+		s.stamp = stamp.UTC().Round(0)
+	}
+	switch command := command.(type) {
+	case Claim:
+		return Applied{Result: ClaimResult{Result: s.claims.Apply(s.stamp, command.Event)}, Delta: s.commit(nil)}
+	case Order:
+		result, changes := s.orders.Apply(index, s.stamp, s.catalog, command.Event)
+		return Applied{Result: OrderResult{Result: result}, Delta: s.commit(changes)}
+	case Change:
+		return s.change(command)
+	case Watch:
+		return s.watch(command)
+	default:
+		return Applied{Result: Nothing{}, Delta: s.commit(nil)}
+	}
+}
+
+// commit brings the changes into force at the next revision. Without changes
+// the revision stays.
+func (s *State) commit(changes []cataloger.Change) cataloger.Delta {
+	from := s.catalog.Revision
+	if len(changes) == 0 {
+		return cataloger.Delta{From: from, To: from}
+	}
+	delta := cataloger.Delta{From: from, To: from + 1, Changes: changes}
+	next, err := s.catalog.With(delta)
+	if err != nil {
+		return cataloger.Delta{From: from, To: from}
+	}
+	s.catalog = next
+	return delta
 }
--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -109,3 +109,19 @@
 func (TooOld) result()        {}
 func (Recorded) result()      {}
 func (Stale) result()         {}
+
+// Invalid refuses an event that cannot be right, with the reason. Nothing was
+// claimed.
+type Invalid struct{ Reason string }
+
+// Overdue refuses an Open that was applied after its own deadline. Nothing
+// was claimed and the attempt can never be granted.
+type Overdue struct{}
+
+// Full refuses a new claim while the table holds as many as it may. Nothing
+// was claimed; Retry is when the next one is forgotten.
+type Full struct{ Retry time.Time }
+
+func (Invalid) result() {}
+func (Overdue) result() {}
+func (Full) result()    {}
--- /dev/null
+++ b/claimer/events.go
@@ -0,0 +1,166 @@
+package claimer
+
+import "time"
+
+func (t *Table) open(now time.Time, event Open) Result {
+	if reason := event.fault(now); reason != "" {
+		return Invalid{Reason: reason}
+	}
+	if e, known := t.claims[event.Key]; known {
+		return t.reopen(now, e, event)
+	}
+	if refusal := t.refuse(now, event); refusal != nil {
+		return refusal
+	}
+	e := &entry{Record: Record{Key: event.Key, Digest: event.Digest}}
+	e.grant(now, event)
+	t.claims[event.Key] = e
+	t.schedule.add(e)
+	return Granted{Deadline: e.Deadline}
+}
+
+// fault says what is wrong with the event itself.
+func (o Open) fault(now time.Time) string {
+	switch {
+	case o.Key.Name == "":
+		return "empty key"
+	case o.Attempt == "":
+		return "empty attempt"
+	case len(o.Key.Subscriber)+len(o.Key.Name) > MaxKeyBytes:
+		return "key too long"
+	case len(o.Attempt)+len(o.Entry) > MaxAttemptBytes:
+		return "attempt too long"
+	case o.Deadline.After(now.Add(LongestHold)):
+		return "deadline too far away"
+	default:
+		return ""
+	}
+}
+
+// refuse gives the refusal of a request whose key is not known, or nil.
+func (t *Table) refuse(now time.Time, event Open) Result {
+	horizon := now.Add(ClockMargin - ClaimKept)
+	switch {
+	case !event.Issued.IsZero() && event.Issued.Before(horizon):
+		return TooOld{Horizon: horizon}
+	case event.Issued.After(now.Add(ClockMargin)):
+		return Invalid{Reason: "issued in the future"}
+	case !now.Before(event.Deadline):
+		return Overdue{}
+	case len(t.claims) >= MaxClaims:
+		retry, _ := t.NextExpiry()
+		return Full{Retry: retry}
+	default:
+		return nil
+	}
+}
+
+// reopen answers an Open of a known key.
+func (t *Table) reopen(now time.Time, e *entry, event Open) Result {
+	if e.Digest != event.Digest {
+		return Mismatch{}
+	}
+	switch e.Phase {
+	case PhaseHeld:
+		if e.Attempt == event.Attempt {
+			return Granted{Deadline: e.Deadline}
+		}
+		return Pending{Deadline: e.Deadline}
+	case PhaseReleased:
+		return t.regrant(now, e, event)
+	case PhaseFinished:
+		if e.Kept {
+			return Answered{Answer: e.Answer}
+		}
+		return AnswerDropped{}
+	default:
+		return Unknown{}
+	}
+}
+
+// regrant gives a released claim to a new attempt.
+func (t *Table) regrant(now time.Time, e *entry, event Open) Result {
+	e.forgetReleased(now)
+	switch {
+	case e.hasReleased(event.Attempt):
+		return Stale{}
+	case !now.Before(event.Deadline):
+		return Overdue{}
+	case len(e.Released) >= MaxReleased:
+		return Full{Retry: e.Released[0].Deadline}
+	}
+	e.grant(now, event)
+	t.schedule.update(e)
+	return Granted{Deadline: e.Deadline}
+}
+
+func (e *entry) grant(now time.Time, event Open) {
+	e.Phase = PhaseHeld
+	e.Attempt, e.Entry = event.Attempt, event.Entry
+	e.Deadline = event.Deadline
+	e.ForgetAt = now.Add(ClaimKept)
+}
+
+func (t *Table) finish(now time.Time, event Finish) Result {
+	e, known := t.claims[event.Key]
+	if !known || e.Attempt != event.Attempt || e.Phase == PhaseReleased {
+		return Stale{}
+	}
+	if e.Phase == PhaseFinished {
+		return Recorded{}
+	}
+	e.Phase = PhaseFinished
+	e.KeepUntil = now.Add(AnswerKept)
+	if event.Answer.Size() <= MaxAnswerBytes {
+		t.keep(e, event.Answer)
+	}
+	t.schedule.update(e)
+	return Recorded{}
+}
+
+func (t *Table) release(now time.Time, event Release) Result {
+	e, known := t.claims[event.Key]
+	if !known {
+		return Stale{}
+	}
+	if e.hasReleased(event.Attempt) {
+		return Recorded{}
+	}
+	if e.Phase != PhaseHeld || e.Attempt != event.Attempt {
+		return Stale{}
+	}
+	e.forgetReleased(now)
+	e.Phase = PhaseReleased
+	e.Released = append(e.Released, Attempted{Attempt: e.Attempt, Deadline: e.Deadline})
+	e.ForgetAt = lastDeadline(e.Released)
+	t.schedule.update(e)
+	return Recorded{}
+}
+
+// lastDeadline is when no Open of the attempts can be granted any more.
+func lastDeadline(released []Attempted) time.Time {
+	var last time.Time
+	for _, attempt := range released {
+		if attempt.Deadline.After(last) {
+			last = attempt.Deadline
+		}
+	}
+	return last
+}
+
+func (t *Table) lose(event Lose) Result {
+	e, known := t.claims[event.Key]
+	if !known || e.Attempt != event.Attempt {
+		return Stale{}
+	}
+	switch e.Phase {
+	case PhaseHeld:
+		e.Phase = PhaseLost
+		t.schedule.update(e)
+		return Recorded{}
+	case PhaseLost:
+		return Recorded{}
+	default:
+		return Stale{}
+	}
+}
--- /dev/null
+++ b/claimer/schedule.go
@@ -0,0 +1,56 @@
+package claimer
+
+import (
+	"container/heap"
+	"time"
+)
+
+// entry is a record with its place in the schedule.
+type entry struct {
+	Record
+	when  time.Time
+	place int
+}
+
+// schedule is a heap of entries by the time they change by themselves.
+type schedule []*entry
+
+// Len is part of heap.Interface.
+func (s schedule) Len() int { return len(s) }
+
+// Less is part of heap.Interface.
+func (s schedule) Less(i, j int) bool { return s[i].when.Before(s[j].when) }
+
+// Swap is part of heap.Interface.
+func (s schedule) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].place, s[j].place = i, j
+}
+
+// Push is part of heap.Interface.
+func (s *schedule) Push(added any) {
+	e := added.(*entry)
+	e.place = len(*s)
+	*s = append(*s, e)
+}
+
+// Pop is part of heap.Interface.
+func (s *schedule) Pop() any {
+	last := len(*s) - 1
+	e := (*s)[last]
+	(*s)[last] = nil
+	*s = (*s)[:last]
+	return e
+}
+
+func (s *schedule) add(e *entry) {
+	e.when = e.due()
+	heap.Push(s, e)
+}
+
+func (s *schedule) update(e *entry) {
+	e.when = e.due()
+	heap.Fix(s, e.place)
+}
+
+func (s *schedule) remove(e *entry) { heap.Remove(s, e.place) }
--- /dev/null
+++ b/claimer/table.go
@@ -0,0 +1,150 @@
+package claimer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Table holds the claims of one group. Apply is deterministic in the events
+// and stamps. A Table is not safe for concurrent use.
+//
+// A claim is held from Granted until its deadline. A Finish stores the answer;
+// an unfinished claim turns unknown at its deadline and is never granted
+// again. A Finish of the holder that arrives later still turns unknown into
+// answered, since the answer proves what happened. A Release counts only
+// before the deadline; after it callers may have been told that the outcome is
+// unknown, and that stays.
+//
+// A resend gets the stored answer until KeepUntil, then AnswerDropped until
+// ForgetAt. After that the table knows nothing of the key: a resend that says
+// when it was issued gets TooOld and is not run. A resend that does not say is
+// a new request; callers who leave out the time are covered for ClaimKept.
+type Table struct {
+	claims    map[Key]*entry
+	schedule  schedule
+	answers   []*entry
+	keptBytes int
+	serial    uint64
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{claims: map[Key]*entry{}} }
+
+// Apply carries out an event at the stamp, which never steps back.
+func (t *Table) Apply(stamp time.Time, event Event) Result {
+	t.expire(stamp)
+	switch event := event.(type) {
+	case Open:
+		return t.open(stamp, event)
+	case Finish:
+		return t.finish(stamp, event)
+	case Release:
+		return t.release(stamp, event)
+	case Lose:
+		return t.lose(event)
+	case Expire:
+		return Recorded{}
+	default:
+		return Invalid{Reason: "unknown event"}
+	}
+}
+
+// Len is the number of keys that the table remembers.
+func (t *Table) Len() int { return len(t.claims) }
+
+// KeptBytes is the size of all stored answers.
+func (t *Table) KeptBytes() int { return t.keptBytes }
+
+// NextExpiry is when a record next changes by itself; false where none will.
+func (t *Table) NextExpiry() (time.Time, bool) {
+	if len(t.schedule) == 0 {
+		return time.Time{}, false
+	}
+	return t.schedule[0].when, true
+}
+
+// Records returns all records in ascending order of key. The answers are
+// shared with the table and must not be changed.
+func (t *Table) Records() []Record {
+	records := make([]Record, 0, len(t.claims))
+	for _, e := range t.claims {
+		record := e.Record
+		record.Released = slices.Clone(record.Released)
+		records = append(records, record)
+	}
+	slices.SortFunc(records, func(a, b Record) int { return compareKeys(a.Key, b.Key) })
+	return records
+}
+
+// Serial is the number of answers stored so far.
+func (t *Table) Serial() uint64 { return t.serial }
+
+// Restore returns the table with the given records and serial.
+func Restore(records []Record, serial uint64) *Table {
+	t := New()
+	t.serial = serial
+	for _, record := range records {
+		e := &entry{Record: record}
+		t.claims[record.Key] = e
+		t.schedule.add(e)
+		if record.Kept {
+			t.answers = append(t.answers, e)
+			t.keptBytes += record.Answer.Size()
+		}
+	}
+	slices.SortFunc(t.answers, func(a, b *entry) int { return cmp.Compare(a.Serial, b.Serial) })
+	return t
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Subscriber, b.Subscriber), cmp.Compare(a.Name, b.Name))
+}
+
+// expire makes all changes whose time has come.
+func (t *Table) expire(now time.Time) {
+	for len(t.schedule) > 0 && !now.Before(t.schedule[0].when) {
+		t.advance(t.schedule[0], now)
+	}
+}
+
+func (t *Table) advance(e *entry, now time.Time) {
+	switch {
+	case e.Phase == PhaseHeld:
+		e.Phase = PhaseLost
+		t.schedule.update(e)
+	case !now.Before(e.ForgetAt):
+		t.dropAnswer(e)
+		t.schedule.remove(e)
+		delete(t.claims, e.Key)
+	default:
+		t.dropAnswer(e)
+		t.schedule.update(e)
+	}
+}
+
+func (t *Table) dropAnswer(e *entry) {
+	if !e.Kept {
+		return
+	}
+	t.keptBytes -= e.Answer.Size()
+	e.Kept = false
+	e.Answer = Answer{}
+}
+
+// keep stores an answer and drops the oldest ones where there are too many.
+func (t *Table) keep(e *entry, answer Answer) {
+	t.serial++
+	e.Kept, e.Answer, e.Serial = true, answer, t.serial
+	t.keptBytes += answer.Size()
+	t.answers = append(t.answers, e)
+	for len(t.answers) > 0 && (t.keptBytes > MaxKeptBytes || !t.answers[0].Kept) {
+		oldest := t.answers[0]
+		t.answers[0] = nil
+		t.answers = t.answers[1:]
+		if oldest.Kept {
+			t.dropAnswer(oldest)
+			t.schedule.update(oldest)
+		}
+	}
+}
--- /dev/null
+++ b/orderer/ledger.go
@@ -0,0 +1,262 @@
+package orderer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"burdocklink/cataloger"
+)
+
+// Ledger holds all orders that are not settled and what could still come of
+// earlier ones. Apply is deterministic in the catalog, the events, the log
+// indexes and the stamps. A Ledger is not safe for concurrent use.
+//
+// Memory of an upstream is counted over the union of what it is confirmed to
+// hold, what its unsettled orders load, and what a late duplicate of an
+// earlier load could still bring back. An unload frees memory only when it is
+// settled as done. An upstream that checks fences refuses earlier orders once
+// it has carried out a later one, so that duplicates of earlier orders no
+// longer count there; elsewhere they count until their NotAfter has passed by
+// ClockMargin.
+type Ledger struct {
+	limits StoreLimits
+	// nextLoad is when the store's rate allows the next load to begin.
+	nextLoad  time.Time
+	upstreams map[string]*Account
+	orders    map[uint64]*Pending
+	tokens    map[string]*Pending
+	// spent are settled orders whose tokens are still remembered.
+	spent []*Pending
+}
+
+// Pending is an order with the token of its intent.
+type Pending struct {
+	Order Order
+	Token string
+}
+
+// Held is a model or adapter that an upstream is confirmed to hold.
+type Held struct {
+	Name        string
+	MemoryBytes int64
+	// Adapter is true for an adapter, whose base model Base names.
+	Adapter bool
+	Base    string
+}
+
+// Late is an order whose duplicate may still arrive.
+type Late struct {
+	// ID is the order's.
+	ID   uint64
+	Name string
+	// Loads is true for a load and false for an unload.
+	Loads       bool
+	MemoryBytes int64
+	// Until is when the upstream can no longer begin it.
+	Until time.Time
+}
+
+// Account is what the ledger knows of one upstream.
+type Account struct {
+	Upstream    string
+	Incarnation string
+	// Observed is true once a report of the incarnation has been recorded;
+	// before that nothing is known of its memory.
+	Observed bool
+	// Sequence is the number of the last report recorded.
+	Sequence uint64
+	// LastOrder is the highest order that was settled as done or refused.
+	LastOrder uint64
+	Held      []Held
+	Late      []Late
+	// Unsettled are order IDs in ascending order.
+	Unsettled []uint64
+}
+
+// Snapshot is the whole content of a ledger.
+type Snapshot struct {
+	Limits   StoreLimits
+	NextLoad time.Time
+	// Accounts are in ascending order of upstream.
+	Accounts []Account
+	// Unsettled and Spent are in ascending order of ID.
+	Unsettled []Pending
+	Spent     []Pending
+}
+
+// New returns an empty ledger with the default limits.
+func New() *Ledger {
+	return &Ledger{
+		limits:    DefaultLimits(),
+		upstreams: map[string]*Account{},
+		orders:    map[uint64]*Pending{},
+		tokens:    map[string]*Pending{},
+	}
+}
+
+// Limits returns the limits in force.
+func (l *Ledger) Limits() StoreLimits { return l.limits }
+
+// NextLoad is when the store's rate allows the next load.
+func (l *Ledger) NextLoad() time.Time { return l.nextLoad }
+
+// Unsettled returns the unsettled orders in ascending order of ID.
+func (l *Ledger) Unsettled() []Order {
+	orders := make([]Order, 0, len(l.orders))
+	for _, id := range slices.Sorted(maps.Keys(l.orders)) {
+		orders = append(orders, l.orders[id].Order)
+	}
+	return orders
+}
+
+// Account returns what is known of an upstream. Its lists must not be changed.
+func (l *Ledger) Account(upstream string) (Account, bool) {
+	account, known := l.upstreams[upstream]
+	if !known {
+		return Account{}, false
+	}
+	return *account, true
+}
+
+// Snapshot returns a copy of the whole content.
+func (l *Ledger) Snapshot() Snapshot {
+	snapshot := Snapshot{Limits: l.limits, NextLoad: l.nextLoad}
+	for _, name := range slices.Sorted(maps.Keys(l.upstreams)) {
+		account := *l.upstreams[name]
+		account.Held = slices.Clone(account.Held)
+		account.Late = slices.Clone(account.Late)
+		account.Unsettled = slices.Clone(account.Unsettled)
+		snapshot.Accounts = append(snapshot.Accounts, account)
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.orders)) {
+		snapshot.Unsettled = append(snapshot.Unsettled, *l.orders[id])
+	}
+	for _, spent := range l.spent {
+		snapshot.Spent = append(snapshot.Spent, *spent)
+	}
+	slices.SortFunc(snapshot.Spent, func(a, b Pending) int { return cmp.Compare(a.Order.ID, b.Order.ID) })
+	return snapshot
+}
+
+// Restore returns the ledger with the given content.
+func Restore(snapshot Snapshot) *Ledger {
+	l := New()
+	l.limits, l.nextLoad = snapshot.Limits, snapshot.NextLoad
+	for _, account := range snapshot.Accounts {
+		l.upstreams[account.Upstream] = &account
+	}
+	for _, pending := range snapshot.Unsettled {
+		l.orders[pending.Order.ID] = &pending
+		l.tokens[pending.Token] = &pending
+	}
+	for _, pending := range snapshot.Spent {
+		l.spent = append(l.spent, &pending)
+		l.tokens[pending.Token] = &pending
+	}
+	return l
+}
+
+// Apply carries out an event. Index is the log index, stamp the leader's time,
+// which never steps back. The changes are those of the catalog's placements.
+func (l *Ledger) Apply(index uint64, stamp time.Time, catalog *cataloger.Catalog, event Event) (Result, []cataloger.Change) {
+	l.forgetSpent(stamp)
+	switch event := event.(type) {
+	case Intend:
+		return l.intend(index, stamp, catalog, event), nil
+	case Settle:
+		return l.settle(stamp, catalog, event)
+	case Observe:
+		return l.observe(stamp, catalog, event)
+	case Forget:
+		return l.forget(catalog, event), nil
+	case Limit:
+		return l.limit(event), nil
+	default:
+		return Unsuitable{Reason: "unknown event"}, nil
+	}
+}
+
+// forgetSpent drops tokens of settled orders whose intent would be refused by
+// its NotAfter by now.
+func (l *Ledger) forgetSpent(now time.Time) {
+	kept := l.spent[:0]
+	for _, pending := range l.spent {
+		if now.Before(pending.Order.NotAfter) {
+			kept = append(kept, pending)
+			continue
+		}
+		delete(l.tokens, pending.Token)
+	}
+	clear(l.spent[len(kept):])
+	l.spent = kept
+}
+
+func (l *Ledger) limit(event Limit) Result {
+	if reason := event.Limits.fault(); reason != "" {
+		return Unsuitable{Reason: reason}
+	}
+	l.limits = event.Limits
+	return Recorded{}
+}
+
+// account returns the account of an upstream, opening it where needed.
+func (l *Ledger) account(upstream cataloger.Upstream) *Account {
+	account, known := l.upstreams[upstream.Name]
+	if !known {
+		account = &Account{Upstream: upstream.Name, Incarnation: upstream.Incarnation}
+		l.upstreams[upstream.Name] = account
+	}
+	if account.Incarnation != upstream.Incarnation {
+		l.renew(account, upstream.Incarnation)
+	}
+	return account
+}
+
+// renew begins a new incarnation. The orders of the old one are settled by its
+// end, but may still arrive at the new one until their NotAfter.
+func (l *Ledger) renew(account *Account, incarnation string) {
+	for _, id := range slices.Clone(account.Unsettled) {
+		l.close(account, id)
+	}
+	account.Incarnation = incarnation
+	account.Observed = false
+	account.Sequence, account.LastOrder = 0, 0
+	account.Held = nil
+}
+
+// close takes an order out of the unsettled ones.
+func (l *Ledger) close(account *Account, id uint64) {
+	pending := l.orders[id]
+	delete(l.orders, id)
+	l.spent = append(l.spent, pending)
+	account.Unsettled = slices.DeleteFunc(account.Unsettled, func(other uint64) bool { return other == id })
+}
+
+// Renewed tells the ledger that the catalog has a new list of upstreams.
+func (l *Ledger) Renewed(catalog *cataloger.Catalog) {
+	for _, name := range slices.Sorted(maps.Keys(l.upstreams)) {
+		if upstream, listed := catalog.Upstreams[name]; listed {
+			l.account(upstream)
+			continue
+		}
+		l.upstreams[name].Observed = false
+	}
+}
+
+// forget drops the account of an upstream that the catalog no longer lists.
+func (l *Ledger) forget(catalog *cataloger.Catalog, event Forget) Result {
+	if _, listed := catalog.Upstreams[event.Upstream]; listed {
+		return Unsuitable{Reason: "upstream is listed"}
+	}
+	account, known := l.upstreams[event.Upstream]
+	if !known || account.Incarnation != event.Incarnation {
+		return Recorded{}
+	}
+	for _, id := range slices.Clone(account.Unsettled) {
+		l.close(account, id)
+	}
+	delete(l.upstreams, event.Upstream)
+	return Recorded{}
+}
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -61,8 +61,9 @@
 // Intend asks to commit an order. The ledger sets ID and Fence to the log
 // index of the intent, so that both ascend across leaders.
 type Intend struct {
-	// Token is unique for each intent; a repeat of the same token gets the
-	// first result.
+	// Token is unique for each intent; a repeat of the token of a committed
+	// order gets that order. A refused intent may be tried again with its
+	// token.
 	Token string
 	Order Order
 }
@@ -73,17 +74,27 @@
 	Outcome Outcome
 }
 
-// Observe records what an upstream reported to hold, from a report newer than
-// its last settled order.
-type Observe struct{ Placement cataloger.Placement }
+// Observe records what an upstream reported to hold. A report that lags behind
+// the last settled order or behind an earlier Observe changes nothing.
+type Observe struct {
+	Placement cataloger.Placement
+	// LastOrder is the highest order ID that the upstream had settled.
+	LastOrder uint64
+	// Sequence is the report's number within the incarnation.
+	Sequence uint64
+}
 
 // Forget drops all state of an upstream incarnation that is gone.
 type Forget struct{ Upstream, Incarnation string }
 
+// Limit sets what the weight store allows from now on.
+type Limit struct{ Limits StoreLimits }
+
 func (Intend) event()  {}
 func (Settle) event()  {}
 func (Observe) event() {}
 func (Forget) event()  {}
+func (Limit) event()   {}
 
 // Outcome is how an order ended.
 type Outcome int
--- /dev/null
+++ b/orderer/settle.go
@@ -0,0 +1,144 @@
+package orderer
+
+import (
+	"slices"
+	"time"
+
+	"burdocklink/cataloger"
+)
+
+func (l *Ledger) settle(now time.Time, catalog *cataloger.Catalog, event Settle) (Result, []cataloger.Change) {
+	pending, known := l.orders[event.ID]
+	if !known {
+		return UnknownOrder{ID: event.ID}, nil
+	}
+	order := pending.Order
+	account := l.upstreams[order.Upstream]
+	account.prune(now)
+	switch event.Outcome {
+	case OutcomeDone:
+		l.close(account, order.ID)
+		return l.done(catalog, account, order)
+	case OutcomeRefused:
+		l.close(account, order.ID)
+		account.LastOrder = max(account.LastOrder, order.ID)
+	case OutcomeExpired:
+		if now.Before(order.NotAfter.Add(ClockMargin)) {
+			return Unsuitable{Reason: "order may still begin"}, nil
+		}
+		l.close(account, order.ID)
+	default:
+		return Unsuitable{Reason: "unknown outcome"}, nil
+	}
+	return Recorded{Placement: catalog.Placements[order.Upstream]}, nil
+}
+
+// done changes what the upstream holds by an order it carried out.
+func (l *Ledger) done(catalog *cataloger.Catalog, account *Account, order Order) (Result, []cataloger.Change) {
+	account.LastOrder = max(account.LastOrder, order.ID)
+	upstream := catalog.Upstreams[order.Upstream]
+	if upstream.ChecksFence {
+		account.supersede(order.ID)
+	}
+	role := catalog.Placements[order.Upstream].Role
+	switch work := order.Work.(type) {
+	case LoadModel:
+		account.hold(Held{Name: work.Model, MemoryBytes: work.MemoryBytes})
+	case LoadAdapter:
+		account.hold(Held{Name: work.Adapter, MemoryBytes: work.MemoryBytes, Adapter: true, Base: work.Model})
+	case UnloadModel:
+		account.drop(work.Model)
+	case UnloadAdapter:
+		account.drop(work.Adapter)
+	case SetRole:
+		role = work.Role
+	}
+	return l.place(catalog, account, role)
+}
+
+func (a *Account) hold(held Held) {
+	a.drop(held.Name)
+	a.Held = append(a.Held, held)
+}
+
+func (a *Account) drop(name string) {
+	a.Held = slices.DeleteFunc(a.Held, func(held Held) bool { return held.Name == name })
+}
+
+// place gives the placement after an event and the change that leads to it.
+func (l *Ledger) place(catalog *cataloger.Catalog, account *Account, role cataloger.Role) (Result, []cataloger.Change) {
+	placement := account.placement(role)
+	before, placed := catalog.Placements[account.Upstream]
+	if placed && equal(before, placement) {
+		return Recorded{Placement: before}, nil
+	}
+	if _, listed := catalog.Upstreams[account.Upstream]; !listed {
+		return Recorded{Placement: placement}, nil
+	}
+	return Recorded{Placement: placement}, []cataloger.Change{cataloger.PutPlacement{Placement: placement}}
+}
+
+func (a *Account) placement(role cataloger.Role) cataloger.Placement {
+	placement := cataloger.Placement{Upstream: a.Upstream, Incarnation: a.Incarnation, Role: role}
+	for _, held := range a.Held {
+		if held.Adapter {
+			placement.Adapters = append(placement.Adapters, held.Name)
+			continue
+		}
+		placement.Models = append(placement.Models, held.Name)
+	}
+	slices.Sort(placement.Models)
+	slices.Sort(placement.Adapters)
+	return placement
+}
+
+func equal(a, b cataloger.Placement) bool {
+	return a.Upstream == b.Upstream && a.Incarnation == b.Incarnation && a.Role == b.Role &&
+		slices.Equal(a.Models, b.Models) && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// observe takes over what a report says, unless the report lags.
+func (l *Ledger) observe(now time.Time, catalog *cataloger.Catalog, event Observe) (Result, []cataloger.Change) {
+	placement := event.Placement
+	upstream, listed := catalog.Upstreams[placement.Upstream]
+	if !listed || upstream.Incarnation != placement.Incarnation {
+		return UnknownUpstream{Upstream: placement.Upstream}, nil
+	}
+	if upstream.Kind != cataloger.EngineUpstream {
+		return Unsuitable{Reason: "not an engine"}, nil
+	}
+	account := l.account(upstream)
+	if len(account.Unsettled) > 0 {
+		return Busy{Unsettled: account.Unsettled[0]}, nil
+	}
+	lags := event.LastOrder < account.LastOrder || account.Sequence > 0 && event.Sequence <= account.Sequence
+	if lags {
+		return Recorded{Placement: catalog.Placements[placement.Upstream]}, nil
+	}
+	account.prune(now)
+	account.Observed = true
+	account.Sequence = event.Sequence
+	account.Held = observed(catalog, account, placement)
+	return l.place(catalog, account, placement.Role)
+}
+
+// observed lists what a report says is held, each at its size.
+func observed(catalog *cataloger.Catalog, account *Account, placement cataloger.Placement) []Held {
+	var all []Held
+	for _, name := range unique(placement.Models) {
+		all = append(all, Held{Name: name, MemoryBytes: account.size(catalog, name)})
+	}
+	for _, name := range unique(placement.Adapters) {
+		all = append(all, Held{
+			Name:        name,
+			MemoryBytes: account.size(catalog, name),
+			Adapter:     true,
+			Base:        catalog.Adapters[name].Model,
+		})
+	}
+	return all
+}
+
+func unique(names []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(names)))
+}
