feat(cmd): command frame with settings from flags and environment

Cause: every command needs the same reading and checking of settings. Ruled out: flaggy's typed flags, which stop at the first fault. Conclusion: all flags are read as text and checked by one reader that names every fault in one run.

--- /dev/null
+++ b/cmd/bind.go
@@ -0,0 +1,117 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"burdocklink/checker"
+)
+
+// logLevel is a setting of every command.
+var logLevel = checker.Definition{
+	Name:    "log-level",
+	Default: "info",
+	Usage:   "least level of log lines: debug, info, warn or error",
+}
+
+// bound is a command attached to the parser.
+type bound struct {
+	command    command
+	parser     *flaggy.Parser
+	subcommand *flaggy.Subcommand
+	texts      map[string]*string
+	switches   map[string]*bool
+	arguments  map[string]*string
+	children   []*bound
+}
+
+// attach adds a child command with its settings and arguments.
+func (b *bound) attach(child command) {
+	subcommand := flaggy.NewSubcommand(child.name)
+	subcommand.Description = child.usage
+	attached := &bound{
+		command:    child,
+		parser:     b.parser,
+		subcommand: subcommand,
+		texts:      map[string]*string{},
+		switches:   map[string]*bool{},
+		arguments:  map[string]*string{},
+	}
+	if child.run != nil {
+		attached.addSettings()
+	}
+	attached.addArguments()
+	for _, grandchild := range child.children {
+		attached.attach(grandchild)
+	}
+	b.subcommand.AttachSubcommand(subcommand, 1)
+	b.children = append(b.children, attached)
+}
+
+func (b *bound) addSettings() {
+	b.command.settings = append(b.command.settings, logLevel)
+	for _, definition := range b.command.settings {
+		usage := definition.Usage + " [" + definition.Environment() + "]"
+		if definition.Switch {
+			on, _ := strconv.ParseBool(definition.Initial())
+			b.switches[definition.Name] = &on
+			b.subcommand.Bool(&on, "", definition.Name, usage)
+			continue
+		}
+		text := definition.Initial()
+		b.texts[definition.Name] = &text
+		b.subcommand.String(&text, "", definition.Name, usage)
+	}
+}
+
+func (b *bound) addArguments() {
+	for position, name := range b.command.arguments {
+		value := ""
+		b.arguments[name] = &value
+		b.subcommand.AddPositionalValue(&value, name, position+1, true, name)
+	}
+}
+
+// used returns the most specific command that was named, or nil.
+func (b *bound) used() *bound {
+	for _, child := range b.children {
+		if !child.subcommand.Used {
+			continue
+		}
+		if deeper := child.used(); deeper != nil {
+			return deeper
+		}
+		return child
+	}
+	return nil
+}
+
+func (b *bound) invocation(ctx context.Context, out, errOut io.Writer) (*invocation, error) {
+	values := map[string]string{}
+	for name, text := range b.texts {
+		values[name] = *text
+	}
+	for name, on := range b.switches {
+		values[name] = strconv.FormatBool(*on)
+	}
+	arguments := map[string]string{}
+	for name, value := range b.arguments {
+		arguments[name] = *value
+	}
+	reader := checker.New(values)
+	log, err := newLogger(reader, errOut)
+	if err != nil {
+		return nil, err
+	}
+	return &invocation{
+		ctx:       ctx,
+		out:       out,
+		errOut:    errOut,
+		log:       log,
+		settings:  reader,
+		arguments: arguments,
+	}, nil
+}
--- a/cmd/execute.go
+++ b/cmd/execute.go
@@ -1,7 +1,84 @@
-// Package cmd holds the commands of the program, one file each.
+// Package cmd holds the commands of the program, one file each. Each command
+// is thin: it reads settings and calls the packages that do the work.
 package cmd
 
-// Execute runs the command named by the arguments and returns the exit code.
-func Execute(_ []string) int {
-	return 0
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"burdocklink/checker"
+)
+
+// Exit codes of the program.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitRefused  = 4
+	exitNoAnswer = 5
+)
+
+// Execute runs the command that the arguments name and returns the exit code.
+func Execute(arguments []string) int {
+	return execute(context.Background(), arguments, os.Stdout, os.Stderr)
+}
+
+func execute(ctx context.Context, arguments []string, out, errOut io.Writer) int {
+	parser := flaggy.NewParser("burdocklink")
+	parser.Description = "Serves many models and adapters on fewer accelerators."
+	parser.Version = programVersion()
+	root := &bound{parser: parser, subcommand: &parser.Subcommand}
+	for _, child := range commands() {
+		root.attach(child)
+	}
+	if err := parser.ParseArgs(arguments); err != nil {
+		return report(errOut, &UsageError{Cause: err})
+	}
+	chosen := root.used()
+	if chosen == nil || chosen.command.run == nil {
+		parser.ShowHelp()
+		return exitUsage
+	}
+	call, err := chosen.invocation(ctx, out, errOut)
+	if err != nil {
+		return report(errOut, err)
+	}
+	return report(errOut, chosen.command.run(call))
+}
+
+// UsageError says that the command line can't be read.
+type UsageError struct{ Cause error }
+
+// Error describes the fault.
+func (e *UsageError) Error() string { return "command line: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UsageError) Unwrap() error { return e.Cause }
+
+// report prints an error and returns the exit code of its type.
+func report(errOut io.Writer, err error) int {
+	if err == nil {
+		return exitDone
+	}
+	if _, failed := fmt.Fprintln(errOut, "burdocklink: "+err.Error()); failed != nil {
+		return exitFailed
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *UsageError
+	var settings *checker.SettingsError
+	switch {
+	case errors.As(err, &usage), errors.As(err, &settings):
+		return exitUsage
+	default:
+		return exitFailed
+	}
 }
