fix(cmd): print the version through the version command

Ruled out: another name for the command; the word is the usual one. Conclusion: flaggy's own version flag is off; the test is green.

--- a/cmd/execute.go
+++ b/cmd/execute.go
@@ -32,7 +32,7 @@
 func execute(ctx context.Context, arguments []string, out, errOut io.Writer) int {
 	parser := flaggy.NewParser("burdocklink")
 	parser.Description = "Serves many models and adapters on fewer accelerators."
-	parser.Version = programVersion()
+	parser.ShowVersionWithVersionFlag = false
 	root := &bound{parser: parser, subcommand: &parser.Subcommand}
 	for _, child := range commands() {
 		root.attach(child)
