feat(conductor): thin single member behind the final API

The parts beside this one need the calls of a control member before its log, files and links exist. This member keeps its state in memory, leads at once and applies what is proposed.

--- /dev/null
+++ b/conductor/conductor_test.go
@@ -0,0 +1,51 @@
+package conductor_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+	"burdocklink/conductor"
+)
+
+// stopTime is a generous end of a stop.
+const stopTime = 20 * time.Second
+
+// tinyCodec knows only the command that does nothing and the empty state.
+func tinyCodec() conductor.Codec {
+	return conductor.Codec{
+		EncodeCommand: func(applier.Command) ([]byte, error) { return []byte{1}, nil },
+		DecodeCommand: func([]byte) (applier.Command, error) { return applier.Noop{}, nil },
+		EncodeState:   func(*applier.State) ([]byte, error) { return []byte{1}, nil },
+		DecodeState:   func([]byte) (*applier.State, error) { return applier.New(), nil },
+	}
+}
+
+func TestSingleMemberCommits(t *testing.T) {
+	member, err := conductor.New(conductor.Config{Name: "a", Codec: tinyCodec()})
+	assert.NilError(t, err)
+	assert.NilError(t, member.Start(context.Background(), nil))
+	defer func() { assert.NilError(t, member.Stop(time.Now().Add(stopTime))) }()
+
+	applied, err := member.Propose(context.Background(), applier.Noop{})
+	assert.NilError(t, err)
+	assert.Equal(t, applied.Result, applier.Nothing{})
+	revision, err := member.Confirm(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, revision, uint64(0))
+	assert.Assert(t, member.Status().Leading)
+	assert.Assert(t, member.Status().Applied > 0)
+
+	_, deltas, cancel := member.Follow()
+	cancel()
+	_, open := <-deltas
+	assert.Assert(t, !open)
+}
+
+func TestBadConfigIsNamed(t *testing.T) {
+	_, err := conductor.New(conductor.Config{Name: "a"})
+	assert.ErrorType(t, err, &conductor.InvalidConfigError{})
+}
--- /dev/null
+++ b/conductor/config.go
@@ -0,0 +1,127 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials"
+
+	"burdocklink/applier"
+)
+
+// Config is what a member needs to run.
+type Config struct {
+	// Name and Address are the member's own; Address is the IP and port at
+	// which the others reach its replication service.
+	Name    string
+	Address string
+	// Folder is the data folder. Where it is empty, the member keeps
+	// everything in memory and must be alone.
+	Folder string
+	// Peers are the control members that are known from the settings, this one
+	// among them or not. Only Name and Address are read. Members with empty
+	// disks form a group once all of them answer; a member without a group
+	// waits to be added to the one that its peers have.
+	Peers []Member
+	// Voters is how many voters the group repairs itself to; zero means the
+	// number of peers.
+	Voters int
+	// Credentials secure the links; nil means none.
+	Credentials credentials.TransportCredentials
+	Codec       Codec
+	Timing      Timing
+	// SnapshotEntries is how many applied entries the log keeps before a
+	// snapshot replaces them; zero means the default.
+	SnapshotEntries uint64
+	Log             *zap.Logger
+	Metrics         metrics.Registry
+	// Fatal is called once when the member can't go on, as after a failed
+	// sync. The member has stopped by then; the process should end.
+	Fatal func(error)
+}
+
+// Codec turns commands and states into bytes and back.
+type Codec struct {
+	EncodeCommand func(applier.Command) ([]byte, error)
+	DecodeCommand func([]byte) (applier.Command, error)
+	EncodeState   func(*applier.State) ([]byte, error)
+	DecodeState   func([]byte) (*applier.State, error)
+}
+
+// Timing sets how fast members notice each other's loss.
+type Timing struct {
+	// Heartbeat is the interval of the leader's heartbeats.
+	Heartbeat time.Duration
+	// ElectionMin and ElectionMax bound the random time without a leader
+	// after which a voter stands for election.
+	ElectionMin time.Duration
+	ElectionMax time.Duration
+	// Lease is how long a quorum's answers let the leader lead, counted from
+	// the sending of what they answer. It must be shorter than ElectionMin by
+	// the most that two clocks may drift apart meanwhile.
+	Lease time.Duration
+}
+
+// Standard timing of members close together.
+const (
+	StandardHeartbeat   = 100 * time.Millisecond
+	StandardElectionMin = 600 * time.Millisecond
+	StandardElectionMax = 1200 * time.Millisecond
+	StandardLease       = 500 * time.Millisecond
+	// StandardSnapshotEntries is the standard bound of the log's length.
+	StandardSnapshotEntries = 16384
+)
+
+// StandardTiming returns the timing for members close together.
+func StandardTiming() Timing {
+	return Timing{
+		Heartbeat:   StandardHeartbeat,
+		ElectionMin: StandardElectionMin,
+		ElectionMax: StandardElectionMax,
+		Lease:       StandardLease,
+	}
+}
+
+// InvalidConfigError says which field of a Config can't be used.
+type InvalidConfigError struct{ Field, Reason string }
+
+// Error describes the fault.
+func (e *InvalidConfigError) Error() string { return "conductor: " + e.Field + " " + e.Reason }
+
+// check fills what was left out and names the first fault.
+func (c *Config) check() error {
+	if c.Name == "" {
+		return &InvalidConfigError{Field: "name", Reason: "is empty"}
+	}
+	if c.Codec.EncodeCommand == nil || c.Codec.DecodeCommand == nil ||
+		c.Codec.EncodeState == nil || c.Codec.DecodeState == nil {
+		return &InvalidConfigError{Field: "codec", Reason: "lacks a function"}
+	}
+	c.fill()
+	if c.Timing.Heartbeat <= 0 || c.Timing.Heartbeat >= c.Timing.Lease {
+		return &InvalidConfigError{Field: "heartbeat", Reason: "must be shorter than the lease"}
+	}
+	if c.Timing.Lease >= c.Timing.ElectionMin {
+		return &InvalidConfigError{Field: "lease", Reason: "must be shorter than the election timeout"}
+	}
+	if c.Timing.ElectionMax <= c.Timing.ElectionMin {
+		return &InvalidConfigError{Field: "election-max", Reason: "must be longer than election-min"}
+	}
+	return nil
+}
+
+func (c *Config) fill() {
+	if c.Timing == (Timing{}) {
+		c.Timing = StandardTiming()
+	}
+	if c.SnapshotEntries == 0 {
+		c.SnapshotEntries = StandardSnapshotEntries
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+}
