feat(admitter): first whole path of a choice

Cause: the entry needs the seam of admission, routing and limits to build on. What stands: Acquire, Again, FirstToken, Done, Demand and Wake over a queue by time left to the target; choice among three drawn candidates by predicted first token; limit, circuit and retry budget with simple rules. Ruled out: queueing in the callers goroutines, where no order between them holds.

--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,143 @@
+package admitter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"burdocklink/registrar"
+	"burdocklink/router"
+)
+
+// Settings of an admitter.
+type Settings struct {
+	// Now reads the clock; nil is time.Now.
+	Now func() time.Time
+}
+
+// Admitter is the driver of the queue. Start it before Acquire.
+type Admitter struct {
+	settings Settings
+	router   *router.Router
+	core     *core
+	arrivals chan *ticket
+	leavings chan leaving
+	wakes    chan struct{}
+	readings chan chan Demand
+	stopping chan struct{}
+	stopped  chan struct{}
+	stopOnce sync.Once
+
+	// endings is filled by callers and emptied by the loop.
+	endingsMutex sync.Mutex
+	endings      []*ending
+}
+
+type leaving struct {
+	ticket *ticket
+	err    error
+}
+
+// New returns an admitter that has not started.
+func New(router *router.Router, settings Settings) *Admitter {
+	if settings.Now == nil {
+		settings.Now = time.Now
+	}
+	return &Admitter{
+		settings: settings,
+		router:   router,
+		core:     newCore(router, settings.Now()),
+		arrivals: make(chan *ticket),
+		leavings: make(chan leaving),
+		wakes:    make(chan struct{}, 1),
+		readings: make(chan chan Demand),
+		stopping: make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+}
+
+// String names the service.
+func (a *Admitter) String() string { return "admitter" }
+
+// Start begins to admit requests.
+func (a *Admitter) Start(context.Context, *registrar.Registrar) error {
+	go a.run()
+	return nil
+}
+
+// Stop answers all waiting requests with *StoppedError and ends.
+func (a *Admitter) Stop(time.Time) error {
+	a.stopOnce.Do(func() { close(a.stopping) })
+	<-a.stopped
+	return nil
+}
+
+// Acquire waits for an upstream. It returns *HopelessError, *OverloadError,
+// *router.NoUpstreamError or *StoppedError, or the context's error where the
+// caller has gone; in each case the request has not been dispatched.
+func (a *Admitter) Acquire(ctx context.Context, request Request) (*Grant, error) {
+	return a.wait(ctx, newTicket(request))
+}
+
+// Again waits for another upstream after a grant that failed, avoiding the
+// upstreams tried so far. It must not be called for a request that may have
+// run and must not be repeated. It returns *BudgetError where too many
+// requests are retries already, and else what Acquire returns.
+func (a *Admitter) Again(ctx context.Context, grant *Grant) (*Grant, error) {
+	t := newTicket(grant.request)
+	t.retry = true
+	t.request.Route.Avoid = append([]string{grant.Choice.Upstream}, grant.request.Route.Avoid...)
+	return a.wait(ctx, t)
+}
+
+// Demand returns what was asked for since the start, for the control plane.
+func (a *Admitter) Demand() Demand {
+	reply := make(chan Demand, 1)
+	select {
+	case a.readings <- reply:
+		return <-reply
+	case <-a.stopped:
+		return a.core.demand.demand()
+	}
+}
+
+// Wake says that capacity may have changed: a report arrived or the catalog
+// changed.
+func (a *Admitter) Wake() {
+	select {
+	case a.wakes <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Admitter) wait(ctx context.Context, t *ticket) (*Grant, error) {
+	select {
+	case a.arrivals <- t:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-a.stopping:
+		return nil, &StoppedError{}
+	}
+	select {
+	case v := <-t.answer:
+		return v.grant, v.err
+	case <-ctx.Done():
+	}
+	select {
+	case a.leavings <- leaving{ticket: t, err: ctx.Err()}:
+	case <-a.stopped:
+	}
+	v := <-t.answer
+	if v.grant != nil {
+		v.grant.Done(Result{Ended: a.settings.Now(), Outcome: router.OutcomeCancelled})
+		return nil, ctx.Err()
+	}
+	return nil, v.err
+}
+
+func (a *Admitter) finish(e *ending) {
+	a.endingsMutex.Lock()
+	a.endings = append(a.endings, e)
+	a.endingsMutex.Unlock()
+	a.Wake()
+}
--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,125 @@
+package admitter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+	"burdocklink/router"
+)
+
+// generousEnd bounds waits for a condition.
+const generousEnd = 30 * time.Second
+
+func chatClass() classifier.Class {
+	return classifier.Class{Name: "couple", Target: classifier.Target{FirstToken: 2 * time.Second}}
+}
+
+// catalog has one engine of the given slots that holds model m.
+func catalog(t *testing.T, slots int) *cataloger.Catalog {
+	t.Helper()
+	next, err := cataloger.New().With(cataloger.Delta{To: 1, Changes: []cataloger.Change{
+		cataloger.PutModel{Model: cataloger.Model{Name: "m", Service: "asszisztens"}},
+		cataloger.PutUpstream{Upstream: cataloger.Upstream{
+			Name: "e1", Incarnation: "i1", Address: "127.0.0.1:1", Service: "asszisztens",
+			Kind: cataloger.EngineUpstream, State: cataloger.UpstreamLive, Slots: slots,
+		}},
+		cataloger.PutPlacement{Placement: cataloger.Placement{
+			Upstream: "e1", Incarnation: "i1", Models: []string{"m"},
+		}},
+	}})
+	assert.NilError(t, err)
+	return next
+}
+
+func started(t *testing.T, slots int) *Admitter {
+	t.Helper()
+	r := router.New(router.Settings{})
+	r.Update(catalog(t, slots))
+	a := New(r, Settings{})
+	assert.NilError(t, a.Start(t.Context(), nil))
+	t.Cleanup(func() { assert.NilError(t, a.Stop(time.Now().Add(generousEnd))) })
+	return a
+}
+
+func chat(subscriber string) Request {
+	return Request{
+		Subscriber: subscriber,
+		Class:      chatClass(),
+		Arrived:    time.Now(),
+		Route:      router.Request{Service: "asszisztens", Holds: "m", PromptTokens: 10},
+	}
+}
+
+func TestAcquireGrantsAndDoneMakesRoom(t *testing.T) {
+	a := started(t, 1)
+	first, err := a.Acquire(t.Context(), chat("s"))
+	assert.NilError(t, err)
+	assert.Equal(t, first.Choice.Upstream, "e1")
+	second, err := a.Acquire(t.Context(), chat("s"))
+	assert.NilError(t, err)
+	first.Done(Result{Ended: time.Now(), Outcome: router.OutcomeFinished, Tokens: 3})
+	third, err := a.Acquire(t.Context(), chat("s"))
+	assert.NilError(t, err)
+	second.Done(Result{Ended: time.Now(), Outcome: router.OutcomeFinished})
+	third.Done(Result{Ended: time.Now(), Outcome: router.OutcomeFinished})
+	third.Done(Result{Ended: time.Now(), Outcome: router.OutcomeFinished})
+}
+
+func TestAcquireGivesUpAtTheTarget(t *testing.T) {
+	a := started(t, 1)
+	for range 2 {
+		_, err := a.Acquire(t.Context(), chat("s"))
+		assert.NilError(t, err)
+	}
+	late := chat("s")
+	late.Class.Target.FirstToken = 20 * time.Millisecond
+	_, err := a.Acquire(t.Context(), late)
+	var hopeless *HopelessError
+	assert.Assert(t, errorAs(err, &hopeless), "got %v", err)
+	assert.Assert(t, hopeless.Retry.After(late.Arrived))
+}
+
+func TestAcquireRefusals(t *testing.T) {
+	a := started(t, 1)
+	unheld := chat("s")
+	unheld.Route.Holds = "other"
+	_, err := a.Acquire(t.Context(), unheld)
+	var none *router.NoUpstreamError
+	assert.Assert(t, errorAs(err, &none), "got %v", err)
+
+	for range 2 {
+		_, err := a.Acquire(t.Context(), chat("s"))
+		assert.NilError(t, err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = a.Acquire(ctx, chat("s"))
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, a.Demand().Counts["other"]["couple"].Refused, uint64(1))
+}
+
+func TestAgainAvoidsTheFailedUpstream(t *testing.T) {
+	a := started(t, 4)
+	grant, err := a.Acquire(t.Context(), chat("s"))
+	assert.NilError(t, err)
+	grant.Done(Result{Ended: time.Now(), Outcome: router.OutcomeUnreachable})
+	_, err = a.Again(t.Context(), grant)
+	var none *router.NoUpstreamError
+	assert.Assert(t, errorAs(err, &none), "got %v", err)
+}
+
+func TestStopAnswersWaitingRequests(t *testing.T) {
+	r := router.New(router.Settings{})
+	r.Update(catalog(t, 1))
+	a := New(r, Settings{})
+	assert.NilError(t, a.Start(t.Context(), nil))
+	assert.NilError(t, a.Stop(time.Now().Add(generousEnd)))
+	_, err := a.Acquire(t.Context(), chat("s"))
+	var stopped *StoppedError
+	assert.Assert(t, errorAs(err, &stopped), "got %v", err)
+}
--- /dev/null
+++ b/admitter/grant.go
@@ -0,0 +1,88 @@
+package admitter
+
+import (
+	"sync"
+	"time"
+
+	"burdocklink/router"
+)
+
+// Grant allows one dispatch of a request to the chosen upstream. Done must be
+// called once the dispatch has ended; later calls do nothing.
+type Grant struct {
+	Choice router.Choice
+	// Priority is for the engine's scheduler; higher goes first.
+	Priority int
+	// Started is when the grant was given.
+	Started time.Time
+
+	request  Request
+	admitter *Admitter
+	mutex    sync.Mutex
+	first    time.Time
+	done     bool
+}
+
+// FirstToken records when the first token came. Only the first call counts.
+func (g *Grant) FirstToken(at time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.first.IsZero() {
+		g.first = at
+	}
+}
+
+// Done records how the dispatch ended and makes room for the next one.
+func (g *Grant) Done(result Result) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.done {
+		return
+	}
+	g.done = true
+	g.admitter.finish(&ending{grant: g, first: g.first, result: result})
+}
+
+// ending is a finished grant on its way to the core.
+type ending struct {
+	grant  *Grant
+	first  time.Time
+	result Result
+}
+
+func (e *ending) sample() router.Sample {
+	target := e.grant.request.Class.Target
+	return router.Sample{
+		Started:             e.grant.Started,
+		FirstToken:          e.first,
+		Ended:               e.result.Ended,
+		Tokens:              e.result.Tokens,
+		Outcome:             e.result.Outcome,
+		FirstTokenTarget:    target.FirstToken,
+		BetweenTokensTarget: target.BetweenTokens,
+	}
+}
+
+// missed says whether the class target was not met.
+func (e *ending) missed() bool {
+	if e.result.Outcome == router.OutcomeCancelled {
+		return false
+	}
+	if e.result.Outcome != router.OutcomeFinished {
+		return true
+	}
+	target := e.grant.request.Class.Target
+	arrived := e.grant.request.Arrived
+	first := e.first
+	if first.IsZero() {
+		first = e.result.Ended
+	}
+	if target.FirstToken > 0 && first.Sub(arrived) > target.FirstToken {
+		return true
+	}
+	if target.Whole > 0 && e.result.Ended.Sub(arrived) > target.Whole {
+		return true
+	}
+	gap := e.sample().Gap()
+	return target.BetweenTokens > 0 && gap > target.BetweenTokens
+}
--- /dev/null
+++ b/estimator/engine.go
@@ -0,0 +1,177 @@
+package estimator
+
+import "time"
+
+// Defaults where an upstream has not yet reported a rate.
+const (
+	// defaultPrefillRate is in prompt tokens per second.
+	defaultPrefillRate = 8000
+	// defaultDecodeRate is in tokens per second for one running request.
+	defaultDecodeRate = 40
+	// defaultAnswerTokens is the length of an answer not yet measured.
+	defaultAnswerTokens = 128
+)
+
+// recentCalls bounds how many own dispatches and ends are remembered after
+// the last report was taken.
+const recentCalls = 64
+
+// answerWeight is the share of a new answer in the mean answer length.
+const answerWeight = 0.05
+
+// Work is one request as the estimator sees it.
+type Work struct {
+	// PromptTokens is the prompt's length, CachedTokens the part of it that
+	// the engine is believed to hold in its prefix cache.
+	PromptTokens int
+	CachedTokens int
+}
+
+// Prediction is how long a request is expected to take on an engine.
+type Prediction struct {
+	// FirstToken is the wait from now to the first token.
+	FirstToken time.Duration
+	// BetweenTokens is the mean gap between two tokens.
+	BetweenTokens time.Duration
+	// Load is the estimated number of requests running and waiting.
+	Load float64
+}
+
+type call struct {
+	at     time.Time
+	tokens int
+}
+
+// Engine estimates the load of one upstream. It is not safe for concurrent
+// use and does not allocate once it is made.
+type Engine struct {
+	report   Report
+	reported bool
+	slots    int
+	starts   []call
+	ends     []call
+	inFlight int
+	answer   float64
+}
+
+// New returns an estimate for an upstream that batches the given number of
+// requests at once.
+func New(slots int) *Engine {
+	return &Engine{
+		slots:  slots,
+		starts: make([]call, 0, recentCalls),
+		ends:   make([]call, 0, recentCalls),
+		answer: defaultAnswerTokens,
+	}
+}
+
+// Observe takes in a load report. It returns false for a report that is older
+// than the one it has.
+func (e *Engine) Observe(report Report) bool {
+	same := report.Incarnation == e.report.Incarnation
+	if e.reported && same && report.Sequence <= e.report.Sequence {
+		return false
+	}
+	e.report = report
+	e.reported = true
+	if report.Slots > 0 {
+		e.slots = report.Slots
+	}
+	e.starts = after(e.starts, report.Taken)
+	e.ends = after(e.ends, report.Taken)
+	return true
+}
+
+// Report returns the last report, and false where there is none.
+func (e *Engine) Report() (Report, bool) { return e.report, e.reported }
+
+// Started counts an own dispatch.
+func (e *Engine) Started(now time.Time, work Work) {
+	e.inFlight++
+	e.starts = appendCall(e.starts, call{at: now, tokens: work.PromptTokens - work.CachedTokens})
+}
+
+// Finished counts the end of an own dispatch. Tokens is the length of the
+// answer, zero where none was given.
+func (e *Engine) Finished(now time.Time, tokens int) {
+	if e.inFlight > 0 {
+		e.inFlight--
+	}
+	e.ends = appendCall(e.ends, call{at: now})
+	if tokens > 0 {
+		e.answer += answerWeight * (float64(tokens) - e.answer)
+	}
+}
+
+// InFlight returns the number of own dispatches that have not ended.
+func (e *Engine) InFlight() int { return e.inFlight }
+
+// Slots returns how many requests the upstream batches at once, zero where
+// that is not known.
+func (e *Engine) Slots() int { return e.slots }
+
+// Load estimates how many requests run and wait on the upstream. Entries is
+// the number of entries that dispatch to it, this one included.
+func (e *Engine) Load(entries float64) float64 {
+	if !e.reported {
+		return float64(e.inFlight) * entries
+	}
+	since := float64(len(e.starts)-len(e.ends)) * entries
+	load := float64(e.report.Running+e.report.Waiting) + since
+	return max(load, float64(e.inFlight))
+}
+
+// Predict estimates the times of a request that is dispatched now.
+func (e *Engine) Predict(work Work, entries float64) Prediction {
+	load := e.Load(entries)
+	prefill, decode := e.rates()
+	ahead := float64(e.report.WaitingTokens)
+	for _, start := range e.starts {
+		ahead += float64(start.tokens) * entries
+	}
+	own := float64(work.PromptTokens - work.CachedTokens)
+	seconds := (ahead + own) / prefill
+	if queued := load + 1 - float64(e.slots); e.slots > 0 && queued > 0 {
+		seconds += queued * e.answer / (decode * float64(e.slots))
+	}
+	return Prediction{
+		FirstToken:    inSeconds(seconds),
+		BetweenTokens: inSeconds(1 / decode),
+		Load:          load,
+	}
+}
+
+func (e *Engine) rates() (prefill, decode float64) {
+	prefill, decode = defaultPrefillRate, defaultDecodeRate
+	if e.report.PrefillTokensPerSecond > 0 {
+		prefill = e.report.PrefillTokensPerSecond
+	}
+	if e.report.DecodeTokensPerSecond > 0 {
+		decode = e.report.DecodeTokensPerSecond
+	}
+	return prefill, decode
+}
+
+func inSeconds(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// after keeps the calls later than a time, in place.
+func after(calls []call, at time.Time) []call {
+	kept := calls[:0]
+	for _, c := range calls {
+		if c.at.After(at) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// appendCall drops the oldest call when the list is full.
+func appendCall(calls []call, c call) []call {
+	if len(calls) == cap(calls) {
+		copy(calls, calls[1:])
+		calls = calls[:len(calls)-1]
+	}
+	return append(calls, c)
+}
--- /dev/null
+++ b/limiter/circuit.go
@@ -0,0 +1,46 @@
+package limiter
+
+import "time"
+
+// Circuit opening.
+const (
+	// failuresToOpen is how many connection failures in a row open it.
+	failuresToOpen = 3
+	// firstRetry is the first wait of an open circuit, and longestRetry the
+	// longest; each further failure doubles it.
+	firstRetry   = 500 * time.Millisecond
+	longestRetry = 10 * time.Second
+)
+
+// Circuit keeps new work from an upstream that cannot be reached. The zero
+// value is closed.
+type Circuit struct {
+	failures int
+	wait     time.Duration
+	// RetryAt is when the next try is allowed; zero while closed.
+	RetryAt time.Time
+}
+
+// Allows says whether a request may be tried now.
+func (c *Circuit) Allows(now time.Time) bool { return !now.Before(c.RetryAt) }
+
+// Failed counts a connection failure.
+func (c *Circuit) Failed(now time.Time) {
+	c.failures++
+	if c.failures < failuresToOpen {
+		return
+	}
+	c.wait = min(max(2*c.wait, firstRetry), longestRetry)
+	c.RetryAt = now.Add(c.wait)
+}
+
+// Tried moves the next allowed try, so that an open circuit lets through one
+// request at a time.
+func (c *Circuit) Tried(now time.Time) {
+	if c.failures >= failuresToOpen {
+		c.RetryAt = now.Add(c.wait)
+	}
+}
+
+// Answered closes the circuit.
+func (c *Circuit) Answered() { *c = Circuit{} }
--- a/router/choice.go
+++ b/router/choice.go
@@ -45,3 +45,13 @@
 
 // Error describes the refusal.
 func (e *NoUpstreamError) Error() string { return "no upstream can take the request" }
+
+// SaturatedError says that every upstream looked at is at its limit.
+type SaturatedError struct {
+	Service, Holds string
+	// Retry is when room is expected.
+	Retry time.Time
+}
+
+// Error describes the refusal.
+func (e *SaturatedError) Error() string { return "upstreams are at their limits" }
--- /dev/null
+++ b/router/choose.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"burdocklink/estimator"
+)
+
+// contradicted is added to the cost of an upstream whose last report does not
+// list what the catalog says it holds.
+const contradicted = time.Hour
+
+// search is the state of one choice.
+type search struct {
+	now     time.Time
+	request *Request
+	random  uint64
+	best    *upstream
+	cost    time.Duration
+	wait    time.Duration
+	// full counts the candidates that were at their limits.
+	full int
+}
+
+// Choose returns the upstream for a request. It compares a few drawn
+// candidates, never the whole fleet. It returns *NoUpstreamError where no live
+// upstream holds what is asked for and *SaturatedError where all candidates
+// are at their limits.
+func (r *Router) Choose(now time.Time, request *Request) (Choice, error) {
+	candidates := r.candidates(request)
+	s := search{now: now, request: request, cost: math.MaxInt64}
+	s.random = mix(r.settings.Seed ^ mix(request.Seed))
+	if len(candidates) <= sampled {
+		for _, u := range candidates {
+			r.look(&s, u)
+		}
+	} else {
+		r.draw(&s, candidates)
+	}
+	if s.best == nil {
+		return Choice{}, r.refuse(&s)
+	}
+	return Choice{
+		Upstream:    s.best.about.Name,
+		Incarnation: s.best.about.Incarnation,
+		Address:     s.best.about.Address,
+		Predicted:   now.Add(s.wait),
+	}, nil
+}
+
+func (r *Router) candidates(request *Request) []*upstream {
+	t := r.current.Load()
+	if request.Holds != "" {
+		return t.holders[request.Holds]
+	}
+	return t.services[request.Service]
+}
+
+// draw looks at a few random candidates, and walks on from the last one while
+// none of them fits.
+func (r *Router) draw(s *search, candidates []*upstream) {
+	count := uint64(len(candidates))
+	at := uint64(0)
+	for range sampled {
+		s.random = mix(s.random)
+		at = s.random % count
+		r.look(s, candidates[at])
+	}
+	for range min(walked, len(candidates)) {
+		if s.best != nil {
+			return
+		}
+		at = (at + 1) % count
+		r.look(s, candidates[at])
+	}
+}
+
+// look compares one candidate with the best so far.
+func (r *Router) look(s *search, u *upstream) {
+	if slices.Contains(s.request.Avoid, u.about.Name) {
+		return
+	}
+	work := estimator.Work{PromptTokens: s.request.PromptTokens}
+	prediction, verdict := u.judge(s.now, work, r.entries)
+	if verdict == unusable {
+		return
+	}
+	if verdict == full {
+		s.full++
+		return
+	}
+	cost := prediction.FirstToken
+	if u.about.AvailabilityZone != r.settings.AvailabilityZone {
+		cost += r.settings.CrossZone
+	}
+	if u.misses(s.request) {
+		cost += contradicted
+	}
+	if cost < s.cost {
+		s.best, s.cost, s.wait = u, cost, prediction.FirstToken
+	}
+}
+
+func (r *Router) refuse(s *search) error {
+	if s.full > 0 {
+		return &SaturatedError{
+			Service: s.request.Service,
+			Holds:   s.request.Holds,
+			Retry:   s.now.Add(saturatedRetry),
+		}
+	}
+	return &NoUpstreamError{
+		Service: s.request.Service,
+		Holds:   s.request.Holds,
+		Retry:   s.now.Add(noUpstreamRetry),
+	}
+}
+
+// mix is a step of the splitmix64 generator.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/router/sample.go
@@ -0,0 +1,43 @@
+package router
+
+import "time"
+
+// Outcome is how a dispatched request ended.
+type Outcome int
+
+const (
+	// OutcomeFinished means that the whole answer came.
+	OutcomeFinished Outcome = iota + 1
+	// OutcomeFailed means that the upstream answered with a failure or broke
+	// off.
+	OutcomeFailed
+	// OutcomeUnreachable means that no connection could be made.
+	OutcomeUnreachable
+	// OutcomeRefused means that the upstream refused the request unrun.
+	OutcomeRefused
+	// OutcomeCancelled means that the caller gave up.
+	OutcomeCancelled
+)
+
+// Sample is what was measured of one dispatched request.
+type Sample struct {
+	Started time.Time
+	// FirstToken is zero where none came.
+	FirstToken time.Time
+	Ended      time.Time
+	// Tokens is the length of the answer.
+	Tokens  int
+	Outcome Outcome
+	// FirstTokenTarget and BetweenTokensTarget are what the class promises,
+	// zero where it promises nothing.
+	FirstTokenTarget    time.Duration
+	BetweenTokensTarget time.Duration
+}
+
+// Gap returns the mean time between two tokens, zero where it is not known.
+func (s Sample) Gap() time.Duration {
+	if s.FirstToken.IsZero() || s.Tokens < 2 {
+		return 0
+	}
+	return s.Ended.Sub(s.FirstToken) / time.Duration(s.Tokens-1)
+}
--- /dev/null
+++ b/router/settings.go
@@ -0,0 +1,38 @@
+package router
+
+import "time"
+
+// Settings of a router.
+type Settings struct {
+	// AvailabilityZone is the chooser's own.
+	AvailabilityZone string
+	// Seed varies the sampled candidates from entry to entry.
+	Seed uint64
+	// Entries is how many entries share the upstreams, this one included;
+	// zero counts as one.
+	Entries int
+	// CrossZone is what a call to another availability zone costs.
+	CrossZone time.Duration
+}
+
+// Limits of a choice.
+const (
+	// sampled is how many candidates are drawn and compared.
+	sampled = 3
+	// walked is how many more are looked at when all drawn ones are at their
+	// limits.
+	walked = 64
+	// leastLimit is the lowest concurrency limit of an upstream, and
+	// plainLimit the highest of one that reports no slots.
+	leastLimit = 1
+	plainLimit = 256
+	// waitingShare is how many requests may wait on an engine for each slot,
+	// so that its batch does not run dry between two reports.
+	waitingShare = 0.25
+)
+
+// Waits before a refused request should come back.
+const (
+	noUpstreamRetry = 5 * time.Second
+	saturatedRetry  = time.Second
+)
--- /dev/null
+++ b/router/upstream.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"burdocklink/cataloger"
+	"burdocklink/estimator"
+	"burdocklink/limiter"
+)
+
+// upstream is one entry of a table. Tables share what was measured.
+type upstream struct {
+	about cataloger.Upstream
+	*measured
+}
+
+// measured is what the router knows of one incarnation.
+type measured struct {
+	mutex   sync.Mutex
+	engine  *estimator.Engine
+	limit   *limiter.Limit
+	circuit limiter.Circuit
+	// leaving is final for an incarnation.
+	leaving bool
+	// models and adapters are what the last report lists.
+	models   []string
+	adapters []string
+}
+
+func newUpstream(about cataloger.Upstream) *upstream {
+	most := plainLimit
+	if about.Slots > 0 {
+		most = about.Slots + max(1, int(float64(about.Slots)*waitingShare))
+	}
+	return &upstream{about: about, measured: &measured{
+		engine: estimator.New(about.Slots),
+		limit:  limiter.New(limiter.Settings{Least: leastLimit, Most: most}),
+	}}
+}
+
+func (m *measured) observe(report estimator.Report) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.engine.Observe(report) {
+		return
+	}
+	m.models = report.Models
+	m.adapters = report.Adapters
+	m.leaving = m.leaving || report.Leaving
+}
+
+// verdict says whether an upstream can take a request now.
+type verdict int
+
+const (
+	fits verdict = iota
+	full
+	unusable
+)
+
+// judge predicts a request on the upstream.
+func (m *measured) judge(now time.Time, work estimator.Work, entries float64) (estimator.Prediction, verdict) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.leaving || !m.circuit.Allows(now) {
+		return estimator.Prediction{}, unusable
+	}
+	prediction := m.engine.Predict(work, entries)
+	if !m.limit.Allows(prediction.Load) {
+		return prediction, full
+	}
+	return prediction, fits
+}
+
+// misses says whether the last report contradicts the catalog's placement.
+func (m *measured) misses(request *Request) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if _, reported := m.engine.Report(); !reported || request.Holds == "" {
+		return false
+	}
+	return !slices.Contains(m.models, request.Holds) && !slices.Contains(m.adapters, request.Holds)
+}
+
+func (m *measured) started(now time.Time, work estimator.Work) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.engine.Started(now, work)
+	m.circuit.Tried(now)
+}
+
+func (m *measured) finished(sample *Sample, entries float64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	load := m.engine.Load(entries)
+	m.engine.Finished(sample.Ended, sample.Tokens)
+	if sample.Outcome == OutcomeUnreachable {
+		m.circuit.Failed(sample.Ended)
+		return
+	}
+	if sample.Outcome != OutcomeCancelled {
+		m.circuit.Answered()
+	}
+	m.limit.Observe(load, sample.Gap(), sample.BetweenTokensTarget)
+}
