--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"burdocklink/placer"
 	"burdocklink/registrar"
 	"burdocklink/router"
 )
@@ -23,7 +24,7 @@
 	arrivals chan *ticket
 	leavings chan leaving
 	wakes    chan struct{}
-	readings chan chan Demand
+	readings chan chan placer.Demand
 	stopping chan struct{}
 	stopped  chan struct{}
 	stopOnce sync.Once
@@ -50,7 +51,7 @@
 		arrivals: make(chan *ticket),
 		leavings: make(chan leaving),
 		wakes:    make(chan struct{}, 1),
-		readings: make(chan chan Demand),
+		readings: make(chan chan placer.Demand),
 		stopping: make(chan struct{}),
 		stopped:  make(chan struct{}),
 	}
@@ -91,8 +92,8 @@
 }
 
 // Demand returns what was asked for since the start, for the control plane.
-func (a *Admitter) Demand() Demand {
-	reply := make(chan Demand, 1)
+func (a *Admitter) Demand() placer.Demand {
+	reply := make(chan placer.Demand, 1)
 	select {
 	case a.readings <- reply:
 		return <-reply
--- /dev/null
+++ b/placer/demand.go
@@ -0,0 +1,46 @@
+package placer
+
+import "time"
+
+// Demand is what one entry was asked for since it started. It is cumulative,
+// so that a lost reading costs nothing.
+type Demand struct {
+	// Since is the start of the entry's counts.
+	Since time.Time
+	// Counts is by model or adapter, then by class.
+	Counts map[string]map[string]Count
+}
+
+// Count is the demand for one model or adapter in one class.
+type Count struct {
+	Arrivals uint64
+	// Ended requests were dispatched and have ended; PromptTokens and
+	// AnswerTokens are theirs.
+	Ended        uint64
+	PromptTokens uint64
+	AnswerTokens uint64
+	// Refused were answered unrun; Missed were late or refused.
+	Refused uint64
+	Missed  uint64
+}
+
+// Add returns the sum of two counts.
+func (c Count) Add(other Count) Count {
+	return Count{
+		Arrivals:     c.Arrivals + other.Arrivals,
+		Ended:        c.Ended + other.Ended,
+		PromptTokens: c.PromptTokens + other.PromptTokens,
+		AnswerTokens: c.AnswerTokens + other.AnswerTokens,
+		Refused:      c.Refused + other.Refused,
+		Missed:       c.Missed + other.Missed,
+	}
+}
+
+// total returns the sum over the classes of one model or adapter.
+func total(classes map[string]Count) Count {
+	var sum Count
+	for _, count := range classes {
+		sum = sum.Add(count)
+	}
+	return sum
+}
