feat(faker): first stand-ins of engine, service, platform and store

Cause: entry, control and the integration tests need the four outside systems as small servers that speak the upstream protocol, record what they did and misbehave when told to.

Ruled out: token text as a function of the token index alone. A continuation elsewhere would need to count the tokens given; the next token as a hash of all text before it makes a continuation right for chat and plain completions alike, and makes a gap or a repeat visible to a check.

While writing, the overcommit test was red ("2 (int) != 1 (int)": a load of zero further bytes was recorded again) and is green since only growth is checked.

--- /dev/null
+++ b/faker/batch.go
@@ -0,0 +1,172 @@
+package faker
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// stepTime is the pause between two steps of the batch.
+	stepTime = time.Millisecond
+	// longestStep bounds what one step may catch up.
+	longestStep = 100 * time.Millisecond
+)
+
+// batch runs requests as a continuously batching engine does: a limited number
+// at once, prefill shared, one token after another for each.
+type batch struct {
+	settings EngineSettings
+	faults   *faults
+	wake     chan struct{}
+	stopped  chan struct{}
+
+	mu      sync.Mutex
+	waiting []*stream
+	running []*stream
+	last    time.Time
+}
+
+func newBatch(settings EngineSettings, faults *faults) *batch {
+	return &batch{
+		settings: settings,
+		faults:   faults,
+		wake:     make(chan struct{}, 1),
+		stopped:  make(chan struct{}),
+	}
+}
+
+// submit queues a stream by its priority.
+func (b *batch) submit(added *stream) {
+	b.mu.Lock()
+	b.waiting = append(b.waiting, added)
+	sort.SliceStable(b.waiting, func(i, j int) bool {
+		return b.waiting[i].priority > b.waiting[j].priority
+	})
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// stop ends the loop.
+func (b *batch) stop() { close(b.stopped) }
+
+// loop steps while there is work.
+func (b *batch) loop() {
+	ticker := time.NewTicker(stepTime)
+	defer ticker.Stop()
+	for {
+		if b.step(time.Now()) {
+			select {
+			case <-ticker.C:
+			case <-b.stopped:
+				return
+			}
+			continue
+		}
+		select {
+		case <-b.wake:
+		case <-b.stopped:
+			return
+		}
+	}
+}
+
+// step gives each running request the tokens of the time that passed and says
+// whether work is left.
+func (b *batch) step(now time.Time) bool {
+	faults := b.faults.get()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	passed := min(now.Sub(b.last), longestStep).Seconds()
+	b.last = now
+	if faults.SlowFactor > 1 {
+		passed /= faults.SlowFactor
+	}
+	if faults.Frozen {
+		passed = 0
+	}
+	b.running = b.keep(b.running, now)
+	b.waiting = b.keep(b.waiting, now)
+	b.admit()
+	if !faults.Frozen {
+		b.prefill(passed)
+		b.decode(passed)
+	}
+	return len(b.running)+len(b.waiting) > 0
+}
+
+// keep releases and drops streams that have ended or were given up.
+func (b *batch) keep(streams []*stream, now time.Time) []*stream {
+	kept := streams[:0]
+	for _, each := range streams {
+		if each.abandoned(now) {
+			each.setState(streamCancelled)
+		}
+		if each.ended() {
+			each.release()
+			continue
+		}
+		kept = append(kept, each)
+	}
+	return kept
+}
+
+// admit fills free slots from the queue.
+func (b *batch) admit() {
+	for len(b.waiting) > 0 && len(b.running) < b.settings.Slots {
+		first := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		first.setState(streamRunning)
+		b.running = append(b.running, first)
+	}
+}
+
+// prefill spends the time that passed on prompts, first come first served.
+func (b *batch) prefill(passed float64) {
+	left := passed * b.settings.PrefillTokensPerSecond
+	for _, each := range b.running {
+		if b.settings.PrefillTokensPerSecond == 0 {
+			each.prefillLeft = 0
+			continue
+		}
+		spent := min(left, each.prefillLeft)
+		each.prefillLeft -= spent
+		left -= spent
+	}
+}
+
+// decode gives tokens to each request whose prompt is done.
+func (b *batch) decode(passed float64) {
+	for _, each := range b.running {
+		if each.prefillLeft > 0 {
+			continue
+		}
+		if b.settings.DecodeTokensPerSecond == 0 {
+			each.produce(each.limit)
+			continue
+		}
+		each.credit += passed * b.settings.DecodeTokensPerSecond
+		if whole := int(each.credit); whole > 0 {
+			each.credit -= float64(whole)
+			each.produce(whole)
+		}
+	}
+}
+
+// occupancy is what a load report says of the batch.
+type occupancy struct {
+	running, waiting, waitingTokens int
+}
+
+func (b *batch) occupancy() occupancy {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	seen := occupancy{running: len(b.running), waiting: len(b.waiting)}
+	for _, each := range b.waiting {
+		seen.waitingTokens += each.promptTokens
+	}
+	return seen
+}
--- /dev/null
+++ b/faker/engine.go
@@ -0,0 +1,204 @@
+package faker
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// EngineSettings describe a stand-in engine. The zero value of a rate or a
+// time costs nothing.
+type EngineSettings struct {
+	Name        string
+	Incarnation string
+	// MemoryBytes is the accelerator memory.
+	MemoryBytes int64
+	// Slots is how many requests run at once; zero means DefaultSlots.
+	Slots int
+	// PrefillTokensPerSecond is shared by all requests in prefill.
+	PrefillTokensPerSecond float64
+	// DecodeTokensPerSecond is the speed of each running request.
+	DecodeTokensPerSecond float64
+	// ReportLag is the age of the load report.
+	ReportLag time.Duration
+	// CacheEventLag is the age of cache events when they can be read.
+	CacheEventLag time.Duration
+	// PrefixCacheBlocks is how many blocks of prompts the cache holds.
+	PrefixCacheBlocks int
+	// ChecksFence refuses orders with an old fencing number.
+	ChecksFence bool
+	// Store is the IP and port of the weight store; empty loads without it.
+	Store string
+	// LoadTime is added to each load.
+	LoadTime time.Duration
+	// ResumeTime is how long a stream without a reader is kept; zero means
+	// DefaultResumeTime.
+	ResumeTime time.Duration
+	// Holds are the weights in memory from the start.
+	Holds []encoder.Weights
+}
+
+// Defaults of EngineSettings.
+const (
+	DefaultSlots      = 16
+	DefaultResumeTime = 30 * time.Second
+)
+
+// Engine is a stand-in model engine.
+type Engine struct {
+	host
+	settings EngineSettings
+	batch    *batch
+	ledger   *ledger
+	cache    *prefixCache
+	reports  *reports
+	faults   *faults
+	leaving  atomic.Pointer[time.Time]
+
+	mu   sync.Mutex
+	runs []*stream
+	byID map[string]*stream
+}
+
+// NewEngine returns an engine that does not listen yet.
+func NewEngine(settings EngineSettings) *Engine {
+	if settings.Slots == 0 {
+		settings.Slots = DefaultSlots
+	}
+	if settings.ResumeTime == 0 {
+		settings.ResumeTime = DefaultResumeTime
+	}
+	engine := &Engine{
+		settings: settings,
+		faults:   newFaults(),
+		byID:     map[string]*stream{},
+	}
+	engine.cache = newPrefixCache(settings.PrefixCacheBlocks, settings.CacheEventLag, engine.faults)
+	engine.ledger = newLedger(settings)
+	engine.batch = newBatch(settings, engine.faults)
+	engine.reports = newReports(settings.ReportLag, engine.takeReport)
+	return engine
+}
+
+// Start listens on the address and begins to work.
+func (e *Engine) Start(address string) error {
+	if err := e.start(address, e.Handler()); err != nil {
+		return err
+	}
+	go e.batch.loop()
+	go e.reports.loop()
+	return nil
+}
+
+// Stop finishes requests in flight until the deadline and then cuts them.
+func (e *Engine) Stop(deadline time.Time) error {
+	err := e.stop(deadline)
+	e.batch.stop()
+	e.reports.stop()
+	return err
+}
+
+// Handler serves the upstream protocol, the record and the faults.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+encoder.PathChat, e.complete)
+	mux.HandleFunc("POST "+encoder.PathCompletions, e.complete)
+	mux.HandleFunc("GET "+encoder.PathModels, e.listModels)
+	mux.HandleFunc("GET "+encoder.PathStreams+"{id}", e.resume)
+	mux.HandleFunc("DELETE "+encoder.PathStreams+"{id}", e.cancel)
+	mux.HandleFunc("GET "+encoder.PathLoad, e.load)
+	mux.HandleFunc("POST "+encoder.PathOrders, e.takeOrder)
+	mux.HandleFunc("GET "+encoder.PathOrders+"/{id}", e.askOrder)
+	mux.HandleFunc("GET "+encoder.PathCacheEvents, e.cacheEvents)
+	mux.HandleFunc("GET "+encoder.PathKV+"{id}", e.exportKV)
+	mux.HandleFunc("POST "+encoder.PathKV+"{id}", e.importKV)
+	outer := http.NewServeMux()
+	outer.HandleFunc("POST "+encoder.PathLeave, e.leave)
+	outer.HandleFunc("GET "+encoder.PathRecord, e.record)
+	outer.HandleFunc("POST "+encoder.PathFaults, e.setFaults)
+	outer.Handle("/", e.faults.thaw(mux))
+	return outer
+}
+
+// Leave makes the engine report that it leaves.
+func (e *Engine) Leave() {
+	now := time.Now()
+	e.leaving.CompareAndSwap(nil, &now)
+}
+
+func (e *Engine) leave(w http.ResponseWriter, _ *http.Request) {
+	e.Leave()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(faults encoder.EngineFaults) { e.faults.set(faults) }
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults encoder.EngineFaults
+	if !read(w, r, &faults) {
+		return
+	}
+	e.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// find returns the stream of a request.
+func (e *Engine) find(id string) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.byID[id]
+}
+
+// add records a stream; an earlier one of the same request is cancelled.
+func (e *Engine) add(added *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if earlier := e.byID[added.id]; earlier != nil {
+		earlier.setState(streamCancelled)
+	}
+	e.byID[added.id] = added
+	e.runs = append(e.runs, added)
+}
+
+// Record returns what the engine saw and did so far.
+func (e *Engine) Record() encoder.EngineRecord {
+	record := e.ledger.record()
+	record.Upstream = e.settings.Name
+	record.Incarnation = e.settings.Incarnation
+	if leaving := e.leaving.Load(); leaving != nil {
+		record.Leaving = *leaving
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	record.Runs = make([]encoder.EngineRun, 0, len(e.runs))
+	for _, run := range e.runs {
+		record.Runs = append(record.Runs, run.record())
+	}
+	return record
+}
+
+func (e *Engine) record(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, e.Record())
+}
+
+// record describes the stream.
+func (s *stream) record() encoder.EngineRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encoder.EngineRun{
+		RequestID:    s.id,
+		Path:         s.path,
+		Model:        s.model,
+		Started:      s.started,
+		State:        s.state.String(),
+		Tokens:       len(s.tokens),
+		PromptTokens: s.promptTokens,
+		CachedTokens: s.cachedTokens,
+		Priority:     s.priority,
+		Imported:     s.imported,
+	}
+}
--- /dev/null
+++ b/faker/kv.go
@@ -0,0 +1,61 @@
+package faker
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// exportKV answers GET PathKV with the state of a request.
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	found := e.find(r.PathValue("id"))
+	if found == nil {
+		refuse(w, http.StatusNotFound, "stream_not_found", "no such stream")
+		return
+	}
+	answer(w, http.StatusOK, found.export())
+}
+
+// export copies what another engine needs to go on.
+func (s *stream) export() encoder.KVCache {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encoder.KVCache{
+		RequestID: s.id,
+		Path:      s.path,
+		Model:     s.model,
+		State:     s.source.state,
+		Tokens:    slices.Clone(s.tokens),
+		Limit:     s.limit,
+	}
+}
+
+// importKV takes over a request; its stream is then read by resuming it.
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	var exported encoder.KVCache
+	if !read(w, r, &exported) {
+		return
+	}
+	if !e.ledger.use(exported.Model) {
+		refuse(w, http.StatusNotFound, "model_not_found", "the model "+exported.Model+" is not loaded")
+		return
+	}
+	added := &stream{
+		id:        r.PathValue("id"),
+		path:      exported.Path,
+		model:     exported.Model,
+		limit:     exported.Limit,
+		started:   time.Now(),
+		imported:  true,
+		source:    generator{state: exported.State},
+		tokens:    exported.Tokens,
+		changed:   make(chan struct{}),
+		release:   func() { e.ledger.release(exported.Model) },
+		keepUntil: time.Now().Add(e.settings.ResumeTime),
+	}
+	e.add(added)
+	e.batch.submit(added)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/faker/ledger.go
@@ -0,0 +1,223 @@
+package faker
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// States of an order on the wire.
+const (
+	orderRunning = "running"
+	orderDone    = "done"
+	orderRefused = "refused"
+)
+
+// Kinds of orders and weights on the wire.
+const (
+	kindLoadModel     = "load-model"
+	kindUnloadModel   = "unload-model"
+	kindLoadAdapter   = "load-adapter"
+	kindUnloadAdapter = "unload-adapter"
+	kindSetRole       = "set-role"
+	kindModel         = "model"
+	kindAdapter       = "adapter"
+)
+
+// weights are one model or adapter in memory or on its way there.
+type weights struct {
+	encoder.Weights
+	ready     bool
+	unloading bool
+	// users counts the requests that run on the weights.
+	users int
+}
+
+// ledger holds an engine's memory and its orders.
+type ledger struct {
+	settings EngineSettings
+
+	mu         sync.Mutex
+	held       map[string]*weights
+	used       int64
+	most       int64
+	role       string
+	fence      uint64
+	lastOrder  uint64
+	byID       map[uint64]encoder.OrderReply
+	arrivals   []encoder.OrderArrival
+	violations []string
+}
+
+func newLedger(settings EngineSettings) *ledger {
+	made := &ledger{
+		settings: settings,
+		held:     map[string]*weights{},
+		role:     "mixed",
+		byID:     map[uint64]encoder.OrderReply{},
+	}
+	for _, each := range settings.Holds {
+		made.held[each.Name] = &weights{Weights: each, ready: true}
+		made.reserve(each.Name, each.MemoryBytes)
+	}
+	return made
+}
+
+// reserve counts memory as used and records an overcommit. The mutex must be
+// held.
+func (l *ledger) reserve(name string, bytes int64) {
+	l.used += bytes
+	l.most = max(l.most, l.used)
+	if bytes <= 0 || l.used <= l.settings.MemoryBytes {
+		return
+	}
+	l.violations = append(l.violations, fmt.Sprintf(
+		"memory overcommitted by %s: %d of %d bytes", name, l.used, l.settings.MemoryBytes))
+}
+
+// use counts a request in and says whether its weights are ready.
+func (l *ledger) use(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := l.held[name]
+	if found == nil || !found.ready || found.unloading {
+		return false
+	}
+	found.users++
+	return true
+}
+
+// release counts a request out.
+func (l *ledger) release(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if found := l.held[name]; found != nil && found.users > 0 {
+		found.users--
+	}
+}
+
+// names lists the ready weights of a kind in ascending order. The mutex must
+// be held.
+func (l *ledger) names(kind string) []string {
+	names := []string{}
+	for name, each := range l.held {
+		if each.Kind == kind && each.ready && !each.unloading {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// report fills in what a load report says of memory and orders.
+func (l *ledger) report(into *encoder.LoadReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	into.MemoryBytes = l.settings.MemoryBytes
+	into.UsedBytes = l.used
+	into.Models = l.names(kindModel)
+	into.Adapters = l.names(kindAdapter)
+	into.Role = l.role
+	into.LastOrder = l.lastOrder
+}
+
+// record gives the orders and the memory's history.
+func (l *ledger) record() encoder.EngineRecord {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return encoder.EngineRecord{
+		MemoryBytes:   l.settings.MemoryBytes,
+		UsedBytes:     l.used,
+		MostUsedBytes: l.most,
+		Violations:    slices.Clone(l.violations),
+		Orders:        slices.Clone(l.arrivals),
+		Models:        l.names(kindModel),
+		Adapters:      l.names(kindAdapter),
+	}
+}
+
+// ask gives the state of an order.
+func (l *ledger) ask(id uint64) (encoder.OrderReply, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply, seen := l.byID[id]
+	return reply, seen
+}
+
+// arrive records an order and decides on it. The boolean says whether it is to
+// be carried out now.
+func (l *ledger) arrive(order encoder.OrderRequest, now time.Time) (encoder.OrderReply, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply, repeated := l.byID[order.ID]
+	if !repeated {
+		reply = l.decide(order, now)
+		l.byID[order.ID] = reply
+	}
+	l.arrivals = append(l.arrivals, encoder.OrderArrival{
+		OrderRequest: order,
+		Arrived:      now,
+		State:        reply.State,
+		Reason:       reply.Reason,
+		Repeated:     repeated,
+	})
+	return reply, !repeated && reply.State == orderRunning
+}
+
+// decide checks a new order. The mutex must be held.
+func (l *ledger) decide(order encoder.OrderRequest, now time.Time) encoder.OrderReply {
+	reply := encoder.OrderReply{ID: order.ID, State: orderRefused}
+	switch {
+	case order.Incarnation != l.settings.Incarnation:
+		reply.Reason = "wrong incarnation"
+	case !order.NotAfter.IsZero() && now.After(order.NotAfter):
+		reply.Reason = "too late"
+	case l.settings.ChecksFence && order.Fence < l.fence:
+		reply.Reason = "old fence"
+	default:
+		reply.Reason = l.objection(order)
+	}
+	if reply.Reason != "" {
+		l.lastOrder = max(l.lastOrder, order.ID)
+		return reply
+	}
+	l.fence = max(l.fence, order.Fence)
+	reply.State = orderRunning
+	return reply
+}
+
+// objection says what the engine itself has against an order. The mutex must
+// be held.
+func (l *ledger) objection(order encoder.OrderRequest) string {
+	switch order.Kind {
+	case kindLoadAdapter:
+		if base := l.held[order.Model]; base == nil || base.unloading {
+			return "base model not held"
+		}
+	case kindUnloadModel:
+		for _, each := range l.held {
+			if each.Base == order.Model {
+				return "adapter " + each.Name + " needs the model"
+			}
+		}
+	case kindLoadModel, kindUnloadAdapter, kindSetRole:
+	default:
+		return "unknown kind " + order.Kind
+	}
+	return ""
+}
+
+// settle records how an order ended.
+func (l *ledger) settle(id uint64, reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply := encoder.OrderReply{ID: id, State: orderDone}
+	if reason != "" {
+		reply = encoder.OrderReply{ID: id, State: orderRefused, Reason: reason}
+	}
+	l.byID[id] = reply
+	l.lastOrder = max(l.lastOrder, id)
+}
--- /dev/null
+++ b/faker/order.go
@@ -0,0 +1,205 @@
+package faker
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// unloadPause is the wait between two looks at the users of weights.
+const unloadPause = 2 * time.Millisecond
+
+// takeOrder answers POST PathOrders, with the losses that are switched on.
+func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var order encoder.OrderRequest
+	if !read(w, r, &order) {
+		return
+	}
+	switch e.faults.loseOrder() {
+	case lossOrder:
+		drop()
+	case lossLate:
+		late := time.Duration(e.faults.get().LateOrderMilliseconds) * time.Millisecond
+		go (&execution{engine: e, order: order, arrival: time.Now().Add(late)}).runLate()
+		drop()
+	case lossReply:
+		e.arrive(order)
+		drop()
+	case lossNone:
+		reply := e.arrive(order)
+		answer(w, orderStatus(reply), reply)
+	}
+}
+
+// arrive takes an order and begins it.
+func (e *Engine) arrive(order encoder.OrderRequest) encoder.OrderReply {
+	reply, begin := e.ledger.arrive(order, time.Now())
+	if !begin {
+		return reply
+	}
+	begun := &execution{engine: e, order: order}
+	begun.begin()
+	go begun.run()
+	return reply
+}
+
+// askOrder answers GET PathOrders/ID.
+func (e *Engine) askOrder(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "malformed", err.Error())
+		return
+	}
+	reply, seen := e.ledger.ask(id)
+	if !seen {
+		refuse(w, http.StatusNotFound, "order_not_found", "no such order")
+		return
+	}
+	answer(w, orderStatus(reply), reply)
+}
+
+func orderStatus(reply encoder.OrderReply) int {
+	switch reply.State {
+	case orderDone:
+		return http.StatusOK
+	case orderRefused:
+		return http.StatusConflict
+	default:
+		return http.StatusAccepted
+	}
+}
+
+// execution carries out one order.
+type execution struct {
+	engine *Engine
+	order  encoder.OrderRequest
+	// arrival is when a late order arrives.
+	arrival time.Time
+}
+
+// runLate lets the order arrive late.
+func (x *execution) runLate() {
+	time.Sleep(time.Until(x.arrival))
+	x.engine.arrive(x.order)
+}
+
+// name is the model or adapter of the order.
+func (x *execution) name() string {
+	if x.order.Adapter != "" {
+		return x.order.Adapter
+	}
+	return x.order.Model
+}
+
+// begin does what takes effect at once: loads reserve memory, and weights to
+// be unloaded take no more requests.
+func (x *execution) begin() {
+	ledger := x.engine.ledger
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	switch x.order.Kind {
+	case kindLoadModel, kindLoadAdapter:
+		if !ledger.holds(x.name(), x.order.Version) {
+			ledger.reserve(x.name(), x.order.MemoryBytes)
+		}
+	case kindUnloadModel, kindUnloadAdapter:
+		if found := ledger.held[x.name()]; found != nil {
+			found.unloading = true
+		}
+	case kindSetRole:
+		ledger.role = x.order.Role
+	}
+}
+
+// holds says whether the weights are in memory. The mutex must be held.
+func (l *ledger) holds(name, version string) bool {
+	found := l.held[name]
+	return found != nil && found.Version == version
+}
+
+// run finishes the order.
+func (x *execution) run() {
+	reason := ""
+	switch x.order.Kind {
+	case kindLoadModel, kindLoadAdapter:
+		reason = x.load()
+	case kindUnloadModel, kindUnloadAdapter:
+		x.unload()
+	}
+	x.engine.faults.waitAlways()
+	x.engine.ledger.settle(x.order.ID, reason)
+}
+
+// load brings weights into memory and returns why it could not.
+func (x *execution) load() string {
+	ledger := x.engine.ledger
+	ledger.mu.Lock()
+	held := ledger.holds(x.name(), x.order.Version)
+	ledger.mu.Unlock()
+	if held {
+		return ""
+	}
+	fetched, err := x.fetch()
+	time.Sleep(x.engine.settings.LoadTime)
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	if err != nil {
+		ledger.used -= x.order.MemoryBytes
+		return "store: " + err.Error()
+	}
+	ledger.reserve(x.name(), fetched.MemoryBytes-x.order.MemoryBytes)
+	if old := ledger.held[x.name()]; old != nil {
+		ledger.used -= old.MemoryBytes
+	}
+	ledger.held[x.name()] = &weights{Weights: fetched, ready: true}
+	return ""
+}
+
+// fetch draws the weights from the store.
+func (x *execution) fetch() (encoder.Weights, error) {
+	fetched := encoder.Weights{
+		Name:        x.name(),
+		Kind:        kindModel,
+		Version:     x.order.Version,
+		MemoryBytes: x.order.MemoryBytes,
+	}
+	if x.order.Kind == kindLoadAdapter {
+		fetched.Kind = kindAdapter
+		fetched.Base = x.order.Model
+	}
+	if x.engine.settings.Store == "" {
+		return fetched, nil
+	}
+	real, err := fetchWeights(x.engine.settings.Store, x.name())
+	if err != nil {
+		return encoder.Weights{}, err
+	}
+	fetched.MemoryBytes = real.MemoryBytes
+	return fetched, nil
+}
+
+// unload waits for the requests that run on the weights and frees them.
+func (x *execution) unload() {
+	ledger := x.engine.ledger
+	for !ledger.free(x.name()) {
+		time.Sleep(unloadPause)
+	}
+}
+
+// free drops weights that nothing uses and says whether they are gone.
+func (l *ledger) free(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := l.held[name]
+	if found == nil {
+		return true
+	}
+	if found.users > 0 {
+		return false
+	}
+	l.used -= found.MemoryBytes
+	delete(l.held, name)
+	return true
+}
--- /dev/null
+++ b/faker/platform.go
@@ -0,0 +1,151 @@
+package faker
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// Kinds of platform events.
+const (
+	vmAdded   = "added"
+	vmLeaving = "leaving"
+	vmRemoved = "removed"
+)
+
+// PlatformSettings describe a stand-in platform.
+type PlatformSettings struct {
+	// Lag is the age of the list that is given out.
+	Lag time.Duration
+	// VMs are in the list from the start.
+	VMs []encoder.VM
+}
+
+// listing is the list from a time on.
+type listing struct {
+	from time.Time
+	vms  []encoder.VM
+}
+
+// Platform is a stand-in of the platform's list of VMs. The list is kept by
+// POST PathVMs, POST PathVMs/NAME/leave and DELETE PathVMs/NAME.
+type Platform struct {
+	host
+	settings PlatformSettings
+
+	mu       sync.Mutex
+	listings []listing
+	events   []encoder.PlatformEvent
+}
+
+// NewPlatform returns a platform that does not listen yet.
+func NewPlatform(settings PlatformSettings) *Platform {
+	first := listing{vms: slices.Clone(settings.VMs)}
+	return &Platform{settings: settings, listings: []listing{first}}
+}
+
+// Start listens on the address.
+func (p *Platform) Start(address string) error { return p.start(address, p.Handler()) }
+
+// Stop finishes requests in flight until the deadline and then cuts them.
+func (p *Platform) Stop(deadline time.Time) error { return p.stop(deadline) }
+
+// Handler serves the list and its changes.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+encoder.PathVMs, p.list)
+	mux.HandleFunc("POST "+encoder.PathVMs, p.put)
+	mux.HandleFunc("POST "+encoder.PathVMs+"/{name}/leave", p.leave)
+	mux.HandleFunc("DELETE "+encoder.PathVMs+"/{name}", p.remove)
+	mux.HandleFunc("GET "+encoder.PathRecord, p.record)
+	return mux
+}
+
+// list answers with the list as it was before the lag.
+func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	ripe := time.Now().Add(-p.settings.Lag)
+	for len(p.listings) > 1 && !p.listings[1].from.After(ripe) {
+		p.listings = p.listings[1:]
+	}
+	vms := p.listings[0].vms
+	p.mu.Unlock()
+	answer(w, http.StatusOK, vms)
+}
+
+// Put adds a VM or replaces the one of the same name.
+func (p *Platform) Put(vm encoder.VM) {
+	p.change(vm.Name, vmAdded, func(vms []encoder.VM) []encoder.VM {
+		vms = slices.DeleteFunc(vms, named(vm.Name))
+		return append(vms, vm)
+	})
+}
+
+// Leave marks a VM as leaving.
+func (p *Platform) Leave(name string) {
+	p.change(name, vmLeaving, func(vms []encoder.VM) []encoder.VM {
+		if i := slices.IndexFunc(vms, named(name)); i >= 0 {
+			vms[i].State = vmLeaving
+		}
+		return vms
+	})
+}
+
+// Remove drops a VM from the list.
+func (p *Platform) Remove(name string) {
+	p.change(name, vmRemoved, func(vms []encoder.VM) []encoder.VM {
+		return slices.DeleteFunc(vms, named(name))
+	})
+}
+
+func named(name string) func(encoder.VM) bool {
+	return func(vm encoder.VM) bool { return vm.Name == name }
+}
+
+// change appends a new list made from a copy of the last one.
+func (p *Platform) change(name, kind string, edit func([]encoder.VM) []encoder.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	last := slices.Clone(p.listings[len(p.listings)-1].vms)
+	event := encoder.PlatformEvent{At: now, Name: name, Kind: kind}
+	next := edit(last)
+	if i := slices.IndexFunc(next, named(name)); i >= 0 {
+		event.Incarnation = next[i].Incarnation
+	}
+	p.listings = append(p.listings, listing{from: now, vms: next})
+	p.events = append(p.events, event)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	var vm encoder.VM
+	if !read(w, r, &vm) {
+		return
+	}
+	p.Put(vm)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) leave(w http.ResponseWriter, r *http.Request) {
+	p.Leave(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	p.Remove(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Record returns the history of the list.
+func (p *Platform) Record() encoder.PlatformRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return encoder.PlatformRecord{Events: slices.Clone(p.events)}
+}
+
+func (p *Platform) record(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, p.Record())
+}
--- /dev/null
+++ b/faker/service.go
@@ -0,0 +1,186 @@
+package faker
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// ServiceSettings describe a stand-in plain service.
+type ServiceSettings struct {
+	Name string
+	// Delay is how long a call runs.
+	Delay time.Duration
+}
+
+// Service is a stand-in plain service. It runs any method under any path.
+type Service struct {
+	host
+	settings ServiceSettings
+
+	mu      sync.Mutex
+	faults  encoder.ServiceFaults
+	thawed  chan struct{}
+	leaving time.Time
+	calls   []encoder.Execution
+	counts  map[string]int
+	refused int
+}
+
+// NewService returns a service that does not listen yet.
+func NewService(settings ServiceSettings) *Service {
+	open := make(chan struct{})
+	close(open)
+	return &Service{settings: settings, counts: map[string]int{}, thawed: open}
+}
+
+// Start listens on the address.
+func (s *Service) Start(address string) error { return s.start(address, s.Handler()) }
+
+// Stop finishes calls in flight until the deadline and then cuts them.
+func (s *Service) Stop(deadline time.Time) error { return s.stop(deadline) }
+
+// Handler serves the calls, the record and the faults.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+encoder.PathRecord, s.record)
+	mux.HandleFunc("POST "+encoder.PathFaults, s.setFaults)
+	mux.HandleFunc("POST "+encoder.PathLeave, s.leave)
+	mux.HandleFunc("GET "+encoder.PathLoad, s.load)
+	mux.HandleFunc("/", s.call)
+	return mux
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(faults encoder.ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Frozen && !faults.Frozen {
+		close(s.thawed)
+	}
+	if !s.faults.Frozen && faults.Frozen {
+		s.thawed = make(chan struct{})
+	}
+	s.faults = faults
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults encoder.ServiceFaults
+	if !read(w, r, &faults) {
+		return
+	}
+	s.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) leave(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving.IsZero() {
+		s.leaving = time.Now()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// load answers GET PathLoad, so that a service can say that it leaves.
+func (s *Service) load(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := encoder.LoadReport{
+		Upstream: s.settings.Name,
+		Taken:    time.Now(),
+		Leaving:  !s.leaving.IsZero(),
+	}
+	s.mu.Unlock()
+	answer(w, http.StatusOK, report)
+}
+
+// call runs one call.
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		drop()
+	}
+	s.mu.Lock()
+	faults, thawed := s.faults, s.thawed
+	s.mu.Unlock()
+	<-thawed
+	if faults.RefuseRequests {
+		s.countRefused()
+		refuse(w, http.StatusServiceUnavailable, "overloaded", "the service takes no work")
+		return
+	}
+	time.Sleep(s.settings.Delay + time.Duration(faults.DelayMilliseconds)*time.Millisecond)
+	ran := s.run(r, body)
+	switch {
+	case faults.HangAfterRun:
+		<-r.Context().Done()
+		drop()
+	case faults.CutAfterRun:
+		drop()
+	case faults.FailAfterRun:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.Header().Set(encoder.HeaderRequestID, ran.RequestID)
+		answer(w, http.StatusOK, encoder.ServiceAnswer{
+			Upstream:       s.settings.Name,
+			IdempotencyKey: ran.IdempotencyKey,
+			BodyDigest:     ran.BodyDigest,
+			Count:          ran.Count,
+		})
+	}
+}
+
+func (s *Service) countRefused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused++
+}
+
+// run records the execution of a call.
+func (s *Service) run(r *http.Request, body []byte) encoder.Execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ran := encoder.Execution{
+		RequestID:      r.Header.Get(encoder.HeaderRequestID),
+		IdempotencyKey: r.Header.Get(encoder.HeaderIdempotencyKey),
+		Method:         r.Method,
+		Path:           r.URL.RequestURI(),
+		BodyDigest:     Digest(body),
+		Ran:            time.Now(),
+		Count:          1,
+	}
+	if ran.IdempotencyKey != "" {
+		s.counts[ran.IdempotencyKey]++
+		ran.Count = s.counts[ran.IdempotencyKey]
+	}
+	s.calls = append(s.calls, ran)
+	return ran
+}
+
+// Digest is how a service names a body.
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// Record returns what the service ran so far.
+func (s *Service) Record() encoder.ServiceRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encoder.ServiceRecord{
+		Upstream: s.settings.Name,
+		Leaving:  s.leaving,
+		Calls:    slices.Clone(s.calls),
+		Refused:  s.refused,
+	}
+}
+
+func (s *Service) record(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Record())
+}
--- /dev/null
+++ b/faker/store.go
@@ -0,0 +1,192 @@
+package faker
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"burdocklink/encoder"
+)
+
+// StoreSettings describe a stand-in weight store. A zero limit is no limit.
+type StoreSettings struct {
+	Weights []encoder.Weights
+	// LoadsPerSecond is how many fetches may begin each second; more wait.
+	LoadsPerSecond float64
+	// LoadsAtOnce is how many model fetches run at full speed; beyond it all
+	// are proportionally slower.
+	LoadsAtOnce int
+	// AdaptersInTransit is the same limit for adapters.
+	AdaptersInTransit int
+	// ModelTime and AdapterTime are how long a fetch takes at full speed.
+	ModelTime   time.Duration
+	AdapterTime time.Duration
+}
+
+// Store is a stand-in weight store.
+type Store struct {
+	host
+	settings StoreSettings
+
+	mu           sync.Mutex
+	underWay     int
+	adapters     int
+	nextBegin    time.Time
+	begun        []time.Time
+	fetches      int
+	most         int
+	mostAdapters int
+	mostInSecond int
+}
+
+// UnknownWeightsError says that the store has no weights of the name.
+type UnknownWeightsError struct{ Name, Status string }
+
+// Error describes the miss.
+func (e *UnknownWeightsError) Error() string {
+	return "weights " + e.Name + " not given out: " + e.Status
+}
+
+// NewStore returns a store that does not listen yet.
+func NewStore(settings StoreSettings) *Store { return &Store{settings: settings} }
+
+// Start listens on the address.
+func (s *Store) Start(address string) error { return s.start(address, s.Handler()) }
+
+// Stop finishes fetches in flight until the deadline and then cuts them.
+func (s *Store) Stop(deadline time.Time) error { return s.stop(deadline) }
+
+// Handler serves the list, the weights and the record.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+encoder.PathWeights, s.list)
+	mux.HandleFunc("GET "+encoder.PathWeights+"/{name}", s.fetch)
+	mux.HandleFunc("GET "+encoder.PathRecord, s.record)
+	return mux
+}
+
+func (s *Store) list(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.settings.Weights)
+}
+
+// fetch gives out weights when their time has passed.
+func (s *Store) fetch(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	i := slices.IndexFunc(s.settings.Weights, func(each encoder.Weights) bool {
+		return each.Name == name
+	})
+	if i < 0 {
+		refuse(w, http.StatusNotFound, "weights_not_found", "no weights named "+name)
+		return
+	}
+	found := s.settings.Weights[i]
+	s.hold(time.Until(s.slot(time.Now())))
+	s.hold(s.begin(found.Kind))
+	s.end(found.Kind)
+	answer(w, http.StatusOK, found)
+}
+
+// hold waits, where there is something to wait for.
+func (s *Store) hold(wait time.Duration) {
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+}
+
+// slot returns when a fetch may begin.
+func (s *Store) slot(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.countBegun(now)
+	if s.settings.LoadsPerSecond == 0 {
+		return now
+	}
+	if s.nextBegin.Before(now) {
+		s.nextBegin = now
+	}
+	mine := s.nextBegin
+	s.nextBegin = mine.Add(time.Duration(float64(time.Second) / s.settings.LoadsPerSecond))
+	return mine
+}
+
+// countBegun keeps the highest number of fetches asked for in one second. The
+// mutex must be held.
+func (s *Store) countBegun(now time.Time) {
+	s.fetches++
+	s.begun = append(s.begun, now)
+	for now.Sub(s.begun[0]) > time.Second {
+		s.begun = s.begun[1:]
+	}
+	s.mostInSecond = max(s.mostInSecond, len(s.begun))
+}
+
+// begin counts a fetch in and returns how long it takes.
+func (s *Store) begin(kind string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kind == kindAdapter {
+		s.adapters++
+		s.mostAdapters = max(s.mostAdapters, s.adapters)
+		return stretch(s.settings.AdapterTime, s.adapters, s.settings.AdaptersInTransit)
+	}
+	s.underWay++
+	s.most = max(s.most, s.underWay)
+	return stretch(s.settings.ModelTime, s.underWay, s.settings.LoadsAtOnce)
+}
+
+// stretch lengthens a time in proportion to what is beyond the limit.
+func stretch(full time.Duration, count, limit int) time.Duration {
+	if limit == 0 || count <= limit {
+		return full
+	}
+	return full * time.Duration(count) / time.Duration(limit)
+}
+
+// end counts a fetch out.
+func (s *Store) end(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kind == kindAdapter {
+		s.adapters--
+		return
+	}
+	s.underWay--
+}
+
+// Record returns what the store gave out so far.
+func (s *Store) Record() encoder.StoreRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encoder.StoreRecord{
+		Fetches:            s.fetches,
+		MostAtOnce:         s.most,
+		MostAdaptersAtOnce: s.mostAdapters,
+		MostInSecond:       s.mostInSecond,
+	}
+}
+
+func (s *Store) record(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.Record())
+}
+
+// fetchWeights draws weights from a store.
+func fetchWeights(address, name string) (encoder.Weights, error) {
+	response, err := http.Get("http://" + address + encoder.PathWeights + "/" + url.PathEscape(name))
+	if err != nil {
+		return encoder.Weights{}, eris.Wrap(err, "fetch weights")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return encoder.Weights{}, &UnknownWeightsError{Name: name, Status: response.Status}
+	}
+	var fetched encoder.Weights
+	if err := json.NewDecoder(response.Body).Decode(&fetched); err != nil {
+		return encoder.Weights{}, eris.Wrap(err, "read weights")
+	}
+	return fetched, nil
+}
