--- /dev/null
+++ b/admitter/demand.go
@@ -0,0 +1,59 @@
+package admitter
+
+import (
+	"maps"
+	"time"
+
+	"burdocklink/placer"
+)
+
+// ledger counts demand.
+type ledger struct {
+	since  time.Time
+	counts map[string]map[string]placer.Count
+}
+
+func newLedger(now time.Time) *ledger {
+	return &ledger{since: now, counts: map[string]map[string]placer.Count{}}
+}
+
+func (l *ledger) arrived(request *Request) {
+	l.add(request, placer.Count{Arrivals: 1})
+}
+
+func (l *ledger) refused(request *Request) {
+	l.add(request, placer.Count{Refused: 1, Missed: 1})
+}
+
+func (l *ledger) ended(end *ending) {
+	count := placer.Count{
+		Ended:        1,
+		PromptTokens: uint64(max(0, end.grant.request.Route.PromptTokens)),
+		AnswerTokens: uint64(max(0, end.result.Tokens)),
+	}
+	if end.missed() {
+		count.Missed = 1
+	}
+	l.add(&end.grant.request, count)
+}
+
+func (l *ledger) add(request *Request, count placer.Count) {
+	name := request.Route.Holds
+	if name == "" {
+		name = request.Route.Service
+	}
+	classes := l.counts[name]
+	if classes == nil {
+		classes = map[string]placer.Count{}
+		l.counts[name] = classes
+	}
+	classes[request.Class.Name] = classes[request.Class.Name].Add(count)
+}
+
+func (l *ledger) demand() placer.Demand {
+	counts := make(map[string]map[string]placer.Count, len(l.counts))
+	for name, classes := range l.counts {
+		counts[name] = maps.Clone(classes)
+	}
+	return placer.Demand{Since: l.since, Counts: counts}
+}
