--- /dev/null
+++ b/encoder/errors.go
@@ -0,0 +1,31 @@
+package encoder
+
+// NewerVersionError refuses bytes that hold a field or kind which this version
+// does not know. Nothing of them may be used.
+type NewerVersionError struct {
+	// Message names the message that holds it.
+	Message string
+}
+
+// Error describes the refusal.
+func (e *NewerVersionError) Error() string {
+	return "written by a newer version: unknown content in " + e.Message
+}
+
+// MalformedError refuses bytes that are not a message at all.
+type MalformedError struct {
+	Message string
+	Cause   error
+}
+
+// Error describes the refusal.
+func (e *MalformedError) Error() string { return "malformed " + e.Message + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Cause }
+
+// UnsupportedTypeError says that a domain value has no wire form.
+type UnsupportedTypeError struct{ Message string }
+
+// Error describes the failure.
+func (e *UnsupportedTypeError) Error() string { return "no wire form for a " + e.Message }
--- /dev/null
+++ b/encoder/message.go
@@ -0,0 +1,68 @@
+package encoder
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// marshal writes a message the same way each time.
+func marshal(message proto.Message) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(message)
+}
+
+// unmarshal reads a message and refuses one with unknown fields anywhere.
+func unmarshal(data []byte, message proto.Message) error {
+	if err := proto.Unmarshal(data, message); err != nil {
+		return &MalformedError{Message: nameOf(message), Cause: err}
+	}
+	return refuseUnknown(message.ProtoReflect())
+}
+
+func nameOf(message proto.Message) string {
+	return string(message.ProtoReflect().Descriptor().Name())
+}
+
+func refuseUnknown(message protoreflect.Message) error {
+	if len(message.GetUnknown()) > 0 {
+		return &NewerVersionError{Message: string(message.Descriptor().Name())}
+	}
+	var refusal error
+	message.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		refusal = refuseUnknownIn(field, value)
+		return refusal == nil
+	})
+	return refusal
+}
+
+func refuseUnknownIn(field protoreflect.FieldDescriptor, value protoreflect.Value) error {
+	if field.Kind() != protoreflect.MessageKind {
+		return nil
+	}
+	if !field.IsList() {
+		return refuseUnknown(value.Message())
+	}
+	list := value.List()
+	for at := range list.Len() {
+		if err := refuseUnknown(list.Get(at).Message()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// encodeTime gives nanoseconds since 1970, zero for the zero time.
+func encodeTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func decodeTime(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos).UTC()
+}
--- /dev/null
+++ b/encoder/state.go
@@ -0,0 +1,217 @@
+package encoder
+
+import (
+	"burdocklink/applier"
+	"burdocklink/claimer"
+	"burdocklink/encoder/wire"
+	"burdocklink/orderer"
+)
+
+// EncodeState writes the whole state. Equal states give equal bytes.
+func EncodeState(state *applier.State) ([]byte, error) {
+	snapshot := state.Snapshot()
+	catalog, err := encodeCatalog(snapshot.Catalog)
+	if err != nil {
+		return nil, err
+	}
+	ledger, err := encodeLedger(snapshot.Orders)
+	if err != nil {
+		return nil, err
+	}
+	remembered, err := encodeRemembered(snapshot.Remembered)
+	if err != nil {
+		return nil, err
+	}
+	message := &wire.MachineState{
+		Index:            snapshot.Index,
+		Stamp:            encodeTime(snapshot.Stamp),
+		Catalog:          catalog,
+		ClaimSerial:      snapshot.ClaimSerial,
+		Orders:           ledger,
+		OperatorRevision: snapshot.OperatorRevision,
+		Remembered:       remembered,
+	}
+	for _, record := range snapshot.Claims {
+		message.Claims = append(message.Claims, encodeClaimRecord(record))
+	}
+	for _, departure := range snapshot.Departures {
+		message.Departures = append(message.Departures, &wire.DepartedUpstream{
+			Upstream:    departure.Upstream,
+			Incarnation: departure.Incarnation,
+			Replaced:    departure.Replaced,
+		})
+	}
+	return marshal(message)
+}
+
+// DecodeState reads what EncodeState wrote. A state of a newer version is
+// refused with a *NewerVersionError.
+func DecodeState(data []byte) (*applier.State, error) {
+	message := &wire.MachineState{}
+	if err := unmarshal(data, message); err != nil {
+		return nil, err
+	}
+	snapshot := applier.Snapshot{
+		Index:            message.GetIndex(),
+		Stamp:            decodeTime(message.GetStamp()),
+		ClaimSerial:      message.GetClaimSerial(),
+		OperatorRevision: message.GetOperatorRevision(),
+	}
+	var err error
+	if snapshot.Catalog, err = decodeCatalog(message.GetCatalog()); err != nil {
+		return nil, err
+	}
+	if snapshot.Orders, err = decodeLedger(message.GetOrders()); err != nil {
+		return nil, err
+	}
+	if snapshot.Remembered, err = decodeRemembered(message.GetRemembered()); err != nil {
+		return nil, err
+	}
+	if snapshot.Claims, err = decodeClaimRecords(message.GetClaims()); err != nil {
+		return nil, err
+	}
+	for _, departure := range message.GetDepartures() {
+		snapshot.Departures = append(snapshot.Departures, applier.Departure{
+			Upstream:    departure.GetUpstream(),
+			Incarnation: departure.GetIncarnation(),
+			Replaced:    departure.GetReplaced(),
+		})
+	}
+	return applier.Restore(snapshot), nil
+}
+
+func encodeRemembered(entries []applier.Remembered) ([]*wire.RememberedChange, error) {
+	var messages []*wire.RememberedChange
+	for _, entry := range entries {
+		change, err := encodeOperatorChange(applier.Change{
+			Operator: entry.Operator,
+			Request:  entry.Request,
+			Based:    entry.Based,
+			Changes:  entry.Changes,
+		})
+		if err != nil {
+			return nil, err
+		}
+		result, err := encodeResult(entry.Result)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(messages, &wire.RememberedChange{Change: change, At: encodeTime(entry.At), Result: result})
+	}
+	return messages, nil
+}
+
+func decodeRemembered(messages []*wire.RememberedChange) ([]applier.Remembered, error) {
+	var entries []applier.Remembered
+	for _, message := range messages {
+		change, err := decodeOperatorChange(message.GetChange())
+		if err != nil {
+			return nil, err
+		}
+		result, err := decodeResult(message.GetResult())
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, applier.Remembered{
+			Operator: change.Operator,
+			Request:  change.Request,
+			Based:    change.Based,
+			At:       decodeTime(message.GetAt()),
+			Changes:  change.Changes,
+			Result:   result,
+		})
+	}
+	return entries, nil
+}
+
+func encodeClaimRecord(record claimer.Record) *wire.ClaimRecord {
+	message := &wire.ClaimRecord{
+		Key:       encodeKey(record.Key),
+		Digest:    record.Digest[:],
+		Phase:     int32(record.Phase),
+		Attempt:   record.Attempt,
+		Entry:     record.Entry,
+		Deadline:  encodeTime(record.Deadline),
+		KeepUntil: encodeTime(record.KeepUntil),
+		Serial:    record.Serial,
+		ForgetAt:  encodeTime(record.ForgetAt),
+	}
+	if record.Kept {
+		message.Answer = encodeAnswer(record.Answer)
+	}
+	for _, released := range record.Released {
+		message.Released = append(message.Released, &wire.ReleasedAttempt{
+			Attempt:  released.Attempt,
+			Deadline: encodeTime(released.Deadline),
+		})
+	}
+	return message
+}
+
+func decodeClaimRecords(messages []*wire.ClaimRecord) ([]claimer.Record, error) {
+	var records []claimer.Record
+	for _, message := range messages {
+		record, err := decodeClaimRecord(message)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+func decodeClaimRecord(message *wire.ClaimRecord) (claimer.Record, error) {
+	digest, err := decodeDigest(message.GetDigest())
+	if err != nil {
+		return claimer.Record{}, err
+	}
+	record := claimer.Record{
+		Key:       decodeKey(message.GetKey()),
+		Digest:    digest,
+		Phase:     claimer.Phase(message.GetPhase()),
+		Attempt:   message.GetAttempt(),
+		Entry:     message.GetEntry(),
+		Deadline:  decodeTime(message.GetDeadline()),
+		KeepUntil: decodeTime(message.GetKeepUntil()),
+		Serial:    message.GetSerial(),
+		ForgetAt:  decodeTime(message.GetForgetAt()),
+		Kept:      message.GetAnswer() != nil,
+	}
+	if record.Phase < claimer.PhaseHeld || record.Phase > claimer.PhaseLost {
+		return claimer.Record{}, &NewerVersionError{Message: nameOf(message)}
+	}
+	if record.Kept {
+		record.Answer = decodeAnswer(message.GetAnswer())
+	}
+	for _, released := range message.GetReleased() {
+		record.Released = append(record.Released, claimer.Attempted{
+			Attempt:  released.GetAttempt(),
+			Deadline: decodeTime(released.GetDeadline()),
+		})
+	}
+	return record, nil
+}
+
+func encodePending(pending []orderer.Pending) ([]*wire.PendingOrder, error) {
+	var messages []*wire.PendingOrder
+	for _, one := range pending {
+		order, err := encodeOrder(one.Order)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(messages, &wire.PendingOrder{Order: order, Token: one.Token})
+	}
+	return messages, nil
+}
+
+func decodePending(messages []*wire.PendingOrder) ([]orderer.Pending, error) {
+	var pending []orderer.Pending
+	for _, message := range messages {
+		order, err := decodeOrder(message.GetOrder())
+		if err != nil {
+			return nil, err
+		}
+		pending = append(pending, orderer.Pending{Order: order, Token: message.GetToken()})
+	}
+	return pending, nil
+}
