feat(cmd): stand-in engine, service, platform and store

Cause: experiments and real-process tests start the outside systems as processes. Each prints "listening ADDRESS", so that a test can use port 0.

Ruled out: a flag for each VM or model; lists come from JSON files in the upstream protocol, which other tools can write too.

--- /dev/null
+++ b/cmd/stand_in.go
@@ -0,0 +1,264 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"burdocklink/checker"
+	"burdocklink/encoder"
+	"burdocklink/faker"
+)
+
+// Settings of the stand-ins.
+const (
+	standInListen              = "listen"
+	standInName                = "name"
+	standInIncarnation         = "incarnation"
+	standInMemoryBytes         = "memory-bytes"
+	standInSlots               = "slots"
+	standInPrefill             = "prefill-tokens-per-second"
+	standInDecode              = "decode-tokens-per-second"
+	standInReportLag           = "report-lag"
+	standInCacheEventLag       = "cache-event-lag"
+	standInPrefixCacheBlocks   = "prefix-cache-blocks"
+	standInChecksFence         = "checks-fence"
+	standInStore               = "store"
+	standInWeights             = "weights"
+	standInHolds               = "holds"
+	standInLoadTime            = "load-time"
+	standInResumeTime          = "resume-time"
+	standInDelay               = "delay"
+	standInLag                 = "lag"
+	standInVMs                 = "vms"
+	standInStoreLoadsPerSecond = "store-loads-per-second"
+	standInStoreLoadsAtOnce    = "store-loads-at-once"
+	standInAdaptersInTransit   = "adapters-in-transit"
+	standInModelTime           = "model-time"
+	standInAdapterTime         = "adapter-time"
+)
+
+const (
+	// standInDrain is how long a stand-in finishes its work after a signal.
+	standInDrain = 10 * time.Second
+	// mostCount bounds whole-number settings of the stand-ins.
+	mostCount = 1 << 50
+)
+
+// standIn is a stand-in that the command runs.
+type standIn interface {
+	Start(address string) error
+	Address() string
+	Stop(deadline time.Time) error
+}
+
+func standInCommand() command {
+	return command{
+		name:  "stand-in",
+		usage: "run a stand-in of an outside system, for tests and experiments",
+		children: []command{
+			standInEngineCommand(),
+			standInServiceCommand(),
+			standInPlatformCommand(),
+			standInStoreCommand(),
+		},
+	}
+}
+
+var standInListenDefinition = checker.Definition{
+	Name:    standInListen,
+	Default: "127.0.0.1:0",
+	Usage:   "IP address and port to listen on; port 0 takes a free one",
+}
+
+func standInEngineCommand() command {
+	return command{
+		name:  "engine",
+		usage: "run a stand-in model engine",
+		settings: []checker.Definition{
+			standInListenDefinition,
+			{Name: standInName, Default: "engine-1", Usage: "name of the upstream"},
+			{Name: standInIncarnation, Default: "1", Usage: "incarnation of the upstream"},
+			{Name: standInMemoryBytes, Default: "80000000000", Usage: "accelerator memory in bytes"},
+			{Name: standInSlots, Default: "16", Usage: "requests run at once"},
+			{Name: standInPrefill, Default: "8000", Usage: "prompt tokens a second, all requests together"},
+			{Name: standInDecode, Default: "50", Usage: "answer tokens a second of each request"},
+			{Name: standInReportLag, Usage: "age of load reports, such as 500ms; empty for none"},
+			{Name: standInCacheEventLag, Usage: "age of cache events, such as 2s; empty for none"},
+			{Name: standInPrefixCacheBlocks, Default: "4096", Usage: "blocks of 16 tokens in the prefix cache"},
+			{Name: standInChecksFence, Usage: "refuse orders with an old fencing number", Switch: true},
+			{Name: standInStore, Usage: "IP address and port of the weight store; empty for none"},
+			{Name: standInWeights, Usage: "JSON file of the weights that --holds names"},
+			{Name: standInHolds, Usage: "comma-separated weights in memory at the start"},
+			{Name: standInLoadTime, Usage: "time that each load takes beside the store's"},
+			{Name: standInResumeTime, Default: "30s", Usage: "how long a stream without a reader is kept"},
+		},
+		run: runStandInEngine,
+	}
+}
+
+func runStandInEngine(call *invocation) error {
+	settings := call.settings
+	made := faker.EngineSettings{
+		Name:                   settings.Required(standInName),
+		Incarnation:            settings.Required(standInIncarnation),
+		MemoryBytes:            int64(settings.Count(standInMemoryBytes, 1, mostCount)),
+		Slots:                  settings.Count(standInSlots, 1, mostCount),
+		PrefillTokensPerSecond: settings.Rate(standInPrefill),
+		DecodeTokensPerSecond:  settings.Rate(standInDecode),
+		ReportLag:              optionalDuration(settings, standInReportLag),
+		CacheEventLag:          optionalDuration(settings, standInCacheEventLag),
+		PrefixCacheBlocks:      settings.Count(standInPrefixCacheBlocks, 0, mostCount),
+		ChecksFence:            settings.Switch(standInChecksFence),
+		Store:                  settings.Text(standInStore),
+		LoadTime:               optionalDuration(settings, standInLoadTime),
+		ResumeTime:             settings.Duration(standInResumeTime),
+		Holds:                  heldWeights(settings),
+	}
+	return runStandIn(call, faker.NewEngine(made))
+}
+
+// heldWeights finds the weights that an engine holds from the start.
+func heldWeights(settings *checker.Reader) []encoder.Weights {
+	names := settings.List(standInHolds)
+	if len(names) == 0 {
+		return nil
+	}
+	known := fileList[encoder.Weights](settings, standInWeights)
+	held := make([]encoder.Weights, 0, len(names))
+	for _, name := range names {
+		i := slices.IndexFunc(known, func(each encoder.Weights) bool { return each.Name == name })
+		if i < 0 {
+			settings.Fault(standInHolds, "must name weights of the file of --"+standInWeights)
+			continue
+		}
+		held = append(held, known[i])
+	}
+	return held
+}
+
+func standInServiceCommand() command {
+	return command{
+		name:  "service",
+		usage: "run a stand-in plain service",
+		settings: []checker.Definition{
+			standInListenDefinition,
+			{Name: standInName, Default: "service-1", Usage: "name of the upstream"},
+			{Name: standInDelay, Usage: "time that each call takes; empty for none"},
+		},
+		run: runStandInService,
+	}
+}
+
+func runStandInService(call *invocation) error {
+	return runStandIn(call, faker.NewService(faker.ServiceSettings{
+		Name:  call.settings.Required(standInName),
+		Delay: optionalDuration(call.settings, standInDelay),
+	}))
+}
+
+func standInPlatformCommand() command {
+	return command{
+		name:  "platform",
+		usage: "run a stand-in of the platform's list of VMs",
+		settings: []checker.Definition{
+			standInListenDefinition,
+			{Name: standInLag, Usage: "age of the list that is given out; empty for none"},
+			{Name: standInVMs, Usage: "JSON file of the VMs in the list at the start"},
+		},
+		run: runStandInPlatform,
+	}
+}
+
+func runStandInPlatform(call *invocation) error {
+	return runStandIn(call, faker.NewPlatform(faker.PlatformSettings{
+		Lag: optionalDuration(call.settings, standInLag),
+		VMs: fileList[encoder.VM](call.settings, standInVMs),
+	}))
+}
+
+func standInStoreCommand() command {
+	return command{
+		name:  "store",
+		usage: "run a stand-in weight store",
+		settings: []checker.Definition{
+			standInListenDefinition,
+			{Name: standInWeights, Usage: "JSON file of the weights in the store"},
+			{Name: standInStoreLoadsPerSecond, Default: "1.4", Usage: "fetches that may begin each second"},
+			{Name: standInStoreLoadsAtOnce, Default: "11", Usage: "model fetches at full speed"},
+			{Name: standInAdaptersInTransit, Default: "90", Usage: "adapter fetches at full speed"},
+			{Name: standInModelTime, Default: "8s", Usage: "time of a model fetch at full speed"},
+			{Name: standInAdapterTime, Default: "1s", Usage: "time of an adapter fetch at full speed"},
+		},
+		run: runStandInStore,
+	}
+}
+
+func runStandInStore(call *invocation) error {
+	return runStandIn(call, faker.NewStore(faker.StoreSettings{
+		Weights:           fileList[encoder.Weights](call.settings, standInWeights),
+		LoadsPerSecond:    call.settings.Rate(standInStoreLoadsPerSecond),
+		LoadsAtOnce:       call.settings.Count(standInStoreLoadsAtOnce, 1, mostCount),
+		AdaptersInTransit: call.settings.Count(standInAdaptersInTransit, 1, mostCount),
+		ModelTime:         call.settings.Duration(standInModelTime),
+		AdapterTime:       call.settings.Duration(standInAdapterTime),
+	}))
+}
+
+// runStandIn serves until a signal to stop arrives.
+func runStandIn(call *invocation, made standIn) error {
+	listen := call.settings.Address(standInListen)
+	if err := call.settings.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(call.ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := made.Start(listen); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(call.out, "listening "+made.Address()); err != nil {
+		return eris.Wrap(err, "print the address")
+	}
+	return serveStandIn(ctx, call.log, made)
+}
+
+func serveStandIn(ctx context.Context, log *zap.Logger, made standIn) error {
+	<-ctx.Done()
+	log.Info("stopping")
+	return made.Stop(time.Now().Add(standInDrain))
+}
+
+// optionalDuration returns zero for an empty setting.
+func optionalDuration(settings *checker.Reader, name string) time.Duration {
+	if settings.Text(name) == "" {
+		return 0
+	}
+	return settings.Duration(name)
+}
+
+// fileList reads a JSON list from the file that a setting names.
+func fileList[T any](settings *checker.Reader, name string) []T {
+	path := settings.Text(name)
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		settings.Fault(name, "must name a file that can be read: "+err.Error())
+		return nil
+	}
+	var list []T
+	if err := json.Unmarshal(data, &list); err != nil {
+		settings.Fault(name, "must name a file with a JSON list: "+err.Error())
+		return nil
+	}
+	return list
+}
