feat(prover): oracle over records, one check for each promise

Cause: every integration test needs the same verdict, from what callers, upstreams, operators and entries saw, and not from what the system says of itself.

Ruled out: assertions in each test (each would judge fewer promises), and a model of the mechanism (it would share its mistakes).

--- /dev/null
+++ b/prover/check_caller.go
@@ -0,0 +1,96 @@
+package prover
+
+import "strings"
+
+// checkAnswers finds answers that are not the request's own, or claim to be
+// whole and are not.
+func (h *history) checkAnswers() []Violation {
+	var found []Violation
+	for _, answer := range h.answers {
+		if answer.Refused {
+			continue
+		}
+		switch {
+		case !strings.HasPrefix(answer.Want, answer.Text):
+			found = append(found, WrongAnswer{Answer: answer, Reason: "not the request's own"})
+		case answer.Complete && answer.Text != answer.Want:
+			found = append(found, WrongAnswer{Answer: answer, Reason: "not whole"})
+		}
+	}
+	return found
+}
+
+// checkOutcomes finds answers that say "not run" of a request that ran before
+// or under the same identity, and "ran" of one that never did.
+func (h *history) checkOutcomes() []Violation {
+	var found []Violation
+	for _, answer := range h.answers {
+		runs := h.runsOf(answer)
+		switch {
+		case answer.Outcome == OutcomeNotRun && len(runs) > 0:
+			found = append(found, FalseOutcome{Answer: answer, Runs: runs})
+		case answer.Outcome == OutcomeRan && len(runs) == 0:
+			found = append(found, FalseOutcome{Answer: answer})
+		}
+	}
+	return found
+}
+
+// runsOf returns the runs that an answer's outcome speaks of: those of its
+// request, and those of its key before the answer ended.
+func (h *history) runsOf(answer Answer) []Ran {
+	var runs []Ran
+	for _, run := range h.runs {
+		sameKey := answer.Key != "" && run.Key == answer.Key && run.Subscriber == answer.Subscriber
+		if run.Request == answer.Request || sameKey && run.At.Before(answer.Ended) {
+			runs = append(runs, run)
+		}
+	}
+	return runs
+}
+
+// repeatKey is what identifies a request that must not run twice.
+type repeatKey struct{ subscriber, key, request string }
+
+// checkRepeats finds requests that ran more than once and must not.
+func (h *history) checkRepeats() []Violation {
+	runs := map[repeatKey][]Ran{}
+	var order []repeatKey
+	for _, run := range h.runs {
+		if !run.RepeatForbidden {
+			continue
+		}
+		key := repeatKey{subscriber: run.Subscriber, key: run.Key}
+		if run.Key == "" {
+			key = repeatKey{request: run.Request}
+		}
+		if len(runs[key]) == 0 {
+			order = append(order, key)
+		}
+		runs[key] = append(runs[key], run)
+	}
+	var found []Violation
+	for _, key := range order {
+		if len(runs[key]) > 1 {
+			found = append(found, RepeatedRun{Runs: runs[key]})
+		}
+	}
+	return found
+}
+
+// checkShutdowns finds answers that were in flight at a process when it was
+// asked to stop, and then neither became whole nor were refused.
+func (h *history) checkShutdowns() []Violation {
+	var found []Violation
+	for _, shutdown := range h.shutdowns {
+		for _, answer := range h.answers {
+			inFlight := answer.Entry == shutdown.Entry &&
+				answer.Sent.Before(shutdown.At) &&
+				answer.Ended.After(shutdown.At)
+			if inFlight && !answer.Complete && !answer.Refused {
+				found = append(found, CutByShutdown{Shutdown: shutdown, Answer: answer})
+			}
+		}
+	}
+	return found
+}
