feat(follower): catalog in force at entries, operators' client and control command

Cause: the path needs a way from the replicated state to entries and back. Ruled out: the arrival time of a heartbeat as the time of a confirmation; a heartbeat may have waited in a buffer while the process was stopped. Conclusion: reports are numbered and heartbeats echo the number; entries pass confirmations on to each other; operators' client repeats a change under one request number.

--- /dev/null
+++ b/administrator/administrator.go
@@ -0,0 +1,207 @@
+// Package administrator is the operators' client of the control members. It
+// finds the leader by itself and repeats a change under the same request
+// number, so that a lost answer does no harm.
+package administrator
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/linker"
+)
+
+// Times of a call.
+const (
+	// answerLimit is the longest wait for one member's answer.
+	answerLimit = 2 * time.Second
+	// retryPause is the wait before the next member is asked.
+	retryPause = 100 * time.Millisecond
+)
+
+// Settings are what an administrator needs.
+type Settings struct {
+	// Control lists the control members' addresses.
+	Control []string
+	Links   *linker.Linker
+	// Key is the operator's key.
+	Key string
+}
+
+// Administrator is safe for concurrent use.
+type Administrator struct{ settings Settings }
+
+// New returns an administrator.
+func New(settings Settings) *Administrator { return &Administrator{settings: settings} }
+
+// Change commits changes that are based on a catalog revision. The request
+// number tells a repeat. It returns the accepted revision, *ConflictError,
+// *InvalidError, *RefusedError or *NoAnswerError.
+func (a *Administrator) Change(ctx context.Context, request string, based uint64, changes []cataloger.Change) (uint64, error) {
+	data, err := encoder.EncodeCommand(applier.Change{Request: request, Based: based, Changes: changes})
+	if err != nil {
+		return 0, err
+	}
+	message := &wire.ProposeRequest{Command: data}
+	var reply *wire.ProposeReply
+	err = a.ask(ctx, func(ctx context.Context, client wire.OperatorClient) (*wire.NotLeader, error) {
+		var err error
+		reply, err = client.Change(ctx, message)
+		if err == nil && reply.GetApplied() == nil && reply.GetNotLeader() == nil {
+			return nil, status.Error(codes.Unavailable, reply.GetUncertain())
+		}
+		return reply.GetNotLeader(), err
+	})
+	if err != nil {
+		return 0, err
+	}
+	applied, err := encoder.DecodeApplied(reply.GetApplied())
+	if err != nil {
+		return 0, err
+	}
+	return revisionOf(applied.Result)
+}
+
+func revisionOf(result applier.Result) (uint64, error) {
+	switch result := result.(type) {
+	case applier.Accepted:
+		return result.Revision, nil
+	case applier.Conflict:
+		return 0, &ConflictError{Current: result.Current}
+	case applier.Invalid:
+		return 0, &InvalidError{Reason: result.Reason}
+	default:
+		return 0, &InvalidError{Reason: "the answer belongs to another command"}
+	}
+}
+
+// Status returns the leader's picture of the system, or that of any member
+// where none leads.
+func (a *Administrator) Status(ctx context.Context) (*wire.StatusReply, error) {
+	var best *wire.StatusReply
+	err := a.each(ctx, func(ctx context.Context, client wire.OperatorClient) (bool, error) {
+		reply, err := client.Status(ctx, &wire.StatusRequest{})
+		if err != nil {
+			return false, err
+		}
+		best = reply
+		return reply.GetLeading(), nil
+	})
+	if best != nil {
+		return best, nil
+	}
+	return nil, err
+}
+
+// History returns up to most accepted changes, newest first.
+func (a *Administrator) History(ctx context.Context, most uint32) (*wire.HistoryReply, error) {
+	var reply *wire.HistoryReply
+	err := a.ask(ctx, func(ctx context.Context, client wire.OperatorClient) (*wire.NotLeader, error) {
+		var err error
+		reply, err = client.History(ctx, &wire.HistoryRequest{Most: most})
+		return nil, err
+	})
+	return reply, err
+}
+
+// ChangeMember adds or removes a control member.
+func (a *Administrator) ChangeMember(ctx context.Context, request *wire.MemberRequest) error {
+	var reply *wire.MemberReply
+	err := a.ask(ctx, func(ctx context.Context, client wire.OperatorClient) (*wire.NotLeader, error) {
+		var err error
+		reply, err = client.ChangeMember(ctx, request)
+		return reply.GetNotLeader(), err
+	})
+	if err != nil {
+		return err
+	}
+	if reason := reply.GetRefused(); reason != "" {
+		return &InvalidError{Reason: reason}
+	}
+	return nil
+}
+
+// call asks one member. It returns where the leader is if that is elsewhere.
+type call func(ctx context.Context, client wire.OperatorClient) (*wire.NotLeader, error)
+
+// ask calls the members in turn until one answers as the leader.
+func (a *Administrator) ask(ctx context.Context, do call) error {
+	address := ""
+	var last error
+	for next := 0; ; next++ {
+		if address == "" {
+			address = a.settings.Control[next%len(a.settings.Control)]
+		}
+		elsewhere, err := a.once(ctx, address, do)
+		if err == nil && elsewhere == nil {
+			return nil
+		}
+		if refused := refusal(err); refused != nil {
+			return refused
+		}
+		if err != nil {
+			last = err
+		}
+		address = elsewhere.GetLeader()
+		if !wait(ctx) {
+			return &NoAnswerError{Cause: last}
+		}
+	}
+}
+
+// each calls every member once, until one says that it is enough.
+func (a *Administrator) each(ctx context.Context, do func(context.Context, wire.OperatorClient) (bool, error)) error {
+	var last error
+	for _, address := range a.settings.Control {
+		enough := false
+		_, err := a.once(ctx, address, func(ctx context.Context, client wire.OperatorClient) (*wire.NotLeader, error) {
+			var err error
+			enough, err = do(ctx, client)
+			return nil, err
+		})
+		if refused := refusal(err); refused != nil {
+			return refused
+		}
+		if err != nil {
+			last = err
+		}
+		if enough {
+			return nil
+		}
+	}
+	return &NoAnswerError{Cause: last}
+}
+
+func (a *Administrator) once(ctx context.Context, address string, do call) (*wire.NotLeader, error) {
+	link, err := a.settings.Links.Connect(address)
+	if err != nil {
+		return nil, err
+	}
+	limited, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	signed := metadata.AppendToOutgoingContext(limited, "authorization", "Bearer "+a.settings.Key)
+	elsewhere, err := do(signed, wire.NewOperatorClient(link))
+	if limited.Err() != nil && ctx.Err() == nil {
+		a.settings.Links.Drop(address, link)
+	}
+	return elsewhere, err
+}
+
+// wait pauses between two members. It returns false once the context ends.
+func wait(ctx context.Context) bool {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/cmd/class.go
@@ -0,0 +1,186 @@
+package cmd
+
+import (
+	"fmt"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+
+	"burdocklink/cataloger"
+	"burdocklink/checker"
+	"burdocklink/classifier"
+	"burdocklink/encoder"
+)
+
+// Settings of a class.
+var (
+	firstToken = checker.Definition{
+		Name:  "first-token",
+		Usage: "target for the first token, such as 1.5s",
+	}
+	betweenTokens = checker.Definition{
+		Name:  "between-tokens",
+		Usage: "target for the mean gap between two tokens, such as 26ms",
+	}
+	wholeAnswer = checker.Definition{
+		Name:  "whole",
+		Usage: "target for the whole answer, such as 8h",
+	}
+	repeatForbidden = checker.Definition{
+		Name:   "repeat-forbidden",
+		Usage:  "a request of the class may run at most once",
+		Switch: true,
+	}
+)
+
+func classCommand() command {
+	return command{
+		name:  "class",
+		usage: "steer classes of work by their targets",
+		children: []command{
+			{
+				name:     "list",
+				usage:    "list the classes with their targets and attainment",
+				settings: operatorSettings(),
+				run:      listClasses,
+			},
+			{
+				name:      "set",
+				usage:     "add or replace a class",
+				arguments: []string{"name"},
+				settings: operatorSettings(firstToken, betweenTokens, wholeAnswer,
+					repeatForbidden, basedRevision, requestNumber),
+				run: setClass,
+			},
+			{
+				name:      "remove",
+				usage:     "remove a class",
+				arguments: []string{"name"},
+				settings:  operatorSettings(basedRevision, requestNumber),
+				run:       removeClass,
+			},
+		},
+	}
+}
+
+func listClasses(call *invocation) error {
+	operator, err := newOperatorCall(call)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := operator.context()
+	defer cancel()
+	reply, err := operator.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	classes := encoder.DecodeStatus(reply).Classes
+	return operator.print(classes, func(table *tabwriter.Writer) error {
+		return writeClasses(table, classes)
+	})
+}
+
+func writeClasses(table *tabwriter.Writer, classes []encoder.ClassLine) error {
+	_, err := fmt.Fprintln(table, "CLASS\tFIRST TOKEN\tBETWEEN TOKENS\tWHOLE\tREPEAT\tENDED\tMISSED\tREFUSED")
+	for _, class := range classes {
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n",
+			class.Name, dash(class.FirstToken), dash(class.BetweenTokens), dash(class.Whole),
+			repeatWord(class.RepeatForbidden), class.Ended, class.Missed, class.Refused)
+	}
+	return err
+}
+
+func repeatWord(forbidden bool) string {
+	if forbidden {
+		return "forbidden"
+	}
+	return "allowed"
+}
+
+// dash stands for a value that is not set.
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func setClass(call *invocation) error {
+	class := classifier.Class{
+		Name: call.arguments["name"],
+		Target: classifier.Target{
+			FirstToken:    target(call, firstToken),
+			BetweenTokens: target(call, betweenTokens),
+			Whole:         target(call, wholeAnswer),
+		},
+		RepeatForbidden: call.settings.Switch(repeatForbidden.Name),
+	}
+	return change(call, cataloger.PutClass{Class: class})
+}
+
+// target reads a target that may be left out.
+func target(call *invocation, definition checker.Definition) time.Duration {
+	if call.settings.Text(definition.Name) == "" {
+		return 0
+	}
+	return call.settings.Duration(definition.Name)
+}
+
+func removeClass(call *invocation) error {
+	return change(call, cataloger.RemoveClass{Name: call.arguments["name"]})
+}
+
+// change commits one change and prints the accepted revision. The request
+// number is printed first, so that it is known should the answer be lost.
+func change(call *invocation, changes ...cataloger.Change) error {
+	operator, err := newOperatorCall(call)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := operator.context()
+	defer cancel()
+	request := call.settings.Text(requestNumber.Name)
+	if request == "" {
+		request = uuid.NewString()
+	}
+	if _, err := fmt.Fprintln(call.errOut, "request "+request); err != nil {
+		return err
+	}
+	based, err := baseOf(operator)
+	if err != nil {
+		return err
+	}
+	revision, err := operator.client.Change(ctx, request, based, changes)
+	if err != nil {
+		return err
+	}
+	page := encoder.AcceptedPage{Request: request, Revision: revision}
+	return operator.print(page, func(table *tabwriter.Writer) error {
+		_, err := fmt.Fprintf(table, "accepted at revision %d\n", revision)
+		return err
+	})
+}
+
+// baseOf returns the revision that a change is based on.
+func baseOf(operator *operatorCall) (uint64, error) {
+	text := operator.settings.Text(basedRevision.Name)
+	if text != "" {
+		based, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			operator.settings.Fault(basedRevision.Name, "must be a revision, a whole number")
+		}
+		return based, operator.settings.Err()
+	}
+	ctx, cancel := operator.context()
+	defer cancel()
+	reply, err := operator.client.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return reply.GetRevision(), nil
+}
--- a/cmd/command.go
+++ b/cmd/command.go
@@ -35,6 +35,11 @@
 // commands lists every command in the order of the help.
 func commands() []command {
 	return []command{
+		controlCommand(),
+		classCommand(),
+		statusCommand(),
+		historyCommand(),
+		memberCommand(),
 		standInCommand(),
 		versionCommand(),
 	}
--- a/cmd/execute.go
+++ b/cmd/execute.go
@@ -11,16 +11,21 @@
 
 	"github.com/integrii/flaggy"
 
+	"burdocklink/administrator"
 	"burdocklink/checker"
 )
 
 // Exit codes of the program.
 const (
-	exitDone     = 0
-	exitFailed   = 1
-	exitUsage    = 2
+	exitDone   = 0
+	exitFailed = 1
+	// exitUsage is for a command line or settings that can't be used.
+	exitUsage = 2
+	// exitConflict is for a change that lost against another one.
 	exitConflict = 3
-	exitRefused  = 4
+	// exitRefused is for a change or a key that is not accepted.
+	exitRefused = 4
+	// exitNoAnswer is for a command whose outcome is not known.
 	exitNoAnswer = 5
 )
 
@@ -75,9 +80,19 @@
 func exitCode(err error) int {
 	var usage *UsageError
 	var settings *checker.SettingsError
+	var conflict *administrator.ConflictError
+	var invalid *administrator.InvalidError
+	var refused *administrator.RefusedError
+	var silent *administrator.NoAnswerError
 	switch {
 	case errors.As(err, &usage), errors.As(err, &settings):
 		return exitUsage
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.As(err, &invalid), errors.As(err, &refused):
+		return exitRefused
+	case errors.As(err, &silent):
+		return exitNoAnswer
 	default:
 		return exitFailed
 	}
--- /dev/null
+++ b/cmd/operator.go
@@ -0,0 +1,109 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"burdocklink/administrator"
+	"burdocklink/checker"
+	"burdocklink/encoder"
+	"burdocklink/linker"
+)
+
+// Settings of every operators' command.
+var (
+	controlAddresses = checker.Definition{
+		Name:    "control",
+		Default: "127.0.0.1:7400",
+		Usage:   "addresses of the control members, separated by commas",
+	}
+	operatorKey = checker.Definition{
+		Name:  "key",
+		Usage: "the operator's key",
+	}
+	outputFormat = checker.Definition{
+		Name:    "output",
+		Default: outputTable,
+		Usage:   "table for people or json for programs",
+	}
+	waitTime = checker.Definition{
+		Name:    "wait",
+		Default: "10s",
+		Usage:   "longest wait for an answer",
+	}
+	requestNumber = checker.Definition{
+		Name:  "request",
+		Usage: "the change's own number; give the same one to send a change again",
+	}
+	basedRevision = checker.Definition{
+		Name:  "based",
+		Usage: "revision that the change is based on; the current one where none is given",
+	}
+)
+
+// Values of the output setting.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// operatorSettings are the settings of every operators' command.
+func operatorSettings(more ...checker.Definition) []checker.Definition {
+	return append(more, append(tlsSettings(), controlAddresses, operatorKey, outputFormat, waitTime)...)
+}
+
+// operatorCall is an operators' command at work.
+type operatorCall struct {
+	*invocation
+	client *administrator.Administrator
+	output string
+	wait   time.Duration
+}
+
+// newOperatorCall reads the common settings. Faults show in settings.Err.
+func newOperatorCall(call *invocation) (*operatorCall, error) {
+	control := call.settings.Addresses(controlAddresses.Name)
+	wait := call.settings.Duration(waitTime.Name)
+	output := call.settings.Text(outputFormat.Name)
+	if output != outputTable && output != outputJSON {
+		call.settings.Fault(outputFormat.Name, "must be table or json")
+	}
+	transport, err := clientCredentials(call)
+	if err != nil {
+		return nil, err
+	}
+	if err := call.settings.Err(); err != nil {
+		return nil, err
+	}
+	client := administrator.New(administrator.Settings{
+		Control: control,
+		Links:   linker.New(transport),
+		Key:     call.settings.Text(operatorKey.Name),
+	})
+	return &operatorCall{invocation: call, client: client, output: output, wait: wait}, nil
+}
+
+// context ends when the wait for an answer is over.
+func (c *operatorCall) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.ctx, c.wait)
+}
+
+// print writes a page as JSON or as the table that fill writes.
+func (c *operatorCall) print(page any, fill func(table *tabwriter.Writer) error) error {
+	if c.output == outputJSON {
+		data, err := encoder.Indent(page)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(c.out, string(data))
+		return err
+	}
+	const padding = 2
+	table := tabwriter.NewWriter(c.out, 0, 0, padding, ' ', 0)
+	if err := fill(table); err != nil {
+		return err
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,125 @@
+// Package follower keeps an entry's catalog in step with the control members.
+// It never goes back to an earlier revision, and after a start it puts none in
+// force that a quorum has not vouched for.
+package follower
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/cataloger"
+	"burdocklink/linker"
+	"burdocklink/placer"
+	"burdocklink/registrar"
+)
+
+// Name is the service's name in the kernel.
+const Name = "follower"
+
+// Settings are what a follower needs.
+type Settings struct {
+	// Entry is this entry's name; Incarnation is unique for each start.
+	Entry            string
+	Incarnation      string
+	AvailabilityZone string
+	// Control lists the control members' addresses.
+	Control []string
+	Links   *linker.Linker
+	// Notify is called on the follower's goroutine with each catalog that
+	// comes into force.
+	Notify func(*cataloger.Catalog)
+	// Demand returns what the entry was asked for since its start.
+	Demand func() placer.Demand
+	Log    *zap.Logger
+}
+
+// Confirmation says that a quorum vouched for a revision at a time.
+type Confirmation struct {
+	Revision uint64
+	At       time.Time
+}
+
+// Offer is a catalog from a peer. Confirmation is what the peer knows of the
+// quorum; Catalog may be nil.
+type Offer struct {
+	Catalog      *cataloger.Catalog
+	Confirmation Confirmation
+}
+
+// Follower holds the catalog in force.
+type Follower struct {
+	settings Settings
+	offers   chan Offer
+	stop     chan struct{}
+	stopped  chan struct{}
+	started  time.Time
+
+	// held is the newest catalog; inForce is nil until a quorum vouched for
+	// it. The loop writes both, traffic reads them.
+	held      atomic.Pointer[cataloger.Catalog]
+	inForce   atomic.Pointer[cataloger.Catalog]
+	confirmed atomic.Pointer[Confirmation]
+	leader    atomic.Pointer[string]
+}
+
+// offerQueue is how many offers of peers may wait for the loop.
+const offerQueue = 16
+
+// New returns a follower that has not started.
+func New(settings Settings) *Follower {
+	f := &Follower{
+		settings: settings,
+		offers:   make(chan Offer, offerQueue),
+		stop:     make(chan struct{}),
+		stopped:  make(chan struct{}),
+		started:  time.Now(),
+	}
+	f.held.Store(cataloger.New())
+	f.confirmed.Store(&Confirmation{})
+	none := ""
+	f.leader.Store(&none)
+	return f
+}
+
+// String names the service.
+func (f *Follower) String() string { return Name }
+
+// Start begins to follow; the catalog may come into force later.
+func (f *Follower) Start(context.Context, *registrar.Registrar) error {
+	go f.loop()
+	return nil
+}
+
+// Stop ends the stream.
+func (f *Follower) Stop(deadline time.Time) error {
+	close(f.stop)
+	select {
+	case <-f.stopped:
+	case <-time.After(time.Until(deadline)):
+	}
+	return nil
+}
+
+// Catalog returns the catalog in force, or nil where none is.
+func (f *Follower) Catalog() *cataloger.Catalog { return f.inForce.Load() }
+
+// Held returns the newest catalog, which may not be in force yet.
+func (f *Follower) Held() *cataloger.Catalog { return f.held.Load() }
+
+// Confirmed returns the last confirmation.
+func (f *Follower) Confirmed() Confirmation { return *f.confirmed.Load() }
+
+// Leader returns the address of the leader as last heard, or an empty string.
+func (f *Follower) Leader() string { return *f.leader.Load() }
+
+// Take hands over what a peer offers. It drops the offer where the follower
+// is busy; peers offer again.
+func (f *Follower) Take(offer Offer) {
+	select {
+	case f.offers <- offer:
+	default:
+	}
+}
--- /dev/null
+++ b/follower/loop.go
@@ -0,0 +1,219 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/cataloger"
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+)
+
+// Times of a stream.
+const (
+	// silenceLimit is how long a stream may say nothing.
+	silenceLimit = 1500 * time.Millisecond
+	// tellInterval is the time between two reports of the entry.
+	tellInterval = 250 * time.Millisecond
+	// redialPause is the wait before the next member is tried.
+	redialPause = 100 * time.Millisecond
+)
+
+// loop follows one member after the other until the follower stops.
+func (f *Follower) loop() {
+	defer close(f.stopped)
+	next := 0
+	for {
+		address := f.choose(&next)
+		err := f.follow(address)
+		f.settings.Log.Debug("stream ended", zap.String("member", address), zap.Error(err))
+		if !f.pause() {
+			return
+		}
+	}
+}
+
+// choose prefers the leader and goes round the members where none is known.
+func (f *Follower) choose(next *int) string {
+	if leader := f.Leader(); leader != "" {
+		none := ""
+		f.leader.Store(&none)
+		return leader
+	}
+	address := f.settings.Control[*next%len(f.settings.Control)]
+	*next++
+	return address
+}
+
+// pause waits a little and takes offers meanwhile. It returns false once the
+// follower stops.
+func (f *Follower) pause() bool {
+	timer := time.NewTimer(redialPause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return false
+		case offer := <-f.offers:
+			f.takeOffer(offer)
+		case <-timer.C:
+			return true
+		}
+	}
+}
+
+// follow runs one stream until it breaks, goes silent or the follower stops.
+func (f *Follower) follow(address string) error {
+	link, err := f.settings.Links.Connect(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := newStream(ctx, wire.NewControlClient(link))
+	go s.runReceive()
+	silence := time.NewTimer(silenceLimit)
+	defer silence.Stop()
+	tell := time.NewTicker(tellInterval)
+	defer tell.Stop()
+	sent := newSentReports()
+	s.tell(f.report(sent))
+	for {
+		select {
+		case <-f.stop:
+			return nil
+		case offer := <-f.offers:
+			f.takeOffer(offer)
+		case <-tell.C:
+			s.tell(f.report(sent))
+		case <-silence.C:
+			f.settings.Links.Drop(address, link)
+			return &SilentError{Address: address}
+		case <-s.failed:
+			return s.err
+		case update := <-s.updates:
+			silence.Reset(silenceLimit)
+			if err := f.take(address, sent, update); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// report returns the entry's report.
+func (f *Follower) report(sent *sentReports) *wire.FollowRequest {
+	report := encoder.EncodeDemand(f.settings.Demand())
+	report.Number = sent.add(time.Now())
+	report.Entry = f.settings.Entry
+	report.Incarnation = f.settings.Incarnation
+	report.AvailabilityZone = f.settings.AvailabilityZone
+	report.Revision = f.Held().Revision
+	report.InForce = f.Catalog() != nil
+	return report
+}
+
+// take applies one update of a member.
+func (f *Follower) take(address string, sent *sentReports, update *wire.FollowReply) error {
+	switch update := update.GetUpdate().(type) {
+	case *wire.FollowReply_Snapshot:
+		return f.takeSnapshot(update.Snapshot)
+	case *wire.FollowReply_Delta:
+		return f.takeDelta(update.Delta)
+	case *wire.FollowReply_Heartbeat:
+		return f.takeHeartbeat(address, sent, update.Heartbeat)
+	default:
+		return &UpdateError{}
+	}
+}
+
+func (f *Follower) takeSnapshot(data []byte) error {
+	delta, err := encoder.DecodeDelta(data)
+	if err != nil {
+		return err
+	}
+	catalog, err := cataloger.New().With(delta)
+	if err != nil {
+		return err
+	}
+	f.hold(catalog)
+	return nil
+}
+
+// takeDelta applies a delta; one that is known already is passed over.
+func (f *Follower) takeDelta(data []byte) error {
+	delta, err := encoder.DecodeDelta(data)
+	if err != nil {
+		return err
+	}
+	held := f.Held()
+	if delta.To <= held.Revision {
+		return nil
+	}
+	catalog, err := held.With(delta)
+	if err != nil {
+		return err
+	}
+	f.hold(catalog)
+	return nil
+}
+
+// takeHeartbeat counts a confirmation from the time of the report that it
+// echoes, so that a heartbeat which was long on its way is not taken for a
+// fresh one.
+func (f *Follower) takeHeartbeat(address string, sent *sentReports, beat *wire.Heartbeat) error {
+	if at, ok := sent.at(beat.GetEcho()); ok {
+		f.confirm(Confirmation{Revision: beat.GetRevision(), At: at})
+	}
+	leader := beat.GetLeader()
+	f.leader.Store(&leader)
+	if leader != "" && leader != address && !beat.GetLeading() {
+		return &ElsewhereError{Leader: leader}
+	}
+	return nil
+}
+
+// takeOffer applies what a peer offers.
+func (f *Follower) takeOffer(offer Offer) {
+	if offer.Catalog != nil {
+		f.hold(offer.Catalog)
+	}
+	f.confirm(offer.Confirmation)
+}
+
+// hold keeps a catalog unless it is older than the one held.
+func (f *Follower) hold(catalog *cataloger.Catalog) {
+	if catalog.Revision <= f.Held().Revision {
+		return
+	}
+	f.held.Store(catalog)
+	f.enforce()
+}
+
+// confirm notes the newest confirmation. One from before the start says
+// nothing of what this entry may have served by before it was restarted.
+func (f *Follower) confirm(confirmation Confirmation) {
+	known := f.Confirmed()
+	if !confirmation.At.After(f.started) || !confirmation.At.After(known.At) {
+		return
+	}
+	confirmation.Revision = max(confirmation.Revision, known.Revision)
+	f.confirmed.Store(&confirmation)
+	f.enforce()
+}
+
+// enforce puts the held catalog in force once it reaches a revision that a
+// quorum vouched for.
+func (f *Follower) enforce() {
+	held := f.Held()
+	confirmed := f.Confirmed()
+	if confirmed.At.IsZero() || held.Revision < confirmed.Revision {
+		return
+	}
+	if f.inForce.Load() == held {
+		return
+	}
+	f.inForce.Store(held)
+	f.settings.Notify(held)
+}
--- /dev/null
+++ b/follower/reports.go
@@ -0,0 +1,31 @@
+package follower
+
+import "time"
+
+// reportsKept is how many reports of a stream are remembered.
+const reportsKept = 64
+
+// sentReports remembers when the last reports of a stream were made.
+type sentReports struct {
+	next  uint64
+	times [reportsKept]time.Time
+}
+
+func newSentReports() *sentReports { return &sentReports{next: 1} }
+
+// add returns the number of a new report.
+func (s *sentReports) add(now time.Time) uint64 {
+	number := s.next
+	s.times[number%reportsKept] = now
+	s.next++
+	return number
+}
+
+// at returns the time of a report, and false where it is unknown or too long
+// ago.
+func (s *sentReports) at(number uint64) (time.Time, bool) {
+	if number == 0 || number >= s.next || s.next-number > reportsKept {
+		return time.Time{}, false
+	}
+	return s.times[number%reportsKept], true
+}
--- /dev/null
+++ b/gossiper/exchange.go
@@ -0,0 +1,113 @@
+package gossiper
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"burdocklink/cataloger"
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/follower"
+)
+
+// Exchange answers a peer's digest with this entry's own.
+func (g *Gossiper) Exchange(_ context.Context, theirs *wire.PeerDigest) (*wire.PeerDigest, error) {
+	g.settings.Heard(theirs.GetEntry(), dispatches(theirs))
+	return g.digest(time.Now()), nil
+}
+
+// Fetch returns the newest catalog that this entry holds.
+func (g *Gossiper) Fetch(context.Context, *wire.FetchRequest) (*wire.FetchReply, error) {
+	catalog := g.settings.Follower.Held()
+	data, err := encoder.EncodeDelta(cataloger.Delta{To: catalog.Revision, Changes: catalog.Changes()})
+	if err != nil {
+		return nil, err
+	}
+	return &wire.FetchReply{Snapshot: data}, nil
+}
+
+// exchange swaps digests with a peer and takes what it knows better.
+func (g *Gossiper) exchange(peer string) error {
+	link, err := g.settings.Links.Connect(peer)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeLimit)
+	defer cancel()
+	sent := time.Now()
+	theirs, err := wire.NewPeerClient(link).Exchange(ctx, g.digest(sent))
+	if err != nil {
+		if ctx.Err() != nil {
+			g.settings.Links.Drop(peer, link)
+		}
+		return err
+	}
+	g.heard.put(peer, sent)
+	g.settings.Heard(theirs.GetEntry(), dispatches(theirs))
+	return g.learn(ctx, link, theirs, sent)
+}
+
+// learn hands the peer's knowledge to the follower. The peer's age of a
+// confirmation is counted from the sending of the request, which was before
+// the peer told it.
+func (g *Gossiper) learn(ctx context.Context, link *grpc.ClientConn, theirs *wire.PeerDigest, sent time.Time) error {
+	offer := follower.Offer{}
+	if age := theirs.GetConfirmedAgeMs(); age >= 0 {
+		offer.Confirmation = follower.Confirmation{
+			Revision: theirs.GetConfirmed(),
+			At:       sent.Add(-time.Duration(age+1) * time.Millisecond),
+		}
+	}
+	if theirs.GetRevision() > g.settings.Follower.Held().Revision {
+		catalog, err := fetch(ctx, link)
+		if err != nil {
+			return err
+		}
+		offer.Catalog = catalog
+	}
+	g.settings.Follower.Take(offer)
+	return nil
+}
+
+func fetch(ctx context.Context, link *grpc.ClientConn) (*cataloger.Catalog, error) {
+	reply, err := wire.NewPeerClient(link).Fetch(ctx, &wire.FetchRequest{})
+	if err != nil {
+		return nil, err
+	}
+	delta, err := encoder.DecodeDelta(reply.GetSnapshot())
+	if err != nil {
+		return nil, err
+	}
+	return cataloger.New().With(delta)
+}
+
+// digest tells what this entry knows.
+func (g *Gossiper) digest(now time.Time) *wire.PeerDigest {
+	confirmation := g.settings.Follower.Confirmed()
+	digest := &wire.PeerDigest{
+		Entry:          g.settings.Entry,
+		Revision:       g.settings.Follower.Held().Revision,
+		Confirmed:      confirmation.Revision,
+		ConfirmedAgeMs: -1,
+	}
+	if !confirmation.At.IsZero() {
+		digest.ConfirmedAgeMs = now.Sub(confirmation.At).Milliseconds()
+	}
+	for upstream, running := range g.settings.Dispatches() {
+		digest.Dispatches = append(digest.Dispatches, &wire.Dispatch{
+			Upstream: upstream,
+			Running:  uint32(running),
+		})
+	}
+	return digest
+}
+
+func dispatches(digest *wire.PeerDigest) map[string]int {
+	running := map[string]int{}
+	for _, dispatch := range digest.GetDispatches() {
+		running[dispatch.GetUpstream()] = int(dispatch.GetRunning())
+	}
+	return running
+}
--- /dev/null
+++ b/proposer/errors.go
@@ -0,0 +1,40 @@
+package proposer
+
+import (
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// UnconfirmedError says that the outcome of a proposal was not learned.
+type UnconfirmedError struct{ Cause error }
+
+// Error describes the uncertainty.
+func (e *UnconfirmedError) Error() string { return "no control member confirmed the command in time" }
+
+// Unwrap returns the last member's failure, which may be nil.
+func (e *UnconfirmedError) Unwrap() error { return e.Cause }
+
+// RefusedError says that a member refused the command for good.
+type RefusedError struct{ Cause error }
+
+// Error describes the refusal.
+func (e *RefusedError) Error() string { return "refused: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// AnswerError says that a member answered with a result of another command.
+type AnswerError struct{}
+
+// Error describes the answer.
+func (e *AnswerError) Error() string { return "the answer belongs to another command" }
+
+// isRefusal is true for failures that a repeat can't mend.
+func isRefusal(err error) bool {
+	switch status.Code(err) {
+	case codes.InvalidArgument, codes.PermissionDenied, codes.Unauthenticated, codes.Unimplemented:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/proposer/proposer.go
@@ -0,0 +1,106 @@
+// Package proposer sends commands to the control group's leader. It tries the
+// members in turn until one answers as the leader or the caller's context
+// ends; every command may be repeated without harm.
+package proposer
+
+import (
+	"context"
+	"time"
+
+	"burdocklink/applier"
+	"burdocklink/claimer"
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/linker"
+)
+
+// Times of a proposal.
+const (
+	// answerLimit is the longest wait for one member's answer.
+	answerLimit = 1500 * time.Millisecond
+	// retryPause is the wait before the next member is asked.
+	retryPause = 50 * time.Millisecond
+)
+
+// Settings are what a proposer needs.
+type Settings struct {
+	// Control lists the control members' addresses.
+	Control []string
+	Links   *linker.Linker
+	// Leader returns the leader's address as last heard, or an empty string.
+	Leader func() string
+}
+
+// Proposer is safe for concurrent use.
+type Proposer struct{ settings Settings }
+
+// New returns a proposer.
+func New(settings Settings) *Proposer { return &Proposer{settings: settings} }
+
+// Claim commits an event of the claim table. It returns *UnconfirmedError
+// where no outcome was learned before the context ended; the event may or may
+// not be committed then.
+func (p *Proposer) Claim(ctx context.Context, event claimer.Event) (claimer.Result, error) {
+	applied, err := p.propose(ctx, applier.Claim{Event: event})
+	if err != nil {
+		return nil, err
+	}
+	result, ok := applied.Result.(applier.ClaimResult)
+	if !ok {
+		return nil, &AnswerError{}
+	}
+	return result.Result, nil
+}
+
+func (p *Proposer) propose(ctx context.Context, command applier.Command) (applier.Applied, error) {
+	data, err := encoder.EncodeCommand(command)
+	if err != nil {
+		return applier.Applied{}, err
+	}
+	request := &wire.ProposeRequest{Command: data}
+	address := p.settings.Leader()
+	for next := 0; ; next++ {
+		if address == "" {
+			address = p.settings.Control[next%len(p.settings.Control)]
+		}
+		reply, err := p.ask(ctx, address, request)
+		if applied := reply.GetApplied(); err == nil && applied != nil {
+			return encoder.DecodeApplied(applied)
+		}
+		if isRefusal(err) {
+			return applier.Applied{}, &RefusedError{Cause: err}
+		}
+		address = reply.GetNotLeader().GetLeader()
+		if !wait(ctx) {
+			return applier.Applied{}, &UnconfirmedError{Cause: err}
+		}
+	}
+}
+
+// ask sends the request to one member. A member that does not answer in time
+// gets a new connection the next time.
+func (p *Proposer) ask(ctx context.Context, address string, request *wire.ProposeRequest) (*wire.ProposeReply, error) {
+	link, err := p.settings.Links.Connect(address)
+	if err != nil {
+		return nil, err
+	}
+	limited, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	reply, err := wire.NewControlClient(link).Propose(limited, request)
+	if limited.Err() == context.DeadlineExceeded && ctx.Err() == nil {
+		p.settings.Links.Drop(address, link)
+	}
+	return reply, err
+}
+
+// wait pauses between two members. It returns false once the context ends.
+func wait(ctx context.Context) bool {
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/responder/follow.go
@@ -0,0 +1,146 @@
+package responder
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"burdocklink/cataloger"
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+)
+
+// followStream is the server's side of one follower's stream.
+type followStream = grpc.BidiStreamingServer[wire.FollowRequest, wire.FollowReply]
+
+// session is one follower's stream.
+type session struct {
+	responder *Responder
+	stream    followStream
+	ended     chan struct{}
+
+	mu sync.Mutex
+	// reports are the last reports received, oldest first.
+	reports []received
+}
+
+// received is when a report arrived.
+type received struct {
+	number uint64
+	at     time.Time
+}
+
+// reportsKept is how many reports a session remembers.
+const reportsKept = 64
+
+// Follow streams the catalog until the follower leaves or falls behind.
+func (r *Responder) Follow(stream followStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	s := &session{responder: r, stream: stream, ended: make(chan struct{})}
+	s.note(first, time.Now())
+	go s.runReceive()
+	catalog, deltas, cancel := r.settings.Group.Follow()
+	defer cancel()
+	if err := s.begin(catalog, first.GetRevision()); err != nil {
+		return err
+	}
+	return s.send(deltas)
+}
+
+// runReceive takes what the entry says until the stream ends.
+func (s *session) runReceive() {
+	defer close(s.ended)
+	for {
+		said, err := s.stream.Recv()
+		if err != nil {
+			return
+		}
+		s.note(said, time.Now())
+	}
+}
+
+// note keeps a report of the entry.
+func (s *session) note(said *wire.FollowRequest, now time.Time) {
+	s.responder.entries.put(said, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports = append(s.reports, received{number: said.GetNumber(), at: now})
+	if len(s.reports) > reportsKept {
+		s.reports = s.reports[1:]
+	}
+}
+
+// echo returns the number of the last report received before a time, or zero.
+func (s *session) echo(before time.Time) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var number uint64
+	for _, report := range s.reports {
+		if report.at.Before(before) {
+			number = report.number
+		}
+	}
+	return number
+}
+
+// begin sends the snapshot where the entry does not hold that revision.
+func (s *session) begin(catalog *cataloger.Catalog, held uint64) error {
+	if catalog.Revision == held {
+		return nil
+	}
+	data, err := encoder.EncodeDelta(cataloger.Delta{To: catalog.Revision, Changes: catalog.Changes()})
+	if err != nil {
+		return status.Error(codes.Internal, err.Error())
+	}
+	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Snapshot{Snapshot: data}})
+}
+
+func (s *session) send(deltas <-chan cataloger.Delta) error {
+	ticker := time.NewTicker(pulseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.responder.stopping:
+			return status.Error(codes.Unavailable, "this member stops")
+		case <-s.ended:
+			return nil
+		case delta, open := <-deltas:
+			if !open {
+				return status.Error(codes.ResourceExhausted, "the follower fell behind")
+			}
+			if err := s.sendDelta(delta); err != nil {
+				return err
+			}
+		case <-ticker.C:
+			if err := s.stream.Send(s.heartbeat()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *session) sendDelta(delta cataloger.Delta) error {
+	data, err := encoder.EncodeDelta(delta)
+	if err != nil {
+		return status.Error(codes.Internal, err.Error())
+	}
+	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Delta{Delta: data}})
+}
+
+// heartbeat tells the leader and what the quorum vouched for last.
+func (s *session) heartbeat() *wire.FollowReply {
+	last := s.responder.pulse.read()
+	state := s.responder.settings.Group.Status()
+	return &wire.FollowReply{Update: &wire.FollowReply_Heartbeat{Heartbeat: &wire.Heartbeat{
+		Echo:     s.echo(last.began),
+		Revision: last.revision,
+		Leader:   leaderAddress(state),
+		Leading:  state.Leading,
+	}}}
+}
--- /dev/null
+++ b/responder/pulse.go
@@ -0,0 +1,66 @@
+package responder
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"burdocklink/conductor"
+)
+
+// Times of the pulse.
+const (
+	// pulseInterval is the time between two confirmations and heartbeats.
+	pulseInterval = 250 * time.Millisecond
+	// pulseWait is the longest wait for a confirmation.
+	pulseWait = time.Second
+)
+
+// beat is the last confirmation.
+type beat struct {
+	// revision is the catalog revision that a quorum vouched for.
+	revision uint64
+	// began is when the quorum was asked.
+	began time.Time
+}
+
+// pulse asks the quorum again and again for the revision in force, once for
+// all followers.
+type pulse struct {
+	group conductor.Proposer
+	last  atomic.Pointer[beat]
+}
+
+func newPulse(group conductor.Proposer) *pulse {
+	p := &pulse{group: group}
+	p.last.Store(&beat{})
+	return p
+}
+
+// loop runs until stop is closed.
+func (p *pulse) loop(stop <-chan struct{}) {
+	ticker := time.NewTicker(pulseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			p.confirm()
+		}
+	}
+}
+
+func (p *pulse) confirm() {
+	ctx, cancel := context.WithTimeout(context.Background(), pulseWait)
+	defer cancel()
+	began := time.Now()
+	revision, err := p.group.Confirm(ctx)
+	if err != nil {
+		return
+	}
+	p.last.Store(&beat{revision: revision, began: began})
+}
+
+// read returns the last confirmation.
+func (p *pulse) read() beat { return *p.last.Load() }
--- /dev/null
+++ b/responder/responder.go
@@ -0,0 +1,149 @@
+// Package responder answers entries and operators at a control member: it
+// passes commands to the replicated log, streams the catalog and tells the
+// state of the system.
+package responder
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"burdocklink/conductor"
+	"burdocklink/encoder/wire"
+	"burdocklink/registrar"
+)
+
+// Name is the service's name in the kernel.
+const Name = "responder"
+
+// least interval at which clients may ping.
+const pingInterval = time.Second
+
+// Group is the control member that the responder speaks for.
+type Group interface {
+	conductor.Proposer
+	// ServeReplication adds the members' own service to a server.
+	ServeReplication(server grpc.ServiceRegistrar)
+}
+
+// Members changes the group's membership. It is implemented by the conductor.
+type Members interface {
+	AddMember(ctx context.Context, member conductor.Member) error
+	// RemoveMember removes the member with the disk's identity, or the one
+	// member of that name where the disk is empty.
+	RemoveMember(ctx context.Context, name, disk string) error
+}
+
+// Settings are what a responder needs.
+type Settings struct {
+	// Listen is the IP address and port for entries, operators and members.
+	Listen string
+	// Credentials secure the connections; nil means plain text.
+	Credentials credentials.TransportCredentials
+	// Operator returns the authenticated operator of a call.
+	Operator func(ctx context.Context) (string, error)
+	Group    Group
+	Log      *zap.Logger
+}
+
+// Responder is the gRPC service of a control member.
+type Responder struct {
+	wire.UnimplementedControlServer
+	wire.UnimplementedOperatorServer
+
+	settings Settings
+	server   *grpc.Server
+	listener net.Listener
+	entries  *entryTable
+	pulse    *pulse
+	stopping chan struct{}
+	stopped  chan struct{}
+}
+
+// New returns a responder that has not started.
+func New(settings Settings) *Responder {
+	return &Responder{
+		settings: settings,
+		entries:  newEntryTable(),
+		pulse:    newPulse(settings.Group),
+		stopping: make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+}
+
+// String names the service.
+func (r *Responder) String() string { return Name }
+
+// Address returns the address that the responder listens at.
+func (r *Responder) Address() string { return r.listener.Addr().String() }
+
+// Start listens and serves.
+func (r *Responder) Start(context.Context, *registrar.Registrar) error {
+	listener, err := net.Listen("tcp", r.settings.Listen)
+	if err != nil {
+		return &ListenError{Address: r.settings.Listen, Cause: err}
+	}
+	r.listener = listener
+	r.server = grpc.NewServer(r.options()...)
+	wire.RegisterControlServer(r.server, r)
+	wire.RegisterOperatorServer(r.server, r)
+	r.settings.Group.ServeReplication(r.server)
+	go r.pulse.loop(r.stopping)
+	go r.runServer()
+	return nil
+}
+
+// Stop ends the followers' streams and waits for calls until the deadline.
+func (r *Responder) Stop(deadline time.Time) error {
+	close(r.stopping)
+	go r.runStop()
+	select {
+	case <-r.stopped:
+	case <-time.After(time.Until(deadline)):
+		r.server.Stop()
+	}
+	return nil
+}
+
+func (r *Responder) options() []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             pingInterval,
+			PermitWithoutStream: true,
+		}),
+		grpc.UnaryInterceptor(r.checkCall),
+		grpc.StreamInterceptor(r.checkStream),
+	}
+	if r.settings.Credentials != nil {
+		options = append(options, grpc.Creds(r.settings.Credentials))
+	}
+	return options
+}
+
+func (r *Responder) runServer() {
+	if err := r.server.Serve(r.listener); err != nil {
+		r.settings.Log.Warn("control service ended", zap.Error(err))
+	}
+}
+
+func (r *Responder) runStop() {
+	r.server.GracefulStop()
+	close(r.stopped)
+}
+
+// ListenError says that an address can't be listened at.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error describes the address.
+func (e *ListenError) Error() string { return "listen at " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,183 @@
+// Package watcher reads the platform's list of VMs, the weight store's list
+// and what engines say they hold, and proposes what changed. It works on every
+// control member and proposes only while its member leads.
+package watcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/conductor"
+	"burdocklink/orderer"
+	"burdocklink/registrar"
+)
+
+// Name is the service's name in the kernel.
+const Name = "watcher"
+
+// Times of the watch.
+const (
+	// pollInterval is the time between two looks at the lists.
+	pollInterval = time.Second
+	// pollLimit is the longest wait for one answer.
+	pollLimit = 2 * time.Second
+	// proposeLimit is the longest wait for a commit.
+	proposeLimit = 3 * time.Second
+)
+
+// Settings are what a watcher needs.
+type Settings struct {
+	// Platform and Store are base URLs.
+	Platform string
+	Store    string
+	// Limits are what the weight store and the network allow; the ledger is
+	// brought to them.
+	Limits orderer.StoreLimits
+	Group  conductor.Proposer
+	Log    *zap.Logger
+}
+
+// Watcher compares the lists with the catalog.
+type Watcher struct {
+	settings Settings
+	client   *http.Client
+	absent   absences
+	holdings *holdings
+	stop     chan struct{}
+	stopped  chan struct{}
+}
+
+// New returns a watcher that has not started.
+func New(settings Settings) *Watcher {
+	return &Watcher{
+		settings: settings,
+		client:   newClient(),
+		absent:   absences{},
+		holdings: newHoldings(),
+		stop:     make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+}
+
+// newClient opens a new connection for each poll, so that one which went
+// silent can't hold up the next.
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// String names the service.
+func (w *Watcher) String() string { return Name }
+
+// Start begins to watch.
+func (w *Watcher) Start(context.Context, *registrar.Registrar) error {
+	go w.loop()
+	return nil
+}
+
+// Stop ends the watch.
+func (w *Watcher) Stop(deadline time.Time) error {
+	close(w.stop)
+	select {
+	case <-w.stopped:
+	case <-time.After(time.Until(deadline)):
+	}
+	return nil
+}
+
+func (w *Watcher) loop() {
+	defer close(w.stopped)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-ticker.C:
+			if w.settings.Group.Status().Leading {
+				w.look()
+			}
+		}
+	}
+}
+
+// look reads each list once. A list that can't be read changes nothing.
+func (w *Watcher) look() {
+	ctx, cancel := context.WithTimeout(context.Background(), pollLimit)
+	defer cancel()
+	if err := w.setLimits(ctx); err != nil {
+		w.settings.Log.Warn("store limits", zap.Error(err))
+	}
+	if err := w.lookAtVMs(ctx); err != nil {
+		w.settings.Log.Warn("platform's list", zap.Error(err))
+	}
+	if err := w.lookAtWeights(ctx); err != nil {
+		w.settings.Log.Warn("weight store's list", zap.Error(err))
+	}
+	w.lookAtEngines(ctx)
+}
+
+// setLimits brings the ledger to this member's settings.
+func (w *Watcher) setLimits(ctx context.Context) error {
+	var limits orderer.StoreLimits
+	read := func(state *applier.State) { limits = state.Orders().Limits() }
+	if err := w.settings.Group.Read(ctx, read); err != nil {
+		return err
+	}
+	if limits == w.settings.Limits {
+		return nil
+	}
+	command := applier.Order{Event: orderer.Limit{Limits: w.settings.Limits}}
+	_, err := w.settings.Group.Propose(ctx, command)
+	return err
+}
+
+func (w *Watcher) lookAtVMs(ctx context.Context) error {
+	listed, err := w.fetchVMs(ctx)
+	if err != nil {
+		return err
+	}
+	catalog, err := w.catalog(ctx)
+	if err != nil {
+		return err
+	}
+	return w.propose(ctx, CompareUpstreams(catalog, listed, w.absent))
+}
+
+func (w *Watcher) lookAtWeights(ctx context.Context) error {
+	listed, err := w.fetchWeights(ctx)
+	if err != nil {
+		return err
+	}
+	catalog, err := w.catalog(ctx)
+	if err != nil {
+		return err
+	}
+	return w.propose(ctx, CompareWeights(catalog, listed))
+}
+
+func (w *Watcher) propose(ctx context.Context, changes []cataloger.Change) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposeLimit)
+	defer cancel()
+	applied, err := w.settings.Group.Propose(limited, applier.Watch{Changes: changes})
+	if err != nil {
+		return err
+	}
+	w.settings.Log.Info("lists changed",
+		zap.Int("changes", len(changes)),
+		zap.Uint64("revision", applied.Delta.To))
+	return nil
+}
+
+func (w *Watcher) catalog(ctx context.Context) (*cataloger.Catalog, error) {
+	var catalog *cataloger.Catalog
+	err := w.settings.Group.Read(ctx, func(state *applier.State) { catalog = state.Catalog() })
+	return catalog, err
+}
