feat(emulator): model of a continuously batching engine

Cause: the policy has to be judged before and without real engines, many virtual minutes in seconds. Conclusion: stepped by its caller; the admission queue is exported for the same use.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -20,8 +20,8 @@
 type Admitter struct {
 	settings Settings
 	router   *router.Router
-	core     *core
-	arrivals chan *ticket
+	queue    *Queue
+	arrivals chan *Ticket
 	leavings chan leaving
 	wakes    chan struct{}
 	readings chan chan placer.Demand
@@ -31,14 +31,21 @@
 
 	// endings is filled by callers and emptied by the loop.
 	endingsMutex sync.Mutex
-	endings      []*ending
+	endings      []ended
 }
 
+// leaving is a caller that has gone.
 type leaving struct {
-	ticket *ticket
+	ticket *Ticket
 	err    error
 }
 
+// ended is a grant with its result on the way to the loop.
+type ended struct {
+	grant  *Grant
+	result Result
+}
+
 // New returns an admitter that has not started.
 func New(router *router.Router, settings Settings) *Admitter {
 	if settings.Now == nil {
@@ -47,8 +54,8 @@
 	return &Admitter{
 		settings: settings,
 		router:   router,
-		core:     newCore(router, settings.Now()),
-		arrivals: make(chan *ticket),
+		queue:    NewQueue(router, settings.Now()),
+		arrivals: make(chan *Ticket),
 		leavings: make(chan leaving),
 		wakes:    make(chan struct{}, 1),
 		readings: make(chan chan placer.Demand),
@@ -85,10 +92,7 @@
 // run and must not be repeated. It returns *BudgetError where too many
 // requests are retries already, and else what Acquire returns.
 func (a *Admitter) Again(ctx context.Context, grant *Grant) (*Grant, error) {
-	t := newTicket(grant.request)
-	t.retry = true
-	t.request.Route.Avoid = append([]string{grant.Choice.Upstream}, grant.request.Route.Avoid...)
-	return a.wait(ctx, t)
+	return a.wait(ctx, newRetry(grant))
 }
 
 // Demand returns what was asked for since the start, for the control plane.
@@ -98,7 +102,7 @@
 	case a.readings <- reply:
 		return <-reply
 	case <-a.stopped:
-		return a.core.demand.demand()
+		return a.queue.Demand()
 	}
 }
 
@@ -111,7 +115,7 @@
 	}
 }
 
-func (a *Admitter) wait(ctx context.Context, t *ticket) (*Grant, error) {
+func (a *Admitter) wait(ctx context.Context, t *Ticket) (*Grant, error) {
 	select {
 	case a.arrivals <- t:
 	case <-ctx.Done():
@@ -120,23 +124,23 @@
 		return nil, &StoppedError{}
 	}
 	select {
-	case v := <-t.answer:
-		return v.grant, v.err
+	case d := <-t.answer:
+		return d.Grant, d.Err
 	case <-ctx.Done():
 	}
 	select {
 	case a.leavings <- leaving{ticket: t, err: ctx.Err()}:
 	case <-a.stopped:
 	}
-	v := <-t.answer
-	if v.grant != nil {
-		v.grant.Done(Result{Ended: a.settings.Now(), Outcome: router.OutcomeCancelled})
+	d := <-t.answer
+	if d.Grant != nil {
+		d.Grant.Done(Result{Ended: a.settings.Now(), Outcome: router.OutcomeCancelled})
 		return nil, ctx.Err()
 	}
-	return nil, v.err
+	return nil, d.Err
 }
 
-func (a *Admitter) finish(e *ending) {
+func (a *Admitter) finish(e ended) {
 	a.endingsMutex.Lock()
 	a.endings = append(a.endings, e)
 	a.endingsMutex.Unlock()
--- a/admitter/grant.go
+++ b/admitter/grant.go
@@ -23,11 +23,12 @@
 	done     bool
 }
 
-// FirstToken records when the first token came. Only the first call counts.
+// FirstToken records when the first token came. Only the first call counts,
+// and none after Done.
 func (g *Grant) FirstToken(at time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.first.IsZero() {
+	if !g.done && g.first.IsZero() {
 		g.first = at
 	}
 }
@@ -40,10 +41,12 @@
 		return
 	}
 	g.done = true
-	g.admitter.finish(&ending{grant: g, first: g.first, result: result})
+	if g.admitter != nil {
+		g.admitter.finish(ended{grant: g, result: result})
+	}
 }
 
-// ending is a finished grant on its way to the core.
+// ending is a finished grant with what was measured of it.
 type ending struct {
 	grant  *Grant
 	first  time.Time
--- /dev/null
+++ b/admitter/queue.go
@@ -0,0 +1,193 @@
+package admitter
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"burdocklink/limiter"
+	"burdocklink/placer"
+	"burdocklink/router"
+)
+
+// queueLimit bounds the waiting requests of one entry.
+const queueLimit = 4096
+
+// backlogRetry is the shortest wait after a refusal.
+const backlogRetry = time.Second
+
+// Queue is the deterministic part: it holds the waiting requests in order of
+// the time left to their targets. It is owned by one goroutine. Each call may
+// make decisions, which Take returns.
+type Queue struct {
+	router    *router.Router
+	waiting   []*Ticket
+	demand    *ledger
+	budget    *limiter.Budget
+	decisions []Decision
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(router *router.Router, now time.Time) *Queue {
+	return &Queue{router: router, demand: newLedger(now), budget: limiter.NewBudget()}
+}
+
+// Arrive takes in a new request.
+func (q *Queue) Arrive(now time.Time, request Request) *Ticket {
+	t := newTicket(request)
+	q.arrive(now, t)
+	return t
+}
+
+// ArriveAgain takes in a retry after a grant that failed.
+func (q *Queue) ArriveAgain(now time.Time, grant *Grant) *Ticket {
+	t := newRetry(grant)
+	q.arrive(now, t)
+	return t
+}
+
+// End takes in the result of a grant.
+func (q *Queue) End(grant *Grant, result Result) {
+	e := ending{grant: grant, first: grant.first, result: result}
+	q.router.Finished(grant.Choice, e.sample())
+	q.demand.ended(&e)
+}
+
+// Withdraw decides a waiting ticket whose caller has gone.
+func (q *Queue) Withdraw(t *Ticket, err error) {
+	at := slices.Index(q.waiting, t)
+	if at < 0 {
+		return
+	}
+	q.waiting = slices.Delete(q.waiting, at, at+1)
+	q.decide(Decision{Ticket: t, Err: err})
+}
+
+// Pump grants what fits and gives up on what is hopeless.
+func (q *Queue) Pump(now time.Time) {
+	kept := q.waiting[:0]
+	for _, t := range q.waiting {
+		if q.hopeless(now, t) || q.try(now, t) {
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
+
+// Next returns when the next ticket is to be given up on, zero for never.
+func (q *Queue) Next() time.Time {
+	var next time.Time
+	for _, t := range q.waiting {
+		if !t.giveUpBy.IsZero() && (next.IsZero() || t.giveUpBy.Before(next)) {
+			next = t.giveUpBy
+		}
+	}
+	return next
+}
+
+// Stop decides everything that waits.
+func (q *Queue) Stop() {
+	for _, t := range q.waiting {
+		q.decide(Decision{Ticket: t, Err: &StoppedError{}})
+	}
+	q.waiting = nil
+}
+
+// Take returns the decisions made since the last call.
+func (q *Queue) Take() []Decision {
+	taken := q.decisions
+	q.decisions = nil
+	return taken
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Demand returns what was asked for since the queue was made.
+func (q *Queue) Demand() placer.Demand { return q.demand.demand() }
+
+func (q *Queue) arrive(now time.Time, t *Ticket) {
+	if !q.count(t) {
+		q.decide(Decision{Ticket: t, Err: &BudgetError{}})
+		return
+	}
+	if q.try(now, t) {
+		return
+	}
+	if len(q.waiting) >= queueLimit {
+		last := q.waiting[len(q.waiting)-1]
+		if !t.key.Before(last.key) {
+			q.overload(now, t)
+			return
+		}
+		q.waiting = q.waiting[:len(q.waiting)-1]
+		q.overload(now, last)
+	}
+	q.insert(t)
+}
+
+func (q *Queue) insert(t *Ticket) {
+	at, _ := slices.BinarySearchFunc(q.waiting, t, func(a, b *Ticket) int {
+		if a.key.After(b.key) {
+			return 1
+		}
+		return -1
+	})
+	q.waiting = slices.Insert(q.waiting, at, t)
+}
+
+// count earns or spends retry budget. It returns false for a retry that the
+// budget does not cover.
+func (q *Queue) count(t *Ticket) bool {
+	if t.retry {
+		return q.budget.Spend()
+	}
+	q.demand.arrived(&t.request)
+	q.budget.Earn()
+	return true
+}
+
+func (q *Queue) decide(d Decision) { q.decisions = append(q.decisions, d) }
+
+func (q *Queue) hopeless(now time.Time, t *Ticket) bool {
+	if t.giveUpBy.IsZero() || now.Before(t.giveUpBy) {
+		return false
+	}
+	q.demand.refused(&t.request)
+	q.decide(Decision{Ticket: t, Err: &HopelessError{Retry: now.Add(backlogRetry)}})
+	return true
+}
+
+func (q *Queue) overload(now time.Time, t *Ticket) {
+	q.demand.refused(&t.request)
+	q.decide(Decision{Ticket: t, Err: &OverloadError{Retry: now.Add(backlogRetry)}})
+}
+
+// try grants a ticket if an upstream has room, or refuses it if no upstream
+// holds what it asks for. It returns false if the ticket has to wait.
+func (q *Queue) try(now time.Time, t *Ticket) bool {
+	choice, err := q.router.Choose(now, &t.request.Route)
+	if err == nil {
+		q.grant(now, t, choice)
+		return true
+	}
+	var saturated *router.SaturatedError
+	if errors.As(err, &saturated) {
+		return false
+	}
+	q.demand.refused(&t.request)
+	q.decide(Decision{Ticket: t, Err: err})
+	return true
+}
+
+func (q *Queue) grant(now time.Time, t *Ticket, choice router.Choice) {
+	q.router.Started(choice, &t.request.Route, now)
+	q.decide(Decision{Ticket: t, Grant: &Grant{
+		Choice:   choice,
+		Priority: priority(t.request.Class),
+		Started:  now,
+		request:  t.request,
+	}})
+}
--- a/admitter/run.go
+++ b/admitter/run.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// run owns the core until Stop.
+// run owns the queue until Stop.
 func (a *Admitter) run() {
 	defer close(a.stopped)
 	timer := time.NewTimer(time.Hour)
@@ -11,21 +11,32 @@
 		a.arm(timer)
 		select {
 		case <-a.stopping:
-			a.core.stop()
+			a.queue.Stop()
+			a.answer()
 			return
 		case t := <-a.arrivals:
-			t.admitter = a
-			a.core.arrive(a.settings.Now(), t)
+			a.queue.arrive(a.settings.Now(), t)
 		case l := <-a.leavings:
-			a.core.withdraw(l.ticket, l.err)
+			a.queue.Withdraw(l.ticket, l.err)
 		case reply := <-a.readings:
-			reply <- a.core.demand.demand()
+			reply <- a.queue.Demand()
 		case <-a.wakes:
 			a.settle()
-			a.core.pump(a.settings.Now())
+			a.queue.Pump(a.settings.Now())
 		case <-timer.C:
-			a.core.pump(a.settings.Now())
+			a.queue.Pump(a.settings.Now())
 		}
+		a.answer()
+	}
+}
+
+// answer hands the decisions to the callers.
+func (a *Admitter) answer() {
+	for _, d := range a.queue.Take() {
+		if d.Grant != nil {
+			d.Grant.admitter = a
+		}
+		d.Ticket.answer <- d
 	}
 }
 
@@ -36,7 +47,7 @@
 	a.endings = nil
 	a.endingsMutex.Unlock()
 	for _, e := range endings {
-		a.core.ended(e)
+		a.queue.End(e.grant, e.result)
 	}
 }
 
@@ -44,7 +55,7 @@
 const idleWake = time.Hour
 
 func (a *Admitter) arm(timer *time.Timer) {
-	next := a.core.next()
+	next := a.queue.Next()
 	if next.IsZero() {
 		timer.Reset(idleWake)
 		return
--- /dev/null
+++ b/admitter/ticket.go
@@ -0,0 +1,47 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// Ticket is one request in a queue.
+type Ticket struct {
+	request Request
+	// key orders the queue: the target time, the far future without one.
+	key time.Time
+	// giveUpBy is when waiting stops making sense, zero for never.
+	giveUpBy time.Time
+	// retry is true for a second dispatch, which needs the retry budget.
+	retry  bool
+	answer chan Decision
+}
+
+// Decision is the answer to one ticket. Exactly one of Grant and Err is set.
+type Decision struct {
+	Ticket *Ticket
+	Grant  *Grant
+	Err    error
+}
+
+// farFuture is the key of requests without a target.
+var farFuture = time.Unix(math.MaxInt32, 0)
+
+func newTicket(request Request) *Ticket {
+	t := &Ticket{request: request, answer: make(chan Decision, 1)}
+	t.key = request.targetBy()
+	if t.key.IsZero() {
+		t.key = farFuture
+	}
+	t.giveUpBy = request.giveUpBy()
+	t.request.Route.FirstTokenBy = request.targetBy()
+	return t
+}
+
+// newRetry returns a ticket for another upstream after a grant that failed.
+func newRetry(grant *Grant) *Ticket {
+	t := newTicket(grant.request)
+	t.retry = true
+	t.request.Route.Avoid = append([]string{grant.Choice.Upstream}, grant.request.Route.Avoid...)
+	return t
+}
--- /dev/null
+++ b/emulator/engine.go
@@ -0,0 +1,199 @@
+// Package emulator is a small model of an engine that batches continuously:
+// prefill and decode share each step, prefixes are cached in limited memory
+// and priorities are honoured. It is pure: the caller gives it the time and
+// steps it.
+package emulator
+
+import (
+	"slices"
+	"time"
+)
+
+// Settings describe an engine.
+type Settings struct {
+	Name        string
+	Incarnation string
+	Slots       int
+	MemoryBytes int64
+	// PrefillTokensPerSecond is shared by all prompts in prefill.
+	PrefillTokensPerSecond float64
+	// StepBase is the time of a decode step with an empty batch, and
+	// StepPerRequest what each running request adds to it.
+	StepBase       time.Duration
+	StepPerRequest time.Duration
+	// CacheTokens bounds the prefix cache.
+	CacheTokens int
+	// LoadingFactor stretches each step while a model is being loaded; zero
+	// counts as one.
+	LoadingFactor float64
+}
+
+// prefillChunk is the most prompt tokens that one step takes.
+const prefillChunk = 1024
+
+// Job is one request.
+type Job struct {
+	ID           uint64
+	Holds        string
+	Base         string
+	Priority     int
+	PromptTokens int
+	AnswerTokens int
+	// Prefix identifies the first PrefixTokens of the prompt; zero for none.
+	Prefix       uint64
+	PrefixTokens int
+}
+
+// Event is what a step made of one job.
+type Event struct {
+	ID uint64
+	// First is true for the first token, Finished for the last one; both may
+	// be true.
+	First    bool
+	Finished bool
+}
+
+type run struct {
+	job     Job
+	prefill int
+	decoded int
+}
+
+// Engine is one emulated engine. It is not safe for concurrent use.
+type Engine struct {
+	settings Settings
+	waiting  []Job
+	running  []*run
+	cache    prefixCache
+	holds    map[string]int64
+	pending  *load
+	// stepEnd is when the current step ends, zero while idle.
+	stepEnd  time.Time
+	chunk    int
+	lastStep time.Duration
+	sequence uint64
+	settled  uint64
+}
+
+// New returns an idle engine that holds nothing.
+func New(settings Settings) *Engine {
+	return &Engine{
+		settings: settings,
+		cache:    prefixCache{limit: settings.CacheTokens},
+		holds:    map[string]int64{},
+	}
+}
+
+// Submit queues a job. It returns false if the engine does not hold what the
+// job asks for; the job is not run then.
+func (e *Engine) Submit(now time.Time, job Job) bool {
+	if job.Holds != "" && !e.Holds(job.Holds) {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(e.waiting, job, func(a, b Job) int {
+		if a.Priority < b.Priority {
+			return 1
+		}
+		return -1
+	})
+	e.waiting = slices.Insert(e.waiting, at, job)
+	if e.stepEnd.IsZero() {
+		e.begin(now)
+	}
+	return true
+}
+
+// Cancel drops a job wherever it is.
+func (e *Engine) Cancel(id uint64) {
+	e.waiting = slices.DeleteFunc(e.waiting, func(j Job) bool { return j.ID == id })
+	e.running = slices.DeleteFunc(e.running, func(r *run) bool { return r.job.ID == id })
+}
+
+// Next returns when the current step ends, zero while idle.
+func (e *Engine) Next() time.Time { return e.stepEnd }
+
+// Step ends the current step and begins the next one.
+func (e *Engine) Step(now time.Time) []Event {
+	var events []Event
+	left := e.chunk
+	kept := e.running[:0]
+	for _, r := range e.running {
+		event, ended := r.advance(&left)
+		if event.First || event.Finished {
+			events = append(events, event)
+		}
+		if !ended {
+			kept = append(kept, r)
+		}
+	}
+	clear(e.running[len(kept):])
+	e.running = kept
+	e.begin(now)
+	return events
+}
+
+// advance spends prefill on a prompt or decodes one token.
+func (r *run) advance(left *int) (Event, bool) {
+	event := Event{ID: r.job.ID}
+	if r.prefill > 0 {
+		spent := min(r.prefill, *left)
+		r.prefill -= spent
+		*left -= spent
+		if r.prefill > 0 {
+			return event, false
+		}
+	}
+	r.decoded++
+	event.First = r.decoded == 1
+	event.Finished = r.decoded >= r.job.AnswerTokens
+	return event, event.Finished
+}
+
+// begin admits waiting jobs and starts a step if there is work.
+func (e *Engine) begin(now time.Time) {
+	for len(e.waiting) > 0 && len(e.running) < e.settings.Slots {
+		job := e.waiting[0]
+		e.waiting = slices.Delete(e.waiting, 0, 1)
+		prefill := max(1, job.PromptTokens-e.cache.use(job.Prefix, job.PrefixTokens))
+		e.running = append(e.running, &run{job: job, prefill: prefill})
+	}
+	if len(e.running) == 0 {
+		e.stepEnd = time.Time{}
+		return
+	}
+	e.chunk = 0
+	for _, r := range e.running {
+		e.chunk += r.prefill
+	}
+	e.chunk = min(e.chunk, prefillChunk)
+	e.lastStep = e.stepTime()
+	e.stepEnd = now.Add(e.lastStep)
+}
+
+func (e *Engine) stepTime() time.Duration {
+	step := e.settings.StepBase + time.Duration(len(e.running))*e.settings.StepPerRequest
+	if e.settings.PrefillTokensPerSecond > 0 {
+		step += time.Duration(float64(e.chunk) / e.settings.PrefillTokensPerSecond * float64(time.Second))
+	}
+	if e.pending != nil && e.settings.LoadingFactor > 1 {
+		step = time.Duration(float64(step) * e.settings.LoadingFactor)
+	}
+	return step
+}
+
+// Busy returns the number of jobs running and waiting that ask for a model or
+// adapter, or for an adapter of a model.
+func (e *Engine) Busy(name string) int {
+	busy := 0
+	for _, r := range e.running {
+		if r.job.Holds == name || r.job.Base == name {
+			busy++
+		}
+	}
+	for _, j := range e.waiting {
+		if j.Holds == name || j.Base == name {
+			busy++
+		}
+	}
+	return busy
+}
--- /dev/null
+++ b/emulator/engine_test.go
@@ -0,0 +1,62 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/orderer"
+)
+
+var epoch = time.Date(2030, time.May, 1, 10, 0, 0, 0, time.UTC)
+
+func small() *Engine {
+	return New(Settings{
+		Name: "e", Slots: 2, MemoryBytes: 100, PrefillTokensPerSecond: 1000,
+		StepBase: 10 * time.Millisecond, CacheTokens: 100,
+	})
+}
+
+// drain steps until idle and returns the finished jobs in order.
+func drain(e *Engine) []uint64 {
+	var finished []uint64
+	for !e.Next().IsZero() {
+		for _, event := range e.Step(e.Next()) {
+			if event.Finished {
+				finished = append(finished, event.ID)
+			}
+		}
+	}
+	return finished
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	e := small()
+	e.Put("m", 10)
+	for id, priority := range []int{0, 0, 0, 5} {
+		assert.Assert(t, e.Submit(epoch, Job{
+			ID: uint64(id), Holds: "m", Priority: priority, PromptTokens: 10, AnswerTokens: 3 + id,
+		}))
+	}
+	assert.DeepEqual(t, drain(e), []uint64{0, 1, 3, 2})
+}
+
+func TestPrefixIsCachedWithinItsLimit(t *testing.T) {
+	c := prefixCache{limit: 100}
+	assert.Equal(t, c.use(1, 60), 0)
+	assert.Equal(t, c.use(1, 60), 60)
+	assert.Equal(t, c.use(2, 60), 0)
+	assert.Equal(t, c.use(1, 60), 0)
+}
+
+func TestUnloadWaitsForRunningJobs(t *testing.T) {
+	e := small()
+	e.Put("m", 10)
+	assert.Assert(t, e.Submit(epoch, Job{ID: 1, Holds: "m", PromptTokens: 1, AnswerTokens: 2}))
+	assert.Assert(t, e.Begin(orderer.Order{ID: 1, Work: orderer.UnloadModel{Model: "m"}}))
+	assert.Assert(t, !e.Complete())
+	drain(e)
+	assert.Assert(t, e.Complete())
+	assert.Assert(t, !e.Submit(epoch, Job{ID: 2, Holds: "m"}))
+}
--- /dev/null
+++ b/emulator/orders.go
@@ -0,0 +1,111 @@
+package emulator
+
+import (
+	"time"
+
+	"burdocklink/cataloger"
+	"burdocklink/estimator"
+	"burdocklink/orderer"
+)
+
+// load is an order being carried out.
+type load struct{ order orderer.Order }
+
+// Overcommit counts bytes beyond an engine's memory; it must stay zero.
+func (e *Engine) Overcommit() int64 { return max(0, e.Used()-e.settings.MemoryBytes) }
+
+// Used returns the memory in use, an order being carried out included.
+func (e *Engine) Used() int64 {
+	var used int64
+	for _, bytes := range e.holds {
+		used += bytes
+	}
+	if e.pending == nil {
+		return used
+	}
+	switch work := e.pending.order.Work.(type) {
+	case orderer.LoadModel:
+		used += work.MemoryBytes
+	case orderer.LoadAdapter:
+		used += work.MemoryBytes
+	}
+	return used
+}
+
+// Holds says whether a model or adapter is resident.
+func (e *Engine) Holds(name string) bool {
+	_, ok := e.holds[name]
+	return ok
+}
+
+// Put makes a model or adapter resident at once.
+func (e *Engine) Put(name string, bytes int64) { e.holds[name] = bytes }
+
+// Begin takes an order. It returns false while another one is being carried
+// out.
+func (e *Engine) Begin(order orderer.Order) bool {
+	if e.pending != nil {
+		return false
+	}
+	e.pending = &load{order: order}
+	return true
+}
+
+// Complete ends the order being carried out. It returns false while jobs
+// still use what is to be unloaded.
+func (e *Engine) Complete() bool {
+	if e.pending == nil {
+		return false
+	}
+	switch work := e.pending.order.Work.(type) {
+	case orderer.LoadModel:
+		e.holds[work.Model] = work.MemoryBytes
+	case orderer.LoadAdapter:
+		e.holds[work.Adapter] = work.MemoryBytes
+	case orderer.UnloadModel:
+		if e.Busy(work.Model) > 0 {
+			return false
+		}
+		delete(e.holds, work.Model)
+	case orderer.UnloadAdapter:
+		if e.Busy(work.Adapter) > 0 {
+			return false
+		}
+		delete(e.holds, work.Adapter)
+	}
+	e.settled = e.pending.order.ID
+	e.pending = nil
+	return true
+}
+
+// Placement returns what is resident, sorted by the catalog's kinds.
+func (e *Engine) Placement(catalog *cataloger.Catalog) cataloger.Placement {
+	placement := cataloger.Placement{Upstream: e.settings.Name, Incarnation: e.settings.Incarnation}
+	placement.Models, placement.Adapters = e.resident(catalog)
+	return placement
+}
+
+// Report returns the load as it is now.
+func (e *Engine) Report(now time.Time, catalog *cataloger.Catalog) estimator.Report {
+	e.sequence++
+	report := estimator.Report{
+		Upstream:               e.settings.Name,
+		Incarnation:            e.settings.Incarnation,
+		Sequence:               e.sequence,
+		Taken:                  now,
+		Running:                len(e.running),
+		Waiting:                len(e.waiting),
+		Slots:                  e.settings.Slots,
+		PrefillTokensPerSecond: e.settings.PrefillTokensPerSecond,
+		MemoryBytes:            e.settings.MemoryBytes,
+		UsedBytes:              e.Used(),
+		LastOrder:              e.settled,
+	}
+	for _, job := range e.waiting {
+		report.WaitingTokens += job.PromptTokens
+	}
+	step := e.settings.StepBase + time.Duration(len(e.running))*e.settings.StepPerRequest
+	report.DecodeTokensPerSecond = 1 / step.Seconds()
+	report.Models, report.Adapters = e.resident(catalog)
+	return report
+}
