test(follower): in force only by a quorum's word, and never back

Each promise red with its mechanism switched off, green with it: - confirmation from before the start taken: --- FAIL: TestAConfirmationFromBeforeTheStartIsPassedOver - older catalogs held: --- FAIL: TestTheRevisionInForceNeverStepsBack - catalog in force without a confirmation: --- FAIL: TestNothingIsInForceBeforeAQuorumVouches --- FAIL: TestAConfirmationAboveTheHeldRevisionWaits --- FAIL: TestAConfirmationFromBeforeTheStartIsPassedOver With the mechanisms: ok burdocklink/follower, with -race.

--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,161 @@
+package follower
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/placer"
+)
+
+func newTestFollower(notify func(*cataloger.Catalog)) *Follower {
+	return New(Settings{
+		Entry:  "e-1",
+		Notify: notify,
+		Demand: func() placer.Demand { return placer.Demand{} },
+		Log:    zap.NewNop(),
+	})
+}
+
+// at returns a catalog at a revision.
+func at(t *testing.T, revision uint64) *cataloger.Catalog {
+	t.Helper()
+	catalog, err := cataloger.New().With(cataloger.Delta{To: revision})
+	assert.NilError(t, err)
+	return catalog
+}
+
+func delta(t *testing.T, from, to uint64, class string) []byte {
+	t.Helper()
+	data, err := encoder.EncodeDelta(cataloger.Delta{
+		From:    from,
+		To:      to,
+		Changes: []cataloger.Change{cataloger.PutClass{Class: classifier.Class{Name: class}}},
+	})
+	assert.NilError(t, err)
+	return data
+}
+
+func confirmation(f *Follower, revision uint64, after time.Duration) Confirmation {
+	return Confirmation{Revision: revision, At: f.started.Add(after)}
+}
+
+func TestNothingIsInForceBeforeAQuorumVouches(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+
+	assert.NilError(t, f.takeSnapshot(delta(t, 0, 7, "waiting")))
+	assert.Assert(t, f.Catalog() == nil)
+
+	f.confirm(confirmation(f, 7, time.Second))
+	assert.Equal(t, f.Catalog().Revision, uint64(7))
+}
+
+func TestAConfirmationAboveTheHeldRevisionWaits(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+	assert.NilError(t, f.takeSnapshot(delta(t, 0, 7, "waiting")))
+
+	f.confirm(confirmation(f, 9, time.Second))
+	assert.Assert(t, f.Catalog() == nil)
+
+	assert.NilError(t, f.takeDelta(delta(t, 7, 9, "drafts")))
+	assert.Equal(t, f.Catalog().Revision, uint64(9))
+}
+
+func TestAConfirmationFromBeforeTheStartIsPassedOver(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+
+	f.takeOffer(Offer{Catalog: at(t, 5), Confirmation: confirmation(f, 5, -time.Second)})
+
+	assert.Assert(t, f.Catalog() == nil)
+}
+
+func TestTheRevisionInForceNeverStepsBack(t *testing.T) {
+	var seen []uint64
+	f := newTestFollower(func(catalog *cataloger.Catalog) { seen = append(seen, catalog.Revision) })
+	f.takeOffer(Offer{Catalog: at(t, 5), Confirmation: confirmation(f, 5, time.Second)})
+	f.takeOffer(Offer{Catalog: at(t, 4), Confirmation: confirmation(f, 4, 2*time.Second)})
+	assert.NilError(t, f.takeSnapshot(delta(t, 0, 3, "late")))
+	assert.NilError(t, f.takeDelta(delta(t, 2, 4, "late")))
+	f.takeOffer(Offer{Catalog: at(t, 6), Confirmation: confirmation(f, 6, 3*time.Second)})
+
+	assert.DeepEqual(t, seen, []uint64{5, 6})
+}
+
+func TestADeltaThatDoesNotContinueIsAnError(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+	assert.NilError(t, f.takeSnapshot(delta(t, 0, 5, "waiting")))
+
+	err := f.takeDelta(delta(t, 6, 7, "drafts"))
+
+	assert.ErrorType(t, err, &cataloger.RevisionGapError{})
+}
+
+func TestAHeartbeatCountsFromTheReportItEchoes(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+	sent := newSentReports()
+	reported := f.started.Add(time.Second)
+	number := sent.add(reported)
+
+	beats := map[string]struct {
+		echo uint64
+		want time.Time
+	}{
+		"no echo":          {echo: 0, want: time.Time{}},
+		"unknown report":   {echo: number + 1, want: time.Time{}},
+		"the first report": {echo: number, want: reported},
+	}
+	for name, beat := range beats {
+		t.Run(name, func(t *testing.T) {
+			f.confirmed.Store(&Confirmation{})
+			err := f.takeHeartbeat("a", sent, &wire.Heartbeat{Echo: beat.echo, Revision: 1, Leading: true})
+			assert.NilError(t, err)
+			assert.Equal(t, f.Confirmed().At, beat.want)
+		})
+	}
+}
+
+func TestAHeartbeatLeadsToTheLeader(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+
+	err := f.takeHeartbeat("10.0.0.1:1", newSentReports(), &wire.Heartbeat{Leader: "10.0.0.2:1"})
+
+	assert.ErrorType(t, err, &ElsewhereError{})
+	assert.Equal(t, f.Leader(), "10.0.0.2:1")
+}
+
+type peers bool
+
+func (p peers) Majority() bool { return bool(p) }
+
+func TestReady(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+	assert.ErrorType(t, f.Ready(time.Now(), peers(true)), &NotInForceError{})
+
+	f.takeOffer(Offer{Catalog: at(t, 1), Confirmation: confirmation(f, 1, time.Second)})
+	confirmed := f.Confirmed().At
+	cases := map[string]struct {
+		after time.Duration
+		peers peers
+		want  error
+	}{
+		"confirmed":                      {after: time.Second, peers: false},
+		"the quorum is lost for all":     {after: time.Minute, peers: true},
+		"neither quorum nor peers heard": {after: time.Minute, peers: false, want: &IsolatedError{}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := f.Ready(confirmed.Add(test.after), test.peers)
+			if test.want == nil {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorType(t, err, test.want)
+		})
+	}
+}
