--- /dev/null
+++ b/authenticator/authenticator.go
@@ -0,0 +1,175 @@
+// Package authenticator tells who a key belongs to. Keys are kept as hashes in
+// a file that is read again whenever it changes.
+package authenticator
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/encoder"
+	"burdocklink/registrar"
+)
+
+// Settings say where the keys are.
+type Settings struct {
+	// File is the path of the keys file.
+	File string
+	// Every is how often the file is looked at; zero is two seconds.
+	Every time.Duration
+}
+
+const defaultEvery = 2 * time.Second
+
+// Authenticator knows the keys in force.
+type Authenticator struct {
+	settings Settings
+	log      *zap.Logger
+	keys     atomic.Pointer[keys]
+	content  []byte
+	stopping chan struct{}
+	stopped  chan struct{}
+}
+
+// keys are grouped by the first bytes of their hash, so that few are compared
+// for a request.
+type keys struct {
+	groups map[[2]byte][]entry
+}
+
+type entry struct {
+	sum      digest
+	identity Identity
+}
+
+// New returns an authenticator with the keys of its file.
+func New(settings Settings, log *zap.Logger) (*Authenticator, error) {
+	if settings.Every <= 0 {
+		settings.Every = defaultEvery
+	}
+	a := &Authenticator{
+		settings: settings,
+		log:      log,
+		stopping: make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+	if err := a.Reload(); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// String names the service.
+func (a *Authenticator) String() string { return "authenticator" }
+
+// Start begins to watch the file.
+func (a *Authenticator) Start(context.Context, *registrar.Registrar) error {
+	go a.run()
+	return nil
+}
+
+// Stop ends the watch. The keys stay in force.
+func (a *Authenticator) Stop(time.Time) error {
+	close(a.stopping)
+	<-a.stopped
+	return nil
+}
+
+// Authenticate returns the owner of a key. The error is a *MissingKeyError or
+// a *WrongKeyError.
+func (a *Authenticator) Authenticate(key string) (Identity, error) {
+	if key == "" {
+		return Identity{}, &MissingKeyError{}
+	}
+	sum := sha256.Sum256([]byte(key))
+	var owner Identity
+	found := 0
+	for _, candidate := range a.keys.Load().groups[[2]byte(sum[:2])] {
+		if subtle.ConstantTimeCompare(candidate.sum[:], sum[:]) == 1 {
+			owner = candidate.identity
+			found++
+		}
+	}
+	if found == 0 {
+		return Identity{}, &WrongKeyError{}
+	}
+	return owner, nil
+}
+
+// Reload reads the file. Where it is at fault the keys before it stay in
+// force.
+func (a *Authenticator) Reload() error {
+	content, err := os.ReadFile(a.settings.File)
+	if err != nil {
+		return err
+	}
+	if bytes.Equal(content, a.content) && a.keys.Load() != nil {
+		return nil
+	}
+	read, err := parse(content)
+	if err != nil {
+		return err
+	}
+	a.content = content
+	a.keys.Store(read)
+	return nil
+}
+
+func (a *Authenticator) run() {
+	defer close(a.stopped)
+	ticker := time.NewTicker(a.settings.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.stopping:
+			return
+		case <-ticker.C:
+			if err := a.Reload(); err != nil {
+				a.log.Warn("keys file not read, the keys before it stay", zap.Error(err))
+			}
+		}
+	}
+}
+
+func parse(content []byte) (*keys, error) {
+	file, err := encoder.DecodeKeys(content)
+	if err != nil {
+		return nil, err
+	}
+	read := &keys{groups: map[[2]byte][]entry{}}
+	seen := map[digest]bool{}
+	for i, line := range file.Keys {
+		added, err := parseLine(line)
+		if err == nil && seen[added.sum] {
+			err = &DuplicateKeyError{}
+		}
+		if err != nil {
+			return nil, &LineError{Line: i + 1, Cause: err}
+		}
+		seen[added.sum] = true
+		group := [2]byte(added.sum[:2])
+		read.groups[group] = append(read.groups[group], added)
+	}
+	return read, nil
+}
+
+func parseLine(line encoder.KeyLine) (entry, error) {
+	if line.Name == "" {
+		return entry{}, &EmptyNameError{}
+	}
+	role, err := ParseRole(line.Role)
+	if err != nil {
+		return entry{}, err
+	}
+	sum, err := parseHash(line.Hash)
+	if err != nil {
+		return entry{}, err
+	}
+	return entry{sum: sum, identity: Identity{Name: line.Name, Role: role}}, nil
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,177 @@
+// Package dispatcher makes one call to one upstream. Idempotent calls share
+// connections; a call that must not repeat has a connection of its own, so
+// that nothing below it can send it twice.
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Settings bound the calls of a Dispatcher. A zero field takes its default.
+type Settings struct {
+	// Dial is the longest wait for a connection.
+	Dial time.Duration
+	// Silence is the longest wait for a sign of progress on a connection.
+	Silence time.Duration
+	// Idle is how long an unused connection may be used again.
+	Idle time.Duration
+	// IdleConnections is the number of unused connections kept per upstream.
+	IdleConnections int
+	// AnswerBytes is the largest whole answer.
+	AnswerBytes int64
+}
+
+// defaults of Settings.
+const (
+	defaultDial            = 2 * time.Second
+	defaultSilence         = 20 * time.Second
+	defaultIdle            = 15 * time.Second
+	defaultIdleConnections = 128
+	defaultAnswerBytes     = 8 << 20
+	headerBytes            = 64 << 10
+)
+
+// Call is one request to one upstream.
+type Call struct {
+	// Address is the IP and port of the upstream.
+	Address string
+	Method  string
+	// Path is the path with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a connection that nothing used before.
+	Fresh bool
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Dispatcher makes calls.
+type Dispatcher struct {
+	settings Settings
+	shared   *http.Transport
+	fresh    *http.Transport
+}
+
+// New returns a Dispatcher.
+func New(settings Settings) *Dispatcher {
+	settings = settings.withDefaults()
+	dialer := &net.Dialer{Timeout: settings.Dial}
+	shared := transport(dialer.DialContext)
+	shared.MaxIdleConnsPerHost = settings.IdleConnections
+	shared.IdleConnTimeout = settings.Idle
+	fresh := transport(dialer.DialContext)
+	fresh.DisableKeepAlives = true
+	return &Dispatcher{settings: settings, shared: shared, fresh: fresh}
+}
+
+// Close drops the unused connections.
+func (d *Dispatcher) Close() { d.shared.CloseIdleConnections() }
+
+// Stream makes the call and returns the response as soon as its header is
+// there. Silence, before the header or in the body, ends the call with a
+// *SilentError.
+func (d *Dispatcher) Stream(ctx context.Context, call Call) (*http.Response, error) {
+	watch := newWatch(ctx, d.settings.Silence)
+	request, err := call.request(watch.ctx)
+	if err != nil {
+		watch.close()
+		return nil, err
+	}
+	via := d.shared
+	if call.Fresh {
+		via = d.fresh
+	}
+	watch.arm()
+	response, err := via.RoundTrip(request)
+	watch.disarm()
+	if err != nil {
+		err = watch.cause(err)
+		watch.close()
+		d.dropSilent(err)
+		return nil, sendError(call.Address, err)
+	}
+	response.Body = &watchedBody{ReadCloser: response.Body, watch: watch, dispatcher: d}
+	return response, nil
+}
+
+// Whole makes the call and reads the whole answer.
+func (d *Dispatcher) Whole(ctx context.Context, call Call) (Answer, error) {
+	response, err := d.Stream(ctx, call)
+	if err != nil {
+		return Answer{}, err
+	}
+	return d.read(call.Address, response)
+}
+
+func (d *Dispatcher) read(address string, response *http.Response) (Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, d.settings.AnswerBytes+1))
+	_ = response.Body.Close()
+	if err != nil {
+		return Answer{}, &InterruptedError{Address: address, Cause: err}
+	}
+	if int64(len(body)) > d.settings.AnswerBytes {
+		return Answer{}, &AnswerTooLargeError{Limit: d.settings.AnswerBytes}
+	}
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
+
+// dropSilent closes unused connections after one was found silent: what lost
+// track of one may have lost track of all.
+func (d *Dispatcher) dropSilent(err error) {
+	if _, silent := err.(*SilentError); silent {
+		d.shared.CloseIdleConnections()
+	}
+}
+
+func (c Call) request(ctx context.Context) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Address+c.Path, nil)
+	if err != nil {
+		return nil, &NotSentError{Address: c.Address, Cause: err}
+	}
+	if c.Header != nil {
+		request.Header = c.Header
+	}
+	if len(c.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(c.Body))
+		request.ContentLength = int64(len(c.Body))
+	}
+	return request, nil
+}
+
+func transport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: headerBytes,
+	}
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Dial <= 0 {
+		s.Dial = defaultDial
+	}
+	if s.Silence <= 0 {
+		s.Silence = defaultSilence
+	}
+	if s.Idle <= 0 {
+		s.Idle = defaultIdle
+	}
+	if s.IdleConnections <= 0 {
+		s.IdleConnections = defaultIdleConnections
+	}
+	if s.AnswerBytes <= 0 {
+		s.AnswerBytes = defaultAnswerBytes
+	}
+	return s
+}
--- /dev/null
+++ b/dispatcher/errors.go
@@ -0,0 +1,67 @@
+package dispatcher
+
+import (
+	"errors"
+	"net"
+	"strconv"
+)
+
+// NotSentError says that no byte of the call was written.
+type NotSentError struct {
+	Address string
+	Cause   error
+}
+
+// Error describes the failure.
+func (e *NotSentError) Error() string {
+	return "call to " + e.Address + " was not sent: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// InterruptedError says that the call was sent, at least in part, and has no
+// whole answer: it may have run.
+type InterruptedError struct {
+	Address string
+	Cause   error
+}
+
+// Error describes the failure.
+func (e *InterruptedError) Error() string {
+	return "call to " + e.Address + " was interrupted: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *InterruptedError) Unwrap() error { return e.Cause }
+
+// SilentError says that a connection showed no progress for too long.
+type SilentError struct{}
+
+// Error describes the failure.
+func (e *SilentError) Error() string { return "the connection went silent" }
+
+// AnswerTooLargeError says that an answer has more bytes than the limit.
+type AnswerTooLargeError struct{ Limit int64 }
+
+// Error describes the failure.
+func (e *AnswerTooLargeError) Error() string {
+	return "the answer has more than " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
+// SecondDialError says that something below a call that must not repeat asked
+// for a second connection.
+type SecondDialError struct{}
+
+// Error describes the failure.
+func (e *SecondDialError) Error() string { return "a second connection for one call" }
+
+// sendError tells a call that never left from one that may have arrived: only
+// a failed dial proves that nothing was written.
+func sendError(address string, err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return &NotSentError{Address: address, Cause: err}
+	}
+	return &InterruptedError{Address: address, Cause: err}
+}
--- /dev/null
+++ b/relayer/errors.go
@@ -0,0 +1,43 @@
+package relayer
+
+import "strconv"
+
+// BrokenError says that an answer broke again and again without progress.
+type BrokenError struct{ Sent uint64 }
+
+// Error describes the failure.
+func (e *BrokenError) Error() string {
+	return "the answer broke after event " + strconv.FormatUint(e.Sent, 10)
+}
+
+// NotContinuableError says that an answer broke which another engine cannot
+// continue, because it is more than one text.
+type NotContinuableError struct{ Sent uint64 }
+
+// Error describes the failure.
+func (e *NotContinuableError) Error() string {
+	return "the answer cannot be continued after event " + strconv.FormatUint(e.Sent, 10)
+}
+
+// ForgottenError says that an engine does not know the stream to resume.
+type ForgottenError struct{}
+
+// Error describes the failure.
+func (e *ForgottenError) Error() string { return "the engine does not know the stream" }
+
+// LineTooLongError says that a line of a stream has more bytes than the limit.
+type LineTooLongError struct{ Limit int }
+
+// Error describes the failure.
+func (e *LineTooLongError) Error() string {
+	return "a line of the stream has more than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
+// CallerError says that the caller could not take the answer.
+type CallerError struct{ Cause error }
+
+// Error describes the failure.
+func (e *CallerError) Error() string { return "the caller is gone: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallerError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,167 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Source gives the events of one stream.
+type Source interface {
+	Next() (Event, error)
+	// Waiting returns true where the next event has arrived in part.
+	Waiting() bool
+	Close()
+}
+
+// Engines opens streams.
+type Engines interface {
+	// Open starts the answer on an engine, or continues it there from the
+	// part that the caller has.
+	Open(ctx context.Context, from Prefix) (Source, error)
+	// Resume reads on after an event of the engine last opened. The error is
+	// a *ForgottenError where that engine does not know the stream.
+	Resume(ctx context.Context, after uint64) (Source, error)
+}
+
+// Sink takes the answer for the caller.
+type Sink interface {
+	Send(event Event) error
+	// Flush passes on what was sent.
+	Flush() error
+}
+
+// pauses before the same engine is asked again.
+const (
+	firstPause  = 50 * time.Millisecond
+	secondPause = 250 * time.Millisecond
+)
+
+// Relay carries one answer. It returns nil once the caller has the whole
+// answer, a *CallerError where the caller could not take it, and the cause
+// where the answer could not be completed.
+func Relay(ctx context.Context, engines Engines, sink Sink) error {
+	relay := &relay{core: NewCore(), engines: engines, sink: sink}
+	defer relay.close()
+	return relay.carry(ctx)
+}
+
+type relay struct {
+	core    *Core
+	engines Engines
+	sink    Sink
+	source  Source
+	todo    []Output
+}
+
+func (r *relay) carry(ctx context.Context) error {
+	source, err := r.engines.Open(ctx, Prefix{})
+	if err != nil {
+		return err
+	}
+	r.source = source
+	for {
+		done, err := r.perform(ctx, r.core.Step(r.next(ctx), r.todo[:0]))
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// next waits for the next input.
+func (r *relay) next(ctx context.Context) Input {
+	if r.source == nil || ctx.Err() != nil {
+		return Broke{}
+	}
+	event, err := r.source.Next()
+	if err != nil {
+		return Broke{}
+	}
+	return Arrived{Event: event}
+}
+
+func (r *relay) perform(ctx context.Context, todo []Output) (bool, error) {
+	r.todo = todo
+	done := false
+	for _, output := range todo {
+		switch output := output.(type) {
+		case Send:
+			if err := r.sink.Send(output.Event); err != nil {
+				return false, &CallerError{Cause: err}
+			}
+		case Resume:
+			return r.resume(ctx, output.After)
+		case Continue:
+			return false, r.open(ctx, output.From)
+		case Fail:
+			return false, output.Cause
+		case Complete:
+			done = true
+		}
+	}
+	return done, r.flush(done)
+}
+
+// flush passes on what was sent unless more is about to follow.
+func (r *relay) flush(done bool) error {
+	if len(r.todo) == 0 || (!done && r.source.Waiting()) {
+		return nil
+	}
+	if err := r.sink.Flush(); err != nil {
+		return &CallerError{Cause: err}
+	}
+	return nil
+}
+
+func (r *relay) resume(ctx context.Context, after uint64) (bool, error) {
+	r.close()
+	if err := context.Cause(ctx); err != nil {
+		return false, err
+	}
+	source, err := r.engines.Resume(ctx, after)
+	var forgotten *ForgottenError
+	if errors.As(err, &forgotten) {
+		return r.perform(ctx, r.core.Step(Forgotten{}, nil))
+	}
+	if err != nil {
+		return false, r.pause(ctx)
+	}
+	r.source = source
+	return false, nil
+}
+
+func (r *relay) open(ctx context.Context, from Prefix) error {
+	r.close()
+	if err := context.Cause(ctx); err != nil {
+		return err
+	}
+	source, err := r.engines.Open(ctx, from)
+	if err != nil {
+		return err
+	}
+	r.source = source
+	return nil
+}
+
+// pause lets an engine recover before it is asked again.
+func (r *relay) pause(ctx context.Context) error {
+	length := firstPause
+	if r.core.barren > 1 {
+		length = secondPause
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (r *relay) close() {
+	if r.source != nil {
+		r.source.Close()
+		r.source = nil
+	}
+}
--- /dev/null
+++ b/relayer/stream.go
@@ -0,0 +1,93 @@
+package relayer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+)
+
+// bounds of a stream's lines.
+const (
+	lineBytes = 1 << 20
+	readBytes = 8 << 10
+)
+
+// Stream reads server-sent events.
+type Stream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+}
+
+// NewStream returns a stream over a response body, which Close closes.
+func NewStream(body io.ReadCloser) *Stream {
+	return &Stream{body: body, reader: bufio.NewReaderSize(body, readBytes)}
+}
+
+// Next returns the next event; io.EOF at the end of the body. An event that
+// the end cuts off is not returned.
+func (s *Stream) Next() (Event, error) {
+	var event Event
+	var data []byte
+	for {
+		line, err := s.line()
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			if data == nil {
+				continue
+			}
+			event.Data = data
+			return event, nil
+		}
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(field) {
+		case "id":
+			event.ID, _ = strconv.ParseUint(string(value), 10, 64)
+		case "data":
+			data = appendData(data, value)
+		}
+	}
+}
+
+// Waiting returns true where more bytes have arrived than were returned.
+func (s *Stream) Waiting() bool { return s.reader.Buffered() > 0 }
+
+// Close ends the stream.
+func (s *Stream) Close() { _ = s.body.Close() }
+
+func (s *Stream) line() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if err == bufio.ErrBufferFull {
+		line, err = s.longLine(line)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(line, "\r\n"), nil
+}
+
+func (s *Stream) longLine(start []byte) ([]byte, error) {
+	whole := bytes.Clone(start)
+	for {
+		more, err := s.reader.ReadSlice('\n')
+		whole = append(whole, more...)
+		if len(whole) > lineBytes {
+			return nil, &LineTooLongError{Limit: lineBytes}
+		}
+		if err != bufio.ErrBufferFull {
+			return whole, err
+		}
+	}
+}
+
+// appendData joins the data lines of one event.
+func appendData(data, value []byte) []byte {
+	if data == nil {
+		return append(make([]byte, 0, len(value)), value...)
+	}
+	data = append(data, '\n')
+	return append(data, value...)
+}
