feat(receiver): first whole path from callers to upstreams

Cause: everything else hangs on this path: iris routes, keys, classes, claims, admission, relay of streams, calls that must not repeat.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -111,10 +111,12 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	return d.read(call.Address, response)
+	return d.ReadAll(call.Address, response)
 }
 
-func (d *Dispatcher) read(address string, response *http.Response) (Answer, error) {
+// ReadAll reads and closes the body of a response. The error is an
+// *InterruptedError or an *AnswerTooLargeError.
+func (d *Dispatcher) ReadAll(address string, response *http.Response) (Answer, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, d.settings.AnswerBytes+1))
 	_ = response.Body.Close()
 	if err != nil {
--- a/dispatcher/once.go
+++ b/dispatcher/once.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return Answer{}, line.classify(call.Address, err)
 	}
-	return d.read(call.Address, response)
+	return d.ReadAll(call.Address, response)
 }
 
 // singleLine dials once and remembers whether anything was written. Once
--- a/encoder/callers.go
+++ b/encoder/callers.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// HeaderSubscriber tells an upstream whose request it is. The system sets it
+// from the authenticated key and drops what a caller sends.
+const HeaderSubscriber = "Burdocklink-Subscriber"
+
+// HeaderLastEventID names the event after which a stream is resumed.
+const HeaderLastEventID = "Last-Event-ID"
+
 // Words of HeaderOutcome.
 const (
 	// OutcomeRan says that the request ran.
@@ -50,10 +57,23 @@
 // StreamChunk is what the relay reads of the data of a streamed event.
 type StreamChunk struct {
 	ID      string          `json:"id"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
 	Choices []ChatChoice    `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
 	Error   json.RawMessage `json:"error,omitempty"`
 }
 
+// WholeAnswer is a completion that was put together from its stream.
+type WholeAnswer struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created,omitempty"`
+	Model   string          `json:"model"`
+	Choices []ChatChoice    `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
 // MalformedError says that a body or an event is not what it must be.
 type MalformedError struct {
 	What  string
--- /dev/null
+++ b/receiver/canceller.go
@@ -0,0 +1,90 @@
+package receiver
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"burdocklink/dispatcher"
+	"burdocklink/encoder"
+)
+
+const (
+	cancelWorkers = 4
+	cancelQueue   = 4096
+	cancelTime    = 2 * time.Second
+)
+
+// canceller tells engines to drop streams that nobody reads any more.
+type canceller struct {
+	calls    *dispatcher.Dispatcher
+	queue    chan dispatcher.Call
+	stopping chan struct{}
+	running  sync.WaitGroup
+}
+
+func newCanceller(calls *dispatcher.Dispatcher) *canceller {
+	return &canceller{
+		calls:    calls,
+		queue:    make(chan dispatcher.Call, cancelQueue),
+		stopping: make(chan struct{}),
+	}
+}
+
+func (c *canceller) start() {
+	for range cancelWorkers {
+		c.running.Add(1)
+		go c.loop()
+	}
+}
+
+func (c *canceller) stop() {
+	close(c.stopping)
+	c.running.Wait()
+}
+
+// cancel asks for the end of a stream. When too many wait it is left to the
+// engine, which drops streams without a reader by itself.
+func (c *canceller) cancel(address, attempt string) {
+	call := dispatcher.Call{
+		Address: address,
+		Method:  http.MethodDelete,
+		Path:    encoder.PathStreams + attempt,
+	}
+	select {
+	case c.queue <- call:
+	default:
+	}
+}
+
+func (c *canceller) loop() {
+	defer c.running.Done()
+	for {
+		select {
+		case call := <-c.queue:
+			c.send(call)
+		case <-c.stopping:
+			c.drain()
+			return
+		}
+	}
+}
+
+// drain sends what waits already.
+func (c *canceller) drain() {
+	for {
+		select {
+		case call := <-c.queue:
+			c.send(call)
+		default:
+			return
+		}
+	}
+}
+
+func (c *canceller) send(call dispatcher.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTime)
+	defer cancel()
+	_, _ = c.calls.Whole(ctx, call)
+}
--- /dev/null
+++ b/receiver/engine_test.go
@@ -0,0 +1,155 @@
+package receiver_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+
+	"burdocklink/encoder"
+)
+
+// engine is a stand-in engine: token n of any answer is its number, and a
+// continued answer goes on after the tokens it is given.
+type engine struct {
+	mu      sync.Mutex
+	streams map[string]encoder.ChatRequest
+	calls   []string
+	// cut, where set, ends a stream after an event.
+	cut func(call string, event int) bool
+	// forgets is true where streams cannot be resumed.
+	forgets bool
+	// hold, where set, is waited for before each event.
+	hold func(r *http.Request, event int)
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(encoder.HeaderRequestID)
+	e.note(r.Method + " " + r.URL.Path)
+	after := 0
+	if r.Method == http.MethodDelete {
+		return
+	}
+	var request encoder.ChatRequest
+	if r.Method == http.MethodGet {
+		id = strings.TrimPrefix(r.URL.Path, encoder.PathStreams)
+		after, _ = strconv.Atoi(r.Header.Get(encoder.HeaderLastEventID))
+		var known bool
+		if request, known = e.find(id); !known {
+			http.Error(w, "no such stream", http.StatusNotFound)
+			return
+		}
+	} else if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.streamsOf()[id] = request
+	e.mu.Unlock()
+	e.stream(w, r, id, request, after)
+}
+
+func (e *engine) streamsOf() map[string]encoder.ChatRequest {
+	if e.streams == nil {
+		e.streams = map[string]encoder.ChatRequest{}
+	}
+	return e.streams
+}
+
+func (e *engine) find(id string) (encoder.ChatRequest, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	request, ok := e.streamsOf()[id]
+	return request, ok && !e.forgets
+}
+
+func (e *engine) note(call string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls = append(e.calls, call)
+}
+
+// count returns the number of calls that begin with a text.
+func (e *engine) count(prefix string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	found := 0
+	for _, call := range e.calls {
+		if strings.HasPrefix(call, prefix) {
+			found++
+		}
+	}
+	return found
+}
+
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string, request encoder.ChatRequest, after int) {
+	first := 0
+	if request.ContinueFinalMessage {
+		first = strings.Count(request.Messages[len(request.Messages)-1].Content, " ")
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(encoder.HeaderRequestID, id)
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	for event := after + 1; event <= request.MaxTokens; event++ {
+		if e.hold != nil {
+			e.hold(r, event)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, chunk(id, request, first, event))
+		_ = control.Flush()
+		if e.cut != nil && e.cut(r.Method, event) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", encoder.StreamEnd)
+}
+
+func chunk(id string, request encoder.ChatRequest, first, event int) []byte {
+	choice := encoder.ChatChoice{Delta: encoder.ChatMessage{
+		Role:    "assistant",
+		Content: strconv.Itoa(first+event) + " ",
+	}}
+	if event == request.MaxTokens {
+		choice.FinishReason = "stop"
+	}
+	data, _ := json.Marshal(encoder.ChatChunk{
+		ID:      id,
+		Object:  "chat.completion.chunk",
+		Model:   request.Model,
+		Choices: []encoder.ChatChoice{choice},
+	})
+	return data
+}
+
+// text is the answer of a number of tokens.
+func text(tokens int) string {
+	var whole strings.Builder
+	for token := 1; token <= tokens; token++ {
+		whole.WriteString(strconv.Itoa(token) + " ")
+	}
+	return whole.String()
+}
+
+// readStream returns the text of a streamed answer, its chunk IDs and whether
+// it ended properly.
+func readStream(body string) (got string, ids map[string]bool, ended bool) {
+	ids = map[string]bool{}
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == encoder.StreamEnd {
+			return got, ids, true
+		}
+		chunk, err := encoder.DecodeStreamChunk([]byte(data))
+		if err != nil {
+			return got, ids, false
+		}
+		got += chunk.Text()
+		ids[chunk.ID] = true
+	}
+	return got, ids, false
+}
--- /dev/null
+++ b/receiver/exchange.go
@@ -0,0 +1,171 @@
+package receiver
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+	"go.uber.org/zap"
+
+	"burdocklink/authenticator"
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+	"burdocklink/encoder"
+	"burdocklink/reporter"
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	*Receiver
+	w       http.ResponseWriter
+	r       *http.Request
+	control *http.ResponseController
+	// ctx ends with the caller or at the request's deadline.
+	ctx        context.Context
+	cancel     context.CancelFunc
+	id         string
+	identity   authenticator.Identity
+	class      classifier.Class
+	catalog    *cataloger.Catalog
+	arrived    time.Time
+	deadline   time.Time
+	firstToken time.Time
+	tokens     int
+	// sent is true once an upstream may have begun to work on the request.
+	sent bool
+	// answered is true once the answer's header is on its way.
+	answered bool
+	result   reporter.Result
+}
+
+// requestIDs are the request IDs that callers may choose.
+var requestIDs = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+const bearer = "Bearer "
+
+func (r *Receiver) newExchange(ctx iris.Context) *exchange {
+	x := &exchange{
+		Receiver: r,
+		w:        ctx.ResponseWriter(),
+		r:        ctx.Request(),
+		control:  http.NewResponseController(ctx.ResponseWriter().Naive()),
+		arrived:  time.Now(),
+		cancel:   func() {},
+	}
+	x.ctx = x.r.Context()
+	x.id = x.r.Header.Get(encoder.HeaderRequestID)
+	if !requestIDs.MatchString(x.id) {
+		x.id = uuid.NewString()
+	}
+	return x
+}
+
+// identify finds the owner of the request's key.
+func (x *exchange) identify(role authenticator.Role) error {
+	key, _ := strings.CutPrefix(x.r.Header.Get("Authorization"), bearer)
+	identity, err := x.Keys.Authenticate(key)
+	if err != nil {
+		return err
+	}
+	if identity.Role != role {
+		return &WrongRoleError{Needed: role}
+	}
+	x.identity = identity
+	return nil
+}
+
+// admit reads what every request for work carries: class and deadline. The
+// class of the kind is taken where the request names none.
+func (x *exchange) admit(kind kind) error {
+	x.catalog = x.Catalog()
+	if x.catalog == nil {
+		return &NotReadyError{Cause: &NoCatalogError{}}
+	}
+	class, err := x.findClass(kind)
+	if err != nil {
+		return err
+	}
+	x.class = class
+	if x.deadline, err = x.findDeadline(); err != nil {
+		return err
+	}
+	x.ctx, x.cancel = context.WithDeadlineCause(x.r.Context(), x.deadline, &DeadlinePassedError{})
+	return nil
+}
+
+func (x *exchange) findDeadline() (time.Time, error) {
+	latest := x.arrived.Add(x.Settings.RequestTime)
+	asked, err := x.headerTime(encoder.HeaderDeadline)
+	if err != nil || asked.IsZero() {
+		return latest, err
+	}
+	if !asked.After(x.arrived) {
+		return time.Time{}, &DeadlinePassedError{}
+	}
+	if asked.Before(latest) {
+		latest = asked
+	}
+	return latest, nil
+}
+
+func (x *exchange) headerTime(name string) (time.Time, error) {
+	text := x.r.Header.Get(name)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, &MalformedHeaderError{Name: name, Needs: "a time as in RFC 3339"}
+	}
+	return at, nil
+}
+
+// readBody reads the whole body within its bounds.
+func (x *exchange) readBody() ([]byte, error) {
+	_ = x.control.SetReadDeadline(x.arrived.Add(x.Settings.BodyTime))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.Settings.BodyBytes))
+	if err != nil {
+		return nil, bodyError(err, x.Settings.BodyBytes)
+	}
+	_ = x.control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// end counts and logs the request.
+func (x *exchange) end() {
+	x.cancel()
+	_ = x.control.SetWriteDeadline(time.Time{})
+	if x.class.Name == "" {
+		return
+	}
+	if x.result == 0 {
+		x.result = reporter.ResultWhole
+	}
+	sample := reporter.Sample{
+		Class:      x.class,
+		Subscriber: x.identity.Name,
+		Arrived:    x.arrived,
+		FirstToken: x.firstToken,
+		Ended:      time.Now(),
+		Tokens:     x.tokens,
+		Result:     x.result,
+	}
+	x.Reporter.Record(sample)
+	x.Log.Info("request",
+		zap.String("request-id", x.id),
+		zap.String("subscriber", x.identity.Name),
+		zap.String("class", x.class.Name),
+		zap.String("path", x.r.URL.Path),
+		zap.Stringer("result", x.result),
+		zap.Duration("took", sample.Ended.Sub(x.arrived)),
+	)
+}
+
+// attempt returns an identity for one call to an upstream. It is new each
+// time, so that no caller can reach another's stream by its request ID.
+func (x *exchange) attempt() string { return x.id + "-" + uuid.NewString() }
--- /dev/null
+++ b/receiver/rig_test.go
@@ -0,0 +1,256 @@
+package receiver_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/admitter"
+	"burdocklink/authenticator"
+	"burdocklink/cataloger"
+	"burdocklink/claimer"
+	"burdocklink/classifier"
+	"burdocklink/dispatcher"
+	"burdocklink/encoder"
+	"burdocklink/receiver"
+	"burdocklink/reporter"
+	"burdocklink/router"
+)
+
+const (
+	model   = "menu"
+	adapter = "menu-hu"
+	group   = "asszisztens"
+	service = "naptar"
+	soon    = 20 * time.Second
+)
+
+// keysByWord stands for the keys file.
+type keysByWord map[string]authenticator.Identity
+
+func (k keysByWord) Authenticate(key string) (authenticator.Identity, error) {
+	if key == "" {
+		return authenticator.Identity{}, &authenticator.MissingKeyError{}
+	}
+	identity, ok := k[key]
+	if !ok {
+		return authenticator.Identity{}, &authenticator.WrongKeyError{}
+	}
+	return identity, nil
+}
+
+// rig is an entry with stand-in upstreams.
+type rig struct {
+	t        *testing.T
+	receiver *receiver.Receiver
+	admitter *admitter.Admitter
+	reporter *reporter.Reporter
+	claims   *table
+	catalog  *cataloger.Catalog
+	ready    error
+	base     string
+}
+
+type rigOption func(*receiver.Config)
+
+func newRig(t *testing.T, upstreams map[string]http.Handler, options ...rigOption) *rig {
+	t.Helper()
+	r := &rig{t: t, claims: newTable(), reporter: reporter.New(reporter.Settings{})}
+	r.catalog = newCatalog(t, upstreams)
+	routes := router.New(router.Settings{AvailabilityZone: "bp-a"})
+	routes.Update(r.catalog)
+	r.admitter = admitter.New(routes, admitter.Settings{})
+	assert.NilError(t, r.admitter.Start(context.Background(), nil))
+	config := receiver.Config{
+		Settings: receiver.Settings{Listen: "127.0.0.1:0", Entry: "entry-1", AvailabilityZone: "bp-a"},
+		Log:      zap.NewNop(),
+		Catalog:  func() *cataloger.Catalog { return r.catalog },
+		Ready:    func() error { return r.ready },
+		Keys: keysByWord{
+			"key-a": {Name: "cukorvirag", Role: authenticator.RoleSubscriber},
+			"key-b": {Name: "carbono", Role: authenticator.RoleSubscriber},
+			"key-o": {Name: "ops", Role: authenticator.RoleOperator},
+		},
+		Admitter: r.admitter,
+		Claims:   r.claims,
+		Calls:    dispatcher.New(dispatcher.Settings{}),
+		Reporter: r.reporter,
+	}
+	for _, option := range options {
+		option(&config)
+	}
+	r.receiver = receiver.New(config)
+	assert.NilError(t, r.receiver.Start(context.Background(), nil))
+	t.Cleanup(r.stop)
+	r.base = "http://" + r.receiver.Address()
+	return r
+}
+
+func (r *rig) stop() {
+	_ = r.receiver.Stop(time.Now().Add(soon))
+	_ = r.admitter.Stop(time.Now().Add(soon))
+}
+
+// newCatalog places the model on all upstreams whose names begin with engine.
+func newCatalog(t *testing.T, upstreams map[string]http.Handler) *cataloger.Catalog {
+	t.Helper()
+	changes := []cataloger.Change{
+		cataloger.PutClass{Class: classifier.Class{Name: "interactive"}},
+		cataloger.PutClass{Class: classifier.Class{Name: "registry", RepeatForbidden: true}},
+		cataloger.PutClass{Class: classifier.Class{Name: "draft"}},
+		cataloger.PutModel{Model: cataloger.Model{Name: model, Service: group}},
+		cataloger.PutAdapter{Adapter: cataloger.Adapter{Name: adapter, Model: model}},
+	}
+	for name, handler := range upstreams {
+		changes = append(changes, putUpstream(t, name, handler)...)
+	}
+	catalog, err := cataloger.New().With(cataloger.Delta{To: 1, Changes: changes})
+	assert.NilError(t, err)
+	return catalog
+}
+
+func putUpstream(t *testing.T, name string, handler http.Handler) []cataloger.Change {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	added := cataloger.Upstream{
+		Name:             name,
+		Incarnation:      name + "-1",
+		Address:          server.Listener.Addr().String(),
+		AvailabilityZone: "bp-a",
+		Service:          service,
+		Kind:             cataloger.PlainUpstream,
+		State:            cataloger.UpstreamLive,
+	}
+	if !strings.HasPrefix(name, "engine") {
+		return []cataloger.Change{cataloger.PutUpstream{Upstream: added}}
+	}
+	added.Kind = cataloger.EngineUpstream
+	added.Service = group
+	added.Slots = 64
+	return []cataloger.Change{
+		cataloger.PutUpstream{Upstream: added},
+		cataloger.PutPlacement{Placement: cataloger.Placement{
+			Upstream:    name,
+			Incarnation: added.Incarnation,
+			Models:      []string{model},
+			Adapters:    []string{adapter},
+		}},
+	}
+}
+
+// reply is a whole answer.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r reply) outcome() string { return r.header.Get(encoder.HeaderOutcome) }
+
+// send makes a request with header fields as name and value in turn.
+func (r *rig) send(method, path, body string, header ...string) reply {
+	r.t.Helper()
+	response, err := http.DefaultTransport.RoundTrip(r.request(method, path, body, header...))
+	assert.NilError(r.t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+func (r *rig) request(method, path, body string, header ...string) *http.Request {
+	r.t.Helper()
+	request, err := http.NewRequest(method, r.base+path, strings.NewReader(body))
+	assert.NilError(r.t, err)
+	request.Header.Set("Authorization", "Bearer key-a")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	return request
+}
+
+// chat is the body of a chat of a number of tokens.
+func chat(stream bool, tokens int) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"torta"}]}`,
+		model, stream, tokens)
+}
+
+// table is a small table of claims with faults.
+type table struct {
+	mu     sync.Mutex
+	claims map[claimer.Key]*row
+	events []claimer.Event
+	// fail, where set, may lose an event before or after it took effect.
+	fail func(event claimer.Event) (before, after error)
+}
+
+type row struct {
+	digest  [32]byte
+	attempt string
+	state   claimer.Result
+}
+
+func newTable() *table { return &table{claims: map[claimer.Key]*row{}} }
+
+func (t *table) Claim(_ context.Context, event claimer.Event) (claimer.Result, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var before, after error
+	if t.fail != nil {
+		before, after = t.fail(event)
+	}
+	if before != nil {
+		return nil, before
+	}
+	t.events = append(t.events, event)
+	return t.apply(event), after
+}
+
+func (t *table) apply(event claimer.Event) claimer.Result {
+	switch event := event.(type) {
+	case claimer.Open:
+		return t.open(event)
+	case claimer.Finish:
+		return t.end(event.Key, event.Attempt, claimer.Answered{Answer: event.Answer})
+	case claimer.Lose:
+		return t.end(event.Key, event.Attempt, claimer.Unknown{})
+	case claimer.Release:
+		if held := t.claims[event.Key]; held != nil && held.attempt == event.Attempt {
+			delete(t.claims, event.Key)
+		}
+	}
+	return claimer.Recorded{}
+}
+
+func (t *table) open(event claimer.Open) claimer.Result {
+	held := t.claims[event.Key]
+	switch {
+	case held == nil:
+		t.claims[event.Key] = &row{digest: event.Digest, attempt: event.Attempt}
+	case held.digest != event.Digest:
+		return claimer.Mismatch{}
+	case held.state != nil:
+		return held.state
+	case held.attempt != event.Attempt:
+		return claimer.Pending{Deadline: time.Now().Add(time.Second)}
+	}
+	return claimer.Granted{Deadline: event.Deadline}
+}
+
+func (t *table) end(key claimer.Key, attempt string, state claimer.Result) claimer.Result {
+	held := t.claims[key]
+	if held == nil || held.attempt != attempt {
+		return claimer.Stale{}
+	}
+	held.state = state
+	return claimer.Recorded{}
+}
--- /dev/null
+++ b/receiver/routes.go
@@ -0,0 +1,94 @@
+package receiver
+
+import (
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+
+	"burdocklink/authenticator"
+	"burdocklink/encoder"
+	"burdocklink/reporter"
+)
+
+// paths of the callers' API besides those of the upstreams' protocol.
+const (
+	pathServices = "/services/"
+	pathHealth   = "/healthz"
+	pathReady    = "/readyz"
+	pathMetrics  = "/metrics"
+)
+
+func (r *Receiver) newApp() (*iris.Application, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(
+		iris.WithoutStartupLog,
+		iris.WithoutInterruptHandler,
+		iris.WithoutPathCorrection,
+		iris.WithFireMethodNotAllowed,
+	)
+	app.Get(pathHealth, r.probe(r.answerHealth))
+	app.Get(pathReady, r.probe(r.answerReady))
+	app.Get(pathMetrics, r.handle(authenticator.RoleOperator, r.answerMetrics))
+	app.Get(encoder.PathModels, r.handle(authenticator.RoleSubscriber, r.answerModels))
+	app.Post(encoder.PathChat, r.handle(authenticator.RoleSubscriber, r.answerChat))
+	app.Post(encoder.PathCompletions, r.handle(authenticator.RoleSubscriber, r.answerPrompt))
+	services := r.handle(authenticator.RoleSubscriber, r.answerService)
+	app.Any(pathServices+"{name:string}", services)
+	app.Any(pathServices+"{name:string}/{rest:path}", services)
+	app.OnErrorCode(http.StatusNotFound, r.probe(r.answerNoPath))
+	app.OnErrorCode(http.StatusMethodNotAllowed, r.probe(r.answerNoMethod))
+	return app, app.Build()
+}
+
+// handle serves requests that need a key of a role.
+func (r *Receiver) handle(role authenticator.Role, serve func(*exchange) error) iris.Handler {
+	return func(ctx iris.Context) {
+		x := r.newExchange(ctx)
+		defer x.end()
+		err := x.identify(role)
+		if err == nil {
+			err = serve(x)
+		}
+		if err != nil {
+			x.refuse(err)
+		}
+	}
+}
+
+// probe serves requests without a key.
+func (r *Receiver) probe(serve func(*exchange) error) iris.Handler {
+	return func(ctx iris.Context) {
+		x := r.newExchange(ctx)
+		if err := serve(x); err != nil {
+			x.refuse(err)
+		}
+	}
+}
+
+func (r *Receiver) answerHealth(x *exchange) error { return x.writeText("ok\n") }
+
+func (r *Receiver) answerReady(x *exchange) error {
+	if err := r.ready(); err != nil {
+		return &NotReadyError{Cause: err}
+	}
+	return x.writeText("ready\n")
+}
+
+func (r *Receiver) answerMetrics(x *exchange) error {
+	x.w.Header().Set("Content-Type", reporter.ContentType)
+	x.w.WriteHeader(http.StatusOK)
+	x.answered = true
+	if err := r.Reporter.WriteText(x.w); err != nil {
+		return &callerGoneError{Cause: err}
+	}
+	return nil
+}
+
+func (r *Receiver) answerNoPath(x *exchange) error {
+	return &UnknownPathError{Path: x.r.URL.Path}
+}
+
+func (r *Receiver) answerNoMethod(x *exchange) error {
+	return &MethodNotAllowedError{Method: x.r.Method}
+}
--- /dev/null
+++ b/receiver/service.go
@@ -0,0 +1,205 @@
+package receiver
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"burdocklink/admitter"
+	"burdocklink/cataloger"
+	"burdocklink/dispatcher"
+	"burdocklink/encoder"
+	"burdocklink/router"
+)
+
+// work is a request whose answer is passed on as a whole.
+type work struct {
+	route  router.Request
+	method string
+	// path is the path at the upstream with the query.
+	path   string
+	header http.Header
+	body   []byte
+}
+
+func (r *Receiver) answerService(x *exchange) error {
+	if err := x.admit(serviceKind(x.r.Method)); err != nil {
+		return err
+	}
+	name, path := splitService(x.r)
+	if !hasService(x.catalog, name) {
+		return &UnknownServiceError{Name: name}
+	}
+	body, err := x.readBody()
+	if err != nil {
+		return err
+	}
+	asked := work{
+		route:  x.serviceRoute(name),
+		method: x.r.Method,
+		path:   path,
+		header: x.serviceHeader(),
+		body:   body,
+	}
+	if x.class.RepeatForbidden {
+		return x.once(asked)
+	}
+	return x.whole(asked)
+}
+
+// splitService cuts the service's name off the path, which stays escaped as
+// the caller sent it.
+func splitService(r *http.Request) (name, path string) {
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), pathServices)
+	name, path, _ = strings.Cut(rest, "/")
+	path = "/" + path
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return name, path
+}
+
+// hasService returns true where a plain service has the name. The engines'
+// own paths, such as orders, are not for callers.
+func hasService(catalog *cataloger.Catalog, name string) bool {
+	upstreams, known := catalog.Services[name]
+	for _, upstream := range upstreams {
+		if catalog.Upstreams[upstream].Kind != cataloger.PlainUpstream {
+			return false
+		}
+	}
+	return known
+}
+
+func (x *exchange) serviceRoute(name string) router.Request {
+	return router.Request{
+		Service:          name,
+		AvailabilityZone: x.Settings.AvailabilityZone,
+		Seed:             xxhash.Sum64String(x.id),
+	}
+}
+
+func (x *exchange) serviceHeader() http.Header {
+	header := http.Header{}
+	copyHeader(header, x.r.Header)
+	header.Del("Authorization")
+	header.Del(encoder.HeaderClass)
+	return header
+}
+
+// call returns the call of a work to the upstream of a grant.
+func (x *exchange) call(asked work, grant *admitter.Grant) dispatcher.Call {
+	header := asked.header.Clone()
+	header.Set(encoder.HeaderRequestID, x.attempt())
+	header.Set(encoder.HeaderPriority, strconv.Itoa(grant.Priority))
+	header.Set(encoder.HeaderSubscriber, x.identity.Name)
+	return dispatcher.Call{
+		Address: grant.Choice.Address,
+		Method:  asked.method,
+		Path:    asked.path,
+		Header:  header,
+		Body:    asked.body,
+	}
+}
+
+// whole runs an idempotent work, elsewhere again where it fails.
+func (x *exchange) whole(asked work) error {
+	grant, err := x.Admitter.Acquire(x.ctx, x.admission(asked.route))
+	if err != nil {
+		return causeOf(x.ctx, err)
+	}
+	for {
+		answer, failure := x.tryWhole(asked, grant)
+		if failure == nil && !isUnavailable(answer.Status) {
+			return x.passAnswer(grant.Choice.Upstream, answer)
+		}
+		if x.ctx.Err() != nil {
+			return causeOf(x.ctx, failure)
+		}
+		next, err := x.Admitter.Again(x.ctx, grant)
+		if err != nil && failure == nil {
+			return x.passAnswer(grant.Choice.Upstream, answer)
+		}
+		if err != nil {
+			return causeOf(x.ctx, failure)
+		}
+		grant = next
+	}
+}
+
+// tryWhole makes one dispatch, on a new connection after a used one failed.
+func (x *exchange) tryWhole(asked work, grant *admitter.Grant) (dispatcher.Answer, error) {
+	call := x.call(asked, grant)
+	answer, err := x.Calls.Whole(x.ctx, call)
+	var interrupted *dispatcher.InterruptedError
+	if errors.As(err, &interrupted) && x.ctx.Err() == nil {
+		x.sent = true
+		call.Fresh = true
+		answer, err = x.Calls.Whole(x.ctx, call)
+	}
+	x.sent = x.sent || !provesNotRun(answer, err)
+	grant.Done(admitter.Result{Ended: time.Now(), Outcome: wholeOutcome(answer, err)})
+	return answer, err
+}
+
+// provesNotRun returns true where the upstream cannot have run the request.
+func provesNotRun(answer dispatcher.Answer, err error) bool {
+	if err != nil {
+		return is[*dispatcher.NotSentError](err)
+	}
+	return promisesNotRun(answer)
+}
+
+// promisesNotRun returns true where the upstream's protocol says that it did
+// not run the request.
+func promisesNotRun(answer dispatcher.Answer) bool {
+	return isUnavailable(answer.Status) && answer.Header.Get(encoder.HeaderNotRun) == "true"
+}
+
+// isUnavailable returns true for answers that another upstream may better.
+func isUnavailable(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
+func wholeOutcome(answer dispatcher.Answer, err error) router.Outcome {
+	switch {
+	case is[*dispatcher.NotSentError](err):
+		return router.OutcomeUnreachable
+	case err != nil:
+		return router.OutcomeFailed
+	case promisesNotRun(answer):
+		return router.OutcomeRefused
+	case isUnavailable(answer.Status):
+		return router.OutcomeFailed
+	default:
+		return router.OutcomeFinished
+	}
+}
+
+// passAnswer gives an upstream's answer to the caller.
+func (x *exchange) passAnswer(upstream string, answer dispatcher.Answer) error {
+	copyHeader(x.w.Header(), answer.Header)
+	x.w.Header().Set(encoder.HeaderUpstream, upstream)
+	return x.write(answer.Status, answerOutcome(answer), answer.Body)
+}
+
+// answerOutcome returns what an upstream's answer says of the request.
+func answerOutcome(answer dispatcher.Answer) string {
+	switch {
+	case promisesNotRun(answer):
+		return encoder.OutcomeNotRun
+	case isUnavailable(answer.Status):
+		return encoder.OutcomeUnknown
+	default:
+		return encoder.OutcomeRan
+	}
+}
--- /dev/null
+++ b/reporter/series.go
@@ -0,0 +1,80 @@
+package reporter
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// series is what is kept of one class or subscriber.
+type series struct {
+	firstToken *timing
+	gap        *timing
+	whole      *timing
+	results    map[Result]metrics.Counter
+	tokens     metrics.Counter
+	met        metrics.Counter
+	counted    metrics.Counter
+}
+
+func newSeries() *series {
+	s := &series{
+		firstToken: newTiming(),
+		gap:        newTiming(),
+		whole:      newTiming(),
+		results:    map[Result]metrics.Counter{},
+		tokens:     metrics.NewCounter(),
+		met:        metrics.NewCounter(),
+		counted:    metrics.NewCounter(),
+	}
+	for _, result := range allResults {
+		s.results[result] = metrics.NewCounter()
+	}
+	return s
+}
+
+func (s *series) record(sample Sample) {
+	if counter, ok := s.results[sample.Result]; ok {
+		counter.Inc(1)
+	}
+	s.tokens.Inc(int64(sample.Tokens))
+	if sample.Result != ResultAbandoned {
+		s.counted.Inc(1)
+	}
+	if sample.Met() {
+		s.met.Inc(1)
+	}
+	if sample.Result != ResultWhole {
+		return
+	}
+	s.whole.add(sample.Ended.Sub(sample.Arrived))
+	if sample.FirstToken.IsZero() {
+		return
+	}
+	s.firstToken.add(sample.firstToken())
+	if sample.Tokens > 1 {
+		s.gap.add(sample.gap())
+	}
+}
+
+// timing is a histogram of times in microseconds with its exact sum.
+type timing struct {
+	histogram metrics.Histogram
+	sum       metrics.Counter
+	count     metrics.Counter
+}
+
+func newTiming() *timing {
+	return &timing{
+		histogram: metrics.NewHistogram(metrics.NewUniformSample(sampleSize)),
+		sum:       metrics.NewCounter(),
+		count:     metrics.NewCounter(),
+	}
+}
+
+func (t *timing) add(length time.Duration) {
+	micros := length.Microseconds()
+	t.histogram.Update(micros)
+	t.sum.Inc(micros)
+	t.count.Inc(1)
+}
