--- /dev/null
+++ b/replicator/configuration.go
@@ -0,0 +1,96 @@
+package replicator
+
+import "slices"
+
+// Configuration lists the members of a group, in order of joining.
+type Configuration struct{ Members []Member }
+
+// Find returns the member with the identity.
+func (c Configuration) Find(id Identity) (Member, bool) {
+	at := slices.IndexFunc(c.Members, func(m Member) bool { return m.ID == id })
+	if at < 0 {
+		return Member{}, false
+	}
+	return c.Members[at], true
+}
+
+// Votes says whether the identity is a voter.
+func (c Configuration) Votes(id Identity) bool {
+	member, known := c.Find(id)
+	return known && member.Role == Voter
+}
+
+// Voters counts the voters.
+func (c Configuration) Voters() int {
+	count := 0
+	for _, member := range c.Members {
+		if member.Role == Voter {
+			count++
+		}
+	}
+	return count
+}
+
+// Quorum is how many voters are a majority.
+func (c Configuration) Quorum() int { return c.Voters()/2 + 1 }
+
+// Change is one step from a configuration to the next. It is one of the types
+// below.
+type Change interface{ change() }
+
+// AddLearner adds a member that does not vote.
+type AddLearner struct{ Member Member }
+
+// Promote makes a learner that has caught up a voter.
+type Promote struct{ ID Identity }
+
+// Demote makes a voter a learner.
+type Demote struct{ ID Identity }
+
+// Remove removes a member.
+type Remove struct{ ID Identity }
+
+func (AddLearner) change() {}
+func (Promote) change()    {}
+func (Demote) change()     {}
+func (Remove) change()     {}
+
+// With returns the configuration after a change, or *InvalidChangeError.
+func (c Configuration) With(change Change) (Configuration, error) {
+	next := Configuration{Members: slices.Clone(c.Members)}
+	switch change := change.(type) {
+	case AddLearner:
+		if change.Member.ID.Name == "" || change.Member.ID.Disk == "" {
+			return c, &InvalidChangeError{Reason: "member lacks a name or a disk"}
+		}
+		if _, known := c.Find(change.Member.ID); known {
+			return c, &InvalidChangeError{Reason: "member is known"}
+		}
+		change.Member.Role = Learner
+		next.Members = append(next.Members, change.Member)
+	case Promote:
+		return next, next.setRole(change.ID, Learner, Voter)
+	case Demote:
+		if err := next.setRole(change.ID, Voter, Learner); err != nil {
+			return c, err
+		}
+	case Remove:
+		if _, known := c.Find(change.ID); !known {
+			return c, &InvalidChangeError{Reason: "member is not known"}
+		}
+		next.Members = slices.DeleteFunc(next.Members, func(m Member) bool { return m.ID == change.ID })
+	}
+	if next.Voters() == 0 {
+		return c, &InvalidChangeError{Reason: "no voter would be left"}
+	}
+	return next, nil
+}
+
+func (c Configuration) setRole(id Identity, from, to Role) error {
+	at := slices.IndexFunc(c.Members, func(m Member) bool { return m.ID == id && m.Role == from })
+	if at < 0 {
+		return &InvalidChangeError{Reason: "member is not known in that role"}
+	}
+	c.Members[at].Role = to
+	return nil
+}
--- /dev/null
+++ b/replicator/group_test.go
@@ -0,0 +1,258 @@
+package replicator_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"burdocklink/replicator"
+)
+
+// timing of the simulated group.
+var timing = replicator.Timing{
+	Heartbeat:   100 * time.Millisecond,
+	ElectionMin: 600 * time.Millisecond,
+	ElectionMax: 1200 * time.Millisecond,
+	Lease:       500 * time.Millisecond,
+}
+
+// epoch is when simulated time begins.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// disk is what survives a crash.
+type disk struct {
+	hard     replicator.HardState
+	snapshot replicator.Snapshot
+	entries  []replicator.Entry
+}
+
+func (d *disk) apply(write replicator.Write) {
+	if write.Hard != nil {
+		d.hard = *write.Hard
+	}
+	if s := write.Snapshot; s != nil {
+		kept := d.entries[:0:0]
+		for _, entry := range d.entries {
+			if entry.Index > s.Index && !write.Reset {
+				kept = append(kept, entry)
+			}
+		}
+		d.snapshot, d.entries = *s, kept
+	}
+	if len(write.Entries) > 0 {
+		keep := write.Entries[0].Index - d.snapshot.Index - 1
+		d.entries = append(d.entries[:keep:keep], write.Entries...)
+	}
+}
+
+// node is one simulated member.
+type node struct {
+	id      replicator.Identity
+	core    *replicator.Core
+	disk    disk
+	pending []replicator.Write
+	// life counts restarts; events of an earlier life are void.
+	life int
+	down bool
+	// lost nodes have lost their disk; they never come back.
+	lost        bool
+	frozenUntil time.Duration
+	// rate is the speed of the node's clock.
+	rate    float64
+	applied uint64
+	lease   time.Time
+	status  replicator.Status
+}
+
+// event is due at a time of the simulation.
+type event struct {
+	at   time.Duration
+	seq  int
+	node *node
+	life int
+	// what is a replicator.Event, or tickDue.
+	what replicator.Event
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// readWant is a read under way with the least index it may answer.
+type readWant struct {
+	node *node
+	life int
+	min  uint64
+}
+
+// group is a set of cores in a simulated network with an oracle.
+type group struct {
+	random  *rand.Rand
+	now     time.Duration
+	queue   events
+	seq     int
+	nodes   []*node
+	byID    map[replicator.Identity]*node
+	blocked map[[2]replicator.Identity]bool
+	lossy   bool
+
+	// the oracle's knowledge.
+	log     []replicator.Entry
+	leaders map[uint64]replicator.Identity
+	reads   map[uint64]readWant
+	readID  uint64
+	answers int
+	failure string
+}
+
+const groupID = "group"
+
+func newGroup(seed uint64, voters int, drift float64) *group {
+	g := &group{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		byID:    map[replicator.Identity]*node{},
+		blocked: map[[2]replicator.Identity]bool{},
+		leaders: map[uint64]replicator.Identity{},
+		reads:   map[uint64]readWant{},
+	}
+	var members []replicator.Member
+	for i := range voters {
+		n := g.addNode(string(rune('a'+i)), drift)
+		members = append(members, replicator.Member{ID: n.id, Role: replicator.Voter})
+	}
+	first := g.nodes[0]
+	first.disk.hard, first.disk.entries = replicator.Found(groupID, members, epoch)
+	for _, n := range g.nodes {
+		g.start(n)
+	}
+	return g
+}
+
+func (g *group) addNode(name string, drift float64) *node {
+	id := replicator.Identity{Name: name, Disk: fmt.Sprintf("disk-%d", len(g.nodes))}
+	n := &node{id: id, down: true, rate: 1 + drift*(2*g.random.Float64()-1)}
+	g.nodes = append(g.nodes, n)
+	g.byID[id] = n
+	return n
+}
+
+// clock is the node's own time.
+func (g *group) clock(n *node) time.Time {
+	return epoch.Add(time.Duration(float64(g.now) * n.rate))
+}
+
+func (g *group) start(n *node) {
+	n.life++
+	n.down = false
+	n.pending = nil
+	n.applied = n.disk.snapshot.Index
+	n.lease = time.Time{}
+	n.core = replicator.New(replicator.Settings{
+		ID:       n.id,
+		Timing:   timing,
+		Seed:     g.random.Uint64(),
+		Hard:     n.disk.hard,
+		Snapshot: n.disk.snapshot,
+		Entries:  append([]replicator.Entry(nil), n.disk.entries...),
+	}, g.clock(n))
+	n.status = n.core.Status()
+	g.post(n, replicator.Tick{}, timing.Heartbeat/2)
+}
+
+// crash stops a node; of its unsynced writes a random prefix survives.
+func (g *group) crash(n *node) {
+	n.down = true
+	n.lease = time.Time{}
+	n.status = replicator.Status{}
+	for _, write := range n.pending[:g.random.IntN(len(n.pending)+1)] {
+		n.disk.apply(write)
+	}
+	n.pending = nil
+}
+
+func (g *group) post(n *node, what replicator.Event, after time.Duration) {
+	g.seq++
+	heap.Push(&g.queue, event{at: g.now + after, seq: g.seq, node: n, life: n.life, what: what})
+}
+
+// run carries on the simulation until a time or a failure.
+func (g *group) run(until time.Duration) {
+	for g.failure == "" && len(g.queue) > 0 && g.queue[0].at <= until {
+		next := heap.Pop(&g.queue).(event)
+		g.now = next.at
+		g.handle(next)
+	}
+	g.now = until
+}
+
+func (g *group) handle(next event) {
+	n := next.node
+	_, message := next.what.(replicator.Received)
+	if n.down || (!message && next.life != n.life) {
+		return
+	}
+	if g.now < n.frozenUntil {
+		g.post(n, next.what, n.frozenUntil-g.now)
+		return
+	}
+	if _, tick := next.what.(replicator.Tick); tick {
+		g.post(n, next.what, timing.Heartbeat/2)
+	}
+	if done, ok := next.what.(replicator.Synced); ok {
+		for len(n.pending) > 0 && n.pending[0].Sequence <= done.Sequence {
+			n.disk.apply(n.pending[0])
+			n.pending = n.pending[1:]
+		}
+	}
+	g.step(n, next.what)
+}
+
+// step passes an event to a core, carries out its output and asks the oracle.
+func (g *group) step(n *node, what replicator.Event) replicator.Output {
+	out := n.core.Step(what, g.clock(n))
+	if out.Write != nil {
+		n.pending = append(n.pending, *out.Write)
+		g.post(n, replicator.Synced{Sequence: out.Write.Sequence}, g.upTo(20*time.Millisecond))
+	}
+	for _, envelope := range out.Messages {
+		g.deliver(envelope)
+	}
+	g.check(n, out)
+	return out
+}
+
+func (g *group) upTo(limit time.Duration) time.Duration {
+	return time.Duration(g.random.Int64N(int64(limit)))
+}
+
+func (g *group) deliver(envelope replicator.Envelope) {
+	to := g.byID[envelope.To]
+	if to == nil || g.blocked[[2]replicator.Identity{envelope.From, envelope.To}] {
+		return
+	}
+	copies, spread := 1, 5*time.Millisecond
+	if g.lossy {
+		copies = []int{0, 1, 1, 1, 1, 1, 1, 2}[g.random.IntN(8)]
+		spread = 60 * time.Millisecond
+		if g.random.IntN(40) == 0 {
+			spread = 5 * time.Second
+		}
+	}
+	for range copies {
+		g.post(to, replicator.Received{Envelope: envelope}, g.upTo(spread))
+	}
+}
--- /dev/null
+++ b/replicator/oracle_test.go
@@ -0,0 +1,137 @@
+package replicator_test
+
+import (
+	"bytes"
+	"fmt"
+
+	"burdocklink/replicator"
+)
+
+func (g *group) fail(format string, args ...any) {
+	if g.failure == "" {
+		g.failure = fmt.Sprintf("at %v: ", g.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// check asks the oracle after a step of a node.
+func (g *group) check(n *node, out replicator.Output) {
+	if out.Fault != nil {
+		g.fail("%v faults: %v", n.id, out.Fault)
+	}
+	n.status = n.core.Status()
+	n.lease = n.status.LeaseUntil
+	if out.Restore != nil {
+		g.checkRestore(n, *out.Restore)
+	}
+	for _, entry := range out.Apply {
+		g.checkApply(n, entry)
+	}
+	for _, read := range out.Reads {
+		g.checkRead(n, read)
+	}
+	if n.status.Leading {
+		if known, ok := g.leaders[n.status.Term]; ok && known != n.id {
+			g.fail("two leaders of term %d: %v and %v", n.status.Term, known, n.id)
+		}
+		g.leaders[n.status.Term] = n.id
+	}
+	g.checkLeases()
+}
+
+func (g *group) checkLeases() {
+	var holder *node
+	for _, n := range g.nodes {
+		if n.down || !g.clock(n).Before(n.lease) {
+			continue
+		}
+		if holder != nil {
+			g.fail("two leases: %v and %v", holder.id, n.id)
+		}
+		holder = n
+	}
+}
+
+func (g *group) checkApply(n *node, entry replicator.Entry) {
+	if entry.Index != n.applied+1 {
+		g.fail("%v applies %d after %d", n.id, entry.Index, n.applied)
+		return
+	}
+	n.applied = entry.Index
+	if entry.Index > uint64(len(g.log)) {
+		if k := len(g.log); k > 0 && entry.Stamp.Before(g.log[k-1].Stamp) {
+			g.fail("stamp of %d steps back", entry.Index)
+		}
+		g.log = append(g.log, entry)
+		return
+	}
+	if !sameEntry(g.log[entry.Index-1], entry) {
+		g.fail("%v applies another entry %d", n.id, entry.Index)
+	}
+}
+
+func (g *group) checkRestore(n *node, snapshot replicator.Snapshot) {
+	if snapshot.Index <= n.applied || snapshot.Index > uint64(len(g.log)) {
+		g.fail("%v restores %d, has %d of %d", n.id, snapshot.Index, n.applied, len(g.log))
+		return
+	}
+	if !bytes.Equal(snapshot.Data, snapshotData(snapshot.Index)) {
+		g.fail("%v restores other data", n.id)
+	}
+	if g.log[snapshot.Index-1].Term != snapshot.Term {
+		g.fail("%v restores another term", n.id)
+	}
+	n.applied = snapshot.Index
+}
+
+// checkRead holds that a read sees what was applied anywhere before it.
+func (g *group) checkRead(n *node, read replicator.ReadResult) {
+	want, known := g.reads[read.ID]
+	if !known {
+		g.fail("%v answers an unknown read", n.id)
+		return
+	}
+	delete(g.reads, read.ID)
+	if read.Refused {
+		return
+	}
+	g.answers++
+	if read.Index < want.min {
+		g.fail("%v reads at %d, %d was applied", n.id, read.Index, want.min)
+	}
+}
+
+func sameEntry(a, b replicator.Entry) bool {
+	if a.Term != b.Term || !a.Stamp.Equal(b.Stamp) {
+		return false
+	}
+	left, ok := a.Payload.(replicator.Opaque)
+	right, also := b.Payload.(replicator.Opaque)
+	return ok == also && bytes.Equal(left.Data, right.Data)
+}
+
+// checkLogs holds the log matching property over the disks.
+func (g *group) checkLogs() {
+	type place struct{ index, term uint64 }
+	known := map[place]replicator.Entry{}
+	before := map[place]uint64{}
+	for _, n := range g.nodes {
+		previous := n.disk.snapshot.Term
+		for i, entry := range n.disk.entries {
+			if entry.Index != n.disk.snapshot.Index+uint64(i)+1 {
+				g.fail("%v has a gap at %d", n.id, entry.Index)
+			}
+			at := place{entry.Index, entry.Term}
+			if other, ok := known[at]; ok && (!sameEntry(other, entry) || before[at] != previous) {
+				g.fail("logs differ at %d of term %d", entry.Index, entry.Term)
+			}
+			known[at], before[at] = entry, previous
+			previous = entry.Term
+		}
+	}
+}
+
+// snapshotData stands for the state after an index. It takes more than one
+// chunk.
+func snapshotData(index uint64) []byte {
+	return bytes.Repeat([]byte{byte(index), byte(index >> 8)}, 150<<10)
+}
--- /dev/null
+++ b/replicator/status.go
@@ -0,0 +1,79 @@
+package replicator
+
+import "time"
+
+// Status describes a Core at the time of its last step.
+type Status struct {
+	ID     Identity
+	Group  string
+	Leader Identity
+	Term   uint64
+	// Leading is true while this member is the leader of its term, with or
+	// without a lease.
+	Leading bool
+	// LeaseUntil is the end of the lease; zero where there is none.
+	LeaseUntil    time.Time
+	Committed     uint64
+	Applied       uint64
+	Last          uint64
+	SnapshotIndex uint64
+	Configuration Configuration
+	// ConfigurationCommitted is false while a change of members is under way.
+	ConfigurationCommitted bool
+	// Peers is filled at the leader.
+	Peers map[Identity]PeerStatus
+}
+
+// PeerStatus is what a leader knows of another member.
+type PeerStatus struct {
+	Match uint64
+	// Heard is when the peer last answered; zero for never in this term.
+	Heard time.Time
+}
+
+// Status describes the member.
+func (c *Core) Status() Status {
+	status := Status{
+		ID:                     c.id,
+		Group:                  c.hard.Group,
+		Leader:                 c.leader,
+		Term:                   c.hard.Term,
+		Leading:                c.position == leading,
+		LeaseUntil:             c.leaseUntil(),
+		Committed:              c.committed,
+		Applied:                c.applied,
+		Last:                   c.log.last(),
+		SnapshotIndex:          c.snapshot.Index,
+		Configuration:          c.configuration(),
+		ConfigurationCommitted: c.configurations[len(c.configurations)-1].index <= c.committed,
+	}
+	if c.position == leading {
+		status.Peers = c.peerStatus()
+	}
+	return status
+}
+
+func (c *Core) peerStatus() map[Identity]PeerStatus {
+	peers := make(map[Identity]PeerStatus, len(c.lead.peers))
+	for id, p := range c.lead.peers {
+		one := PeerStatus{Match: p.match}
+		if p.contact != never {
+			one.Heard = c.start.Add(p.contact)
+		}
+		peers[id] = one
+	}
+	return peers
+}
+
+// Found returns what the first member of a new group starts from. Exactly one
+// member of the list may do this.
+func Found(group string, members []Member, now time.Time) (HardState, []Entry) {
+	const firstTerm = 1
+	first := Entry{
+		Index:   1,
+		Term:    firstTerm,
+		Stamp:   now.Round(0).UTC(),
+		Payload: Reconfigured{Configuration: Configuration{Members: members}},
+	}
+	return HardState{Group: group, Term: firstTerm}, []Entry{first}
+}
