--- /dev/null
+++ b/assembler/control.go
@@ -0,0 +1,93 @@
+// Package assembler puts the services of a process together: the control
+// member's and the entry's. It is the one place that knows which part needs
+// which.
+package assembler
+
+import (
+	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials"
+
+	"burdocklink/authenticator"
+	"burdocklink/conductor"
+	"burdocklink/encoder"
+	"burdocklink/orderer"
+	"burdocklink/registrar"
+	"burdocklink/responder"
+	"burdocklink/watcher"
+)
+
+// ControlSettings are the checked settings of a control member.
+type ControlSettings struct {
+	Member conductor.Member
+	// Listen is the IP address and port of the gRPC service.
+	Listen string
+	// Folder is the data folder; empty keeps the state in memory.
+	Folder string
+	// Peers are the first members, this one among them.
+	Peers []conductor.Member
+	// Platform and Store are base URLs.
+	Platform string
+	Store    string
+	Limits   orderer.StoreLimits
+	// ServerCredentials and ClientCredentials are nil for plain text.
+	ServerCredentials credentials.TransportCredentials
+	ClientCredentials credentials.TransportCredentials
+	// Keys tells whose key an operator's call carries.
+	Keys *authenticator.Authenticator
+	// Fatal is called once when the member can't go on.
+	Fatal func(error)
+	Log   *zap.Logger
+}
+
+// ControlMember is a control member that has not started.
+type ControlMember struct {
+	Conductor *conductor.Conductor
+	Responder *responder.Responder
+	// Services are in start order.
+	Services []registrar.Service
+}
+
+// NewControl puts a control member together.
+func NewControl(settings ControlSettings) (*ControlMember, error) {
+	member, err := conductor.New(conductor.Config{
+		Name:        settings.Member.Name,
+		Address:     settings.Member.Address,
+		Folder:      settings.Folder,
+		Peers:       settings.Peers,
+		Credentials: settings.ClientCredentials,
+		Codec:       codec(),
+		Log:         settings.Log,
+		Fatal:       settings.Fatal,
+	})
+	if err != nil {
+		return nil, err
+	}
+	answers := responder.New(responder.Settings{
+		Listen:      settings.Listen,
+		Credentials: settings.ServerCredentials,
+		Operator:    operatorOf(settings.Keys),
+		Group:       member,
+		Log:         settings.Log,
+	})
+	lists := watcher.New(watcher.Settings{
+		Platform: settings.Platform,
+		Store:    settings.Store,
+		Limits:   settings.Limits,
+		Group:    member,
+		Log:      settings.Log,
+	})
+	return &ControlMember{
+		Conductor: member,
+		Responder: answers,
+		Services:  []registrar.Service{settings.Keys, member, answers, lists},
+	}, nil
+}
+
+func codec() conductor.Codec {
+	return conductor.Codec{
+		EncodeCommand: encoder.EncodeCommand,
+		DecodeCommand: encoder.DecodeCommand,
+		EncodeState:   encoder.EncodeState,
+		DecodeState:   encoder.DecodeState,
+	}
+}
--- /dev/null
+++ b/assembler/entry.go
@@ -0,0 +1,112 @@
+package assembler
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials"
+
+	"burdocklink/admitter"
+	"burdocklink/authenticator"
+	"burdocklink/cataloger"
+	"burdocklink/dispatcher"
+	"burdocklink/follower"
+	"burdocklink/gossiper"
+	"burdocklink/linker"
+	"burdocklink/proposer"
+	"burdocklink/receiver"
+	"burdocklink/registrar"
+	"burdocklink/reporter"
+	"burdocklink/router"
+)
+
+// EntrySettings are the checked settings of an entry.
+type EntrySettings struct {
+	Name             string
+	AvailabilityZone string
+	// PeerListen is the IP address and port for the other entries.
+	PeerListen string
+	// Peers lists the other entries' addresses, Control the control members'.
+	Peers   []string
+	Control []string
+	// Callers bound what is taken from callers.
+	Callers receiver.Settings
+	// CallersTLS is nil for plain HTTP.
+	CallersTLS *tls.Config
+	// Keys tells whose key a request carries.
+	Keys *authenticator.Authenticator
+	// ServerCredentials and ClientCredentials are nil for plain text.
+	ServerCredentials credentials.TransportCredentials
+	ClientCredentials credentials.TransportCredentials
+	Log               *zap.Logger
+}
+
+// Entry is an entry that has not started.
+type Entry struct {
+	Follower *follower.Follower
+	Gossiper *gossiper.Gossiper
+	Receiver *receiver.Receiver
+	// Services are in start order.
+	Services []registrar.Service
+}
+
+// NewEntry puts an entry together.
+func NewEntry(settings EntrySettings) *Entry {
+	links := linker.New(settings.ClientCredentials)
+	routes := router.New(router.Settings{
+		AvailabilityZone: settings.AvailabilityZone,
+		Seed:             xxhash.Sum64String(settings.Name),
+		Entries:          len(settings.Peers) + 1,
+	})
+	admission := admitter.New(routes, admitter.Settings{})
+	catalogs := follower.New(follower.Settings{
+		Entry:            settings.Name,
+		Incarnation:      uuid.NewString(),
+		AvailabilityZone: settings.AvailabilityZone,
+		Control:          settings.Control,
+		Links:            links,
+		Notify: func(catalog *cataloger.Catalog) {
+			routes.Update(catalog)
+			admission.Wake()
+		},
+		Demand: admission.Demand,
+		Log:    settings.Log,
+	})
+	peers := gossiper.New(gossiper.Settings{
+		Entry:       settings.Name,
+		Listen:      settings.PeerListen,
+		Peers:       settings.Peers,
+		Links:       links,
+		Credentials: settings.ServerCredentials,
+		Follower:    catalogs,
+		Dispatches:  func() map[string]int { return nil },
+		Heard:       func(string, map[string]int) {},
+		Log:         settings.Log,
+	})
+	claims := proposer.New(proposer.Settings{
+		Control: settings.Control,
+		Links:   links,
+		Leader:  catalogs.Leader,
+	})
+	callers := receiver.New(receiver.Config{
+		Settings: settings.Callers,
+		Log:      settings.Log,
+		TLS:      settings.CallersTLS,
+		Catalog:  catalogs.Catalog,
+		Ready:    func() error { return catalogs.Ready(time.Now(), peers) },
+		Keys:     settings.Keys,
+		Admitter: admission,
+		Claims:   claims,
+		Calls:    dispatcher.New(dispatcher.Settings{}),
+		Reporter: reporter.New(reporter.Settings{}),
+	})
+	return &Entry{
+		Follower: catalogs,
+		Gossiper: peers,
+		Receiver: callers,
+		Services: []registrar.Service{settings.Keys, admission, catalogs, peers, callers},
+	}
+}
--- a/cmd/command.go
+++ b/cmd/command.go
@@ -35,12 +35,14 @@
 // commands lists every command in the order of the help.
 func commands() []command {
 	return []command{
+		entryCommand(),
 		controlCommand(),
 		classCommand(),
 		statusCommand(),
 		historyCommand(),
 		memberCommand(),
 		standInCommand(),
+		keyCommand(),
 		versionCommand(),
 	}
 }
--- a/cmd/control.go
+++ b/cmd/control.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 
+	"burdocklink/assembler"
 	"burdocklink/checker"
 	"burdocklink/conductor"
-	"burdocklink/encoder"
 	"burdocklink/orderer"
-	"burdocklink/registrar"
-	"burdocklink/responder"
-	"burdocklink/watcher"
 )
 
 // Settings of a control member.
@@ -68,54 +65,43 @@
 		name:  "control",
 		usage: "run a control member",
 		settings: append(tlsSettings(), memberName, controlListen, controlAdvertise, dataFolder,
-			memberList, platformURL, storeURL, storeRate, storeAtOnce, storeTransit,
+			keysFile, memberList, platformURL, storeURL, storeRate, storeAtOnce, storeTransit,
 			drainTime, checkSettings),
 		run: runControl,
 	}
 }
 
-// controlSettings are the checked settings of a control member.
-type controlSettings struct {
-	member   conductor.Member
-	listen   string
-	folder   string
-	peers    []conductor.Member
-	platform string
-	store    string
-	limits   orderer.StoreLimits
-}
-
-func readControlSettings(settings *checker.Reader) controlSettings {
-	read := controlSettings{
-		listen:   settings.Address(controlListen.Name),
-		folder:   settings.Text(dataFolder.Name),
-		platform: settings.Required(platformURL.Name),
-		store:    settings.Required(storeURL.Name),
-		limits: orderer.StoreLimits{
+func readControlSettings(settings *checker.Reader) assembler.ControlSettings {
+	read := assembler.ControlSettings{
+		Listen:   settings.Address(controlListen.Name),
+		Folder:   settings.Text(dataFolder.Name),
+		Platform: settings.Required(platformURL.Name),
+		Store:    settings.Required(storeURL.Name),
+		Limits: orderer.StoreLimits{
 			LoadsPerSecond:    settings.Rate(storeRate.Name),
 			LoadsAtOnce:       settings.Count(storeAtOnce.Name, 1, mostLoads),
 			AdaptersInTransit: settings.Count(storeTransit.Name, 1, mostLoads),
 		},
 	}
-	read.member = conductor.Member{
+	read.Member = conductor.Member{
 		Name:    settings.Required(memberName.Name),
-		Address: read.listen,
+		Address: read.Listen,
 		Role:    conductor.Voter,
 	}
 	if settings.Text(controlAdvertise.Name) != "" {
-		read.member.Address = settings.Address(controlAdvertise.Name)
+		read.Member.Address = settings.Address(controlAdvertise.Name)
 	}
 	for _, pair := range settings.Pairs(memberList.Name) {
-		read.peers = append(read.peers, conductor.Member{
+		read.Peers = append(read.Peers, conductor.Member{
 			Name:    pair.Name,
 			Address: pair.Value,
 			Role:    conductor.Voter,
 		})
 	}
-	if len(read.peers) == 0 {
-		read.peers = []conductor.Member{read.member}
+	if len(read.Peers) == 0 {
+		read.Peers = []conductor.Member{read.Member}
 	}
-	if len(read.peers) > 1 && read.folder == "" {
+	if len(read.Peers) > 1 && read.Folder == "" {
 		settings.Fault(dataFolder.Name, "must be given where the group has more than one member")
 	}
 	return read
@@ -123,6 +109,7 @@
 
 func runControl(call *invocation) error {
 	settings := readControlSettings(call.settings)
+	keys := readKeys(call)
 	drain := call.settings.Duration(drainTime.Name)
 	if err := call.settings.Err(); err != nil {
 		return err
@@ -130,46 +117,17 @@
 	if call.settings.Switch(checkSettings.Name) {
 		return nil
 	}
-	services, err := controlServices(call, settings)
-	if err != nil {
-		return err
-	}
-	return serve(call, drain, services)
-}
-
-// controlServices lists the services of a control member in start order.
-func controlServices(call *invocation, settings controlSettings) ([]registrar.Service, error) {
 	ctx, fail := context.WithCancelCause(call.ctx)
 	call.ctx = ctx
-	member, err := conductor.New(conductor.Config{
-		Name:    settings.member.Name,
-		Address: settings.member.Address,
-		Folder:  settings.folder,
-		Peers:   settings.peers,
-		Codec: conductor.Codec{
-			EncodeCommand: encoder.EncodeCommand,
-			DecodeCommand: encoder.DecodeCommand,
-			EncodeState:   encoder.EncodeState,
-			DecodeState:   encoder.DecodeState,
-		},
-		Log:   call.log,
-		Fatal: func(err error) { fail(err) },
-	})
+	settings.Fatal = func(err error) { fail(err) }
+	settings.Log = call.log
+	settings.Keys = keys
+	member, err := assembler.NewControl(settings)
 	if err != nil {
-		return nil, err
-	}
-	answers := responder.New(responder.Settings{
-		Listen:   settings.listen,
-		Operator: func(context.Context) (string, error) { return "operator", nil },
-		Group:    member,
-		Log:      call.log,
-	})
-	lists := watcher.New(watcher.Settings{
-		Platform: settings.platform,
-		Store:    settings.store,
-		Limits:   settings.limits,
-		Group:    member,
-		Log:      call.log,
-	})
-	return []registrar.Service{member, answers, lists}, nil
+		return err
+	}
+	if err := serve(call, drain, member.Services); err != nil {
+		return err
+	}
+	return context.Cause(ctx)
 }
--- /dev/null
+++ b/cmd/keys.go
@@ -0,0 +1,25 @@
+package cmd
+
+import (
+	"burdocklink/authenticator"
+	"burdocklink/checker"
+)
+
+var keysFile = checker.Definition{
+	Name:  "keys",
+	Usage: "file of the keys of subscribers and operators, as `key new` writes it",
+}
+
+// readKeys opens the keys file. A fault shows in settings.Err.
+func readKeys(call *invocation) *authenticator.Authenticator {
+	if call.settings.Required(keysFile.Name) == "" {
+		return nil
+	}
+	path := call.settings.File(keysFile.Name)
+	keys, err := authenticator.New(authenticator.Settings{File: path}, call.log)
+	if err != nil {
+		call.settings.Fault(keysFile.Name, err.Error())
+		return nil
+	}
+	return keys
+}
--- a/encoder/command_test.go
+++ b/encoder/command_test.go
@@ -150,6 +150,6 @@
 		})
 	}
 	_, err = DecodeCommand([]byte{0xff})
-	var malformed *MalformedError
+	var malformed *MalformedMessageError
 	assert.Assert(t, errors.As(err, &malformed), "%v", err)
 }
--- a/encoder/errors.go
+++ b/encoder/errors.go
@@ -12,17 +12,19 @@
 	return "written by a newer version: unknown content in " + e.Message
 }
 
-// MalformedError refuses bytes that are not a message at all.
-type MalformedError struct {
+// MalformedMessageError refuses bytes that are not a message at all.
+type MalformedMessageError struct {
 	Message string
 	Cause   error
 }
 
 // Error describes the refusal.
-func (e *MalformedError) Error() string { return "malformed " + e.Message + ": " + e.Cause.Error() }
+func (e *MalformedMessageError) Error() string {
+	return "malformed " + e.Message + ": " + e.Cause.Error()
+}
 
 // Unwrap returns the cause.
-func (e *MalformedError) Unwrap() error { return e.Cause }
+func (e *MalformedMessageError) Unwrap() error { return e.Cause }
 
 // UnsupportedTypeError says that a domain value has no wire form.
 type UnsupportedTypeError struct{ Message string }
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -15,7 +15,7 @@
 // unmarshal reads a message and refuses one with unknown fields anywhere.
 func unmarshal(data []byte, message proto.Message) error {
 	if err := proto.Unmarshal(data, message); err != nil {
-		return &MalformedError{Message: nameOf(message), Cause: err}
+		return &MalformedMessageError{Message: nameOf(message), Cause: err}
 	}
 	return refuseUnknown(message.ProtoReflect())
 }
