feat(supervisor): first duties of the leader, and the sender of orders

Cause: committed orders have to reach the upstreams and be settled, also those that an earlier leader left behind.

Weights of two versions count apart in the ledger.

--- a/encoder/ledger.go
+++ b/encoder/ledger.go
@@ -62,6 +62,7 @@
 			MemoryBytes: held.MemoryBytes,
 			Adapter:     held.Adapter,
 			Base:        held.Base,
+			Version:     held.Version,
 		})
 	}
 	for _, late := range account.Late {
@@ -71,6 +72,7 @@
 			Loads:       late.Loads,
 			MemoryBytes: late.MemoryBytes,
 			Until:       encodeTime(late.Until),
+			Version:     late.Version,
 		})
 	}
 	return message
@@ -91,6 +93,7 @@
 			MemoryBytes: held.GetMemoryBytes(),
 			Adapter:     held.GetAdapter(),
 			Base:        held.GetBase(),
+			Version:     held.GetVersion(),
 		})
 	}
 	for _, late := range message.GetLate() {
@@ -100,6 +103,7 @@
 			Loads:       late.GetLoads(),
 			MemoryBytes: late.GetMemoryBytes(),
 			Until:       decodeTime(late.GetUntil()),
+			Version:     late.GetVersion(),
 		})
 	}
 	return account
--- a/orderer/intend.go
+++ b/orderer/intend.go
@@ -124,11 +124,11 @@
 		return Unsuitable{Reason: "unknown model"}
 	case model.Service != i.upstream.Service:
 		return Unsuitable{Reason: "model belongs to another service"}
-	case i.account.holds(work.Model):
+	case i.holdsVersion(model.Name, model.Version):
 		return Unsuitable{Reason: "model is held already"}
 	}
 	i.order.Work = LoadModel{Model: model.Name, Version: model.Version, MemoryBytes: model.MemoryBytes}
-	return i.checkLoad(model.Name, model.MemoryBytes, false)
+	return i.checkLoad(weights{model.Name, model.Version}, model.MemoryBytes, false)
 }
 
 func (i *intent) checkLoadAdapter(work LoadAdapter) Result {
@@ -136,7 +136,7 @@
 	switch {
 	case !known:
 		return Unsuitable{Reason: "unknown adapter"}
-	case i.account.holds(work.Adapter):
+	case i.holdsVersion(adapter.Name, adapter.Version):
 		return Unsuitable{Reason: "adapter is held already"}
 	case !i.account.holds(adapter.Model):
 		return Unsuitable{Reason: "base model is not held"}
@@ -150,7 +150,13 @@
 		Version:     adapter.Version,
 		MemoryBytes: adapter.MemoryBytes,
 	}
-	return i.checkLoad(adapter.Name, adapter.MemoryBytes, true)
+	return i.checkLoad(weights{adapter.Name, adapter.Version}, adapter.MemoryBytes, true)
+}
+
+// holdsVersion reports whether the upstream holds just these weights.
+func (i *intent) holdsVersion(name, version string) bool {
+	held, found := i.account.find(name)
+	return found && held.Version == version
 }
 
 // unsettledUnload finds an unsettled unload of the name on the upstream.
@@ -164,10 +170,10 @@
 }
 
 // checkLoad compares a load with the memory and with the store's limits.
-func (i *intent) checkLoad(name string, bytes int64, adapter bool) Result {
+func (i *intent) checkLoad(what weights, bytes int64, adapter bool) Result {
 	possible := i.ledger.possible(i.now, i.account)
 	free := i.upstream.MemoryBytes - possible.total()
-	need := bytes - min(bytes, possible[name])
+	need := bytes - min(bytes, possible[what])
 	if need > free {
 		return NoMemory{FreeBytes: free, NeedBytes: need}
 	}
--- a/orderer/ledger.go
+++ b/orderer/ledger.go
@@ -15,8 +15,9 @@
 //
 // Memory of an upstream is counted over the union of what it is confirmed to
 // hold, what its unsettled orders load, and what a late duplicate of an
-// earlier load could still bring back. An unload frees memory only when it is
-// settled as done. An upstream that checks fences refuses earlier orders once
+// earlier load could still bring back. Two versions of one name count apart,
+// since a new version is loaded beside the old one. An unload frees memory
+// only when it is settled as done. An upstream that checks fences refuses earlier orders once
 // it has carried out a later one, so that duplicates of earlier orders no
 // longer count there; elsewhere they count until their NotAfter has passed by
 // ClockMargin.
@@ -40,6 +41,7 @@
 // Held is a model or adapter that an upstream is confirmed to hold.
 type Held struct {
 	Name        string
+	Version     string
 	MemoryBytes int64
 	// Adapter is true for an adapter, whose base model Base names.
 	Adapter bool
@@ -49,8 +51,9 @@
 // Late is an order whose duplicate may still arrive.
 type Late struct {
 	// ID is the order's.
-	ID   uint64
-	Name string
+	ID      uint64
+	Name    string
+	Version string
 	// Loads is true for a load and false for an unload.
 	Loads       bool
 	MemoryBytes int64
@@ -111,24 +114,38 @@
 	return orders
 }
 
-// Account returns what is known of an upstream. Its lists must not be changed.
+// Account returns what is known of an upstream, with copies of its lists.
 func (l *Ledger) Account(upstream string) (Account, bool) {
 	account, known := l.upstreams[upstream]
 	if !known {
 		return Account{}, false
 	}
-	return *account, true
+	return account.clone(), true
+}
+
+// Accounts returns what is known of all upstreams, by name. Their lists are
+// copies.
+func (l *Ledger) Accounts() map[string]Account {
+	accounts := make(map[string]Account, len(l.upstreams))
+	for name, account := range l.upstreams {
+		accounts[name] = account.clone()
+	}
+	return accounts
+}
+
+func (a *Account) clone() Account {
+	cloned := *a
+	cloned.Held = slices.Clone(a.Held)
+	cloned.Late = slices.Clone(a.Late)
+	cloned.Unsettled = slices.Clone(a.Unsettled)
+	return cloned
 }
 
 // Snapshot returns a copy of the whole content.
 func (l *Ledger) Snapshot() Snapshot {
 	snapshot := Snapshot{Limits: l.limits, NextLoad: l.nextLoad}
 	for _, name := range slices.Sorted(maps.Keys(l.upstreams)) {
-		account := *l.upstreams[name]
-		account.Held = slices.Clone(account.Held)
-		account.Late = slices.Clone(account.Late)
-		account.Unsettled = slices.Clone(account.Unsettled)
-		snapshot.Accounts = append(snapshot.Accounts, account)
+		snapshot.Accounts = append(snapshot.Accounts, l.upstreams[name].clone())
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.orders)) {
 		snapshot.Unsettled = append(snapshot.Unsettled, *l.orders[id])
--- a/orderer/memory.go
+++ b/orderer/memory.go
@@ -6,12 +6,15 @@
 	"burdocklink/cataloger"
 )
 
-// copies maps the names that an upstream may hold to their bytes.
-type copies map[string]int64
+// weights identify what takes memory.
+type weights struct{ name, version string }
 
-// add counts a name at the most it was said to need.
-func (c copies) add(name string, bytes int64) {
-	c[name] = max(c[name], bytes)
+// copies maps the weights that an upstream may hold to their bytes.
+type copies map[weights]int64
+
+// add counts weights at the most they were said to need.
+func (c copies) add(what weights, bytes int64) {
+	c[what] = max(c[what], bytes)
 }
 
 func (c copies) total() int64 {
@@ -27,16 +30,16 @@
 func (l *Ledger) possible(now time.Time, account *Account) copies {
 	all := copies{}
 	for _, held := range account.Held {
-		all.add(held.Name, held.MemoryBytes)
+		all.add(weights{held.Name, held.Version}, held.MemoryBytes)
 	}
 	for _, id := range account.Unsettled {
-		if name, bytes, loads := load(l.orders[id].Order.Work); loads {
-			all.add(name, bytes)
+		if what, bytes, loads := load(l.orders[id].Order.Work); loads {
+			all.add(what, bytes)
 		}
 	}
 	for _, late := range account.Late {
 		if late.Loads && now.Before(late.Until) {
-			all.add(late.Name, late.MemoryBytes)
+			all.add(weights{late.Name, late.Version}, late.MemoryBytes)
 		}
 	}
 	return all
@@ -52,15 +55,15 @@
 	return l.possible(now, account).total()
 }
 
-// load gives the name and size that a piece of work brings in.
-func load(work Work) (name string, bytes int64, loads bool) {
+// load gives the weights and the size that a piece of work brings in.
+func load(work Work) (what weights, bytes int64, loads bool) {
 	switch work := work.(type) {
 	case LoadModel:
-		return work.Model, work.MemoryBytes, true
+		return weights{work.Model, work.Version}, work.MemoryBytes, true
 	case LoadAdapter:
-		return work.Adapter, work.MemoryBytes, true
+		return weights{work.Adapter, work.Version}, work.MemoryBytes, true
 	default:
-		return "", 0, false
+		return weights{}, 0, false
 	}
 }
 
@@ -78,8 +81,8 @@
 
 // subject is the name that a piece of work is about, empty for a role.
 func subject(work Work) string {
-	if name, _, loads := load(work); loads {
-		return name
+	if what, _, loads := load(work); loads {
+		return what.name
 	}
 	name, _ := unload(work)
 	return name
@@ -87,12 +90,14 @@
 
 // remember notes that a duplicate of the order may arrive until its NotAfter.
 func (a *Account) remember(order Order) {
-	late := Late{ID: order.ID, Until: order.NotAfter.Add(ClockMargin)}
-	var bytes int64
-	late.Name, bytes, late.Loads = load(order.Work)
-	late.MemoryBytes = bytes
-	if !late.Loads {
-		late.Name, _ = unload(order.Work)
+	what, bytes, loads := load(order.Work)
+	late := Late{
+		ID:          order.ID,
+		Name:        subject(order.Work),
+		Version:     what.version,
+		Loads:       loads,
+		MemoryBytes: bytes,
+		Until:       order.NotAfter.Add(ClockMargin),
 	}
 	if late.Name != "" {
 		a.Late = append(a.Late, late)
@@ -132,33 +137,45 @@
 	return false
 }
 
-func (a *Account) holds(name string) bool {
+// find returns what is held by a name.
+func (a *Account) find(name string) (Held, bool) {
 	for _, held := range a.Held {
 		if held.Name == name {
-			return true
+			return held, true
 		}
 	}
-	return false
+	return Held{}, false
 }
 
-// size is what a name counts for in an upstream: the larger of what the ledger
-// and the catalog know, and all of the upstream where neither knows it.
-func (a *Account) size(catalog *cataloger.Catalog, name string) int64 {
-	var bytes int64
-	known := false
-	for _, held := range a.Held {
-		if held.Name == name {
-			bytes, known = held.MemoryBytes, true
+func (a *Account) holds(name string) bool {
+	_, held := a.find(name)
+	return held
+}
+
+// Reserved gives, by upstream, the memory that neither the placement nor an
+// unsettled order accounts for and that must not be used yet. An upstream that
+// has not been observed is reserved whole.
+func (l *Ledger) Reserved(now time.Time, catalog *cataloger.Catalog) map[string]int64 {
+	reserved := map[string]int64{}
+	for name, upstream := range catalog.Upstreams {
+		if upstream.Kind != cataloger.EngineUpstream {
+			continue
+		}
+		account, known := l.upstreams[name]
+		if !known || !account.Observed {
+			reserved[name] = upstream.MemoryBytes
+			continue
+		}
+		if bytes := l.unaccounted(now, account); bytes > 0 {
+			reserved[name] = bytes
 		}
 	}
-	if model, listed := catalog.Models[name]; listed {
-		bytes, known = max(bytes, model.MemoryBytes), true
-	}
-	if adapter, listed := catalog.Adapters[name]; listed {
-		bytes, known = max(bytes, adapter.MemoryBytes), true
-	}
-	if !known {
-		return catalog.Upstreams[a.Upstream].MemoryBytes
-	}
-	return bytes
+	return reserved
+}
+
+// unaccounted is what late duplicates could add to what is held and loading.
+func (l *Ledger) unaccounted(now time.Time, account *Account) int64 {
+	settled := *account
+	settled.Late = nil
+	return l.possible(now, account).total() - l.possible(now, &settled).total()
 }
--- a/orderer/settle.go
+++ b/orderer/settle.go
@@ -43,9 +43,15 @@
 	role := catalog.Placements[order.Upstream].Role
 	switch work := order.Work.(type) {
 	case LoadModel:
-		account.hold(Held{Name: work.Model, MemoryBytes: work.MemoryBytes})
+		account.hold(Held{Name: work.Model, Version: work.Version, MemoryBytes: work.MemoryBytes})
 	case LoadAdapter:
-		account.hold(Held{Name: work.Adapter, MemoryBytes: work.MemoryBytes, Adapter: true, Base: work.Model})
+		account.hold(Held{
+			Name:        work.Adapter,
+			Version:     work.Version,
+			MemoryBytes: work.MemoryBytes,
+			Adapter:     true,
+			Base:        work.Model,
+		})
 	case UnloadModel:
 		account.drop(work.Model)
 	case UnloadAdapter:
@@ -69,7 +75,7 @@
 func (l *Ledger) place(catalog *cataloger.Catalog, account *Account, role cataloger.Role) (Result, []cataloger.Change) {
 	placement := account.placement(role)
 	before, placed := catalog.Placements[account.Upstream]
-	if placed && equal(before, placement) {
+	if placed && SamePlacement(before, placement) {
 		return Recorded{Placement: before}, nil
 	}
 	if _, listed := catalog.Upstreams[account.Upstream]; !listed {
@@ -92,7 +98,8 @@
 	return placement
 }
 
-func equal(a, b cataloger.Placement) bool {
+// SamePlacement reports whether two placements of an incarnation are equal.
+func SamePlacement(a, b cataloger.Placement) bool {
 	return a.Upstream == b.Upstream && a.Incarnation == b.Incarnation && a.Role == b.Role &&
 		slices.Equal(a.Models, b.Models) && slices.Equal(a.Adapters, b.Adapters)
 }
@@ -122,23 +129,43 @@
 	return l.place(catalog, account, placement.Role)
 }
 
-// observed lists what a report says is held, each at its size.
+// observed lists what a report says is held. Reports name no versions and no
+// sizes: both are those the ledger knows, or else those of the catalog. What
+// neither knows counts for the whole upstream.
 func observed(catalog *cataloger.Catalog, account *Account, placement cataloger.Placement) []Held {
 	var all []Held
 	for _, name := range unique(placement.Models) {
-		all = append(all, Held{Name: name, MemoryBytes: account.size(catalog, name)})
+		model, listed := catalog.Models[name]
+		all = append(all, account.recognize(catalog, listed, Held{
+			Name:        name,
+			Version:     model.Version,
+			MemoryBytes: model.MemoryBytes,
+		}))
 	}
 	for _, name := range unique(placement.Adapters) {
-		all = append(all, Held{
+		adapter, listed := catalog.Adapters[name]
+		all = append(all, account.recognize(catalog, listed, Held{
 			Name:        name,
-			MemoryBytes: account.size(catalog, name),
+			Version:     adapter.Version,
+			MemoryBytes: adapter.MemoryBytes,
 			Adapter:     true,
-			Base:        catalog.Adapters[name].Model,
-		})
+			Base:        adapter.Model,
+		}))
 	}
 	return all
 }
 
+// recognize chooses what to believe of a reported name.
+func (a *Account) recognize(catalog *cataloger.Catalog, listed bool, reported Held) Held {
+	if held, known := a.find(reported.Name); known {
+		return held
+	}
+	if !listed {
+		reported.MemoryBytes = catalog.Upstreams[a.Upstream].MemoryBytes
+	}
+	return reported
+}
+
 func unique(names []string) []string {
 	return slices.Compact(slices.Sorted(slices.Values(names)))
 }
--- /dev/null
+++ b/sender/call.go
@@ -0,0 +1,110 @@
+package sender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"burdocklink/encoder"
+)
+
+// maxReplyBytes bounds the answer that is read.
+const maxReplyBytes = 64 << 10
+
+// sight is what an upstream says of an order. It is one of the types below.
+type sight interface{ sight() }
+
+type notSeen struct{}
+
+type running struct{}
+
+type done struct{}
+
+type refused struct{ reason string }
+
+func (notSeen) sight() {}
+func (running) sight() {}
+func (done) sight()    {}
+func (refused) sight() {}
+
+// UnexpectedReplyError says that an upstream's answer about an order is not
+// one of the protocol.
+type UnexpectedReplyError struct {
+	Upstream string
+	Order    uint64
+	Status   int
+}
+
+// Error describes the answer.
+func (e *UnexpectedReplyError) Error() string {
+	return "unexpected reply of " + e.Upstream + " for order " +
+		strconv.FormatUint(e.Order, 10) + ": status " + strconv.Itoa(e.Status)
+}
+
+// ask gets the state of an order.
+func (s *Sender) ask(task Task) (sight, error) {
+	path := encoder.PathOrders + "/" + strconv.FormatUint(task.Order.ID, 10)
+	return s.call(task, http.MethodGet, path, nil)
+}
+
+// post sends an order.
+func (s *Sender) post(task Task) (sight, error) {
+	request, err := encoder.EncodeOrderRequest(task.Order)
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode order")
+	}
+	return s.call(task, http.MethodPost, encoder.PathOrders, body)
+}
+
+// call makes one call on a connection of its own.
+func (s *Sender) call(task Task, method, path string, body []byte) (sight, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.settings.Silence)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+task.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "make request")
+	}
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	response, err := s.client.Do(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "call upstream")
+	}
+	defer func() { _ = response.Body.Close() }()
+	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return nil, eris.Wrap(err, "read reply")
+	}
+	return interpret(task, method, response.StatusCode, reply)
+}
+
+// interpret reads an answer. Only one that names the order counts.
+func interpret(task Task, method string, status int, data []byte) (sight, error) {
+	if status == http.StatusNotFound && method == http.MethodGet {
+		return notSeen{}, nil
+	}
+	unexpected := &UnexpectedReplyError{Upstream: task.Order.Upstream, Order: task.Order.ID, Status: status}
+	var reply encoder.OrderReply
+	if err := json.Unmarshal(data, &reply); err != nil || reply.ID != task.Order.ID {
+		return nil, unexpected
+	}
+	switch status {
+	case http.StatusAccepted:
+		return running{}, nil
+	case http.StatusOK:
+		return done{}, nil
+	case http.StatusConflict:
+		return refused{reason: reply.Reason}, nil
+	default:
+		return nil, unexpected
+	}
+}
--- /dev/null
+++ b/supervisor/plan.go
@@ -0,0 +1,76 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"burdocklink/applier"
+	"burdocklink/estimator"
+	"burdocklink/orderer"
+	"burdocklink/placer"
+)
+
+// intend plans on the state as it is now and commits the moves in their order.
+func (s *Supervisor) intend(now time.Time, reports map[string]estimator.Report) {
+	seen, ok := s.look(now, true)
+	if !ok {
+		return
+	}
+	output := s.config.Planner.Plan(placer.Input{
+		Now:       now,
+		Catalog:   seen.catalog,
+		Unsettled: seen.unsettled,
+		Reserved:  seen.reserved,
+		Reports:   reports,
+		Demands:   s.config.Demands(),
+		Limits:    seen.limits,
+		NextLoad:  seen.nextLoad,
+		State:     s.plan,
+	})
+	s.plan = output.State
+	for _, move := range output.Moves {
+		if !s.intendOne(move) {
+			return
+		}
+	}
+}
+
+// planAt brings the next plan forward to when the store has room again.
+func (s *Supervisor) planAt(retry time.Time) {
+	if retry.Before(s.nextPlan) {
+		s.nextPlan = retry
+	}
+}
+
+// intendOne commits one move and reports whether the next one may follow. A
+// refused move is dropped: the next plan decides anew. Loads that the store
+// has no room for wait, and so does all that comes after them.
+func (s *Supervisor) intendOne(move placer.Move) bool {
+	result, committed := s.propose(applier.Order{Event: orderer.Intend{
+		Token: uuid.NewString(),
+		Order: orderer.Order{
+			Upstream:    move.Upstream,
+			Incarnation: move.Incarnation,
+			Work:        move.Work,
+			NotAfter:    time.Now().Add(s.config.Settings.OrderLife),
+		},
+	}})
+	if !committed {
+		return false
+	}
+	switch refusal := orderResult(result).(type) {
+	case orderer.Committed:
+		s.log.Info("order committed",
+			zap.Uint64("order", refusal.Order.ID), zap.String("upstream", move.Upstream),
+			zap.Any("work", move.Work), zap.Int("reason", int(move.Reason)))
+		return true
+	case orderer.StoreFull:
+		s.planAt(refusal.Retry)
+		return false
+	default:
+		s.log.Debug("move refused", zap.String("upstream", move.Upstream), zap.Any("refusal", refusal))
+		return true
+	}
+}
