feat(assembler): leader's duties wired; watcher hands reports on

Cause: the supervisor records placements and store limits, so the watcher's own proposals of them stood twice. Conclusion: the watcher only reads; one owner proposes.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -11,8 +11,10 @@
 	"burdocklink/conductor"
 	"burdocklink/encoder"
 	"burdocklink/orderer"
+	"burdocklink/placer"
 	"burdocklink/registrar"
 	"burdocklink/responder"
+	"burdocklink/supervisor"
 	"burdocklink/watcher"
 )
 
@@ -72,17 +74,30 @@
 	lists := watcher.New(watcher.Settings{
 		Platform: settings.Platform,
 		Store:    settings.Store,
-		Limits:   settings.Limits,
 		Group:    member,
 		Log:      settings.Log,
 	})
+	duties := supervisor.New(supervisor.Config{
+		Proposer: member,
+		Planner:  planner{},
+		Demands:  answers.Demands,
+		Reports:  lists.Reports,
+		Limits:   settings.Limits,
+		Log:      settings.Log,
+	})
 	return &ControlMember{
 		Conductor: member,
 		Responder: answers,
-		Services:  []registrar.Service{settings.Keys, member, answers, lists},
+		Services:  []registrar.Service{settings.Keys, member, answers, lists, duties},
 	}, nil
 }
 
+// planner is the placement policy in force.
+type planner struct{}
+
+// Plan returns the moves to make now.
+func (planner) Plan(input placer.Input) placer.Output { return placer.Plan(input) }
+
 func codec() conductor.Codec {
 	return conductor.Codec{
 		EncodeCommand: encoder.EncodeCommand,
--- a/watcher/compare.go
+++ b/watcher/compare.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"burdocklink/cataloger"
+	"burdocklink/estimator"
 )
 
 // absentLimit is how many lists in a row an upstream must be missing from
@@ -44,6 +45,24 @@
 	return changes
 }
 
+// CompareReports returns the changes for engines that say they are leaving
+// before the list does.
+func CompareReports(catalog *cataloger.Catalog, reports map[string]estimator.Report) []cataloger.Change {
+	var changes []cataloger.Change
+	for _, name := range slices.Sorted(maps.Keys(reports)) {
+		report := reports[name]
+		upstream, known := catalog.Upstreams[name]
+		if !known || upstream.Incarnation != report.Incarnation {
+			continue
+		}
+		if report.Leaving && upstream.State != cataloger.UpstreamLeaving {
+			upstream.State = cataloger.UpstreamLeaving
+			changes = append(changes, cataloger.PutUpstream{Upstream: upstream})
+		}
+	}
+	return changes
+}
+
 // CompareWeights returns the changes that add or replace what the weight store
 // lists. Nothing is removed: a model that the list lacks may still be served.
 func CompareWeights(catalog *cataloger.Catalog, listed []cataloger.Change) []cataloger.Change {
--- /dev/null
+++ b/watcher/reports.go
@@ -0,0 +1,93 @@
+package watcher
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"burdocklink/cataloger"
+	"burdocklink/estimator"
+)
+
+// pollsAtOnce is how many engines are asked at the same time.
+const pollsAtOnce = 16
+
+// reportTable holds the last report of each engine.
+type reportTable struct {
+	mu      sync.Mutex
+	reports map[string]estimator.Report
+}
+
+func newReportTable() *reportTable {
+	return &reportTable{reports: map[string]estimator.Report{}}
+}
+
+func (t *reportTable) put(report estimator.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reports[report.Upstream] = report
+}
+
+// keep forgets the reports of engines that the catalog lacks.
+func (t *reportTable) keep(catalog *cataloger.Catalog) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name := range t.reports {
+		if _, listed := catalog.Upstreams[name]; !listed {
+			delete(t.reports, name)
+		}
+	}
+}
+
+func (t *reportTable) list() map[string]estimator.Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.reports)
+}
+
+// Reports returns the last report of each engine, by name. It is empty on
+// members that do not lead.
+func (w *Watcher) Reports() map[string]estimator.Report { return w.reports.list() }
+
+// lookAtEngines asks every engine for its report and proposes those that are
+// leaving.
+func (w *Watcher) lookAtEngines(ctx context.Context) {
+	catalog, err := w.catalog(ctx)
+	if err != nil {
+		return
+	}
+	w.reports.keep(catalog)
+	w.askEngines(ctx, catalog)
+	if err := w.propose(ctx, CompareReports(catalog, w.Reports())); err != nil {
+		w.settings.Log.Warn("leaving engines", zap.Error(err))
+	}
+}
+
+func (w *Watcher) askEngines(ctx context.Context, catalog *cataloger.Catalog) {
+	var asked sync.WaitGroup
+	slots := make(chan struct{}, pollsAtOnce)
+	for _, name := range slices.Sorted(maps.Keys(catalog.Upstreams)) {
+		upstream := catalog.Upstreams[name]
+		if upstream.Kind != cataloger.EngineUpstream {
+			continue
+		}
+		slots <- struct{}{}
+		asked.Add(1)
+		go w.runAsk(ctx, upstream, slots, &asked)
+	}
+	asked.Wait()
+}
+
+func (w *Watcher) runAsk(ctx context.Context, upstream cataloger.Upstream, slots <-chan struct{}, asked *sync.WaitGroup) {
+	defer asked.Done()
+	defer func() { <-slots }()
+	report, err := w.fetchReport(ctx, upstream.Address)
+	if err != nil {
+		w.settings.Log.Debug("engine's report", zap.String("upstream", upstream.Name), zap.Error(err))
+		return
+	}
+	w.reports.put(report)
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -13,7 +13,6 @@
 	"burdocklink/applier"
 	"burdocklink/cataloger"
 	"burdocklink/conductor"
-	"burdocklink/orderer"
 	"burdocklink/registrar"
 )
 
@@ -35,11 +34,8 @@
 	// Platform and Store are base URLs.
 	Platform string
 	Store    string
-	// Limits are what the weight store and the network allow; the ledger is
-	// brought to them.
-	Limits orderer.StoreLimits
-	Group  conductor.Proposer
-	Log    *zap.Logger
+	Group    conductor.Proposer
+	Log      *zap.Logger
 }
 
 // Watcher compares the lists with the catalog.
@@ -47,7 +43,7 @@
 	settings Settings
 	client   *http.Client
 	absent   absences
-	holdings *holdings
+	reports  *reportTable
 	stop     chan struct{}
 	stopped  chan struct{}
 }
@@ -58,7 +54,7 @@
 		settings: settings,
 		client:   newClient(),
 		absent:   absences{},
-		holdings: newHoldings(),
+		reports:  newReportTable(),
 		stop:     make(chan struct{}),
 		stopped:  make(chan struct{}),
 	}
@@ -109,9 +105,6 @@
 func (w *Watcher) look() {
 	ctx, cancel := context.WithTimeout(context.Background(), pollLimit)
 	defer cancel()
-	if err := w.setLimits(ctx); err != nil {
-		w.settings.Log.Warn("store limits", zap.Error(err))
-	}
 	if err := w.lookAtVMs(ctx); err != nil {
 		w.settings.Log.Warn("platform's list", zap.Error(err))
 	}
@@ -121,21 +114,6 @@
 	w.lookAtEngines(ctx)
 }
 
-// setLimits brings the ledger to this member's settings.
-func (w *Watcher) setLimits(ctx context.Context) error {
-	var limits orderer.StoreLimits
-	read := func(state *applier.State) { limits = state.Orders().Limits() }
-	if err := w.settings.Group.Read(ctx, read); err != nil {
-		return err
-	}
-	if limits == w.settings.Limits {
-		return nil
-	}
-	command := applier.Order{Event: orderer.Limit{Limits: w.settings.Limits}}
-	_, err := w.settings.Group.Propose(ctx, command)
-	return err
-}
-
 func (w *Watcher) lookAtVMs(ctx context.Context) error {
 	listed, err := w.fetchVMs(ctx)
 	if err != nil {
