feat(demo): whole path in one process

Cause: a newcomer needs one command that shows a request served end to end. Ruled out: starting other processes, which the system never does.

--- a/cmd/command.go
+++ b/cmd/command.go
@@ -35,6 +35,7 @@
 // commands lists every command in the order of the help.
 func commands() []command {
 	return []command{
+		demoCommand(),
 		entryCommand(),
 		controlCommand(),
 		classCommand(),
--- /dev/null
+++ b/demonstrator/outside.go
@@ -0,0 +1,175 @@
+package demonstrator
+
+import (
+	"os"
+	"path/filepath"
+
+	"burdocklink/authenticator"
+	"burdocklink/encoder"
+	"burdocklink/faker"
+)
+
+// loopback lets the system choose a free port.
+const loopback = "127.0.0.1:0"
+
+// Names and sizes of the demonstration's world.
+const (
+	planning     = "planning"
+	calendar     = "calendar"
+	baseModel    = "planner-large"
+	secondModel  = "planner-small"
+	adapterName  = "planner-large-weddings"
+	gigabyte     = 1 << 30
+	engineMemory = 80 * gigabyte
+	engineCount  = 3
+	keysMode     = 0o600
+)
+
+// zones are the availability zones of the demonstration.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// weights is what the weight store holds.
+func weights() []encoder.Weights {
+	return []encoder.Weights{
+		{Name: baseModel, Kind: "model", Service: planning, Version: "1", MemoryBytes: 30 * gigabyte},
+		{Name: secondModel, Kind: "model", Service: planning, Version: "1", MemoryBytes: 10 * gigabyte},
+		{Name: adapterName, Kind: "adapter", Base: baseModel, Version: "1", MemoryBytes: gigabyte},
+	}
+}
+
+type makeKeys struct{}
+
+// String says what the step does.
+func (makeKeys) String() string { return "make keys" }
+
+// Run writes a keys file with an operator and a subscriber.
+func (makeKeys) Run(ctx *Context) error {
+	ctx.OperatorKey = authenticator.NewKey()
+	ctx.SubscriberKey = authenticator.NewKey()
+	operator := authenticator.Identity{Name: "night-desk", Role: authenticator.RoleOperator}
+	subscriber := authenticator.Identity{Name: "first-couple", Role: authenticator.RoleSubscriber}
+	content, err := authenticator.Add(nil, operator, ctx.OperatorKey)
+	if err != nil {
+		return err
+	}
+	content, err = authenticator.Add(content, subscriber, ctx.SubscriberKey)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(ctx.keysPath(), content, keysMode)
+}
+
+func (c *Context) keysPath() string { return filepath.Join(c.Folder, "keys.json") }
+
+// keys opens the keys file for one process.
+func (c *Context) keys() (*authenticator.Authenticator, error) {
+	return authenticator.New(authenticator.Settings{File: c.keysPath()}, c.Log)
+}
+
+type startStore struct{}
+
+// String says what the step does.
+func (startStore) String() string { return "start the weight store" }
+
+// Run starts a store whose loads are quick.
+func (startStore) Run(ctx *Context) error {
+	ctx.Store = faker.NewStore(faker.StoreSettings{
+		Weights:           weights(),
+		LoadsPerSecond:    storeRate,
+		LoadsAtOnce:       storeAtOnce,
+		AdaptersInTransit: storeTransit,
+		ModelTime:         modelTime,
+		AdapterTime:       adapterTime,
+	})
+	if err := ctx.Store.Start(loopback); err != nil {
+		return err
+	}
+	ctx.started(ctx.Store)
+	return nil
+}
+
+type startUpstreams struct{}
+
+// String says what the step does.
+func (startUpstreams) String() string { return "start engines and a plain service" }
+
+// Run starts engines without models and one calendar.
+func (startUpstreams) Run(ctx *Context) error {
+	for number := range engineCount {
+		engine := faker.NewEngine(faker.EngineSettings{
+			Name:                   engineName(number),
+			Incarnation:            "1",
+			MemoryBytes:            engineMemory,
+			PrefillTokensPerSecond: prefillRate,
+			DecodeTokensPerSecond:  decodeRate,
+			ReportLag:              reportLag,
+			ChecksFence:            true,
+			Store:                  ctx.Store.Address(),
+			Holds:                  heldBy(number),
+		})
+		if err := engine.Start(loopback); err != nil {
+			return err
+		}
+		ctx.started(engine)
+		ctx.Engines = append(ctx.Engines, engine)
+	}
+	ctx.Service = faker.NewService(faker.ServiceSettings{Name: calendar + "-1"})
+	if err := ctx.Service.Start(loopback); err != nil {
+		return err
+	}
+	ctx.started(ctx.Service)
+	return nil
+}
+
+// heldBy returns what an engine holds from the start: the first one has
+// everything.
+func heldBy(number int) []encoder.Weights {
+	if number == 0 {
+		return weights()
+	}
+	return nil
+}
+
+func engineName(number int) string {
+	return planning + "-" + string(rune('1'+number))
+}
+
+type startPlatform struct{}
+
+// String says what the step does.
+func (startPlatform) String() string { return "start the platform's list" }
+
+// Run lists the engines and the calendar.
+func (startPlatform) Run(ctx *Context) error {
+	var vms []encoder.VM
+	for number, engine := range ctx.Engines {
+		vms = append(vms, encoder.VM{
+			Name:             engineName(number),
+			Incarnation:      "1",
+			Address:          engine.Address(),
+			AvailabilityZone: zones[number%len(zones)],
+			Service:          planning,
+			Kind:             "engine",
+			State:            "live",
+			MemoryBytes:      engineMemory,
+			Accelerators:     1,
+			Slots:            faker.DefaultSlots,
+			ChecksFence:      true,
+		})
+	}
+	vms = append(vms, encoder.VM{
+		Name:             calendar + "-1",
+		Incarnation:      "1",
+		Address:          ctx.Service.Address(),
+		AvailabilityZone: zones[0],
+		Service:          calendar,
+		Kind:             "service",
+		State:            "live",
+	})
+	ctx.Platform = faker.NewPlatform(faker.PlatformSettings{VMs: vms})
+	if err := ctx.Platform.Start(loopback); err != nil {
+		return err
+	}
+	ctx.started(ctx.Platform)
+	return nil
+}
--- /dev/null
+++ b/demonstrator/requests.go
@@ -0,0 +1,214 @@
+package demonstrator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"burdocklink/encoder"
+)
+
+// AnswerError says that an answer is not what it must be.
+type AnswerError struct{ What string }
+
+// Error describes the answer.
+func (e *AnswerError) Error() string { return e.What }
+
+type listModels struct{}
+
+// String says what the step does.
+func (listModels) String() string { return "list models" }
+
+// Run asks the first entry.
+func (listModels) Run(ctx *Context) error {
+	body, err := ctx.call(0, http.MethodGet, encoder.PathModels, nil, nil)
+	if err != nil {
+		return err
+	}
+	return ctx.print("models: " + strings.TrimSpace(string(body)))
+}
+
+type streamChat struct{}
+
+// String says what the step does.
+func (streamChat) String() string { return "stream a chat" }
+
+// Run streams a chat through the first entry and demands the terminal event.
+func (streamChat) Run(ctx *Context) error {
+	request := encoder.ChatRequest{
+		Model:     baseModel,
+		Messages:  []encoder.ChatMessage{{Role: "user", Content: "Which fillings suit a summer wedding?"}},
+		Stream:    true,
+		MaxTokens: 12,
+	}
+	body, err := ctx.call(0, http.MethodPost, encoder.PathChat, request, nil)
+	if err != nil {
+		return err
+	}
+	text, whole := readStream(body)
+	if !whole {
+		return &AnswerError{What: "the stream has no terminal event"}
+	}
+	return ctx.print("chat, streamed by entry-1: " + text)
+}
+
+// readStream joins the text of a streamed answer and says whether its terminal
+// event came.
+func readStream(body []byte) (text string, whole bool) {
+	lines := bufio.NewScanner(strings.NewReader(string(body)))
+	var joined strings.Builder
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !found:
+		case data == encoder.StreamEnd:
+			whole = true
+		default:
+			joined.WriteString(deltaText(data))
+		}
+	}
+	return joined.String(), whole
+}
+
+func deltaText(data string) string {
+	var chunk encoder.ChatChunk
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Delta.Content
+}
+
+type completeAdapter struct{}
+
+// String says what the step does.
+func (completeAdapter) String() string { return "complete with an adapter" }
+
+// Run asks the second entry for a whole answer of an adapter.
+func (completeAdapter) Run(ctx *Context) error {
+	request := encoder.ChatRequest{Model: adapterName, Prompt: "A menu of three cakes:", MaxTokens: 8}
+	body, err := ctx.call(1, http.MethodPost, encoder.PathCompletions, request, nil)
+	if err != nil {
+		return err
+	}
+	return ctx.print("adapter, whole by entry-2: " + strings.TrimSpace(string(body)))
+}
+
+type bookOnce struct{}
+
+// String says what the step does.
+func (bookOnce) String() string { return "book once and send the booking again" }
+
+// Run books through the first entry and sends the same booking again through
+// the second one, which must give the first answer.
+func (bookOnce) Run(ctx *Context) error {
+	key := uuid.NewString()
+	header := http.Header{encoder.HeaderIdempotencyKey: {key}}
+	booking := map[string]string{"slot": "2027-06-05T10:00", "couple": "first-couple"}
+	path := "/services/" + calendar + "/bookings"
+	first, err := ctx.call(0, http.MethodPost, path, booking, header)
+	if err != nil {
+		return err
+	}
+	second, err := ctx.call(1, http.MethodPost, path, booking, header)
+	if err != nil {
+		return err
+	}
+	if string(first) != string(second) {
+		return &AnswerError{What: "the resend got another answer"}
+	}
+	runs, err := ctx.executions(key)
+	if err != nil {
+		return err
+	}
+	if runs != 1 {
+		return &AnswerError{What: "the booking ran " + strconv.Itoa(runs) + " times"}
+	}
+	return ctx.print("booking, sent through both entries, ran once: " + strings.TrimSpace(string(first)))
+}
+
+// executions counts how often the calendar ran the call with a key.
+func (c *Context) executions(key string) (int, error) {
+	response, err := http.Get("http://" + c.Service.Address() + encoder.PathRecord)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var record encoder.ServiceRecord
+	if err := json.NewDecoder(response.Body).Decode(&record); err != nil {
+		return 0, err
+	}
+	count := 0
+	for _, execution := range record.Calls {
+		if execution.IdempotencyKey == key {
+			count++
+		}
+	}
+	return count, nil
+}
+
+type showStatus struct{}
+
+// String says what the step does.
+func (showStatus) String() string { return "show the status" }
+
+// Run prints the revision and what each engine holds.
+func (showStatus) Run(ctx *Context) error {
+	limited, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	reply, err := ctx.Operator.Status(limited)
+	if err != nil {
+		return err
+	}
+	revision := strconv.FormatUint(reply.GetRevision(), 10)
+	if err := ctx.print("status: leader " + reply.GetLeader() + ", revision " + revision); err != nil {
+		return err
+	}
+	for _, upstream := range reply.GetUpstreams() {
+		held := strings.Join(append(upstream.GetModels(), upstream.GetAdapters()...), ", ")
+		if err := ctx.print("  " + upstream.GetName() + " holds: " + held); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// call sends a request to an entry and returns the body of a good answer.
+func (c *Context) call(entry int, method, path string, body any, header http.Header) ([]byte, error) {
+	var content io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, err
+		}
+		content = strings.NewReader(string(data))
+	}
+	url := "http://" + c.Entries[entry].Receiver.Address() + path
+	request, err := http.NewRequestWithContext(c, method, url, content)
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+c.SubscriberKey)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		return nil, &AnswerError{What: response.Status + " " + string(answer)}
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/demonstrator/system.go
@@ -0,0 +1,244 @@
+package demonstrator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+
+	"burdocklink/administrator"
+	"burdocklink/applier"
+	"burdocklink/assembler"
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+	"burdocklink/conductor"
+	"burdocklink/linker"
+	"burdocklink/orderer"
+	"burdocklink/receiver"
+)
+
+const (
+	memberCount = 1
+	entryCount  = 2
+	// lookInterval is the time between two looks at readiness.
+	lookInterval = 100 * time.Millisecond
+)
+
+type startControl struct{}
+
+// String says what the step does.
+func (startControl) String() string { return "start control members" }
+
+// Run starts the control members, each with a data folder.
+func (startControl) Run(ctx *Context) error {
+	members, err := newMembers()
+	if err != nil {
+		return err
+	}
+	for _, member := range members {
+		ctx.Control = append(ctx.Control, member.Address)
+		if err := startMember(ctx, member, members); err != nil {
+			return err
+		}
+	}
+	ctx.Operator = administrator.New(administrator.Settings{
+		Control: ctx.Control,
+		Links:   linker.New(nil),
+		Key:     ctx.OperatorKey,
+	})
+	return nil
+}
+
+func newMembers() ([]conductor.Member, error) {
+	var members []conductor.Member
+	for number := range memberCount {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, conductor.Member{
+			Name:    "control-" + string(rune('1'+number)),
+			Address: address,
+			Role:    conductor.Voter,
+		})
+	}
+	return members, nil
+}
+
+func startMember(ctx *Context, member conductor.Member, members []conductor.Member) error {
+	keys, err := ctx.keys()
+	if err != nil {
+		return err
+	}
+	control, err := assembler.NewControl(assembler.ControlSettings{
+		Member:   member,
+		Listen:   member.Address,
+		Folder:   filepath.Join(ctx.Folder, member.Name),
+		Peers:    members,
+		Platform: "http://" + ctx.Platform.Address(),
+		Store:    "http://" + ctx.Store.Address(),
+		Limits: orderer.StoreLimits{
+			LoadsPerSecond:    storeRate,
+			LoadsAtOnce:       storeAtOnce,
+			AdaptersInTransit: storeTransit,
+		},
+		Keys: keys,
+		Log:  ctx.Log,
+	})
+	if err != nil {
+		return err
+	}
+	ctx.Members = append(ctx.Members, control)
+	return ctx.kernel(control.Services)
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+type startEntries struct{}
+
+// String says what the step does.
+func (startEntries) String() string { return "start entries" }
+
+// Run starts entries that know each other.
+func (startEntries) Run(ctx *Context) error {
+	var addresses []string
+	for range entryCount {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		addresses = append(addresses, address)
+	}
+	for number := range entryCount {
+		if err := startEntry(ctx, number, addresses); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func startEntry(ctx *Context, number int, addresses []string) error {
+	keys, err := ctx.keys()
+	if err != nil {
+		return err
+	}
+	name := "entry-" + string(rune('1'+number))
+	zone := zones[number%len(zones)]
+	var peers []string
+	for other, address := range addresses {
+		if other != number {
+			peers = append(peers, address)
+		}
+	}
+	entry := assembler.NewEntry(assembler.EntrySettings{
+		Name:             name,
+		AvailabilityZone: zone,
+		PeerListen:       addresses[number],
+		Peers:            peers,
+		Control:          ctx.Control,
+		Callers:          receiver.Settings{Listen: loopback, Entry: name, AvailabilityZone: zone},
+		Keys:             keys,
+		Log:              ctx.Log,
+	})
+	ctx.Entries = append(ctx.Entries, entry)
+	return ctx.kernel(entry.Services)
+}
+
+type setClasses struct{}
+
+// String says what the step does.
+func (setClasses) String() string { return "set classes" }
+
+// Run sets three classes as an operator would.
+func (setClasses) Run(ctx *Context) error {
+	limited, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	_, err := ctx.Operator.Change(limited, uuid.NewString(), applier.AnyRevision, []cataloger.Change{
+		cataloger.PutClass{Class: classifier.Class{
+			Name: "interactive",
+			Target: classifier.Target{
+				FirstToken:    1500 * time.Millisecond,
+				BetweenTokens: 26 * time.Millisecond,
+			},
+		}},
+		cataloger.PutClass{Class: classifier.Class{
+			Name:   "lookup",
+			Target: classifier.Target{Whole: 2 * time.Second},
+		}},
+		cataloger.PutClass{Class: classifier.Class{
+			Name:            "action",
+			Target:          classifier.Target{Whole: 5 * time.Second},
+			RepeatForbidden: true,
+		}},
+	})
+	return err
+}
+
+type awaitReady struct{}
+
+// String says what the step does.
+func (awaitReady) String() string { return "wait until every model is held and every entry is ready" }
+
+// Run looks again and again until all is ready or the time is over.
+func (awaitReady) Run(ctx *Context) error {
+	limited, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		missing := ctx.missing()
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			return &NotReadyError{Missing: missing}
+		case <-ticker.C:
+		}
+	}
+}
+
+// missing names something that is not ready yet, or nothing.
+func (c *Context) missing() string {
+	for _, entry := range c.Entries {
+		if !answersReady(entry.Receiver.Address()) {
+			return "entry " + entry.Receiver.Address()
+		}
+		catalog := entry.Follower.Catalog()
+		for _, each := range weights() {
+			if len(catalog.Holders[each.Name]) == 0 {
+				return "a copy of " + each.Name
+			}
+		}
+		if _, set := catalog.Classes["action"]; !set {
+			return "the classes"
+		}
+	}
+	return ""
+}
+
+func answersReady(address string) bool {
+	response, err := http.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+// NotReadyError says what was not ready in time.
+type NotReadyError struct{ Missing string }
+
+// Error names what is missing.
+func (e *NotReadyError) Error() string { return "not ready in time: " + e.Missing }
