test(replicator): harass leaders in histories and show mechanisms red

Not red by histories: own-term entry before commit, before reads and before a membership change. Those get tests of their own.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -41,6 +41,7 @@
 type Core struct {
 	id     Identity
 	timing Timing
+	chunk  int
 	random *rand.Rand
 	start  time.Time
 	now    time.Time
@@ -87,6 +88,7 @@
 	c := &Core{
 		id:        settings.ID,
 		timing:    settings.Timing,
+		chunk:     settings.Chunk,
 		random:    rand.New(rand.NewPCG(settings.Seed, uint64(len(settings.ID.Disk)))),
 		start:     now,
 		now:       now,
@@ -96,6 +98,9 @@
 		applied:   settings.Snapshot.Index,
 		heard:     now,
 	}
+	if c.chunk == 0 {
+		c.chunk = StandardChunk
+	}
 	c.log.reset(settings.Snapshot.Index, settings.Snapshot.Term)
 	c.log.append(settings.Entries...)
 	c.log.synced = c.log.last()
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -164,6 +164,7 @@
 	n.core = replicator.New(replicator.Settings{
 		ID:       n.id,
 		Timing:   timing,
+		Chunk:    64,
 		Seed:     g.random.Uint64(),
 		Hard:     n.disk.hard,
 		Snapshot: n.disk.snapshot,
--- a/replicator/history_test.go
+++ b/replicator/history_test.go
@@ -77,9 +77,15 @@
 	if n.lost {
 		return
 	}
-	switch g.random.IntN(24) {
+	switch g.random.IntN(28) {
 	case 0, 1:
 		g.toggle(n)
+	case 24:
+		g.split()
+	case 25:
+		g.restartFollowers()
+	case 26, 27:
+		g.harassLeader(n)
 	case 2:
 		other := g.nodes[g.random.IntN(len(g.nodes))]
 		g.blocked[[2]replicator.Identity{n.id, other.id}] = true
@@ -119,7 +125,43 @@
 	}
 }
 
-// lead returns nodes that believe they lead, in a random order.
+// split cuts the group in two parts, and no node of either hears the other.
+func (g *group) split() {
+	clear(g.blocked)
+	sides := g.random.Uint64()
+	for i, n := range g.nodes {
+		for j, other := range g.nodes {
+			if sides>>i&1 != sides>>j&1 {
+				g.blocked[[2]replicator.Identity{n.id, other.id}] = true
+			}
+		}
+	}
+}
+
+// restartFollowers restarts at once those that do not lead, or some of them.
+func (g *group) restartFollowers() {
+	for _, n := range g.nodes {
+		if n.down || n.lost || n.status.Leading || g.random.IntN(4) == 0 {
+			continue
+		}
+		g.crash(n)
+		g.start(n)
+	}
+}
+
+// harassLeader freezes a leader for about a lease while another node does not
+// hear it.
+func (g *group) harassLeader(n *node) {
+	for _, leader := range g.leads() {
+		g.blocked[[2]replicator.Identity{leader.id, n.id}] = true
+		if g.random.IntN(2) == 0 {
+			g.run(g.now + g.upTo(timing.ElectionMax))
+			leader.frozenUntil = g.now + g.upTo(timing.ElectionMax)
+		}
+	}
+}
+
+// leads returns nodes that believe they lead, in a random order.
 func (g *group) leads() []*node {
 	var found []*node
 	for _, n := range g.nodes {
--- a/replicator/oracle_test.go
+++ b/replicator/oracle_test.go
@@ -133,5 +133,5 @@
 // snapshotData stands for the state after an index. It takes more than one
 // chunk.
 func snapshotData(index uint64) []byte {
-	return bytes.Repeat([]byte{byte(index), byte(index >> 8)}, 150<<10)
+	return bytes.Repeat([]byte{byte(index), byte(index >> 8)}, 70)
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -94,12 +94,18 @@
 	Lease time.Duration
 }
 
+// StandardChunk is the standard size of a snapshot's chunks in bytes.
+const StandardChunk = 256 << 10
+
 // Settings is what a Core starts from.
 type Settings struct {
 	ID     Identity
 	Timing Timing
 	// Seed makes election timeouts differ between members.
 	Seed uint64
+	// Chunk is the most bytes of a snapshot that one message carries; zero
+	// means StandardChunk.
+	Chunk int
 	// Hard, Snapshot and Entries are what the disk holds. Entries follow the
 	// snapshot without a gap.
 	Hard     HardState
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// chunkBytes is the most data one chunk carries.
-const chunkBytes = 256 << 10
-
 // outgoing is a snapshot on its way to a peer.
 type outgoing struct {
 	snapshot Snapshot
@@ -69,7 +66,7 @@
 	data := snapshot.Data
 	snapshot.Data = nil
 	from := p.outgoing.offset
-	to := min(len(data), from+chunkBytes)
+	to := min(len(data), from+c.chunk)
 	c.send(id, SnapshotChunk{
 		Snapshot: snapshot,
 		Offset:   from,
