--- /dev/null
+++ b/orderer/memory.go
@@ -0,0 +1,181 @@
+package orderer
+
+import (
+	"time"
+
+	"burdocklink/cataloger"
+)
+
+// weights identify what takes memory.
+type weights struct{ name, version string }
+
+// copies maps the weights that an upstream may hold to their bytes.
+type copies map[weights]int64
+
+// add counts weights at the most they were said to need.
+func (c copies) add(what weights, bytes int64) {
+	c[what] = max(c[what], bytes)
+}
+
+func (c copies) total() int64 {
+	var total int64
+	for _, bytes := range c {
+		total += bytes
+	}
+	return total
+}
+
+// possible returns all that the upstream could come to hold if every order
+// that may still be carried out were, and no unload.
+func (l *Ledger) possible(now time.Time, account *Account) copies {
+	all := copies{}
+	for _, held := range account.Held {
+		all.add(weights{held.Name, held.Version}, held.MemoryBytes)
+	}
+	for _, id := range account.Unsettled {
+		if what, bytes, loads := load(l.orders[id].Order.Work); loads {
+			all.add(what, bytes)
+		}
+	}
+	for _, late := range account.Late {
+		if late.Loads && now.Before(late.Until) {
+			all.add(weights{late.Name, late.Version}, late.MemoryBytes)
+		}
+	}
+	return all
+}
+
+// CountedBytes is the most accelerator memory that an upstream's models and
+// adapters could take.
+func (l *Ledger) CountedBytes(now time.Time, upstream string) int64 {
+	account, known := l.upstreams[upstream]
+	if !known {
+		return 0
+	}
+	return l.possible(now, account).total()
+}
+
+// load gives the weights and the size that a piece of work brings in.
+func load(work Work) (what weights, bytes int64, loads bool) {
+	switch work := work.(type) {
+	case LoadModel:
+		return weights{work.Model, work.Version}, work.MemoryBytes, true
+	case LoadAdapter:
+		return weights{work.Adapter, work.Version}, work.MemoryBytes, true
+	default:
+		return weights{}, 0, false
+	}
+}
+
+// unload gives the name that a piece of work takes out.
+func unload(work Work) (name string, unloads bool) {
+	switch work := work.(type) {
+	case UnloadModel:
+		return work.Model, true
+	case UnloadAdapter:
+		return work.Adapter, true
+	default:
+		return "", false
+	}
+}
+
+// subject is the name that a piece of work is about, empty for a role.
+func subject(work Work) string {
+	if what, _, loads := load(work); loads {
+		return what.name
+	}
+	name, _ := unload(work)
+	return name
+}
+
+// remember notes that a duplicate of the order may arrive until its NotAfter.
+func (a *Account) remember(order Order) {
+	what, bytes, loads := load(order.Work)
+	late := Late{
+		ID:          order.ID,
+		Name:        subject(order.Work),
+		Version:     what.version,
+		Loads:       loads,
+		MemoryBytes: bytes,
+		Until:       order.NotAfter.Add(ClockMargin),
+	}
+	if late.Name != "" {
+		a.Late = append(a.Late, late)
+	}
+}
+
+// prune drops what can no longer arrive.
+func (a *Account) prune(now time.Time) {
+	kept := a.Late[:0]
+	for _, late := range a.Late {
+		if now.Before(late.Until) {
+			kept = append(kept, late)
+		}
+	}
+	a.Late = kept
+}
+
+// supersede drops earlier orders that the upstream refuses from now on,
+// because it carried out a later one and checks fences.
+func (a *Account) supersede(id uint64) {
+	kept := a.Late[:0]
+	for _, late := range a.Late {
+		if late.ID >= id {
+			kept = append(kept, late)
+		}
+	}
+	a.Late = kept
+}
+
+// mayLose reports whether a late duplicate of an unload could take the name.
+func (a *Account) mayLose(now time.Time, name string) bool {
+	for _, late := range a.Late {
+		if !late.Loads && late.Name == name && now.Before(late.Until) {
+			return true
+		}
+	}
+	return false
+}
+
+// find returns what is held by a name.
+func (a *Account) find(name string) (Held, bool) {
+	for _, held := range a.Held {
+		if held.Name == name {
+			return held, true
+		}
+	}
+	return Held{}, false
+}
+
+func (a *Account) holds(name string) bool {
+	_, held := a.find(name)
+	return held
+}
+
+// Reserved gives, by upstream, the memory that neither the placement nor an
+// unsettled order accounts for and that must not be used yet. An upstream that
+// has not been observed is reserved whole.
+func (l *Ledger) Reserved(now time.Time, catalog *cataloger.Catalog) map[string]int64 {
+	reserved := map[string]int64{}
+	for name, upstream := range catalog.Upstreams {
+		if upstream.Kind != cataloger.EngineUpstream {
+			continue
+		}
+		account, known := l.upstreams[name]
+		if !known || !account.Observed {
+			reserved[name] = upstream.MemoryBytes
+			continue
+		}
+		if bytes := l.unaccounted(now, account); bytes > 0 {
+			reserved[name] = bytes
+		}
+	}
+	return reserved
+}
+
+// unaccounted is what late duplicates could add to what is held and loading.
+func (l *Ledger) unaccounted(now time.Time, account *Account) int64 {
+	settled := *account
+	settled.Late = nil
+	return l.possible(now, account).total() - l.possible(now, &settled).total()
+}
