feat(faker): natural ends of answers and usage events

Cause: the entry answers whole requests by streaming with usage asked for, and continues answers that have no max_tokens; a fixed default length would make the continuation too long.

An answer without max_tokens ends where the hash of its text says so, so that a continuation elsewhere ends at the same word.

--- a/encoder/stand_in.go
+++ b/encoder/stand_in.go
@@ -219,3 +219,27 @@
 	ID     string `json:"id"`
 	Object string `json:"object"`
 }
+
+// EngineRequest is a completion request as a stand-in engine reads it.
+type EngineRequest struct {
+	ChatRequest
+	StreamOptions StreamOptions `json:"stream_options"`
+}
+
+// StreamOptions are further wishes for a streamed answer.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// EngineChunk is an event or a whole answer with the tokens used.
+type EngineChunk struct {
+	ChatChunk
+	Usage *Usage `json:"usage,omitempty"`
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
--- a/faker/complete.go
+++ b/faker/complete.go
@@ -1,7 +1,6 @@
 package faker
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -14,15 +13,14 @@
 )
 
 const (
-	// defaultMaxTokens is the length of an answer without max_tokens.
-	defaultMaxTokens = 16
-	finishLength     = "length"
-	roleAssistant    = "assistant"
+	finishLength  = "length"
+	finishStop    = "stop"
+	roleAssistant = "assistant"
 )
 
 // complete runs a chat or plain completion.
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
-	var request encoder.ChatRequest
+	var request encoder.EngineRequest
 	if !read(w, r, &request) {
 		return
 	}
@@ -47,8 +45,8 @@
 }
 
 // newStream makes the stream of a request, with what the prefix cache saves.
-func (e *Engine) newStream(r *http.Request, request encoder.ChatRequest) *stream {
-	text := prompt(request)
+func (e *Engine) newStream(r *http.Request, request encoder.EngineRequest) *stream {
+	text := prompt(request.ChatRequest)
 	priority, _ := strconv.Atoi(r.Header.Get(encoder.HeaderPriority))
 	added := &stream{
 		id:           r.Header.Get(encoder.HeaderRequestID),
@@ -56,6 +54,8 @@
 		model:        request.Model,
 		priority:     priority,
 		limit:        request.MaxTokens,
+		natural:      request.MaxTokens <= 0,
+		usage:        request.StreamOptions.IncludeUsage,
 		started:      time.Now(),
 		source:       newGenerator(request.Model, text),
 		promptTokens: countTokens(text),
@@ -65,8 +65,8 @@
 	if added.id == "" {
 		added.id = uuid.NewString()
 	}
-	if added.limit <= 0 {
-		added.limit = defaultMaxTokens
+	if added.natural {
+		added.limit = mostTokens
 	}
 	added.cachedTokens = min(e.cache.visit(request.Model, text), added.promptTokens)
 	added.prefillLeft = float64(added.promptTokens - added.cachedTokens)
@@ -95,8 +95,8 @@
 }
 
 // whole is the body of an answer that is not streamed.
-func whole(from *stream, text string) encoder.ChatChunk {
-	choice := encoder.ChatChoice{FinishReason: finishLength}
+func whole(from *stream, text string) encoder.EngineChunk {
+	choice := encoder.ChatChoice{FinishReason: from.finish()}
 	object := "text_completion"
 	if from.path == encoder.PathChat {
 		object = "chat.completion"
@@ -104,33 +104,69 @@
 	} else {
 		choice.Text = text
 	}
-	return encoder.ChatChunk{
-		ID:      from.id,
-		Object:  object,
-		Model:   from.model,
-		Choices: []encoder.ChatChoice{choice},
+	return encoder.EngineChunk{
+		ChatChunk: encoder.ChatChunk{
+			ID:      from.id,
+			Object:  object,
+			Model:   from.model,
+			Choices: []encoder.ChatChoice{choice},
+		},
+		Usage: from.used(),
+	}
+}
+
+// finish is the reason why the answer ended.
+func (s *stream) finish() string {
+	if s.natural {
+		return finishStop
 	}
+	return finishLength
 }
 
-// event is the server-sent event of one token, counted from 1.
-func event(from *stream, number int, text string) []byte {
+// used counts the tokens of a request.
+func (s *stream) used() *encoder.Usage {
+	tokens, _, _ := s.after(0)
+	return &encoder.Usage{
+		PromptTokens:     s.promptTokens,
+		CompletionTokens: len(tokens),
+		TotalTokens:      s.promptTokens + len(tokens),
+	}
+}
+
+// tokenEvent is the server-sent event of one token, counted from 1.
+func tokenEvent(from *stream, number int, text string, last bool) []byte {
 	choice := encoder.ChatChoice{}
-	object := "text_completion"
 	if from.path == encoder.PathChat {
-		object = "chat.completion.chunk"
 		choice.Delta = encoder.ChatMessage{Role: roleAssistant, Content: text}
 	} else {
 		choice.Text = text
 	}
-	if number == from.limit {
-		choice.FinishReason = finishLength
+	if last {
+		choice.FinishReason = from.finish()
 	}
-	data, _ := json.Marshal(encoder.ChatChunk{
+	return event(number, encoder.EngineChunk{ChatChunk: chunk(from, choice)})
+}
+
+// usageEvent is the event after the last token with the tokens used.
+func usageEvent(from *stream, number int) []byte {
+	return event(number, encoder.EngineChunk{ChatChunk: chunk(from), Usage: from.used()})
+}
+
+func chunk(from *stream, choices ...encoder.ChatChoice) encoder.ChatChunk {
+	object := "text_completion"
+	if from.path == encoder.PathChat {
+		object = "chat.completion.chunk"
+	}
+	return encoder.ChatChunk{
 		ID:      from.id,
 		Object:  object,
 		Model:   from.model,
-		Choices: []encoder.ChatChoice{choice},
-	})
+		Choices: append([]encoder.ChatChoice{}, choices...),
+	}
+}
+
+func event(number int, value encoder.EngineChunk) []byte {
+	data, _ := json.Marshal(value)
 	line := make([]byte, 0, len(data)+24)
 	line = append(line, "id: "...)
 	line = strconv.AppendInt(line, int64(number), 10)
@@ -182,7 +218,7 @@
 	out.flush()
 	for {
 		tokens, state, changed := from.after(last)
-		if !out.write(from, last, tokens) {
+		if !out.write(from, last, tokens, state) {
 			return
 		}
 		last += len(tokens)
@@ -190,7 +226,7 @@
 			drop()
 		}
 		if state == streamDone {
-			out.end()
+			out.end(from, last)
 			return
 		}
 		select {
@@ -200,80 +236,3 @@
 		}
 	}
 }
-
-// eventWriter sends events to one reader, with the faults that are on.
-type eventWriter struct {
-	faults     *faults
-	connection uint64
-	ctx        context.Context
-	w          http.ResponseWriter
-	control    *http.ResponseController
-	sent       int
-	// held is an event kept back to swap it with the next one.
-	held []byte
-}
-
-// write sends tokens and says whether the reader is still there.
-func (o *eventWriter) write(from *stream, last int, tokens []string) bool {
-	for i, token := range tokens {
-		if !o.ready() {
-			return false
-		}
-		o.send(event(from, last+i+1, token))
-	}
-	o.flush()
-	return true
-}
-
-// ready waits while frozen, and for ever where the connection is silent.
-func (o *eventWriter) ready() bool {
-	if err := o.faults.wait(o.ctx); err != nil {
-		return false
-	}
-	if o.faults.silent(o.connection) {
-		o.flush()
-		<-o.ctx.Done()
-		return false
-	}
-	if o.faults.cut(o.sent) {
-		o.flush()
-		drop()
-	}
-	return true
-}
-
-// send writes one event, twice or in another order where a fault asks for it.
-func (o *eventWriter) send(line []byte) {
-	faults := o.faults.get()
-	o.sent++
-	if faults.ReorderEvents && o.held == nil {
-		o.held = line
-		return
-	}
-	_, _ = o.w.Write(line)
-	if faults.DuplicateEvents {
-		_, _ = o.w.Write(line)
-	}
-	o.release()
-}
-
-// release writes the event that was kept back.
-func (o *eventWriter) release() {
-	if o.held == nil {
-		return
-	}
-	_, _ = o.w.Write(o.held)
-	o.held = nil
-}
-
-// end writes the terminal event.
-func (o *eventWriter) end() {
-	if !o.ready() {
-		return
-	}
-	o.release()
-	_, _ = o.w.Write([]byte("data: " + encoder.StreamEnd + "\n\n"))
-	o.flush()
-}
-
-func (o *eventWriter) flush() { _ = o.control.Flush() }
--- a/faker/faker_test.go
+++ b/faker/faker_test.go
@@ -251,3 +251,19 @@
 
 	assert.Equal(t, readEvents(response.Body).text, faker.Text(chat(200), 200))
 }
+
+func TestAnswerWithoutLimitEndsByItsText(t *testing.T) {
+	_, url := startEngine(t, faker.EngineSettings{})
+	want, tokens := faker.Whole(chat(0))
+	given := faker.Text(chat(0), tokens/2)
+	request := chat(0)
+	request.Messages = append(request.Messages, encoder.ChatMessage{Role: "assistant", Content: given})
+	request.ContinueFinalMessage = true
+
+	first := readEvents(send(t, url+encoder.PathChat, "r1", chat(0)).Body)
+	rest := readEvents(send(t, url+encoder.PathChat, "r2", request).Body)
+
+	assert.Equal(t, first.text, want)
+	assert.Equal(t, given+rest.text, want)
+	assert.Equal(t, rest.whole, true)
+}
--- a/faker/stream.go
+++ b/faker/stream.go
@@ -27,7 +27,11 @@
 	path     string
 	model    string
 	priority int
-	limit    int
+	// limit is the number of tokens; natural answers end by their text before.
+	limit   int
+	natural bool
+	// usage asks for a last event with the tokens used.
+	usage    bool
 	started  time.Time
 	imported bool
 	// release is called once when the stream has ended.
@@ -53,13 +57,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for range count {
-		if len(s.tokens) >= s.limit {
+		if s.state != streamRunning {
 			break
 		}
 		s.tokens = append(s.tokens, s.source.next())
-	}
-	if len(s.tokens) >= s.limit {
-		s.state = streamDone
+		if len(s.tokens) >= s.limit || s.natural && s.source.ended() {
+			s.state = streamDone
+		}
 	}
 	s.notify()
 }
--- a/faker/text.go
+++ b/faker/text.go
@@ -23,6 +23,13 @@
 // bytesPerToken is the mean length by which prompts are measured.
 const bytesPerToken = 4
 
+const (
+	// meanTokens is the mean length of an answer without max_tokens.
+	meanTokens = 24
+	// mostTokens bounds an answer without max_tokens.
+	mostTokens = 4096
+)
+
 // hash extends a hash by text.
 func hash(state uint64, text string) uint64 {
 	for i := range len(text) {
@@ -47,6 +54,9 @@
 	return word
 }
 
+// ended says whether the text so far ends an answer without a limit.
+func (g *generator) ended() bool { return (g.state>>16)%meanTokens == 0 }
+
 // Text returns the first tokens of the answer to a request. It is what a
 // caller must have received.
 func Text(request encoder.ChatRequest, tokens int) string {
@@ -58,6 +68,21 @@
 	return text.String()
 }
 
+// Whole returns the whole answer to a request, and its number of tokens.
+func Whole(request encoder.ChatRequest) (string, int) {
+	if request.MaxTokens > 0 {
+		return Text(request, request.MaxTokens), request.MaxTokens
+	}
+	source := newGenerator(request.Model, prompt(request))
+	var text strings.Builder
+	for count := 1; ; count++ {
+		text.WriteString(source.next())
+		if count >= mostTokens || source.ended() {
+			return text.String(), count
+		}
+	}
+}
+
 // prompt flattens a request to the text that the answer follows.
 func prompt(request encoder.ChatRequest) string {
 	if len(request.Messages) == 0 {
