--- /dev/null
+++ b/prover/fleet_test.go
@@ -0,0 +1,297 @@
+package prover_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+	"burdocklink/prover"
+)
+
+// promised are the times that the fleet is judged by.
+var promised = prover.Limits{
+	Leave:   10 * time.Second,
+	InForce: 10 * time.Second,
+	Restore: testEnd,
+}
+
+// client asks stand-ins and entries' probes.
+var client = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// fleet is a whole system of processes with its stand-ins.
+type fleet struct {
+	t        *testing.T
+	folder   string
+	weights  []encoder.Weights
+	platform string
+	store    string
+	engines  []*upstream
+	services []*upstream
+	members  []*member
+	entries  []*entry
+
+	mu      sync.Mutex
+	records []prover.Record
+	numbers int
+}
+
+// upstream is a stand-in engine or service, with a proxy before it.
+type upstream struct {
+	process *process
+	link    *link
+	address string
+	vm      encoder.VM
+	left    time.Time
+}
+
+// member is a control member, with a proxy before it.
+type member struct {
+	process *process
+	link    *link
+	name    string
+	folder  string
+}
+
+// newFleet starts the platform and the store.
+func newFleet(t *testing.T, weights ...encoder.Weights) *fleet {
+	t.Helper()
+	f := &fleet{t: t, folder: t.TempDir(), weights: weights}
+	file := f.write("weights.json", weights)
+	f.platform = start(t, "platform", "stand-in", "platform").address(t)
+	f.store = start(t, "store", "stand-in", "store", "--weights", file,
+		"--store-loads-per-second", "100", "--model-time", "50ms", "--adapter-time", "10ms").address(t)
+	return f
+}
+
+// write puts a value into a JSON file.
+func (f *fleet) write(name string, value any) string {
+	data, err := json.Marshal(value)
+	assert.NilError(f.t, err)
+	path := filepath.Join(f.folder, name)
+	assert.NilError(f.t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+// number returns a new number for names.
+func (f *fleet) number() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.numbers++
+	return f.numbers
+}
+
+// see adds records.
+func (f *fleet) see(records ...prover.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = append(f.records, records...)
+}
+
+// addEngine starts an engine and lists it.
+func (f *fleet) addEngine(name string, memory int64, flags ...string) *upstream {
+	f.t.Helper()
+	incarnation := fmt.Sprintf("%s-%d", name, f.number())
+	arguments := append([]string{"stand-in", "engine", "--name", name, "--incarnation", incarnation,
+		"--memory-bytes", fmt.Sprint(memory), "--store", f.store, "--decode-tokens-per-second", "200"}, flags...)
+	added := &upstream{vm: encoder.VM{
+		Name:         name,
+		Incarnation:  incarnation,
+		Service:      "models",
+		Kind:         "engine",
+		MemoryBytes:  memory,
+		Accelerators: 1,
+		Slots:        16,
+		ChecksFence:  strings.Contains(strings.Join(flags, " "), "--checks-fence"),
+	}}
+	f.list(added, arguments)
+	f.engines = append(f.engines, added)
+	return added
+}
+
+// addService starts a plain service and lists it.
+func (f *fleet) addService(name string, flags ...string) *upstream {
+	f.t.Helper()
+	added := &upstream{vm: encoder.VM{
+		Name:        name,
+		Incarnation: fmt.Sprintf("%s-%d", name, f.number()),
+		Service:     "naptar",
+		Kind:        "service",
+	}}
+	f.list(added, append([]string{"stand-in", "service", "--name", name}, flags...))
+	f.services = append(f.services, added)
+	return added
+}
+
+// list starts an upstream and puts it into the platform's list.
+func (f *fleet) list(added *upstream, arguments []string) {
+	f.t.Helper()
+	added.process = start(f.t, added.vm.Name, arguments...)
+	added.address = added.process.address(f.t)
+	added.link = newLink(f.t, added.address)
+	added.vm.Address = added.link.listen
+	added.vm.AvailabilityZone = "bp-a"
+	added.vm.State = "live"
+	post(f.t, f.platform, encoder.PathVMs, added.vm)
+}
+
+// leave lets the platform say that an upstream leaves.
+func (f *fleet) leave(leaving *upstream) {
+	f.t.Helper()
+	post(f.t, f.platform, encoder.PathVMs+"/"+leaving.vm.Name+"/leave", nil)
+	f.see(prover.Leaving{
+		At:          time.Now(),
+		Upstream:    leaving.vm.Name,
+		Incarnation: leaving.vm.Incarnation,
+	})
+}
+
+// lose kills an upstream after its record was read, and takes it off the list.
+func (f *fleet) lose(lost *upstream) {
+	f.t.Helper()
+	held := f.harvestEngine(lost)
+	f.see(prover.Lost{At: time.Now(), Upstream: lost.vm.Name, Held: held})
+	lost.process.kill()
+	request, err := http.NewRequest(http.MethodDelete, "http://"+f.platform+encoder.PathVMs+"/"+lost.vm.Name, nil)
+	assert.NilError(f.t, err)
+	response, err := client.Do(request)
+	assert.NilError(f.t, err)
+	_ = response.Body.Close()
+}
+
+// addMembers starts a group of control members.
+func (f *fleet) addMembers(names ...string) {
+	f.t.Helper()
+	var list []string
+	for _, name := range names {
+		address := freeAddress(f.t)
+		added := &member{
+			name:   name,
+			folder: filepath.Join(f.folder, name),
+			link:   newLink(f.t, address),
+		}
+		list = append(list, name+"="+added.link.listen)
+		f.members = append(f.members, added)
+	}
+	for _, each := range f.members {
+		f.startMember(each, "--members", strings.Join(list, ","))
+	}
+}
+
+// startMember starts one member behind its proxy.
+func (f *fleet) startMember(each *member, flags ...string) {
+	f.t.Helper()
+	arguments := append([]string{"control", "--name", each.name,
+		"--listen", each.link.proxy.Upstream, "--advertise", each.link.listen,
+		"--data", each.folder,
+		"--platform", "http://" + f.platform, "--store", "http://" + f.store,
+		"--store-loads-per-second", "100", "--store-loads-at-once", "50"}, flags...)
+	each.process = start(f.t, each.name, arguments...)
+}
+
+// control lists the members' addresses.
+func (f *fleet) control() string {
+	var list []string
+	for _, each := range f.members {
+		list = append(list, each.link.listen)
+	}
+	return strings.Join(list, ",")
+}
+
+// post sends a value to a stand-in.
+func post(t *testing.T, address, path string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	assert.NilError(t, err)
+	response, err := client.Post("http://"+address+path, "application/json", strings.NewReader(string(data)))
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, http.StatusNoContent)
+}
+
+// get reads a value from a stand-in.
+func get(address, path string, into any) error {
+	response, err := client.Get("http://" + address + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// harvestEngine records what an engine ran and returns what it holds.
+func (f *fleet) harvestEngine(from *upstream) []string {
+	var record encoder.EngineRecord
+	if get(from.address, encoder.PathRecord, &record) != nil {
+		return nil
+	}
+	f.see(prover.Memory{
+		Upstream:    record.Upstream,
+		Incarnation: record.Incarnation,
+		UsedBytes:   record.MostUsedBytes,
+		MemoryBytes: record.MemoryBytes,
+	})
+	for _, run := range record.Runs {
+		f.see(prover.Ran{
+			Upstream:    record.Upstream,
+			Incarnation: record.Incarnation,
+			Request:     requestOf(run.RequestID),
+			At:          run.Started,
+		})
+	}
+	return append(record.Models, record.Adapters...)
+}
+
+// harvestService records what a service ran.
+func (f *fleet) harvestService(from *upstream) {
+	var record encoder.ServiceRecord
+	if get(from.address, encoder.PathRecord, &record) != nil {
+		f.t.Errorf("%s: no record", from.vm.Name)
+	}
+	for _, call := range record.Calls {
+		f.see(prover.Ran{
+			Upstream:        record.Upstream,
+			Incarnation:     from.vm.Incarnation,
+			Request:         requestOf(call.RequestID),
+			Subscriber:      subscriberName,
+			Key:             call.IdempotencyKey,
+			RepeatForbidden: call.Method == http.MethodPost,
+			At:              call.Ran,
+		})
+	}
+}
+
+// attemptBytes is the length of what the entry adds to a request's identity
+// for each attempt.
+const attemptBytes = len("-00000000-0000-0000-0000-000000000000")
+
+// requestOf returns the caller's identity of an attempt.
+func requestOf(attempt string) string {
+	return attempt[:max(0, len(attempt)-attemptBytes)]
+}
+
+// judge reads all records and fails the test for each broken promise.
+func (f *fleet) judge() {
+	f.t.Helper()
+	for _, engine := range f.engines {
+		if !engine.process.dead() {
+			f.harvestEngine(engine)
+		}
+	}
+	for _, service := range f.services {
+		f.harvestService(service)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, violation := range prover.Check(f.records, promised) {
+		f.t.Errorf("broken promise: %s", violation)
+	}
+}
--- /dev/null
+++ b/prover/operator_test.go
@@ -0,0 +1,85 @@
+package prover_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os/exec"
+	"strconv"
+	"time"
+
+	"burdocklink/encoder"
+	"burdocklink/prover"
+)
+
+// Exit codes of the operators' commands.
+const (
+	exitDone     = 0
+	exitConflict = 3
+	exitNoAnswer = 5
+)
+
+// operate runs an operators' command and returns its output and exit code.
+func (f *fleet) operate(arguments ...string) ([]byte, int) {
+	arguments = append(arguments, "--control", f.control(), "--output", "json")
+	command := exec.Command(binary, arguments...)
+	var out, errOut bytes.Buffer
+	command.Stdout, command.Stderr = &out, &errOut
+	_ = command.Run()
+	if code := command.ProcessState.ExitCode(); code != exitDone {
+		f.t.Logf("%v: exit %d: %s", arguments, code, errOut.String())
+		return out.Bytes(), code
+	}
+	return out.Bytes(), exitDone
+}
+
+// change is an operator's change of a class.
+type change struct {
+	class   string
+	request string
+	// based is the revision the change is made on, zero for the current one.
+	based uint64
+	flags []string
+}
+
+// set makes a change once, records it where it was accepted and returns the
+// exit code.
+func (f *fleet) set(wanted change) (encoder.AcceptedPage, int) {
+	arguments := append([]string{"class", "set", wanted.class, "--request", wanted.request}, wanted.flags...)
+	based := uint64(prover.Unbased)
+	if wanted.based > 0 {
+		based = wanted.based
+		arguments = append(arguments, "--based", strconv.FormatUint(wanted.based, 10))
+	}
+	out, code := f.operate(arguments...)
+	var page encoder.AcceptedPage
+	if code != exitDone || json.Unmarshal(out, &page) != nil {
+		return page, code
+	}
+	f.see(prover.Accepted{
+		At:       time.Now(),
+		Operator: "operator",
+		Request:  wanted.request,
+		Based:    based,
+		Revision: page.Revision,
+	})
+	return page, code
+}
+
+// mustSet sends a change again until it is accepted.
+func (f *fleet) mustSet(wanted change) encoder.AcceptedPage {
+	f.t.Helper()
+	var page encoder.AcceptedPage
+	eventually(f.t, "class "+wanted.class+" is accepted", func() bool {
+		accepted, code := f.set(wanted)
+		page = accepted
+		return code == exitDone
+	})
+	return page
+}
+
+// status reads the state as operators see it.
+func (f *fleet) status() (encoder.StatusPage, bool) {
+	out, code := f.operate("status")
+	var page encoder.StatusPage
+	return page, code == exitDone && json.Unmarshal(out, &page) == nil
+}
--- /dev/null
+++ b/prover/process_test.go
@@ -0,0 +1,154 @@
+package prover_test
+
+import (
+	"bytes"
+	"net"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// testEnd is the generous end of every wait for a condition.
+	testEnd = 60 * time.Second
+	// testPause is the time between two looks at a condition.
+	testPause = 20 * time.Millisecond
+)
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	end := time.Now().Add(testEnd)
+	for !condition() {
+		if time.Now().After(end) {
+			t.Fatalf("never came about: %s", what)
+		}
+		time.Sleep(testPause)
+	}
+}
+
+// output collects what a process prints.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(data []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(data)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// process is one started program.
+type process struct {
+	name      string
+	arguments []string
+	command   *exec.Cmd
+	output    *output
+	ended     chan struct{}
+}
+
+// start runs the program and ends it with the test.
+func start(t *testing.T, name string, arguments ...string) *process {
+	t.Helper()
+	p := &process{name: name, arguments: arguments, output: &output{}}
+	t.Cleanup(func() { p.report(t) })
+	p.begin(t)
+	return p
+}
+
+// begin starts the program anew, with the same arguments.
+func (p *process) begin(t *testing.T) {
+	t.Helper()
+	p.command = exec.Command(binary, p.arguments...)
+	p.command.Stdout = p.output
+	p.command.Stderr = p.output
+	p.ended = make(chan struct{})
+	assert.NilError(t, p.command.Start())
+	go p.runWait(p.command, p.ended)
+}
+
+func (p *process) runWait(command *exec.Cmd, ended chan<- struct{}) {
+	_ = command.Wait()
+	close(ended)
+}
+
+// signal sends a signal to the process, and to no other.
+func (p *process) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// stopped waits for the process to end by itself and returns its exit code.
+func (p *process) stopped(t *testing.T) int {
+	t.Helper()
+	eventually(t, p.name+" ends", p.dead)
+	return p.command.ProcessState.ExitCode()
+}
+
+func (p *process) dead() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// report ends the process and prints what it said if the test failed.
+func (p *process) report(t *testing.T) {
+	p.signal(syscall.SIGCONT)
+	p.kill()
+	if strings.Contains(p.output.String(), "DATA RACE") {
+		t.Errorf("%s: data race", p.name)
+	}
+	if t.Failed() {
+		t.Logf("%s %s:\n%s", p.name, strings.Join(p.arguments, " "), last(p.output.String()))
+	}
+}
+
+// last cuts a long text to its end.
+func last(text string) string {
+	const most = 6000
+	return text[max(0, len(text)-most):]
+}
+
+// address waits for the line that says where the process listens.
+func (p *process) address(t *testing.T) string {
+	t.Helper()
+	const mark = "listening "
+	found := ""
+	eventually(t, p.name+" listens", func() bool {
+		for line := range strings.Lines(p.output.String()) {
+			if text, ok := strings.CutPrefix(strings.TrimSpace(line), mark); ok {
+				found = text
+			}
+		}
+		return found != "" || p.dead()
+	})
+	assert.Assert(t, found != "", "%s ended", p.name)
+	return found
+}
+
+// freeAddress returns an address that nothing listens on now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
