fix(receiver): pass empty answers of services as they are

Cause: iris answers by status code in place of an empty 4xx or 5xx body, so that a service's empty 404 reached the caller as 'unknown-path, not-run' although the call ran.

--- a/receiver/routes.go
+++ b/receiver/routes.go
@@ -25,7 +25,7 @@
 		iris.WithoutStartupLog,
 		iris.WithoutInterruptHandler,
 		iris.WithoutPathCorrection,
-		iris.WithFireMethodNotAllowed,
+		iris.WithoutAutoFireStatusCode,
 	)
 	app.Get(pathHealth, r.probe(r.answerHealth))
 	app.Get(pathReady, r.probe(r.answerReady))
@@ -36,8 +36,10 @@
 	services := r.handle(authenticator.RoleSubscriber, r.answerService)
 	app.Any(pathServices+"{name:string}", services)
 	app.Any(pathServices+"{name:string}/{rest:path}", services)
-	app.OnErrorCode(http.StatusNotFound, r.probe(r.answerNoPath))
-	app.OnErrorCode(http.StatusMethodNotAllowed, r.probe(r.answerNoMethod))
+	// iris would put its own answer in place of a service's empty one, so that
+	// it must not answer by status codes at all
+	app.Any("/", r.probe(r.answerNoPath))
+	app.Any("/{rest:path}", r.probe(r.answerNoPath))
 	return app, app.Build()
 }
 
@@ -86,9 +88,10 @@
 }
 
 func (r *Receiver) answerNoPath(x *exchange) error {
-	return &UnknownPathError{Path: x.r.URL.Path}
-}
-
-func (r *Receiver) answerNoMethod(x *exchange) error {
-	return &MethodNotAllowedError{Method: x.r.Method}
+	switch x.r.URL.Path {
+	case pathHealth, pathReady, pathMetrics, encoder.PathModels, encoder.PathChat, encoder.PathCompletions:
+		return &MethodNotAllowedError{Method: x.r.Method}
+	default:
+		return &UnknownPathError{Path: x.r.URL.Path}
+	}
 }
