--- /dev/null
+++ b/experimenter/call.go
@@ -0,0 +1,61 @@
+package experimenter
+
+import (
+	"time"
+
+	"burdocklink/admitter"
+)
+
+// call is one request on its way.
+type call struct {
+	planned
+	entry   *entry
+	first   time.Time
+	ended   time.Time
+	outcome outcome
+	// retries counts the attempts after the first.
+	retries int
+	avoid   []string
+	// decided counts final answers; it must be one at the end.
+	decided int
+}
+
+// outcome is how a request ended for its caller.
+type outcome int
+
+const (
+	pending outcome = iota
+	finished
+	hopeless
+	overloaded
+	noUpstream
+	failed
+)
+
+// attempt is one dispatch of a call.
+type attempt struct {
+	call   *call
+	server *server
+	id     uint64
+	// grant is nil under a policy without admission.
+	grant *admitter.Grant
+}
+
+// met says whether the class target was met.
+func (c *call) met() bool {
+	if c.outcome != finished {
+		return false
+	}
+	target := c.request.Class.Target
+	if target.FirstToken > 0 && c.first.Sub(c.request.Arrived) > target.FirstToken {
+		return false
+	}
+	if target.Whole > 0 && c.ended.Sub(c.request.Arrived) > target.Whole {
+		return false
+	}
+	if target.BetweenTokens > 0 && c.answerTokens > 1 {
+		gap := c.ended.Sub(c.first) / time.Duration(c.answerTokens-1)
+		return gap <= target.BetweenTokens
+	}
+	return true
+}
--- /dev/null
+++ b/experimenter/store.go
@@ -0,0 +1,59 @@
+package experimenter
+
+import (
+	"time"
+
+	"burdocklink/orderer"
+)
+
+// store is the weight store and the network behind it. Loads beyond what it
+// carries at once take proportionally longer.
+type store struct {
+	limits         orderer.StoreLimits
+	bytesPerSecond float64
+	// speed is one, less while the store is slow.
+	speed    float64
+	loads    int
+	adapters int
+	next     time.Time
+}
+
+// startTime of every load beside the transfer, and of an unload.
+const (
+	startTime  = 300 * time.Millisecond
+	unloadTime = 300 * time.Millisecond
+)
+
+// begin returns how long an order takes.
+func (s *store) begin(now time.Time, work orderer.Work) time.Duration {
+	switch work := work.(type) {
+	case orderer.LoadModel:
+		return s.load(now, work.MemoryBytes)
+	case orderer.LoadAdapter:
+		s.adapters++
+		stretch := max(1, float64(s.adapters)/float64(max(1, s.limits.AdaptersInTransit)))
+		return time.Duration(stretch * float64(s.load(now, work.MemoryBytes)))
+	default:
+		return unloadTime
+	}
+}
+
+func (s *store) load(now time.Time, bytes int64) time.Duration {
+	s.loads++
+	wait := max(0, s.next.Sub(now))
+	s.next = now.Add(wait + time.Duration(float64(time.Second)/s.limits.LoadsPerSecond))
+	stretch := max(1, float64(s.loads)/float64(max(1, s.limits.LoadsAtOnce)))
+	transfer := stretch * float64(bytes) / (s.bytesPerSecond * s.speed)
+	return wait + startTime + time.Duration(transfer*float64(time.Second))
+}
+
+// end counts an order as done.
+func (s *store) end(work orderer.Work) {
+	switch work.(type) {
+	case orderer.LoadModel:
+		s.loads--
+	case orderer.LoadAdapter:
+		s.loads--
+		s.adapters--
+	}
+}
