--- a/assembler/control.go
+++ b/assembler/control.go
@@ -12,7 +12,9 @@
 	"burdocklink/encoder"
 	"burdocklink/orderer"
 	"burdocklink/placer"
+	"burdocklink/prober"
 	"burdocklink/registrar"
+	"burdocklink/reporter"
 	"burdocklink/responder"
 	"burdocklink/supervisor"
 	"burdocklink/watcher"
@@ -23,6 +25,8 @@
 	Member conductor.Member
 	// Listen is the IP address and port of the gRPC service.
 	Listen string
+	// HealthListen is the IP address and port of health and metrics.
+	HealthListen string
 	// Folder is the data folder; empty keeps the state in memory.
 	Folder string
 	// Peers are the first members, this one among them.
@@ -51,6 +55,7 @@
 
 // NewControl puts a control member together.
 func NewControl(settings ControlSettings) (*ControlMember, error) {
+	metrics := reporter.New(reporter.Settings{})
 	member, err := conductor.New(conductor.Config{
 		Name:        settings.Member.Name,
 		Address:     settings.Member.Address,
@@ -58,6 +63,7 @@
 		Peers:       settings.Peers,
 		Credentials: settings.ClientCredentials,
 		Codec:       codec(),
+		Metrics:     metrics.Registry(),
 		Log:         settings.Log,
 		Fatal:       settings.Fatal,
 	})
@@ -85,13 +91,33 @@
 		Limits:   settings.Limits,
 		Log:      settings.Log,
 	})
+	health := prober.New(prober.Settings{
+		Listen:   settings.HealthListen,
+		Ready:    func() error { return hasLeader(member) },
+		Reporter: metrics,
+		Log:      settings.Log,
+	})
 	return &ControlMember{
 		Conductor: member,
 		Responder: answers,
-		Services:  []registrar.Service{settings.Keys, member, answers, lists, duties},
+		Services:  []registrar.Service{settings.Keys, member, answers, lists, duties, health},
 	}, nil
 }
 
+// hasLeader returns nil while the member knows a leader.
+func hasLeader(member *conductor.Conductor) error {
+	if member.Status().Leader == "" {
+		return &NoLeaderError{}
+	}
+	return nil
+}
+
+// NoLeaderError says that the member knows no leader.
+type NoLeaderError struct{}
+
+// Error describes the state.
+func (e *NoLeaderError) Error() string { return "no leader is known" }
+
 // planner is the placement policy in force.
 type planner struct{}
 
--- a/cmd/control.go
+++ b/cmd/control.go
@@ -24,6 +24,11 @@
 		Name:  "advertise",
 		Usage: "address at which others reach this member; the listen address where none is given",
 	}
+	healthListen = checker.Definition{
+		Name:    "health-listen",
+		Default: "127.0.0.1:7401",
+		Usage:   "IP address and port for health, readiness and metrics",
+	}
 	dataFolder = checker.Definition{
 		Name:  "data",
 		Usage: "data folder on a disk; without one the member is alone and keeps its state in memory",
@@ -64,7 +69,7 @@
 	return command{
 		name:  "control",
 		usage: "run a control member",
-		settings: append(tlsSettings(), memberName, controlListen, controlAdvertise, dataFolder,
+		settings: append(tlsSettings(), memberName, controlListen, controlAdvertise, healthListen, dataFolder,
 			keysFile, memberList, platformURL, storeURL, storeRate, storeAtOnce, storeTransit,
 			drainTime, checkSettings),
 		run: runControl,
@@ -73,10 +78,11 @@
 
 func readControlSettings(settings *checker.Reader) assembler.ControlSettings {
 	read := assembler.ControlSettings{
-		Listen:   settings.Address(controlListen.Name),
-		Folder:   settings.Text(dataFolder.Name),
-		Platform: settings.Required(platformURL.Name),
-		Store:    settings.Required(storeURL.Name),
+		Listen:       settings.Address(controlListen.Name),
+		HealthListen: settings.Address(healthListen.Name),
+		Folder:       settings.Text(dataFolder.Name),
+		Platform:     settings.Required(platformURL.Name),
+		Store:        settings.Required(storeURL.Name),
 		Limits: orderer.StoreLimits{
 			LoadsPerSecond:    settings.Rate(storeRate.Name),
 			LoadsAtOnce:       settings.Count(storeAtOnce.Name, 1, mostLoads),
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -74,12 +74,13 @@
 		return err
 	}
 	control, err := assembler.NewControl(assembler.ControlSettings{
-		Member:   member,
-		Listen:   member.Address,
-		Folder:   filepath.Join(ctx.Folder, member.Name),
-		Peers:    members,
-		Platform: "http://" + ctx.Platform.Address(),
-		Store:    "http://" + ctx.Store.Address(),
+		Member:       member,
+		Listen:       member.Address,
+		HealthListen: loopback,
+		Folder:       filepath.Join(ctx.Folder, member.Name),
+		Peers:        members,
+		Platform:     "http://" + ctx.Platform.Address(),
+		Store:        "http://" + ctx.Store.Address(),
 		Limits: orderer.StoreLimits{
 			LoadsPerSecond:    storeRate,
 			LoadsAtOnce:       storeAtOnce,
--- /dev/null
+++ b/prober/prober.go
@@ -0,0 +1,121 @@
+// Package prober serves health, readiness and metrics of a control member over
+// HTTP.
+package prober
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/registrar"
+	"burdocklink/reporter"
+)
+
+// Name is the service's name in the kernel.
+const Name = "prober"
+
+// Times of a request.
+const (
+	headerLimit = 5 * time.Second
+	writeLimit  = 20 * time.Second
+)
+
+// Settings are what a prober needs.
+type Settings struct {
+	// Listen is the IP address and port for HTTP.
+	Listen string
+	// Ready returns why the member is of no use at present, or nil.
+	Ready    func() error
+	Reporter *reporter.Reporter
+	Log      *zap.Logger
+}
+
+// Prober is the HTTP service.
+type Prober struct {
+	settings Settings
+	server   *http.Server
+	listener net.Listener
+}
+
+// New returns a prober that has not started.
+func New(settings Settings) *Prober {
+	p := &Prober{settings: settings}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", p.answerHealth)
+	mux.HandleFunc("GET /readyz", p.answerReady)
+	mux.HandleFunc("GET /metrics", p.answerMetrics)
+	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit, WriteTimeout: writeLimit}
+	return p
+}
+
+// String names the service.
+func (p *Prober) String() string { return Name }
+
+// Address returns the address that the prober listens at.
+func (p *Prober) Address() string { return p.listener.Addr().String() }
+
+// Start listens and serves.
+func (p *Prober) Start(context.Context, *registrar.Registrar) error {
+	listener, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return &ListenError{Address: p.settings.Listen, Cause: err}
+	}
+	p.listener = listener
+	go p.run()
+	return nil
+}
+
+// Stop waits for requests in flight until the deadline.
+func (p *Prober) Stop(deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return p.server.Shutdown(ctx)
+}
+
+func (p *Prober) run() {
+	if err := p.server.Serve(p.listener); err != http.ErrServerClosed {
+		p.settings.Log.Warn("health service ended", zap.Error(err))
+	}
+}
+
+func (p *Prober) answerHealth(response http.ResponseWriter, _ *http.Request) {
+	p.answer(response, http.StatusOK, "alive\n")
+}
+
+func (p *Prober) answerReady(response http.ResponseWriter, _ *http.Request) {
+	if err := p.settings.Ready(); err != nil {
+		p.answer(response, http.StatusServiceUnavailable, err.Error()+"\n")
+		return
+	}
+	p.answer(response, http.StatusOK, "ready\n")
+}
+
+func (p *Prober) answerMetrics(response http.ResponseWriter, _ *http.Request) {
+	response.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if err := p.settings.Reporter.WriteText(response); err != nil {
+		p.settings.Log.Debug("metrics not read to the end", zap.Error(err))
+	}
+}
+
+func (p *Prober) answer(response http.ResponseWriter, status int, text string) {
+	response.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	response.WriteHeader(status)
+	if _, err := response.Write([]byte(text)); err != nil {
+		p.settings.Log.Debug("answer not read", zap.Error(err))
+	}
+}
+
+// ListenError says that an address can't be listened at.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error describes the address.
+func (e *ListenError) Error() string { return "listen at " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
