--- /dev/null
+++ b/applier/history_claim_test.go
@@ -0,0 +1,159 @@
+package applier_test
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"burdocklink/applier"
+	"burdocklink/claimer"
+)
+
+// holder is one call of an entry. It may pause for any time before it
+// dispatches, and after its grant does not look at the clock again.
+type holder struct {
+	open     claimer.Open
+	granted  bool
+	released bool
+	ran      bool
+}
+
+// claimOracle knows what became of each request in truth.
+type claimOracle struct {
+	w       *world
+	runs    map[claimer.Key]int
+	answers map[claimer.Key]string
+	unknown map[claimer.Key]bool
+	// notRun are attempts whose callers were told that they did not run.
+	notRun  map[string]bool
+	issued  map[claimer.Key]time.Time
+	holders []*holder
+	calls   int
+}
+
+func newClaimOracle(w *world) *claimOracle {
+	return &claimOracle{
+		w:       w,
+		runs:    map[claimer.Key]int{},
+		answers: map[claimer.Key]string{},
+		unknown: map[claimer.Key]bool{},
+		notRun:  map[string]bool{},
+		issued:  map[claimer.Key]time.Time{},
+	}
+}
+
+func (o *claimOracle) act() {
+	switch o.w.rand.IntN(6) {
+	case 0, 1:
+		o.call()
+	case 2:
+		o.w.propose(applier.Claim{Event: claimer.Expire{}}, nil)
+	default:
+		o.proceed()
+	}
+}
+
+// call sends a request, maybe again, through any entry.
+func (o *claimOracle) call() {
+	key := claimer.Key{Subscriber: "s" + strconv.Itoa(o.w.rand.IntN(2)), Name: strconv.Itoa(o.w.rand.IntN(3))}
+	if _, known := o.issued[key]; !known {
+		o.issued[key] = o.w.now
+	}
+	o.calls++
+	h := &holder{open: claimer.Open{
+		Key:      key,
+		Digest:   [32]byte{1},
+		Attempt:  strconv.Itoa(o.calls),
+		Entry:    "entry",
+		Deadline: o.w.now.Add(time.Duration(1+o.w.rand.IntN(30)) * time.Second),
+		Issued:   o.issued[key],
+	}}
+	if o.w.chance(20) {
+		h.open.Digest = [32]byte{2}
+	}
+	o.holders = append(o.holders, h)
+	o.w.propose(applier.Claim{Event: h.open}, func(result applier.Result) {
+		if _, granted := result.(applier.ClaimResult).Result.(claimer.Granted); granted && !h.released {
+			h.granted = true
+		}
+	})
+}
+
+// proceed lets one holder do its next thing.
+func (o *claimOracle) proceed() {
+	if len(o.holders) == 0 {
+		return
+	}
+	h := o.holders[o.w.rand.IntN(len(o.holders))]
+	switch {
+	case h.ran && o.w.chance(4):
+		o.send(claimer.Lose{Key: h.open.Key, Attempt: h.open.Attempt})
+	case h.ran:
+		answer := claimer.Answer{Status: 200, Body: []byte(o.answers[h.open.Key])}
+		if o.w.chance(10) {
+			answer.Body = make([]byte, claimer.MaxAnswerBytes+1)
+		}
+		o.send(claimer.Finish{Key: h.open.Key, Attempt: h.open.Attempt, Answer: answer})
+	case h.released || o.w.chance(5):
+		h.released = true
+		o.send(claimer.Release{Key: h.open.Key, Attempt: h.open.Attempt})
+	case h.granted:
+		o.dispatch(h)
+	}
+}
+
+func (o *claimOracle) send(event claimer.Event) { o.w.propose(applier.Claim{Event: event}, nil) }
+
+func (o *claimOracle) dispatch(h *holder) {
+	h.ran = true
+	key := h.open.Key
+	o.runs[key]++
+	o.answers[key] = fmt.Sprint(key, h.open.Attempt)
+	if o.runs[key] > 1 {
+		o.w.failf("%v ran %d times", key, o.runs[key])
+	}
+	if o.notRun[h.open.Attempt] {
+		o.w.failf("%v ran after not-run", key)
+	}
+}
+
+// watch checks each answer of the claim table against the truth.
+func (o *claimOracle) watch(command applier.Command, result applier.Result) {
+	claim, ok := command.(applier.Claim)
+	if !ok {
+		return
+	}
+	switch event := claim.Event.(type) {
+	case claimer.Open:
+		o.watchOpen(event, result.(applier.ClaimResult).Result)
+	case claimer.Release:
+		if _, recorded := result.(applier.ClaimResult).Result.(claimer.Recorded); recorded {
+			o.notRun[event.Attempt] = true
+		}
+	}
+}
+
+func (o *claimOracle) watchOpen(open claimer.Open, result claimer.Result) {
+	key := open.Key
+	switch result := result.(type) {
+	case claimer.Granted:
+		switch {
+		case o.unknown[key]:
+			o.w.failf("%v granted after unknown", key)
+		case o.notRun[open.Attempt]:
+			o.w.failf("%v granted to an attempt after its release", key)
+		case o.w.state.Stamp().Sub(o.issued[key]) > claimer.ClaimKept:
+			o.w.failf("%v granted though issued long ago", key)
+		}
+	case claimer.Unknown:
+		o.unknown[key] = true
+	case claimer.Answered:
+		if o.runs[key] != 1 || string(result.Answer.Body) != o.answers[key] {
+			o.w.failf("%v answered %q, ran %d times with %q", key, result.Answer.Body, o.runs[key], o.answers[key])
+		}
+	case claimer.AnswerDropped:
+		if o.runs[key] != 1 {
+			o.w.failf("%v has an answer dropped, ran %d times", key, o.runs[key])
+		}
+	}
+}
--- /dev/null
+++ b/applier/history_engine_test.go
@@ -0,0 +1,213 @@
+package applier_test
+
+import (
+	"time"
+
+	"burdocklink/cataloger"
+	"burdocklink/orderer"
+)
+
+// orderState is what an engine says of an order.
+type orderState int
+
+const (
+	orderUnseen orderState = iota
+	orderRunning
+	orderDone
+	orderRefused
+)
+
+// copyID is a model or adapter in one version.
+type copyID struct{ name, version string }
+
+// job is an order that an engine has begun.
+type job struct {
+	order orderer.Order
+	id    copyID
+	bytes int64
+}
+
+// engine is a simulated engine. It never refuses a load for lack of memory.
+type engine struct {
+	w           *world
+	name        string
+	incarnation string
+	memory      int64
+	checksFence bool
+	// forgets is true where a repeated order is carried out again.
+	forgets bool
+	skew    time.Duration
+
+	fence     uint64
+	lastOrder uint64
+	sequence  uint64
+	states    map[uint64]orderState
+	held      map[string]copyID
+	bytes     map[copyID]int64
+	bases     map[string]string
+	jobs      []*job
+}
+
+func (e *engine) restart(incarnation string) {
+	e.incarnation = incarnation
+	e.fence, e.lastOrder, e.sequence = 0, 0, 0
+	e.states = map[uint64]orderState{}
+	e.held = map[string]copyID{}
+	e.bytes = map[copyID]int64{}
+	e.bases = map[string]string{}
+	e.jobs = nil
+}
+
+// take is the arrival of an order, maybe late, maybe a duplicate.
+func (e *engine) take(order orderer.Order) {
+	if e.states[order.ID] != orderUnseen && !e.forgets || e.runs(order.ID) {
+		return
+	}
+	if order.Incarnation != e.incarnation || e.w.now.Add(e.skew).After(order.NotAfter) {
+		return
+	}
+	if e.checksFence && order.Fence < e.fence || !e.possible(order.Work) {
+		e.end(order.ID, orderRefused)
+		return
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.begin(order)
+}
+
+func (e *engine) runs(id uint64) bool {
+	for _, j := range e.jobs {
+		if j.order.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *engine) possible(work orderer.Work) bool {
+	switch work := work.(type) {
+	case orderer.LoadAdapter:
+		_, held := e.held[work.Model]
+		return held
+	case orderer.UnloadModel:
+		for adapter, base := range e.bases {
+			if _, held := e.held[adapter]; held && base == work.Model {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (e *engine) begin(order orderer.Order) {
+	started := &job{order: order}
+	switch work := order.Work.(type) {
+	case orderer.LoadModel:
+		started.id, started.bytes = copyID{work.Model, work.Version}, work.MemoryBytes
+	case orderer.LoadAdapter:
+		started.id, started.bytes = copyID{work.Adapter, work.Version}, work.MemoryBytes
+		e.bases[work.Adapter] = work.Model
+	case orderer.UnloadModel:
+		started.id.name = work.Model
+	case orderer.UnloadAdapter:
+		started.id.name = work.Adapter
+	}
+	if started.bytes > 0 && e.held[started.id.name] == started.id {
+		e.end(order.ID, orderDone)
+		return
+	}
+	if e.states[order.ID] == orderUnseen {
+		e.states[order.ID] = orderRunning
+	}
+	e.jobs = append(e.jobs, started)
+	if used := e.used(); used > e.memory {
+		e.w.failf("engine %s uses %d of %d bytes, order %+v", e.name, used, e.memory, order)
+	}
+}
+
+// used is the memory of what is held and of what is being loaded.
+func (e *engine) used() int64 {
+	all := map[copyID]int64{}
+	for _, id := range e.held {
+		all[id] = e.bytes[id]
+	}
+	for _, j := range e.jobs {
+		all[j.id] = max(all[j.id], j.bytes)
+	}
+	var total int64
+	for _, bytes := range all {
+		total += bytes
+	}
+	return total
+}
+
+// finish ends one job.
+func (e *engine) finish() {
+	if len(e.jobs) == 0 {
+		return
+	}
+	at := e.w.rand.IntN(len(e.jobs))
+	j := e.jobs[at]
+	e.jobs = append(e.jobs[:at:at], e.jobs[at+1:]...)
+	if j.bytes > 0 && e.w.chance(8) {
+		e.end(j.order.ID, orderRefused)
+		return
+	}
+	e.carryOut(j)
+	e.end(j.order.ID, orderDone)
+}
+
+func (e *engine) carryOut(j *job) {
+	switch {
+	case j.id.name == "":
+	case j.bytes > 0:
+		e.held[j.id.name] = j.id
+		e.bytes[j.id] = j.bytes
+	default:
+		_, held := e.held[j.id.name]
+		delete(e.held, j.id.name)
+		if held {
+			e.w.fleet.unloaded(e, j.id.name)
+		}
+	}
+}
+
+// end remembers how an order ended. What is made of a duplicate later does not
+// change it.
+func (e *engine) end(id uint64, state orderState) {
+	if before := e.states[id]; before == orderUnseen || before == orderRunning {
+		e.states[id] = state
+	}
+	e.lastOrder = max(e.lastOrder, id)
+}
+
+// report lists what is held, leaving out what is being unloaded.
+func (e *engine) report() orderer.Observe {
+	e.sequence++
+	placement := cataloger.Placement{Upstream: e.name, Incarnation: e.incarnation}
+	for name := range e.held {
+		if e.unloading(name) {
+			continue
+		}
+		if e.bases[name] != "" {
+			placement.Adapters = append(placement.Adapters, name)
+			continue
+		}
+		placement.Models = append(placement.Models, name)
+	}
+	return orderer.Observe{
+		Placement: placement,
+		LastOrder: e.lastOrder,
+		Sequence:  e.sequence,
+		Taken:     e.w.now.Add(e.skew),
+		UsedBytes: e.used(),
+	}
+}
+
+func (e *engine) unloading(name string) bool {
+	for _, j := range e.jobs {
+		if j.bytes == 0 && j.id.name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/applier/history_fleet_test.go
@@ -0,0 +1,305 @@
+package applier_test
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/orderer"
+)
+
+const (
+	fleetEngines  = 3
+	fleetModels   = 4
+	fleetAdapters = 3
+)
+
+// fleet simulates engines and the leaders that give them orders, and checks
+// what happens to the engines in truth.
+type fleet struct {
+	w       *world
+	engines []*engine
+	// calm histories have no losses of engines, so that each loss of a last
+	// copy is an eviction.
+	calm bool
+	// mail are orders on their way to engines, for ever.
+	mail    []orderer.Order
+	reports []orderer.Observe
+	limits  orderer.StoreLimits
+	loads   []time.Time
+	tokens  int
+	epoch   int
+	// known are the committed orders by ID.
+	known map[uint64]orderer.Order
+}
+
+func newFleet(w *world) *fleet {
+	return &fleet{
+		w:      w,
+		calm:   w.chance(2),
+		known:  map[uint64]orderer.Order{},
+		limits: orderer.StoreLimits{LoadsPerSecond: 1.4, LoadsAtOnce: 2, AdaptersInTransit: 1},
+	}
+}
+
+// begin lists the models, the adapters and the engines.
+func (f *fleet) begin() {
+	w := f.w
+	w.apply(applier.Order{Event: orderer.Limit{Limits: f.limits}})
+	var steps []cataloger.Change
+	for at := range fleetModels {
+		steps = append(steps, f.model(at, "1"))
+	}
+	for at := range fleetAdapters {
+		steps = append(steps, cataloger.PutAdapter{Adapter: cataloger.Adapter{
+			Name: "a" + strconv.Itoa(at), Model: "m" + strconv.Itoa(at%2), MemoryBytes: 2, Version: "1",
+		}})
+	}
+	for at := range fleetEngines {
+		e := &engine{
+			w:           w,
+			name:        "e" + strconv.Itoa(at),
+			memory:      16,
+			checksFence: w.chance(2),
+			forgets:     w.chance(2),
+			skew:        time.Duration(w.rand.IntN(9)-4) * time.Second,
+		}
+		e.restart("i0")
+		f.engines = append(f.engines, e)
+		steps = append(steps, f.listing(e, cataloger.UpstreamLive))
+	}
+	w.apply(applier.Watch{Changes: steps})
+	for _, e := range f.engines {
+		w.apply(applier.Order{Event: e.report()})
+	}
+}
+
+func (f *fleet) model(at int, version string) cataloger.Change {
+	return cataloger.PutModel{Model: cataloger.Model{
+		Name: "m" + strconv.Itoa(at), Service: "s", MemoryBytes: int64(6 + at), Version: version,
+	}}
+}
+
+func (f *fleet) listing(e *engine, state cataloger.UpstreamState) cataloger.Change {
+	return cataloger.PutUpstream{Upstream: cataloger.Upstream{
+		Name: e.name, Incarnation: e.incarnation, Address: "127.0.0.1:1", Service: "s",
+		Kind: cataloger.EngineUpstream, State: state, MemoryBytes: e.memory, ChecksFence: e.checksFence,
+	}}
+}
+
+func (f *fleet) act() {
+	e := f.engines[f.w.rand.IntN(len(f.engines))]
+	switch f.w.rand.IntN(16) {
+	case 0, 1, 2:
+		f.intend(e)
+	case 3, 4, 5, 6:
+		f.drive()
+	case 7, 8, 9:
+		f.deliver()
+	case 10, 11, 12:
+		e.finish()
+	case 13, 14:
+		f.reports = append(f.reports, e.report())
+		f.observe()
+	default:
+		if f.w.chance(4) {
+			f.disturb(e)
+		}
+	}
+}
+
+// intend proposes an order that any planner, even a bad one, might want.
+func (f *fleet) intend(e *engine) {
+	model := "m" + strconv.Itoa(f.w.rand.IntN(fleetModels))
+	adapter := "a" + strconv.Itoa(f.w.rand.IntN(fleetAdapters))
+	work := []orderer.Work{
+		orderer.LoadModel{Model: model},
+		orderer.LoadModel{Model: model},
+		orderer.LoadAdapter{Adapter: adapter},
+		orderer.UnloadModel{Model: model},
+		orderer.UnloadAdapter{Adapter: adapter},
+		orderer.SetRole{Role: cataloger.RoleDecode},
+	}[f.w.rand.IntN(6)]
+	if len(e.held) > 0 && f.w.chance(3) {
+		work = f.unload(e)
+	}
+	f.tokens++
+	f.w.propose(applier.Order{Event: orderer.Intend{
+		Token: strconv.Itoa(f.tokens),
+		Order: orderer.Order{
+			Upstream:    e.name,
+			Incarnation: e.incarnation,
+			Work:        work,
+			NotAfter:    f.w.now.Add(time.Duration(5+f.w.rand.IntN(60)) * time.Second),
+		},
+	}}, nil)
+}
+
+// unload gives work that takes out something the engine holds.
+func (f *fleet) unload(e *engine) orderer.Work {
+	names := slices.Sorted(maps.Keys(e.held))
+	name := names[f.w.rand.IntN(len(names))]
+	if e.bases[name] != "" {
+		return orderer.UnloadAdapter{Adapter: name}
+	}
+	return orderer.UnloadModel{Model: name}
+}
+
+// drive is a leader, the present one or an earlier one, taking one unsettled
+// order a step further. What an earlier one sends is still an intent.
+func (f *fleet) drive() {
+	unsettled := f.w.state.Orders().Unsettled()
+	if len(unsettled) == 0 {
+		return
+	}
+	order := unsettled[f.w.rand.IntN(len(unsettled))]
+	e := f.engine(order.Upstream)
+	if e.incarnation != order.Incarnation {
+		return
+	}
+	expired := f.w.now.After(order.NotAfter.Add(orderer.ClockMargin))
+	switch state := e.states[order.ID]; {
+	case state == orderDone:
+		f.settle(order, orderer.OutcomeDone)
+	case state == orderRefused:
+		f.settle(order, orderer.OutcomeRefused)
+	case state == orderUnseen && expired:
+		f.settle(order, orderer.OutcomeExpired)
+	case state == orderUnseen:
+		f.mail = append(f.mail, order)
+	}
+}
+
+func (f *fleet) settle(order orderer.Order, outcome orderer.Outcome) {
+	f.w.propose(applier.Order{Event: orderer.Settle{ID: order.ID, Outcome: outcome}}, nil)
+}
+
+func (f *fleet) engine(name string) *engine {
+	for _, e := range f.engines {
+		if e.name == name {
+			return e
+		}
+	}
+	f.w.failf("no engine %s", name)
+	return nil
+}
+
+// deliver brings an order to its engine. Copies may follow at any time.
+func (f *fleet) deliver() {
+	if len(f.mail) == 0 {
+		return
+	}
+	at := f.w.rand.IntN(len(f.mail))
+	order := f.mail[at]
+	if f.w.chance(3) {
+		f.mail = append(f.mail[:at:at], f.mail[at+1:]...)
+	}
+	f.engine(order.Upstream).take(order)
+}
+
+// observe proposes a report, the newest one or one that lags.
+func (f *fleet) observe() {
+	report := f.reports[len(f.reports)-1]
+	if f.w.chance(3) {
+		report = f.reports[f.w.rand.IntN(len(f.reports))]
+	}
+	f.w.propose(applier.Order{Event: report}, nil)
+}
+
+// disturb changes what the platform and the store list.
+func (f *fleet) disturb(e *engine) {
+	state := cataloger.UpstreamLive
+	switch f.w.rand.IntN(5) {
+	case 0:
+		f.w.propose(applier.Watch{Changes: []cataloger.Change{f.model(f.w.rand.IntN(2), strconv.Itoa(f.w.rand.IntN(3)))}}, nil)
+		return
+	case 1:
+		if !f.calm {
+			f.epoch++
+			e.restart("i" + strconv.Itoa(f.epoch))
+		}
+	case 2:
+		if !f.calm {
+			f.w.propose(applier.Watch{Changes: []cataloger.Change{cataloger.RemoveUpstream{Name: e.name}}}, nil)
+		}
+	case 3:
+		if !f.calm && f.w.chance(3) {
+			state = cataloger.UpstreamLeaving
+		}
+	}
+	f.w.propose(applier.Watch{Changes: []cataloger.Change{f.listing(e, state)}}, nil)
+}
+
+// unloaded is told when an engine has dropped a copy.
+func (f *fleet) unloaded(e *engine, name string) {
+	if !f.calm {
+		return
+	}
+	for _, other := range f.engines {
+		if _, held := other.held[name]; held && other != e {
+			return
+		}
+	}
+	f.w.failf("last copy of %s was unloaded from %s", name, e.name)
+}
+
+// watch checks the store's limits and the identity of orders.
+func (f *fleet) watch(command applier.Command, result applier.Result) {
+	of, ok := result.(applier.OrderResult)
+	if !ok {
+		return
+	}
+	committed, ok := of.Result.(orderer.Committed)
+	if !ok {
+		return
+	}
+	order := committed.Order
+	if _, repeated := f.known[order.ID]; repeated {
+		return
+	}
+	f.known[order.ID] = order
+	if order.ID != f.w.index || order.Fence != order.ID {
+		f.w.failf("order %d with fence %d committed at %d", order.ID, order.Fence, f.w.index)
+	}
+	f.checkStore(order)
+}
+
+func (f *fleet) checkStore(order orderer.Order) {
+	if !isLoad(order.Work) {
+		return
+	}
+	f.loads = append(f.loads, f.w.state.Stamp())
+	for first := range f.loads[:len(f.loads)-1] {
+		span := f.loads[len(f.loads)-1].Sub(f.loads[first]).Seconds()
+		if count := len(f.loads) - first; float64(count) > 1.001+span*f.limits.LoadsPerSecond {
+			f.w.failf("%d loads began in %v seconds", count, span)
+		}
+	}
+	loads, adapters := 0, 0
+	for _, unsettled := range f.w.state.Orders().Unsettled() {
+		if f.w.state.Catalog().Upstreams[unsettled.Upstream].Incarnation != unsettled.Incarnation {
+			continue
+		}
+		if isLoad(unsettled.Work) {
+			loads++
+		}
+		if _, adapter := unsettled.Work.(orderer.LoadAdapter); adapter {
+			adapters++
+		}
+	}
+	if loads > f.limits.LoadsAtOnce || adapters > f.limits.AdaptersInTransit {
+		f.w.failf("%d loads and %d adapters at once", loads, adapters)
+	}
+}
+
+func isLoad(work orderer.Work) bool {
+	switch work.(type) {
+	case orderer.LoadModel, orderer.LoadAdapter:
+		return true
+	default:
+		return false
+	}
+}
--- a/encoder/command_test.go
+++ b/encoder/command_test.go
@@ -65,7 +65,7 @@
 		"set role":       intend(orderer.SetRole{Role: cataloger.RolePrefill}),
 		"settle":         applier.Order{Event: orderer.Settle{ID: 3, Outcome: orderer.OutcomeRefused}},
 		"observe": applier.Order{Event: orderer.Observe{
-			Placement: cataloger.Placement{Upstream: "u", Incarnation: "i", Models: []string{"m"}}, LastOrder: 4, Sequence: 5,
+			Placement: cataloger.Placement{Upstream: "u", Incarnation: "i", Models: []string{"m"}}, LastOrder: 4, Sequence: 5, Taken: noon, UsedBytes: 6,
 		}},
 		"forget": applier.Order{Event: orderer.Forget{Upstream: "u", Incarnation: "i"}},
 		"limit": applier.Order{Event: orderer.Limit{Limits: orderer.StoreLimits{
--- a/encoder/ledger.go
+++ b/encoder/ledger.go
@@ -55,6 +55,7 @@
 		Sequence:    account.Sequence,
 		LastOrder:   account.LastOrder,
 		Unsettled:   account.Unsettled,
+		Settled:     encodeTime(account.Settled),
 	}
 	for _, held := range account.Held {
 		message.Held = append(message.Held, &wire.HeldCopy{
@@ -71,7 +72,7 @@
 			Name:        late.Name,
 			Loads:       late.Loads,
 			MemoryBytes: late.MemoryBytes,
-			Until:       encodeTime(late.Until),
+			NotAfter:    encodeTime(late.NotAfter),
 			Version:     late.Version,
 		})
 	}
@@ -86,6 +87,7 @@
 		Sequence:    message.GetSequence(),
 		LastOrder:   message.GetLastOrder(),
 		Unsettled:   message.GetUnsettled(),
+		Settled:     decodeTime(message.GetSettled()),
 	}
 	for _, held := range message.GetHeld() {
 		account.Held = append(account.Held, orderer.Held{
@@ -102,7 +104,7 @@
 			Name:        late.GetName(),
 			Loads:       late.GetLoads(),
 			MemoryBytes: late.GetMemoryBytes(),
-			Until:       decodeTime(late.GetUntil()),
+			NotAfter:    decodeTime(late.GetNotAfter()),
 			Version:     late.GetVersion(),
 		})
 	}
--- a/encoder/order.go
+++ b/encoder/order.go
@@ -90,6 +90,8 @@
 			Placement: encodePlacement(event.Placement),
 			LastOrder: event.LastOrder,
 			Sequence:  event.Sequence,
+			Taken:     encodeTime(event.Taken),
+			UsedBytes: event.UsedBytes,
 		}}
 	case orderer.Forget:
 		message.Event = &wire.OrderEvent_Forget{Forget: &wire.ForgetUpstream{
@@ -121,6 +123,8 @@
 			Placement: placement,
 			LastOrder: event.Observe.GetLastOrder(),
 			Sequence:  event.Observe.GetSequence(),
+			Taken:     decodeTime(event.Observe.GetTaken()),
+			UsedBytes: event.Observe.GetUsedBytes(),
 		}, err
 	case *wire.OrderEvent_Forget:
 		return orderer.Forget{Upstream: event.Forget.GetUpstream(), Incarnation: event.Forget.GetIncarnation()}, nil
--- a/orderer/intend.go
+++ b/orderer/intend.go
@@ -29,7 +29,6 @@
 	}
 	i := &intent{ledger: l, now: now, catalog: catalog, upstream: upstream, order: event.Order}
 	i.account = l.account(upstream)
-	i.account.prune(now)
 	if refusal := i.check(); refusal != nil {
 		return refusal
 	}
@@ -107,6 +106,8 @@
 		return Busy{Unsettled: unsettled[0]}
 	case len(unsettled) >= MaxUnsettled:
 		return Busy{Unsettled: unsettled[0]}
+	case len(i.account.Late) >= MaxLate:
+		return Unsuitable{Reason: "too many orders may still arrive late"}
 	}
 	name := subject(i.order.Work)
 	for _, id := range unsettled {
@@ -171,7 +172,7 @@
 
 // checkLoad compares a load with the memory and with the store's limits.
 func (i *intent) checkLoad(what weights, bytes int64, adapter bool) Result {
-	possible := i.ledger.possible(i.now, i.account)
+	possible := i.ledger.possible(i.account)
 	free := i.upstream.MemoryBytes - possible.total()
 	need := bytes - min(bytes, possible[what])
 	if need > free {
@@ -206,7 +207,7 @@
 		return nil
 	}
 	for _, holder := range i.catalog.Holders[name] {
-		if holder != i.upstream.Name && i.ledger.keeps(i.now, i.catalog, holder, name) {
+		if holder != i.upstream.Name && i.ledger.keeps(i.catalog, holder, name) {
 			return nil
 		}
 	}
@@ -215,13 +216,13 @@
 
 // keeps reports whether an upstream holds a name for sure and will go on
 // holding it, whatever becomes of the orders given so far.
-func (l *Ledger) keeps(now time.Time, catalog *cataloger.Catalog, holder, name string) bool {
+func (l *Ledger) keeps(catalog *cataloger.Catalog, holder, name string) bool {
 	upstream := catalog.Upstreams[holder]
 	account, known := l.upstreams[holder]
 	if !known || !account.Observed || upstream.State != cataloger.UpstreamLive {
 		return false
 	}
-	if _, unsettled := l.unsettledUnload(account, name); unsettled || account.mayLose(now, name) {
+	if _, unsettled := l.unsettledUnload(account, name); unsettled || account.mayLose(name) {
 		return false
 	}
 	return account.Incarnation == upstream.Incarnation && account.holds(name)
--- a/orderer/ledger.go
+++ b/orderer/ledger.go
@@ -17,10 +17,17 @@
 // hold, what its unsettled orders load, and what a late duplicate of an
 // earlier load could still bring back. Two versions of one name count apart,
 // since a new version is loaded beside the old one. An unload frees memory
-// only when it is settled as done. An upstream that checks fences refuses earlier orders once
-// it has carried out a later one, so that duplicates of earlier orders no
-// longer count there; elsewhere they count until their NotAfter has passed by
-// ClockMargin.
+// only when it is settled as done.
+//
+// A duplicate of an order counts until one of two things rules it out. An
+// upstream that checks fences refuses earlier orders once it has carried out
+// a later one. Elsewhere a report must show it: one that was taken, by the
+// upstream's own clock, after the order's NotAfter, and whose used memory is
+// explained by the names it lists, so that no load is still under way.
+//
+// The ledger relies on upstreams to refuse an order after its NotAfter and an
+// order for another incarnation, and to remember an order for longer than
+// ClockMargin after its NotAfter.
 type Ledger struct {
 	limits StoreLimits
 	// nextLoad is when the store's rate allows the next load to begin.
@@ -57,8 +64,8 @@
 	// Loads is true for a load and false for an unload.
 	Loads       bool
 	MemoryBytes int64
-	// Until is when the upstream can no longer begin it.
-	Until time.Time
+	// NotAfter is the order's: a duplicate that arrives later is not begun.
+	NotAfter time.Time
 }
 
 // Account is what the ledger knows of one upstream.
@@ -72,8 +79,10 @@
 	Sequence uint64
 	// LastOrder is the highest order that was settled as done or refused.
 	LastOrder uint64
-	Held      []Held
-	Late      []Late
+	// Settled is the stamp at which the last order was settled.
+	Settled time.Time
+	Held    []Held
+	Late    []Late
 	// Unsettled are order IDs in ascending order.
 	Unsettled []uint64
 }
@@ -185,7 +194,7 @@
 	case Settle:
 		return l.settle(stamp, catalog, event)
 	case Observe:
-		return l.observe(stamp, catalog, event)
+		return l.observe(catalog, event)
 	case Forget:
 		return l.forget(catalog, event), nil
 	case Limit:
@@ -240,6 +249,7 @@
 	account.Incarnation = incarnation
 	account.Observed = false
 	account.Sequence, account.LastOrder = 0, 0
+	account.Settled = time.Time{}
 	account.Held = nil
 }
 
--- a/orderer/limits.go
+++ b/orderer/limits.go
@@ -12,6 +12,9 @@
 	// MaxUnsettled is the number of unsettled orders of one upstream that
 	// checks fences. One that does not check has at most one.
 	MaxUnsettled = 8
+	// MaxLate is the number of orders of one upstream whose duplicates are
+	// not ruled out.
+	MaxLate = 256
 	// MaxTokenBytes is the longest token.
 	MaxTokenBytes = 128
 )
--- a/orderer/memory.go
+++ b/orderer/memory.go
@@ -1,7 +1,7 @@
 package orderer
 
 import (
-	"time"
+	"slices"
 
 	"burdocklink/cataloger"
 )
@@ -27,7 +27,7 @@
 
 // possible returns all that the upstream could come to hold if every order
 // that may still be carried out were, and no unload.
-func (l *Ledger) possible(now time.Time, account *Account) copies {
+func (l *Ledger) possible(account *Account) copies {
 	all := copies{}
 	for _, held := range account.Held {
 		all.add(weights{held.Name, held.Version}, held.MemoryBytes)
@@ -38,7 +38,7 @@
 		}
 	}
 	for _, late := range account.Late {
-		if late.Loads && now.Before(late.Until) {
+		if late.Loads {
 			all.add(weights{late.Name, late.Version}, late.MemoryBytes)
 		}
 	}
@@ -47,12 +47,12 @@
 
 // CountedBytes is the most accelerator memory that an upstream's models and
 // adapters could take.
-func (l *Ledger) CountedBytes(now time.Time, upstream string) int64 {
+func (l *Ledger) CountedBytes(upstream string) int64 {
 	account, known := l.upstreams[upstream]
 	if !known {
 		return 0
 	}
-	return l.possible(now, account).total()
+	return l.possible(account).total()
 }
 
 // load gives the weights and the size that a piece of work brings in.
@@ -97,40 +97,45 @@
 		Version:     what.version,
 		Loads:       loads,
 		MemoryBytes: bytes,
-		Until:       order.NotAfter.Add(ClockMargin),
+		NotAfter:    order.NotAfter,
 	}
 	if late.Name != "" {
 		a.Late = append(a.Late, late)
 	}
 }
 
-// prune drops what can no longer arrive.
-func (a *Account) prune(now time.Time) {
-	kept := a.Late[:0]
-	for _, late := range a.Late {
-		if now.Before(late.Until) {
-			kept = append(kept, late)
-		}
+// RulesOut reports whether a report was taken after the NotAfter of any order
+// whose duplicate still counts.
+func (a *Account) RulesOut(report Observe) bool {
+	return slices.ContainsFunc(a.Late, func(late Late) bool { return report.Taken.After(late.NotAfter) })
+}
+
+// rule drops orders that a report rules out.
+func (a *Account) rule(report Observe) {
+	explained := report.UsedBytes <= a.heldBytes()
+	a.Late = slices.DeleteFunc(a.Late, func(late Late) bool {
+		return report.Taken.After(late.NotAfter) && (explained || !late.Loads)
+	})
+}
+
+func (a *Account) heldBytes() int64 {
+	var total int64
+	for _, held := range a.Held {
+		total += held.MemoryBytes
 	}
-	a.Late = kept
+	return total
 }
 
 // supersede drops earlier orders that the upstream refuses from now on,
 // because it carried out a later one and checks fences.
 func (a *Account) supersede(id uint64) {
-	kept := a.Late[:0]
-	for _, late := range a.Late {
-		if late.ID >= id {
-			kept = append(kept, late)
-		}
-	}
-	a.Late = kept
+	a.Late = slices.DeleteFunc(a.Late, func(late Late) bool { return late.ID < id })
 }
 
 // mayLose reports whether a late duplicate of an unload could take the name.
-func (a *Account) mayLose(now time.Time, name string) bool {
+func (a *Account) mayLose(name string) bool {
 	for _, late := range a.Late {
-		if !late.Loads && late.Name == name && now.Before(late.Until) {
+		if !late.Loads && late.Name == name {
 			return true
 		}
 	}
@@ -155,7 +160,7 @@
 // Reserved gives, by upstream, the memory that neither the placement nor an
 // unsettled order accounts for and that must not be used yet. An upstream that
 // has not been observed is reserved whole.
-func (l *Ledger) Reserved(now time.Time, catalog *cataloger.Catalog) map[string]int64 {
+func (l *Ledger) Reserved(catalog *cataloger.Catalog) map[string]int64 {
 	reserved := map[string]int64{}
 	for name, upstream := range catalog.Upstreams {
 		if upstream.Kind != cataloger.EngineUpstream {
@@ -166,7 +171,7 @@
 			reserved[name] = upstream.MemoryBytes
 			continue
 		}
-		if bytes := l.unaccounted(now, account); bytes > 0 {
+		if bytes := l.unaccounted(account); bytes > 0 {
 			reserved[name] = bytes
 		}
 	}
@@ -174,8 +179,8 @@
 }
 
 // unaccounted is what late duplicates could add to what is held and loading.
-func (l *Ledger) unaccounted(now time.Time, account *Account) int64 {
+func (l *Ledger) unaccounted(account *Account) int64 {
 	settled := *account
 	settled.Late = nil
-	return l.possible(now, account).total() - l.possible(now, &settled).total()
+	return l.possible(account).total() - l.possible(&settled).total()
 }
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -82,6 +82,11 @@
 	LastOrder uint64
 	// Sequence is the report's number within the incarnation.
 	Sequence uint64
+	// Taken is the upstream's time of the report.
+	Taken time.Time
+	// UsedBytes is the accelerator memory of all weights that the upstream
+	// holds or is loading.
+	UsedBytes int64
 }
 
 // Forget drops all state of an upstream incarnation that is gone.
--- a/orderer/settle.go
+++ b/orderer/settle.go
@@ -14,13 +14,14 @@
 	}
 	order := pending.Order
 	account := l.upstreams[order.Upstream]
-	account.prune(now)
 	switch event.Outcome {
 	case OutcomeDone:
 		l.close(account, order.ID)
+		account.Settled = now
 		return l.done(catalog, account, order)
 	case OutcomeRefused:
 		l.close(account, order.ID)
+		account.Settled = now
 		account.LastOrder = max(account.LastOrder, order.ID)
 	case OutcomeExpired:
 		if now.Before(order.NotAfter.Add(ClockMargin)) {
@@ -105,7 +106,7 @@
 }
 
 // observe takes over what a report says, unless the report lags.
-func (l *Ledger) observe(now time.Time, catalog *cataloger.Catalog, event Observe) (Result, []cataloger.Change) {
+func (l *Ledger) observe(catalog *cataloger.Catalog, event Observe) (Result, []cataloger.Change) {
 	placement := event.Placement
 	upstream, listed := catalog.Upstreams[placement.Upstream]
 	if !listed || upstream.Incarnation != placement.Incarnation {
@@ -118,17 +119,26 @@
 	if len(account.Unsettled) > 0 {
 		return Busy{Unsettled: account.Unsettled[0]}, nil
 	}
-	lags := event.LastOrder < account.LastOrder || account.Sequence > 0 && event.Sequence <= account.Sequence
-	if lags {
+	if account.Lags(event) {
 		return Recorded{Placement: catalog.Placements[placement.Upstream]}, nil
 	}
-	account.prune(now)
 	account.Observed = true
 	account.Sequence = event.Sequence
 	account.Held = observed(catalog, account, placement)
+	account.rule(event)
 	return l.place(catalog, account, placement.Role)
 }
 
+// Lags reports whether something that is known already may have happened after
+// the report was taken. Such a report changes nothing.
+func (a *Account) Lags(report Observe) bool {
+	if a.Observed && report.Sequence <= a.Sequence {
+		return true
+	}
+	settled := !a.Settled.IsZero() && !report.Taken.After(a.Settled.Add(ClockMargin))
+	return settled || report.LastOrder < a.LastOrder
+}
+
 // observed lists what a report says is held. Reports name no versions and no
 // sizes: both are those the ledger knows, or else those of the catalog. What
 // neither knows counts for the whole upstream.
--- a/sender/driver.go
+++ b/sender/driver.go
@@ -133,6 +133,10 @@
 // pursue asks for an order and sends it where the upstream has not seen it. It
 // returns nil while the order has not ended.
 //
+// Only the answer to a question settles an order. The answer to sending it
+// might be that to a duplicate: an upstream may refuse one because of the
+// order's fence after it carried out the order itself.
+//
 // An order that the upstream has not seen once ClockMargin has passed since
 // NotAfter can't begin any more. That rests on upstreams remembering orders
 // for longer than that.
@@ -151,11 +155,8 @@
 	if !time.Now().Before(task.Order.NotAfter) {
 		return nil, nil
 	}
-	seen, err = d.sender.post(task)
-	if err != nil {
-		return nil, err
-	}
-	return ended(task.Order, seen), nil
+	_, err = d.sender.post(task)
+	return nil, err
 }
 
 // ended gives the end of an order, or nil.
--- a/supervisor/plan.go
+++ b/supervisor/plan.go
@@ -14,7 +14,7 @@
 
 // intend plans on the state as it is now and commits the moves in their order.
 func (s *Supervisor) intend(now time.Time, reports map[string]estimator.Report) {
-	seen, ok := s.look(now, true)
+	seen, ok := s.look(true)
 	if !ok {
 		return
 	}
--- a/supervisor/round.go
+++ b/supervisor/round.go
@@ -36,7 +36,7 @@
 		return
 	}
 	plans := !now.Before(s.nextPlan)
-	seen, ok := s.look(now, plans)
+	seen, ok := s.look(plans)
 	if !ok {
 		return
 	}
@@ -69,15 +69,15 @@
 }
 
 // look reads the state.
-func (s *Supervisor) look(now time.Time, plans bool) (*view, bool) {
+func (s *Supervisor) look(plans bool) (*view, bool) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.config.Settings.Propose)
 	defer cancel()
 	seen := &view{}
-	err := s.config.Proposer.Read(ctx, func(state *applier.State) { seen.fill(now, state, plans) })
+	err := s.config.Proposer.Read(ctx, func(state *applier.State) { seen.fill(state, plans) })
 	return seen, err == nil
 }
 
-func (v *view) fill(now time.Time, state *applier.State, plans bool) {
+func (v *view) fill(state *applier.State, plans bool) {
 	orders := state.Orders()
 	v.catalog = state.Catalog()
 	v.unsettled = orders.Unsettled()
@@ -88,7 +88,7 @@
 		return
 	}
 	v.accounts = orders.Accounts()
-	v.reserved = orders.Reserved(now, v.catalog)
+	v.reserved = orders.Reserved(v.catalog)
 }
 
 // tasks are the orders to upstreams that are listed. The others wait until
@@ -189,27 +189,31 @@
 	}
 }
 
-// observation gives the event for a report that says something new.
+// observation gives the event for a report that says something new, or that
+// rules out late duplicates.
 func observation(seen *view, report estimator.Report) (orderer.Observe, bool) {
-	account := seen.accounts[report.Upstream]
-	current := account.Incarnation == report.Incarnation
-	if current && (len(account.Unsettled) > 0 || report.LastOrder < account.LastOrder) {
-		return orderer.Observe{}, false
-	}
-	if current && account.Observed && report.Sequence <= account.Sequence {
-		return orderer.Observe{}, false
+	event := orderer.Observe{
+		Placement: cataloger.Placement{
+			Upstream:    report.Upstream,
+			Incarnation: report.Incarnation,
+			Models:      slices.Sorted(slices.Values(report.Models)),
+			Adapters:    slices.Sorted(slices.Values(report.Adapters)),
+			Role:        report.Role,
+		},
+		LastOrder: report.LastOrder,
+		Sequence:  report.Sequence,
+		Taken:     report.Taken,
+		UsedBytes: report.UsedBytes,
 	}
-	placement := cataloger.Placement{
-		Upstream:    report.Upstream,
-		Incarnation: report.Incarnation,
-		Models:      slices.Sorted(slices.Values(report.Models)),
-		Adapters:    slices.Sorted(slices.Values(report.Adapters)),
-		Role:        report.Role,
+	account := seen.accounts[report.Upstream]
+	if account.Incarnation != report.Incarnation {
+		return event, true
 	}
-	if current && account.Observed && orderer.SamePlacement(placement, seen.catalog.Placements[report.Upstream]) {
-		return orderer.Observe{}, false
+	if len(account.Unsettled) > 0 || account.Lags(event) {
+		return event, false
 	}
-	return orderer.Observe{Placement: placement, LastOrder: report.LastOrder, Sequence: report.Sequence}, true
+	differs := !orderer.SamePlacement(event.Placement, seen.catalog.Placements[report.Upstream])
+	return event, !account.Observed || differs || account.RulesOut(event)
 }
 
 // forget drops upstreams that have not been listed for long. Until then an
