feat(placer): plan that restores, frees memory and grows

Cause: the supervisor needs moves that keep every promise before they win. What stands: lost copies first, then what was never held, memory freed on one engine at a time, last copies kept, store limits kept, at most one load for each plan and one order for each engine.

--- a/admitter/demand.go
+++ b/admitter/demand.go
@@ -28,6 +28,7 @@
 func (l *ledger) ended(end *ending) {
 	count := placer.Count{
 		Ended:        1,
+		Busy:         end.result.Ended.Sub(end.grant.Started),
 		PromptTokens: uint64(max(0, end.grant.request.Route.PromptTokens)),
 		AnswerTokens: uint64(max(0, end.result.Tokens)),
 	}
--- a/placer/demand.go
+++ b/placer/demand.go
@@ -14,9 +14,11 @@
 // Count is the demand for one model or adapter in one class.
 type Count struct {
 	Arrivals uint64
-	// Ended requests were dispatched and have ended; PromptTokens and
-	// AnswerTokens are theirs.
+	// Ended requests were dispatched and have ended. Busy is the sum of the
+	// times they spent at their upstreams; PromptTokens and AnswerTokens are
+	// theirs.
 	Ended        uint64
+	Busy         time.Duration
 	PromptTokens uint64
 	AnswerTokens uint64
 	// Refused were answered unrun; Missed were late or refused.
@@ -29,6 +31,7 @@
 	return Count{
 		Arrivals:     c.Arrivals + other.Arrivals,
 		Ended:        c.Ended + other.Ended,
+		Busy:         c.Busy + other.Busy,
 		PromptTokens: c.PromptTokens + other.PromptTokens,
 		AnswerTokens: c.AnswerTokens + other.AnswerTokens,
 		Refused:      c.Refused + other.Refused,
--- /dev/null
+++ b/placer/grow.go
@@ -0,0 +1,181 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Rules of growth.
+const (
+	// payback is how far ahead the gain of a move is counted.
+	payback = 3 * time.Minute
+	// watch is how long demand is watched before any move for it.
+	watch = 10 * time.Second
+	// hottest is how many names, and roomiestEngines how many engines for each,
+	// are compared for a move.
+	hottest         = 4
+	roomiestEngines = 4
+	// loadingStretch is by how much an engine slows down while it loads.
+	loadingStretch = 1.15
+	// worth is how many times its cost a move must win.
+	worth = 2.0
+	// leastWon is the least number of requests that a move must win.
+	leastWon = 10.0
+)
+
+// candidate is one imagined move for demand.
+type candidate struct {
+	at   int
+	name string
+	// won is in requests over the payback time, less the cost.
+	won float64
+	// room is true where memory has to be freed first.
+	room bool
+}
+
+// grow plans the one move for demand that wins the most, if it pays.
+func (f *fleet) grow() {
+	if f.loaded || f.input.Now.Sub(f.state.Began) < watch {
+		return
+	}
+	before := f.scene()
+	order := f.names()
+	now := before.forecast(order)
+	best := candidate{}
+	for _, name := range f.hot(now) {
+		for _, at := range f.places(name, now) {
+			if c, ok := f.weigh(before, now, order, name, at); ok && c.won > best.won {
+				best = c
+			}
+		}
+	}
+	if best.name == "" {
+		return
+	}
+	e := f.engines[best.at]
+	if best.room {
+		f.makeRoom(e, best.name, ReasonDemand)
+		return
+	}
+	if f.load(e, best.name, ReasonDemand) {
+		f.rest(best.name)
+	}
+}
+
+// scene returns the placement that is on its way. A model that is coming is
+// imagined with all its adapters, as they follow it.
+func (f *fleet) scene() scene {
+	s := scene{loads: map[string]float64{}, holders: map[string][]int{}}
+	for at, e := range f.engines {
+		s.slots = append(s.slots, e.slots)
+		for name := range e.held {
+			s.holders[name] = append(s.holders[name], at)
+		}
+		for name := range e.coming {
+			s.holders[name] = append(s.holders[name], at)
+			for _, child := range f.children[name] {
+				if !e.held[child] && !e.coming[child] {
+					s.holders[child] = append(s.holders[child], at)
+				}
+			}
+		}
+	}
+	for name, load := range f.state.Loads {
+		s.loads[name] = load.standing()
+	}
+	return s
+}
+
+// hot returns the names with the most predicted misses. Adapters count for
+// their model too, since a copy of it brings them along.
+func (f *fleet) hot(now forecast) []string {
+	missed := map[string]float64{}
+	for name, m := range now.missedBy {
+		missed[name] += m
+		if base, adapter := f.base(name); adapter {
+			missed[base] += m
+		}
+	}
+	var hot []string
+	for _, name := range f.names() {
+		if missed[name] > 0 {
+			hot = append(hot, name)
+		}
+	}
+	slices.SortStableFunc(hot, func(a, b string) int { return cmp.Compare(missed[b], missed[a]) })
+	return hot[:min(len(hot), hottest)]
+}
+
+// places returns the engines that could take a name, the least used first.
+func (f *fleet) places(name string, now forecast) []int {
+	base, adapter := f.base(name)
+	var places []int
+	for at, e := range f.engines {
+		if e.busy || e.held[name] || e.coming[name] || !f.suits(e, name) || f.reserved(e, name) {
+			continue
+		}
+		if adapter && !e.held[base] {
+			continue
+		}
+		places = append(places, at)
+	}
+	slices.SortStableFunc(places, func(a, b int) int {
+		return cmp.Compare(now.used[a]/f.engines[a].slots, now.used[b]/f.engines[b].slots)
+	})
+	return places[:min(len(places), roomiestEngines)]
+}
+
+// weigh compares what a copy wins with what it costs. It returns false where
+// the move is not possible or does not pay.
+func (f *fleet) weigh(before scene, now forecast, order []string, name string, at int) (candidate, bool) {
+	e := f.engines[at]
+	c := candidate{at: at, name: name, room: e.free < f.bytes(name)}
+	after := before
+	took := f.bundleTime(name)
+	if c.room {
+		victims, ok := f.victims(e, name)
+		if !ok {
+			return c, false
+		}
+		after = after.without(at, victims)
+	}
+	after = after.including(at, append([]string{name}, f.children[name]...))
+	gain := now.missed - after.forecast(order).missed
+	seconds := f.meanSeconds()
+	gained := gain / seconds * (payback - took).Seconds()
+	cost := f.slowdown(now, at) / seconds * took.Seconds()
+	c.won = gained - cost
+	return c, gained >= worth*cost && gained >= leastWon
+}
+
+// bundleTime is how long a name and the adapters that follow it take to load.
+func (f *fleet) bundleTime(name string) time.Duration {
+	_, adapter := f.base(name)
+	took := f.state.loadTime(adapter)
+	for _, child := range f.children[name] {
+		if f.state.Loads[child].rising() > 0 {
+			took += f.state.loadTime(true)
+		}
+	}
+	return took
+}
+
+// slowdown is how many requests at once miss more while the engine loads.
+func (f *fleet) slowdown(now forecast, at int) float64 {
+	utilization := now.used[at] / f.engines[at].slots
+	return now.used[at] * (missShare(utilization*loadingStretch) - missShare(utilization))
+}
+
+// meanSeconds is the mean time of a request.
+func (f *fleet) meanSeconds() float64 {
+	arrivals, seconds := 0.0, 0.0
+	for _, load := range f.state.Loads {
+		arrivals += load.Fast
+		seconds += load.Fast * load.Seconds
+	}
+	if seconds <= 0 {
+		return firstSeconds
+	}
+	return seconds / arrivals
+}
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -61,3 +61,24 @@
 	Moves []Move
 	State State
 }
+
+// Plan returns the moves to make now: lost copies are restored first, then
+// what was never held is placed, then memory being freed is freed further, and
+// then at most one copy is added for demand. An engine with an unsettled order
+// gets no move, the last copy of a model or adapter is never unloaded, and no
+// move overcommits memory or goes beyond the store's limits.
+func Plan(input Input) Output {
+	state := input.State
+	if state.Began.IsZero() {
+		state.Began = input.Now
+	}
+	state.measure(&input)
+	state.read(&input)
+	f := newFleet(&input, &state)
+	f.continueRooms()
+	f.restore()
+	f.grow()
+	state.remember(&input)
+	state.At = input.Now
+	return Output{Moves: f.moves, State: state}
+}
