feat(placer): demand that jumps only beyond chance, whole evictions

Cause: the forecast took noise for demand (fast average or slow one, whichever is higher: 250 to 300 requests at once counted where 220 ran), and a room was given up halfway since its own victims rested. Ruled out: longer averages alone, which are late in a shift. A move now has to win a tenth of what it moves.

--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -125,13 +125,13 @@
 
 func (f *fleet) countTransit() {
 	for _, order := range f.input.Unsettled {
-		_, adapter, ok := loads(order.Work)
-		if !ok {
-			continue
-		}
-		f.loads++
-		if adapter {
+		switch kindOf(order.Work) {
+		case modelLoad:
+			f.loads++
+		case adapterLoad:
+			f.loads++
 			f.adapters++
+		case anyUnload, otherKind:
 		}
 	}
 }
--- a/placer/grow.go
+++ b/placer/grow.go
@@ -20,8 +20,10 @@
 	loadingStretch = 1.15
 	// worth is how many times its cost a move must win.
 	worth = 2.0
-	// leastWon is the least number of requests that a move must win.
-	leastWon = 10.0
+	// leastWon is the least number of requests that a move must win, and
+	// leastShare the least share of all requests for what it moves.
+	leastWon   = 10.0
+	leastShare = 0.1
 )
 
 // candidate is one imagined move for demand.
@@ -139,6 +141,7 @@
 			return c, false
 		}
 		after = after.without(at, victims)
+		took += time.Duration(len(victims)) * f.state.unloadTime()
 	}
 	after = after.including(at, append([]string{name}, f.children[name]...))
 	gain := now.missed - after.forecast(order).missed
@@ -146,7 +149,8 @@
 	gained := gain / seconds * (payback - took).Seconds()
 	cost := f.slowdown(now, at) / seconds * took.Seconds()
 	c.won = gained - cost
-	return c, gained >= worth*cost && gained >= leastWon
+	least := max(leastWon, leastShare*f.familyDemand(name)/seconds*payback.Seconds())
+	return c, gained >= worth*cost && gained >= least
 }
 
 // bundleTime is how long a name and the adapters that follow it take to load.
@@ -154,7 +158,7 @@
 	_, adapter := f.base(name)
 	took := f.state.loadTime(adapter)
 	for _, child := range f.children[name] {
-		if f.state.Loads[child].rising() > 0 {
+		if f.state.Loads[child].Fast > 0 {
 			took += f.state.loadTime(true)
 		}
 	}
--- a/placer/load.go
+++ b/placer/load.go
@@ -9,8 +9,8 @@
 // Load is the smoothed demand for one model or adapter.
 type Load struct {
 	// Fast and Slow are arrivals per second, averaged over a short and a long
-	// time. The demand counted for a copy that stands is the higher one, so
-	// that it rises quickly and falls slowly.
+	// time. Slow jumps up to Fast where that is more than chance, so that it
+	// rises quickly and falls slowly.
 	Fast float64
 	Slow float64
 	// Seconds is the mean time of a request at its upstream.
@@ -25,15 +25,22 @@
 	firstSeconds = 3.0
 	// secondsWeight is the share of new requests in the mean time, for each
 	// plan that saw some.
-	secondsWeight = 0.1
+	secondsWeight = 0.05
+	// chance is how many standard deviations of bursty arrivals still count
+	// as chance, and burstiness their variance against that of even ones.
+	chance     = 2.5
+	burstiness = 3.0
 )
 
-// rising is the demand in requests at once that counts for a new copy.
-func (l Load) rising() float64 { return l.Fast * l.Seconds }
+// standing is the demand in requests at once.
+func (l Load) standing() float64 { return l.Slow * l.Seconds }
 
-// standing is the demand in requests at once that counts for a copy that
-// stands.
-func (l Load) standing() float64 { return max(l.Fast, l.Slow) * l.Seconds }
+// jumps says whether the fast average is above the slow one by more than
+// chance.
+func (l Load) jumps() bool {
+	deviation := math.Sqrt(burstiness * max(l.Slow, 1/slowTime.Seconds()) / (2 * fastTime.Seconds()))
+	return l.Fast > l.Slow+chance*deviation
+}
 
 // read turns the entries' readings into loads.
 func (s *State) read(input *Input) {
@@ -77,6 +84,9 @@
 		rate := float64(count.Arrivals) / passed
 		load.Fast += fast * (rate - load.Fast)
 		load.Slow += slow * (rate - load.Slow)
+		if load.jumps() {
+			load.Slow = load.Fast
+		}
 		if count.Ended > 0 {
 			mean := count.Busy.Seconds() / float64(count.Ended)
 			load.Seconds += secondsWeight * (mean - load.Seconds)
--- a/placer/restore.go
+++ b/placer/restore.go
@@ -4,10 +4,11 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 )
 
 // roomTime is how long memory is kept being freed for a load.
-const roomTime = 2 * 60 // seconds
+const roomTime = 3 * time.Minute
 
 // restore gives each model and adapter without a copy one: lost ones first,
 // then those that were never held, each in order of demand.
--- a/placer/room.go
+++ b/placer/room.go
@@ -32,15 +32,18 @@
 
 func (f *fleet) continueRoom(e *engine, room Room) {
 	if e.free >= f.bytes(room.Name) {
-		f.load(e, room.Name, room.Reason)
+		if f.load(e, room.Name, room.Reason) {
+			f.rest(room.Name)
+		}
 		return
 	}
-	victims, ok := f.victims(e, room.Name)
-	if !ok || !f.unload(e, victims[0]) {
-		f.state.Rooms = maps.Clone(f.state.Rooms)
+	if len(room.Victims) == 0 || !f.unload(e, room.Victims[0]) {
 		delete(f.state.Rooms, e.about.Name)
 		delete(e.coming, room.Name)
+		return
 	}
+	room.Victims = room.Victims[1:]
+	f.state.Rooms[e.about.Name] = room
 }
 
 // makeRoom begins to free memory on an engine. It returns false if that is
@@ -50,9 +53,9 @@
 	if !ok || len(victims) == 0 || !f.unload(e, victims[0]) {
 		return false
 	}
-	f.state.Rooms = maps.Clone(f.state.Rooms)
 	f.state.Rooms[e.about.Name] = Room{
-		Name: name, Reason: reason, Until: f.input.Now.Add(roomTime * time.Second),
+		Name: name, Reason: reason, Victims: victims[1:],
+		Until: f.input.Now.Add(roomTime),
 	}
 	e.coming[name] = true
 	f.rest(victims...)
--- a/placer/state.go
+++ b/placer/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"burdocklink/orderer"
@@ -25,12 +26,13 @@
 	// Rests are the models and adapters that are not moved again for demand
 	// before a time.
 	Rests map[string]time.Time
-	// Loading are the unsettled loads by order.
-	Loading map[uint64]Loading
+	// Pending are the unsettled orders by ID.
+	Pending map[uint64]Pending
 	// LoadTime is the measured time of a model's load, AdapterTime that of an
-	// adapter's; zero before the first.
+	// adapter's and UnloadTime that of any unload; zero before the first.
 	LoadTime    time.Duration
 	AdapterTime time.Duration
+	UnloadTime  time.Duration
 }
 
 // Reading is one entry's totals at a time.
@@ -44,70 +46,105 @@
 	// Name is the model or adapter to be loaded.
 	Name   string
 	Reason Reason
+	// Victims are still to be unloaded, in this order.
+	Victims []string
 	// Until is when the try is given up.
 	Until time.Time
 }
 
-// Loading is a load that has not settled.
-type Loading struct {
+// Pending is an order that has not settled.
+type Pending struct {
 	// Seen is when the order was first seen.
-	Seen    time.Time
-	Name    string
-	Adapter bool
+	Seen time.Time
+	Kind kind
 }
 
-// Load times before any was measured, and the weight of a new measurement.
+// kind is the part of an order that its time depends on.
+type kind int
+
+const (
+	otherKind kind = iota
+	modelLoad
+	adapterLoad
+	anyUnload
+)
+
+// Times of orders before any was measured, and the weight of a new
+// measurement.
 const (
 	firstLoadTime    = 15 * time.Second
 	firstAdapterTime = 2 * time.Second
+	firstUnloadTime  = 10 * time.Second
 	timeWeight       = 0.3
 )
 
 // loadTime returns the expected time of a load.
 func (s *State) loadTime(adapter bool) time.Duration {
-	known, first := s.LoadTime, firstLoadTime
 	if adapter {
-		known, first = s.AdapterTime, firstAdapterTime
+		return known(s.AdapterTime, firstAdapterTime)
 	}
-	if known == 0 {
+	return known(s.LoadTime, firstLoadTime)
+}
+
+// unloadTime returns the expected time of an unload.
+func (s *State) unloadTime() time.Duration { return known(s.UnloadTime, firstUnloadTime) }
+
+func known(measured, first time.Duration) time.Duration {
+	if measured == 0 {
 		return first
 	}
-	return known
+	return measured
 }
 
-// measure learns load times from the orders that have settled.
+// measure learns the times of orders from those that have settled.
 func (s *State) measure(input *Input) {
-	loading := map[uint64]Loading{}
+	pending := map[uint64]Pending{}
 	for _, order := range input.Unsettled {
-		name, adapter, ok := loads(order.Work)
-		if !ok {
-			continue
-		}
 		seen := input.Now
-		if before, known := s.Loading[order.ID]; known {
+		if before, known := s.Pending[order.ID]; known {
 			seen = before.Seen
 		}
-		loading[order.ID] = Loading{Seen: seen, Name: name, Adapter: adapter}
+		pending[order.ID] = Pending{Seen: seen, Kind: kindOf(order.Work)}
 	}
-	for id, before := range s.Loading {
-		if _, unsettled := loading[id]; unsettled {
-			continue
-		}
-		took := input.Now.Sub(before.Seen)
-		if before.Adapter {
-			s.AdapterTime = blend(s.AdapterTime, took)
-		} else {
-			s.LoadTime = blend(s.LoadTime, took)
+	for _, id := range slices.Sorted(maps.Keys(s.Pending)) {
+		before := s.Pending[id]
+		if _, unsettled := pending[id]; !unsettled {
+			s.learn(before.Kind, input.Now.Sub(before.Seen))
 		}
 	}
-	s.Loading = loading
+	s.Pending = pending
+}
+
+func (s *State) learn(kind kind, took time.Duration) {
+	switch kind {
+	case modelLoad:
+		s.LoadTime = blend(s.LoadTime, took)
+	case adapterLoad:
+		s.AdapterTime = blend(s.AdapterTime, took)
+	case anyUnload:
+		s.UnloadTime = blend(s.UnloadTime, took)
+	case otherKind:
+	}
 }
 
-func blend(known, took time.Duration) time.Duration {
-	if known == 0 {
+func kindOf(work orderer.Work) kind {
+	switch work.(type) {
+	case orderer.LoadModel:
+		return modelLoad
+	case orderer.LoadAdapter:
+		return adapterLoad
+	case orderer.UnloadModel, orderer.UnloadAdapter:
+		return anyUnload
+	default:
+		return otherKind
+	}
+}
+
+func blend(before, took time.Duration) time.Duration {
+	if before == 0 {
 		return took
 	}
-	return known + time.Duration(timeWeight*float64(took-known))
+	return before + time.Duration(timeWeight*float64(took-before))
 }
 
 // remember notes which names have copies, and forgets rests that are over.
@@ -130,15 +167,3 @@
 	}
 	s.Rests = rests
 }
-
-// loads returns what an order loads; ok is false for other work.
-func loads(work orderer.Work) (name string, adapter, ok bool) {
-	switch work := work.(type) {
-	case orderer.LoadModel:
-		return work.Model, false, true
-	case orderer.LoadAdapter:
-		return work.Adapter, true, true
-	default:
-		return "", false, false
-	}
-}
