fix(applier): a resend from a newer revision gets the first answer

Ruled out: keeping the base in the comparison and reading the first base back in the command: another terminal does not know it.

--- a/applier/journal.go
+++ b/applier/journal.go
@@ -34,13 +34,15 @@
 func newJournal() *journal { return &journal{byKey: map[changeKey]Remembered{}} }
 
 // find returns the first answer to a change. A resend has the same operator,
-// number and content; the same number with other content is Invalid.
+// number and content; the same number with other content is Invalid. The
+// revision it is based on does not count: who sends a change again after a
+// lost answer may have looked at the catalog anew.
 func (j *journal) find(change Change) (Result, bool) {
 	first, known := j.byKey[changeKey{change.Operator, change.Request}]
 	if !known {
 		return nil, false
 	}
-	if first.Based != change.Based || !sameChanges(first.Changes, change.Changes) {
+	if !sameChanges(first.Changes, change.Changes) {
 		return Invalid{Reason: "request number was used for another change"}, true
 	}
 	return first.Result, true
--- a/applier/state_test.go
+++ b/applier/state_test.go
@@ -70,6 +70,8 @@
 	assert.DeepEqual(t, m.apply(first).Result, applier.Accepted{Revision: 1})
 	assert.DeepEqual(t, m.apply(lost).Result, applier.Conflict{Current: 1})
 	assert.Equal(t, m.Catalog().Classes["chat"].Target.Whole, time.Hour)
+	rebased := change("anna", "1", m.Catalog().Revision, putClass("chat", time.Second))
+	assert.DeepEqual(t, m.apply(rebased).Result, applier.Accepted{Revision: 1})
 	other := change("anna", "1", 0, putClass("chat", 2*time.Second))
 	assert.DeepEqual(t, m.apply(other).Result, applier.Invalid{Reason: "request number was used for another change"})
 	assert.Equal(t, len(m.Records()), 2)
--- a/encoder/stand_in.go
+++ b/encoder/stand_in.go
@@ -123,12 +123,14 @@
 // Execution is one call that a plain service ran.
 type Execution struct {
 	RequestID      string    `json:"request-id"`
+	Subscriber     string    `json:"subscriber,omitempty"`
 	IdempotencyKey string    `json:"idempotency-key,omitempty"`
 	Method         string    `json:"method"`
 	Path           string    `json:"path"`
 	BodyDigest     string    `json:"body-digest"`
 	Ran            time.Time `json:"ran"`
-	// Count is how many calls with the key have run, this one included.
+	// Count is how many calls of the subscriber with the key have run, this one
+	// included.
 	Count int `json:"count"`
 }
 
--- a/faker/service.go
+++ b/faker/service.go
@@ -19,6 +19,9 @@
 	Delay time.Duration
 }
 
+// callKey identifies a call that must not run twice.
+type callKey struct{ subscriber, key string }
+
 // Service is a stand-in plain service. It runs any method under any path.
 type Service struct {
 	host
@@ -29,7 +32,7 @@
 	thawed  chan struct{}
 	leaving time.Time
 	calls   []encoder.Execution
-	counts  map[string]int
+	counts  map[callKey]int
 	refused int
 }
 
@@ -37,7 +40,7 @@
 func NewService(settings ServiceSettings) *Service {
 	open := make(chan struct{})
 	close(open)
-	return &Service{settings: settings, counts: map[string]int{}, thawed: open}
+	return &Service{settings: settings, counts: map[callKey]int{}, thawed: open}
 }
 
 // Start listens on the address.
@@ -148,6 +151,7 @@
 	defer s.mu.Unlock()
 	ran := encoder.Execution{
 		RequestID:      r.Header.Get(encoder.HeaderRequestID),
+		Subscriber:     r.Header.Get(encoder.HeaderSubscriber),
 		IdempotencyKey: r.Header.Get(encoder.HeaderIdempotencyKey),
 		Method:         r.Method,
 		Path:           r.URL.RequestURI(),
@@ -156,8 +160,9 @@
 		Count:          1,
 	}
 	if ran.IdempotencyKey != "" {
-		s.counts[ran.IdempotencyKey]++
-		ran.Count = s.counts[ran.IdempotencyKey]
+		key := callKey{ran.Subscriber, ran.IdempotencyKey}
+		s.counts[key]++
+		ran.Count = s.counts[key]
 	}
 	s.calls = append(s.calls, ran)
 	return ran
--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -1,9 +1,240 @@
 package prover_test
 
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+	"burdocklink/faker"
+	"burdocklink/prover"
+)
+
+// subscriberName is who all requests of the tests come from.
 const subscriberName = "couple"
 
 // entry is a started entry.
 type entry struct {
 	process *process
 	name    string
+	address string
+}
+
+// url returns the address of a path at the entry.
+func (e *entry) url(path string) string { return "http://" + e.address + path }
+
+// ready asks the entry's readiness probe.
+func (e *entry) ready() bool {
+	response, err := client.Get(e.url("/readyz"))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// key makes a key and returns it.
+func (f *fleet) key(role, name string) string {
+	f.t.Helper()
+	out, err := exec.Command(binary, "key", "new", role, name, "--keys", f.keysFile()).Output()
+	assert.NilError(f.t, err)
+	return strings.TrimSpace(string(out))
+}
+
+func (f *fleet) keysFile() string { return filepath.Join(f.folder, "keys.json") }
+
+// addEntries starts entries that know each other.
+func (f *fleet) addEntries(names ...string) {
+	f.t.Helper()
+	peers := map[string]string{}
+	for _, name := range names {
+		peers[name] = freeAddress(f.t)
+	}
+	for _, name := range names {
+		var others []string
+		for _, other := range names {
+			if other != name {
+				others = append(others, peers[other])
+			}
+		}
+		added := &entry{name: name, address: freeAddress(f.t)}
+		added.process = start(f.t, name, "entry", "--name", name, "--availability-zone", "bp-a",
+			"--listen", added.address, "--peer-listen", peers[name], "--peers", strings.Join(others, ","),
+			"--control", f.control(), "--keys", f.keysFile(), "--linger", "1s")
+		f.entries = append(f.entries, added)
+	}
+	for _, each := range f.entries {
+		eventually(f.t, each.name+" is ready", each.ready)
+	}
+}
+
+// callerClient has no time of its own: each call brings a context.
+var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// request builds a request of the subscriber.
+func (f *fleet) request(ctx context.Context, method, url, id string, body []byte) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	assert.NilError(f.t, err)
+	request.Header.Set("Authorization", "Bearer "+f.subscriberKey)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(encoder.HeaderRequestID, id)
+	return request
+}
+
+// chat asks an entry for a streamed answer and records what came.
+func (f *fleet) chat(at *entry, model string, tokens int) prover.Answer {
+	number := f.number()
+	asked := encoder.ChatRequest{
+		Model:     model,
+		Messages:  []encoder.ChatMessage{{Role: "user", Content: fmt.Sprintf("request %d", number)}},
+		Stream:    true,
+		MaxTokens: tokens,
+	}
+	body, err := json.Marshal(asked)
+	assert.NilError(f.t, err)
+	answer := prover.Answer{
+		Request: fmt.Sprintf("chat-%d", number),
+		Entry:   at.name,
+		Sent:    time.Now(),
+		Want:    faker.Text(asked, tokens),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testEnd)
+	defer cancel()
+	response, err := callerClient.Do(f.request(ctx, http.MethodPost, at.url(encoder.PathChat), answer.Request, body))
+	if err == nil {
+		answer.Outcome = response.Header.Get(encoder.HeaderOutcome)
+		answer.Refused = response.StatusCode != http.StatusOK
+		answer.Text, answer.Complete = readStream(response)
+	}
+	answer.Ended = time.Now()
+	f.see(answer)
+	return answer
+}
+
+// readStream reads events until the stream ends or breaks. The boolean is true
+// where the terminal event came.
+func readStream(response *http.Response) (string, bool) {
+	defer func() { _ = response.Body.Close() }()
+	text := ""
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == encoder.StreamEnd {
+			return text, true
+		}
+		var chunk encoder.ChatChunk
+		if json.Unmarshal([]byte(data), &chunk) == nil && len(chunk.Choices) > 0 {
+			text += chunk.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
+
+// book asks an entry for a booking with a key and records what came.
+func (f *fleet) book(at *entry, key string) prover.Answer {
+	body := []byte(`{"slot":"` + key + `"}`)
+	answer := prover.Answer{
+		Request:    fmt.Sprintf("book-%d", f.number()),
+		Subscriber: subscriberName,
+		Key:        key,
+		Entry:      at.name,
+		Sent:       time.Now(),
+		Want:       key + " " + faker.Digest(body),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testEnd)
+	defer cancel()
+	request := f.request(ctx, http.MethodPost, at.url("/services/naptar/bookings"), answer.Request, body)
+	request.Header.Set(encoder.HeaderIdempotencyKey, key)
+	response, err := callerClient.Do(request)
+	if err == nil {
+		defer func() { _ = response.Body.Close() }()
+		answer.Outcome = response.Header.Get(encoder.HeaderOutcome)
+		answer.Refused = response.StatusCode != http.StatusOK
+		var reply encoder.ServiceAnswer
+		if json.NewDecoder(response.Body).Decode(&reply) == nil && !answer.Refused {
+			answer.Text = reply.IdempotencyKey + " " + reply.BodyDigest
+			answer.Complete = true
+		}
+	}
+	answer.Ended = time.Now()
+	f.see(answer)
+	return answer
+}
+
+// traffic sends requests through all entries in turn until it is stopped.
+type traffic struct {
+	fleet  *fleet
+	models []string
+	tokens int
+	stop   chan struct{}
+	done   sync.WaitGroup
+}
+
+// startTraffic begins as many senders.
+func (f *fleet) startTraffic(senders, tokens int, models ...string) *traffic {
+	begun := &traffic{fleet: f, models: models, tokens: tokens, stop: make(chan struct{})}
+	for i := range senders {
+		begun.done.Add(1)
+		go begun.runSender(i)
+	}
+	return begun
+}
+
+func (l *traffic) runSender(number int) {
+	defer l.done.Done()
+	for i := number; ; i++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		at := l.fleet.entries[i%len(l.fleet.entries)]
+		if i%3 == 2 && len(l.fleet.services) > 0 {
+			l.fleet.book(at, fmt.Sprintf("key-%d", l.fleet.number()))
+			continue
+		}
+		l.fleet.chat(at, l.models[i%len(l.models)], l.tokens)
+	}
+}
+
+// end stops the senders and waits for their answers.
+func (l *traffic) end() {
+	close(l.stop)
+	l.done.Wait()
+}
+
+// counts of answers.
+type counts struct{ complete, refused, broken int }
+
+// count sorts the answers so far.
+func (f *fleet) count() counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var seen counts
+	for _, record := range f.records {
+		answer, ok := record.(prover.Answer)
+		switch {
+		case !ok:
+		case answer.Complete:
+			seen.complete++
+		case answer.Refused:
+			seen.refused++
+		default:
+			seen.broken++
+		}
+	}
+	return seen
 }
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -39,6 +39,9 @@
 	members  []*member
 	entries  []*entry
 
+	subscriberKey string
+	operatorKey   string
+
 	mu      sync.Mutex
 	records []prover.Record
 	numbers int
@@ -66,6 +69,8 @@
 	t.Helper()
 	f := &fleet{t: t, folder: t.TempDir(), weights: weights}
 	file := f.write("weights.json", weights)
+	f.subscriberKey = f.key("subscriber", subscriberName)
+	f.operatorKey = f.key("operator", operatorName)
 	f.platform = start(t, "platform", "stand-in", "platform").address(t)
 	f.store = start(t, "store", "stand-in", "store", "--weights", file,
 		"--store-loads-per-second", "100", "--model-time", "50ms", "--adapter-time", "10ms").address(t)
@@ -191,7 +196,7 @@
 	f.t.Helper()
 	arguments := append([]string{"control", "--name", each.name,
 		"--listen", each.link.proxy.Upstream, "--advertise", each.link.listen,
-		"--data", each.folder,
+		"--data", each.folder, "--keys", f.keysFile(),
 		"--platform", "http://" + f.platform, "--store", "http://" + f.store,
 		"--store-loads-per-second", "100", "--store-loads-at-once", "50"}, flags...)
 	each.process = start(f.t, each.name, arguments...)
@@ -261,7 +266,7 @@
 			Upstream:        record.Upstream,
 			Incarnation:     from.vm.Incarnation,
 			Request:         requestOf(call.RequestID),
-			Subscriber:      subscriberName,
+			Subscriber:      call.Subscriber,
 			Key:             call.IdempotencyKey,
 			RepeatForbidden: call.Method == http.MethodPost,
 			At:              call.Ran,
--- a/prover/link_test.go
+++ b/prover/link_test.go
@@ -123,4 +123,3 @@
 func (f *forgetToxic) Cleanup(stub *toxics.ToxicStub) { stub.Close() }
 
 func init() { toxics.Register(forgetName, new(forgetToxic)) }
-
--- a/prover/operator_test.go
+++ b/prover/operator_test.go
@@ -11,6 +11,9 @@
 	"burdocklink/prover"
 )
 
+// operatorName is who all changes of the tests come from.
+const operatorName = "anna"
+
 // Exit codes of the operators' commands.
 const (
 	exitDone     = 0
@@ -20,7 +23,7 @@
 
 // operate runs an operators' command and returns its output and exit code.
 func (f *fleet) operate(arguments ...string) ([]byte, int) {
-	arguments = append(arguments, "--control", f.control(), "--output", "json")
+	arguments = append(arguments, "--control", f.control(), "--key", f.operatorKey, "--output", "json")
 	command := exec.Command(binary, arguments...)
 	var out, errOut bytes.Buffer
 	command.Stdout, command.Stderr = &out, &errOut
@@ -57,7 +60,7 @@
 	}
 	f.see(prover.Accepted{
 		At:       time.Now(),
-		Operator: "operator",
+		Operator: operatorName,
 		Request:  wanted.request,
 		Based:    based,
 		Revision: page.Revision,
--- /dev/null
+++ b/prover/path_test.go
@@ -0,0 +1,37 @@
+package prover_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+)
+
+// models are the weights of the small fleets.
+func models() []encoder.Weights {
+	return []encoder.Weights{
+		{Name: "torta", Kind: "model", Service: "models", Version: "1", MemoryBytes: 40},
+		{Name: "krem", Kind: "model", Service: "models", Version: "1", MemoryBytes: 30},
+		{Name: "torta-eskuvo", Kind: "adapter", Base: "torta", Version: "1", MemoryBytes: 5},
+	}
+}
+
+func TestWholePathUnderTraffic(t *testing.T) {
+	f := newFleet(t, models()...)
+	f.addEngine("engine-1", 100)
+	f.addEngine("engine-2", 100)
+	f.addService("naptar-1")
+	f.addMembers("control-1")
+	f.addEntries("entry-1", "entry-2")
+	for _, model := range []string{"torta", "krem", "torta-eskuvo"} {
+		eventually(t, model+" answers", func() bool { return f.chat(f.entries[0], model, 5).Complete })
+	}
+
+	traffic := f.startTraffic(4, 20, "torta", "krem", "torta-eskuvo")
+	eventually(t, "answers come", func() bool { return f.count().complete > 60 })
+	traffic.end()
+
+	assert.Equal(t, f.count().broken, 0)
+	f.judge()
+}
