--- a/receiver/rig_test.go
+++ b/receiver/rig_test.go
@@ -53,6 +53,7 @@
 	t        *testing.T
 	receiver *receiver.Receiver
 	admitter *admitter.Admitter
+	routes   *router.Router
 	reporter *reporter.Reporter
 	claims   *table
 	catalog  *cataloger.Catalog
@@ -66,9 +67,9 @@
 	t.Helper()
 	r := &rig{t: t, claims: newTable(), reporter: reporter.New(reporter.Settings{})}
 	r.catalog = newCatalog(t, upstreams)
-	routes := router.New(router.Settings{AvailabilityZone: "bp-a"})
-	routes.Update(r.catalog)
-	r.admitter = admitter.New(routes, admitter.Settings{})
+	r.routes = router.New(router.Settings{AvailabilityZone: "bp-a"})
+	r.routes.Update(r.catalog)
+	r.admitter = admitter.New(r.routes, admitter.Settings{})
 	assert.NilError(t, r.admitter.Start(context.Background(), nil))
 	config := receiver.Config{
 		Settings: receiver.Settings{Listen: "127.0.0.1:0", Entry: "entry-1", AvailabilityZone: "bp-a"},
