--- a/demonstrator/outside.go
+++ b/demonstrator/outside.go
@@ -105,7 +105,6 @@
 			ReportLag:              reportLag,
 			ChecksFence:            true,
 			Store:                  ctx.Store.Address(),
-			Holds:                  heldBy(number),
 		})
 		if err := engine.Start(loopback); err != nil {
 			return err
@@ -121,15 +120,6 @@
 	return nil
 }
 
-// heldBy returns what an engine holds from the start: the first one has
-// everything.
-func heldBy(number int) []encoder.Weights {
-	if number == 0 {
-		return weights()
-	}
-	return nil
-}
-
 func engineName(number int) string {
 	return planning + "-" + string(rune('1'+number))
 }
