perf(follower): tell only changed demand, and gossip with few peers a round

Cause: an entry told its whole demand four times a second and exchanged digests with every peer; both grow with models and entries, against 4 KB a second for a node. Ruled out: totals without classes, which the status page and the planner need.

--- /dev/null
+++ b/encoder/demand_test.go
@@ -0,0 +1,79 @@
+package encoder_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/placer"
+)
+
+func TestDemandTellsOnlyWhatChanged(t *testing.T) {
+	sender, receiver := encoder.NewDemandEncoder(), encoder.NewDemandDecoder()
+	demand := placer.Demand{Counts: map[string]map[string]placer.Count{
+		"large": {"waiting": {Arrivals: 3}, "drafts": {Arrivals: 1}},
+	}}
+
+	first := &wire.FollowRequest{Demand: sender.Encode(demand)}
+	assert.Equal(t, len(first.Demand), 2)
+	_, err := receiver.Decode(first)
+	assert.NilError(t, err)
+
+	demand.Counts["large"]["waiting"] = placer.Count{Arrivals: 4, Missed: 1}
+	second := &wire.FollowRequest{Demand: sender.Encode(demand)}
+	assert.Equal(t, len(second.Demand), 1)
+	assert.Equal(t, second.Demand[0].GetName(), "")
+
+	got, err := receiver.Decode(second)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Counts, demand.Counts)
+}
+
+func TestDemandWithAnUnknownNumberIsRefused(t *testing.T) {
+	report := &wire.FollowRequest{Demand: []*wire.Demand{{Id: 7}}}
+
+	_, err := encoder.NewDemandDecoder().Decode(report)
+
+	assert.ErrorType(t, err, &encoder.UnknownDemandError{})
+}
+
+// BenchmarkDemandBytes gives the bytes of one report after as many requests as
+// an entry takes between two reports, over 390 models in three classes.
+func BenchmarkDemandBytes(b *testing.B) {
+	for _, requests := range []int{0, 20, 140, 350} {
+		b.Run(fmt.Sprintf("requests-%d", requests), func(b *testing.B) {
+			const models, classes = 390, 3
+			random := rand.New(rand.NewPCG(1, 2))
+			demand := placer.Demand{Counts: map[string]map[string]placer.Count{}}
+			for model := range models {
+				counts := map[string]placer.Count{}
+				for class := range classes {
+					counts[fmt.Sprintf("class-%d", class)] = placer.Count{Arrivals: 50000, PromptTokens: 20e6, AnswerTokens: 10e6}
+				}
+				demand.Counts[fmt.Sprintf("model-%03d", model)] = counts
+			}
+			sender := encoder.NewDemandEncoder()
+			sender.Encode(demand)
+			bytes := 0
+			for b.Loop() {
+				for range requests {
+					name := fmt.Sprintf("model-%03d", random.IntN(models))
+					class := fmt.Sprintf("class-%d", random.IntN(classes))
+					count := demand.Counts[name][class]
+					count.Arrivals++
+					count.Ended++
+					count.PromptTokens += 400
+					count.AnswerTokens += 300
+					demand.Counts[name][class] = count
+				}
+				bytes += proto.Size(&wire.FollowRequest{Demand: sender.Encode(demand)})
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/report")
+		})
+	}
+}
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -17,6 +17,8 @@
 	silenceLimit = 1500 * time.Millisecond
 	// tellInterval is the time between two reports of the entry.
 	tellInterval = 250 * time.Millisecond
+	// demandInterval is the time between two reports of demand.
+	demandInterval = 2 * time.Second
 	// redialPause is the wait before the next member is tried.
 	redialPause = 100 * time.Millisecond
 )
@@ -78,8 +80,8 @@
 	defer silence.Stop()
 	tell := time.NewTicker(tellInterval)
 	defer tell.Stop()
-	sent := newSentReports()
-	s.tell(f.report(sent))
+	told := newTold()
+	s.tell(f.report(told))
 	for {
 		select {
 		case <-f.stop:
@@ -87,7 +89,7 @@
 		case offer := <-f.offers:
 			f.takeOffer(offer)
 		case <-tell.C:
-			s.tell(f.report(sent))
+			s.tell(f.report(told))
 		case <-silence.C:
 			f.settings.Links.Drop(address, link)
 			return &SilentError{Address: address}
@@ -95,22 +97,32 @@
 			return s.err
 		case update := <-s.updates:
 			silence.Reset(silenceLimit)
-			if err := f.take(address, sent, update); err != nil {
+			if err := f.take(address, told.sent, update); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-// report returns the entry's report.
-func (f *Follower) report(sent *sentReports) *wire.FollowRequest {
-	report := encoder.EncodeDemand(f.settings.Demand())
-	report.Number = sent.add(time.Now())
-	report.Entry = f.settings.Entry
-	report.Incarnation = f.settings.Incarnation
-	report.AvailabilityZone = f.settings.AvailabilityZone
-	report.Revision = f.Held().Revision
-	report.InForce = f.Catalog() != nil
+// report returns what the entry has in force, with the demand that changed
+// where it is time to tell it.
+func (f *Follower) report(told *told) *wire.FollowRequest {
+	now := time.Now()
+	report := &wire.FollowRequest{
+		Number:           told.sent.add(now),
+		Entry:            f.settings.Entry,
+		Incarnation:      f.settings.Incarnation,
+		AvailabilityZone: f.settings.AvailabilityZone,
+		Revision:         f.Held().Revision,
+		InForce:          f.Catalog() != nil,
+	}
+	if now.Before(told.nextDemand) {
+		return report
+	}
+	told.nextDemand = now.Add(demandInterval)
+	demand := f.settings.Demand()
+	report.SinceUnixMs = demand.Since.UnixMilli()
+	report.Demand = told.demand.Encode(demand)
 	return report
 }
 
--- a/follower/reports.go
+++ b/follower/reports.go
@@ -1,6 +1,21 @@
 package follower
 
-import "time"
+import (
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// told is what an entry has told on one stream.
+type told struct {
+	sent       *sentReports
+	demand     *encoder.DemandEncoder
+	nextDemand time.Time
+}
+
+func newTold() *told {
+	return &told{sent: newSentReports(), demand: encoder.NewDemandEncoder()}
+}
 
 // reportsKept is how many reports of a stream are remembered.
 const reportsKept = 64
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -44,7 +44,6 @@
 		}
 		return err
 	}
-	g.heard.put(peer, sent)
 	g.settings.Heard(theirs.GetEntry(), dispatches(theirs))
 	return g.learn(ctx, link, theirs, sent)
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -23,16 +23,20 @@
 
 // Times of the exchange.
 const (
-	// exchangeInterval is the time between two digests to one peer.
+	// exchangeInterval is the time between two rounds.
 	exchangeInterval = 500 * time.Millisecond
 	// exchangeLimit is the longest wait for a peer's digest.
 	exchangeLimit = time.Second
-	// heardLimit is how long a peer counts as heard.
-	heardLimit = 2500 * time.Millisecond
+	// heardLimit is how long an answer or its absence counts.
+	heardLimit = 5 * time.Second
 	// pingInterval is the least interval at which peers may ping.
 	pingInterval = time.Second
 )
 
+// peersInRound is how many peers get a digest in one round, whatever the number
+// of entries, so that the traffic of an entry does not grow with the fleet.
+const peersInRound = 2
+
 // Settings are what a gossiper needs.
 type Settings struct {
 	Entry string
@@ -89,9 +93,7 @@
 	g.server = grpc.NewServer(options...)
 	wire.RegisterPeerServer(g.server, g)
 	go g.runServer()
-	for _, peer := range g.settings.Peers {
-		go g.loop(peer)
-	}
+	go g.loop()
 	return nil
 }
 
@@ -102,11 +104,12 @@
 	return nil
 }
 
-// Majority is true while more than half of all entries, this one included,
-// are heard.
+// Majority is true while more than half of the entries tried lately, this one
+// included, are heard. All entries are tried in turn; with few of them that is
+// a majority of all.
 func (g *Gossiper) Majority() bool {
-	heard := g.heard.count(time.Now())
-	return 2*(heard+1) > len(g.settings.Peers)+1
+	answered, tried := g.heard.count(time.Now())
+	return 2*(answered+1) > tried+1
 }
 
 func (g *Gossiper) runServer() {
@@ -115,22 +118,33 @@
 	}
 }
 
-// loop exchanges digests with one peer until the gossiper stops.
-func (g *Gossiper) loop(peer string) {
+// loop tries the peers in turn until the gossiper stops.
+func (g *Gossiper) loop() {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
+	next := 0
 	for {
 		select {
 		case <-g.stop:
 			return
 		case <-ticker.C:
-			if err := g.exchange(peer); err != nil {
-				g.settings.Log.Debug("no digest", zap.String("peer", peer), zap.Error(err))
+			for range min(peersInRound, len(g.settings.Peers)) {
+				go g.runExchange(g.settings.Peers[next%len(g.settings.Peers)])
+				next++
 			}
 		}
 	}
 }
 
+// runExchange swaps digests with one peer and notes whether it answered.
+func (g *Gossiper) runExchange(peer string) {
+	err := g.exchange(peer)
+	g.heard.put(peer, err == nil, time.Now())
+	if err != nil {
+		g.settings.Log.Debug("no digest", zap.String("peer", peer), zap.Error(err))
+	}
+}
+
 // ListenError says that an address can't be listened at.
 type ListenError struct {
 	Address string
--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,111 @@
+package gossiper
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"burdocklink/cataloger"
+	"burdocklink/follower"
+	"burdocklink/linker"
+	"burdocklink/placer"
+)
+
+// endOfWait is a generous end of a wait for a condition.
+const endOfWait = 30 * time.Second
+
+type entry struct {
+	follower *follower.Follower
+	gossiper *Gossiper
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+// startEntry starts an entry without control members.
+func startEntry(t *testing.T, name, address string, peers []string) entry {
+	t.Helper()
+	links := linker.New(nil)
+	catalogs := follower.New(follower.Settings{
+		Entry:   name,
+		Control: []string{"127.0.0.1:1"},
+		Links:   links,
+		Notify:  func(*cataloger.Catalog) {},
+		Demand:  func() placer.Demand { return placer.Demand{} },
+		Log:     zap.NewNop(),
+	})
+	assert.NilError(t, catalogs.Start(context.Background(), nil))
+	g := New(Settings{
+		Entry:      name,
+		Listen:     address,
+		Peers:      peers,
+		Links:      links,
+		Follower:   catalogs,
+		Dispatches: func() map[string]int { return map[string]int{"u": 1} },
+		Heard:      func(string, map[string]int) {},
+		Log:        zap.NewNop(),
+	})
+	assert.NilError(t, g.Start(context.Background(), nil))
+	t.Cleanup(func() {
+		assert.NilError(t, g.Stop(time.Now().Add(endOfWait)))
+		assert.NilError(t, catalogs.Stop(time.Now().Add(endOfWait)))
+		links.Close()
+	})
+	return entry{follower: catalogs, gossiper: g}
+}
+
+func TestAConfirmedCatalogReachesAPeerWithoutControlMembers(t *testing.T) {
+	one, other := freeAddress(t), freeAddress(t)
+	first := startEntry(t, "e-1", one, []string{other})
+	second := startEntry(t, "e-2", other, []string{one})
+	catalog, err := cataloger.New().With(cataloger.Delta{To: 7})
+	assert.NilError(t, err)
+
+	// Confirmed after the second entry's start, as a quorum would.
+	first.follower.Take(follower.Offer{
+		Catalog:      catalog,
+		Confirmation: follower.Confirmation{Revision: 7, At: time.Now().Add(time.Millisecond)},
+	})
+
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := second.follower.Catalog(); got != nil && got.Revision == 7 {
+			return poll.Success()
+		}
+		return poll.Continue("the second entry has no catalog in force")
+	}, poll.WithTimeout(endOfWait))
+}
+
+func TestAnEntryThatHearsNoPeerHasNoMajority(t *testing.T) {
+	lonely := startEntry(t, "e-1", freeAddress(t), []string{freeAddress(t), freeAddress(t)})
+
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !lonely.gossiper.Majority() {
+			return poll.Success()
+		}
+		return poll.Continue("no peer was tried yet")
+	}, poll.WithTimeout(endOfWait))
+}
+
+func TestHeardTableCountsTheLastAttemptOfEachPeer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newHeardTable()
+	table.put("a", true, now)
+	table.put("a", false, now)
+	table.put("b", true, now)
+	table.put("c", true, now.Add(-heardLimit-time.Second))
+
+	answered, tried := table.count(now)
+
+	assert.Equal(t, answered, 1)
+	assert.Equal(t, tried, 2)
+}
--- a/gossiper/heard.go
+++ b/gossiper/heard.go
@@ -5,29 +5,39 @@
 	"time"
 )
 
-// heardTable remembers when each peer last answered.
+// attempt is the last exchange with one peer.
+type attempt struct {
+	answered bool
+	at       time.Time
+}
+
+// heardTable remembers the last attempt with each peer.
 type heardTable struct {
 	mu   sync.Mutex
-	last map[string]time.Time
+	last map[string]attempt
 }
 
-func newHeardTable() *heardTable { return &heardTable{last: map[string]time.Time{}} }
+func newHeardTable() *heardTable { return &heardTable{last: map[string]attempt{}} }
 
-func (t *heardTable) put(peer string, at time.Time) {
+func (t *heardTable) put(peer string, answered bool, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.last[peer] = at
+	t.last[peer] = attempt{answered: answered, at: at}
 }
 
-// count returns how many peers answered lately.
-func (t *heardTable) count(now time.Time) int {
+// count returns how many peers answered and how many were tried lately.
+func (t *heardTable) count(now time.Time) (answered, tried int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 0
-	for _, at := range t.last {
-		if now.Sub(at) <= heardLimit {
-			count++
+	for peer, last := range t.last {
+		if now.Sub(last.at) > heardLimit {
+			delete(t.last, peer)
+			continue
+		}
+		tried++
+		if last.answered {
+			answered++
 		}
 	}
-	return count
+	return answered, tried
 }
--- a/responder/entries.go
+++ b/responder/entries.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
 	"burdocklink/placer"
 )
@@ -21,18 +20,26 @@
 
 // entryRecord is the last word of one entry.
 type entryRecord struct {
-	said  *wire.FollowRequest
-	heard time.Time
+	said   *wire.FollowRequest
+	demand placer.Demand
+	heard  time.Time
 }
 
 func newEntryTable() *entryTable {
 	return &entryTable{entries: map[string]entryRecord{}}
 }
 
-func (t *entryTable) put(said *wire.FollowRequest, now time.Time) {
+// put notes a report. A nil demand leaves the one before.
+func (t *entryTable) put(said *wire.FollowRequest, demand *placer.Demand, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.entries[said.GetEntry()] = entryRecord{said: said, heard: now}
+	record := t.entries[said.GetEntry()]
+	record.said = said
+	record.heard = now
+	if demand != nil {
+		record.demand = *demand
+	}
+	t.entries[said.GetEntry()] = record
 	for name, record := range t.entries {
 		if now.Sub(record.heard) > entryForget {
 			delete(t.entries, name)
@@ -50,7 +57,7 @@
 func (r *Responder) Demands() map[string]placer.Demand {
 	demands := map[string]placer.Demand{}
 	for name, record := range r.entries.list() {
-		demands[name] = encoder.DecodeDemand(record.said)
+		demands[name] = record.demand
 	}
 	return demands
 }
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -11,6 +11,7 @@
 	"burdocklink/cataloger"
 	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
+	"burdocklink/placer"
 )
 
 // followStream is the server's side of one follower's stream.
@@ -21,6 +22,8 @@
 	responder *Responder
 	stream    followStream
 	ended     chan struct{}
+	// demand belongs to the goroutine that receives.
+	demand *encoder.DemandDecoder
 
 	mu sync.Mutex
 	// reports are the last reports received, oldest first.
@@ -42,8 +45,15 @@
 	if err != nil {
 		return err
 	}
-	s := &session{responder: r, stream: stream, ended: make(chan struct{})}
-	s.note(first, time.Now())
+	s := &session{
+		responder: r,
+		stream:    stream,
+		ended:     make(chan struct{}),
+		demand:    encoder.NewDemandDecoder(),
+	}
+	if err := s.note(first, time.Now()); err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
 	go s.runReceive()
 	catalog, deltas, cancel := r.settings.Group.Follow()
 	defer cancel()
@@ -58,22 +68,30 @@
 	defer close(s.ended)
 	for {
 		said, err := s.stream.Recv()
-		if err != nil {
+		if err != nil || s.note(said, time.Now()) != nil {
 			return
 		}
-		s.note(said, time.Now())
 	}
 }
 
 // note keeps a report of the entry.
-func (s *session) note(said *wire.FollowRequest, now time.Time) {
-	s.responder.entries.put(said, now)
+func (s *session) note(said *wire.FollowRequest, now time.Time) error {
+	var demand *placer.Demand
+	if len(said.GetDemand()) > 0 {
+		decoded, err := s.demand.Decode(said)
+		if err != nil {
+			return err
+		}
+		demand = &decoded
+	}
+	s.responder.entries.put(said, demand, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports = append(s.reports, received{number: said.GetNumber(), at: now})
 	if len(s.reports) > reportsKept {
 		s.reports = s.reports[1:]
 	}
+	return nil
 }
 
 // echo returns the number of the last report received before a time, or zero.
--- a/responder/status.go
+++ b/responder/status.go
@@ -15,6 +15,7 @@
 	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
 	"burdocklink/orderer"
+	"burdocklink/placer"
 )
 
 // Status tells the member's picture of the system. The leader's is complete.
@@ -154,19 +155,21 @@
 			InForce:          record.said.GetInForce(),
 			SilentMs:         now.Sub(record.heard).Milliseconds(),
 		})
-		addCounts(counts, record.said.GetDemand())
+		addCounts(counts, record.demand)
 	}
 }
 
 // addCounts adds an entry's requests to their classes.
-func addCounts(counts map[string]*wire.ClassState, said []*wire.Demand) {
-	for _, count := range said {
-		class, known := counts[count.GetClass()]
-		if !known {
-			continue
+func addCounts(states map[string]*wire.ClassState, demand placer.Demand) {
+	for _, classes := range demand.Counts {
+		for class, count := range classes {
+			state, known := states[class]
+			if !known {
+				continue
+			}
+			state.Ended += count.Ended
+			state.Missed += count.Missed
+			state.Refused += count.Refused
 		}
-		class.Ended += count.GetEnded()
-		class.Missed += count.GetMissed()
-		class.Refused += count.GetRefused()
 	}
 }
