--- /dev/null
+++ b/assembler/capacity_test.go
@@ -0,0 +1,207 @@
+package assembler_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/administrator"
+	"burdocklink/applier"
+	"burdocklink/assembler"
+	"burdocklink/authenticator"
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+	"burdocklink/conductor"
+	"burdocklink/faker"
+	"burdocklink/linker"
+	"burdocklink/orderer"
+	"burdocklink/receiver"
+	"burdocklink/registrar"
+)
+
+const (
+	// endOfWait is a generous end of a wait for a condition.
+	endOfWait = 60 * time.Second
+	// window is how long an idle system is measured.
+	window = 5 * time.Second
+)
+
+// rig is a system without upstreams in one process.
+type rig struct {
+	control  *assembler.ControlMember
+	entries  []*assembler.Entry
+	operator *administrator.Administrator
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+func start(t testing.TB, services []registrar.Service) {
+	t.Helper()
+	kernel := registrar.New(zap.NewNop())
+	for _, service := range services {
+		assert.NilError(t, kernel.Add(service))
+	}
+	assert.NilError(t, kernel.Start(context.Background(), time.Now().Add(endOfWait)))
+	t.Cleanup(func() { kernel.Stop(time.Now().Add(endOfWait)) })
+}
+
+func newRig(t testing.TB, entries int) *rig {
+	t.Helper()
+	platform, store := faker.NewPlatform(faker.PlatformSettings{}), faker.NewStore(faker.StoreSettings{})
+	assert.NilError(t, platform.Start("127.0.0.1:0"))
+	assert.NilError(t, store.Start("127.0.0.1:0"))
+	t.Cleanup(func() {
+		assert.NilError(t, platform.Stop(time.Now().Add(endOfWait)))
+		assert.NilError(t, store.Stop(time.Now().Add(endOfWait)))
+	})
+	path := filepath.Join(t.TempDir(), "keys.json")
+	key := authenticator.NewKey()
+	content, err := authenticator.Add(nil, authenticator.Identity{Name: "o", Role: authenticator.RoleOperator}, key)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, content, 0o600))
+	keys := func() *authenticator.Authenticator {
+		opened, err := authenticator.New(authenticator.Settings{File: path}, zap.NewNop())
+		assert.NilError(t, err)
+		return opened
+	}
+	member := conductor.Member{Name: "c-1", Address: freeAddress(t), Role: conductor.Voter}
+	control, err := assembler.NewControl(assembler.ControlSettings{
+		Member:       member,
+		Listen:       member.Address,
+		HealthListen: "127.0.0.1:0",
+		Peers:        []conductor.Member{member},
+		Platform:     "http://" + platform.Address(),
+		Store:        "http://" + store.Address(),
+		Limits:       orderer.StoreLimits{LoadsPerSecond: 1, LoadsAtOnce: 1, AdaptersInTransit: 1},
+		Keys:         keys(),
+		Log:          zap.NewNop(),
+	})
+	assert.NilError(t, err)
+	start(t, control.Services)
+	made := &rig{control: control}
+	var addresses []string
+	for range entries {
+		addresses = append(addresses, freeAddress(t))
+	}
+	for number := range entries {
+		name := fmt.Sprintf("e-%d", number)
+		entry := assembler.NewEntry(assembler.EntrySettings{
+			Name:             name,
+			AvailabilityZone: "zone-a",
+			PeerListen:       addresses[number],
+			Peers:            append(append([]string{}, addresses[:number]...), addresses[number+1:]...),
+			Control:          []string{member.Address},
+			Callers:          receiver.Settings{Listen: "127.0.0.1:0", Entry: name, AvailabilityZone: "zone-a"},
+			Keys:             keys(),
+			Log:              zap.NewNop(),
+		})
+		start(t, entry.Services)
+		made.entries = append(made.entries, entry)
+	}
+	made.operator = administrator.New(administrator.Settings{
+		Control: []string{member.Address},
+		Links:   linker.New(nil, linker.NewMeter(metrics.NewRegistry())),
+		Key:     key,
+	})
+	return made
+}
+
+// change sets a class and returns the accepted revision.
+func (r *rig) change(t testing.TB, target time.Duration) uint64 {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), endOfWait)
+	defer cancel()
+	revision, err := r.operator.Change(ctx, uuid.NewString(), applier.AnyRevision, []cataloger.Change{
+		cataloger.PutClass{Class: classifier.Class{Name: "waiting", Target: classifier.Target{Whole: target}}},
+	})
+	assert.NilError(t, err)
+	return revision
+}
+
+// await waits until the revision is in force at every entry.
+func (r *rig) await(t testing.TB, revision uint64) {
+	t.Helper()
+	end := time.Now().Add(endOfWait)
+	for _, entry := range r.entries {
+		for entry.Follower.Catalog() == nil || entry.Follower.Catalog().Revision < revision {
+			assert.Assert(t, time.Now().Before(end), "revision %d never came into force", revision)
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func (r *rig) bytes() int64 {
+	var sum int64
+	for _, entry := range r.entries {
+		sum += entry.Meter.Sent() + entry.Meter.Received()
+	}
+	return sum
+}
+
+// processorTime is what this process has used.
+func processorTime(t testing.TB) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func TestAnAcceptedChangeComesIntoForceAtEveryEntry(t *testing.T) {
+	r := newRig(t, 3)
+	for step := range 3 {
+		r.await(t, r.change(t, time.Duration(step+1)*time.Second))
+	}
+	for _, entry := range r.entries {
+		assert.Equal(t, entry.Follower.Catalog().Classes["waiting"].Target.Whole, 3*time.Second)
+	}
+}
+
+// BenchmarkIdle gives bytes and processor time a second for each entry of an
+// idle system; the processor time includes the control member's.
+func BenchmarkIdle(b *testing.B) {
+	for _, entries := range []int{2, 9, 36} {
+		b.Run(fmt.Sprintf("entries-%d", entries), func(b *testing.B) {
+			r := newRig(b, entries)
+			r.await(b, r.change(b, time.Second))
+			for b.Loop() {
+				bytes, used := r.bytes(), processorTime(b)
+				time.Sleep(window)
+				seconds := window.Seconds() * float64(entries)
+				b.ReportMetric(float64(r.bytes()-bytes)/seconds, "bytes/s/entry")
+				b.ReportMetric(100*(processorTime(b)-used).Seconds()/seconds, "core-percent/entry")
+			}
+			var memory runtime.MemStats
+			runtime.ReadMemStats(&memory)
+			b.ReportMetric(float64(memory.Sys)/float64(entries)/(1<<20), "MB/entry")
+		})
+	}
+}
+
+// BenchmarkInForce gives the time from the acceptance of a change to its being
+// in force at nine entries, and the bytes of it for each entry.
+func BenchmarkInForce(b *testing.B) {
+	r := newRig(b, 9)
+	r.await(b, r.change(b, time.Second))
+	step := time.Second
+	for b.Loop() {
+		step += time.Millisecond
+		r.await(b, r.change(b, step))
+	}
+}
--- a/assembler/control.go
+++ b/assembler/control.go
@@ -10,6 +10,7 @@
 	"burdocklink/authenticator"
 	"burdocklink/conductor"
 	"burdocklink/encoder"
+	"burdocklink/linker"
 	"burdocklink/orderer"
 	"burdocklink/placer"
 	"burdocklink/prober"
@@ -47,6 +48,7 @@
 
 // ControlMember is a control member that has not started.
 type ControlMember struct {
+	Meter     *linker.Meter
 	Conductor *conductor.Conductor
 	Responder *responder.Responder
 	// Services are in start order.
@@ -56,6 +58,7 @@
 // NewControl puts a control member together.
 func NewControl(settings ControlSettings) (*ControlMember, error) {
 	metrics := reporter.New(reporter.Settings{})
+	meter := linker.NewMeter(metrics.Registry())
 	member, err := conductor.New(conductor.Config{
 		Name:        settings.Member.Name,
 		Address:     settings.Member.Address,
@@ -75,6 +78,7 @@
 		Credentials: settings.ServerCredentials,
 		Operator:    operatorOf(settings.Keys),
 		Group:       member,
+		Meter:       meter,
 		Log:         settings.Log,
 	})
 	lists := watcher.New(watcher.Settings{
@@ -98,6 +102,7 @@
 		Log:      settings.Log,
 	})
 	return &ControlMember{
+		Meter:     meter,
 		Conductor: member,
 		Responder: answers,
 		Services:  []registrar.Service{settings.Keys, member, answers, lists, duties, health},
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -46,6 +46,7 @@
 
 // Entry is an entry that has not started.
 type Entry struct {
+	Meter    *linker.Meter
 	Follower *follower.Follower
 	Gossiper *gossiper.Gossiper
 	Receiver *receiver.Receiver
@@ -55,7 +56,9 @@
 
 // NewEntry puts an entry together.
 func NewEntry(settings EntrySettings) *Entry {
-	links := linker.New(settings.ClientCredentials)
+	metrics := reporter.New(reporter.Settings{})
+	meter := linker.NewMeter(metrics.Registry())
+	links := linker.New(settings.ClientCredentials, meter)
 	routes := router.New(router.Settings{
 		AvailabilityZone: settings.AvailabilityZone,
 		Seed:             xxhash.Sum64String(settings.Name),
@@ -80,6 +83,7 @@
 		Listen:      settings.PeerListen,
 		Peers:       settings.Peers,
 		Links:       links,
+		Meter:       meter,
 		Credentials: settings.ServerCredentials,
 		Follower:    catalogs,
 		Dispatches:  func() map[string]int { return nil },
@@ -101,9 +105,10 @@
 		Admitter: admission,
 		Claims:   claims,
 		Calls:    dispatcher.New(dispatcher.Settings{}),
-		Reporter: reporter.New(reporter.Settings{}),
+		Reporter: metrics,
 	})
 	return &Entry{
+		Meter:    meter,
 		Follower: catalogs,
 		Gossiper: peers,
 		Receiver: callers,
--- a/cmd/operator.go
+++ b/cmd/operator.go
@@ -6,6 +6,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"burdocklink/administrator"
 	"burdocklink/checker"
 	"burdocklink/encoder"
@@ -79,7 +81,7 @@
 	}
 	client := administrator.New(administrator.Settings{
 		Control: control,
-		Links:   linker.New(transport),
+		Links:   linker.New(transport, linker.NewMeter(metrics.NewRegistry())),
 		Key:     call.settings.Text(operatorKey.Name),
 	})
 	return &operatorCall{invocation: call, client: client, output: output, wait: wait}, nil
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"burdocklink/administrator"
 	"burdocklink/applier"
@@ -46,7 +47,7 @@
 	}
 	ctx.Operator = administrator.New(administrator.Settings{
 		Control: ctx.Control,
-		Links:   linker.New(nil),
+		Links:   linker.New(nil, linker.NewMeter(metrics.NewRegistry())),
 		Key:     ctx.OperatorKey,
 	})
 	return nil
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -45,6 +45,7 @@
 	// Peers lists the addresses of the other entries.
 	Peers       []string
 	Links       *linker.Linker
+	Meter       *linker.Meter
 	Credentials credentials.TransportCredentials
 	Follower    *follower.Follower
 	// Dispatches returns the requests this entry has running, by upstream.
@@ -113,7 +114,7 @@
 }
 
 func (g *Gossiper) runServer() {
-	if err := g.server.Serve(g.listener); err != nil {
+	if err := g.server.Serve(g.settings.Meter.Listen(g.listener)); err != nil {
 		g.settings.Log.Warn("peer service ended", zap.Error(err))
 	}
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -35,7 +36,7 @@
 // startEntry starts an entry without control members.
 func startEntry(t *testing.T, name, address string, peers []string) entry {
 	t.Helper()
-	links := linker.New(nil)
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
 	catalogs := follower.New(follower.Settings{
 		Entry:   name,
 		Control: []string{"127.0.0.1:1"},
@@ -53,6 +54,7 @@
 		Follower:   catalogs,
 		Dispatches: func() map[string]int { return map[string]int{"u": 1} },
 		Heard:      func(string, map[string]int) {},
+		Meter:      linker.NewMeter(metrics.NewRegistry()),
 		Log:        zap.NewNop(),
 	})
 	assert.NilError(t, g.Start(context.Background(), nil))
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -14,18 +14,19 @@
 // Linker holds connections by address. It is safe for concurrent use.
 type Linker struct {
 	credentials credentials.TransportCredentials
+	meter       *Meter
 
 	mu    sync.Mutex
 	links map[string]*grpc.ClientConn
 }
 
 // New returns a linker without connections. Without credentials the
-// connections are plain text.
-func New(transport credentials.TransportCredentials) *Linker {
+// connections are plain text. The meter counts their bytes.
+func New(transport credentials.TransportCredentials, meter *Meter) *Linker {
 	if transport == nil {
 		transport = insecure.NewCredentials()
 	}
-	return &Linker{credentials: transport, links: map[string]*grpc.ClientConn{}}
+	return &Linker{credentials: transport, meter: meter, links: map[string]*grpc.ClientConn{}}
 }
 
 // Connect returns the connection to an IP address and port; it is opened by
@@ -41,6 +42,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(0),
+		grpc.WithContextDialer(l.meter.dial),
 	)
 	if err != nil {
 		return nil, &AddressError{Address: address, Cause: err}
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -15,6 +15,7 @@
 
 	"burdocklink/conductor"
 	"burdocklink/encoder/wire"
+	"burdocklink/linker"
 	"burdocklink/registrar"
 )
 
@@ -48,6 +49,7 @@
 	// Operator returns the authenticated operator of a call.
 	Operator func(ctx context.Context) (string, error)
 	Group    Group
+	Meter    *linker.Meter
 	Log      *zap.Logger
 }
 
@@ -126,7 +128,7 @@
 }
 
 func (r *Responder) runServer() {
-	if err := r.server.Serve(r.listener); err != nil {
+	if err := r.server.Serve(r.settings.Meter.Listen(r.listener)); err != nil {
 		r.settings.Log.Warn("control service ended", zap.Error(err))
 	}
 }
