--- /dev/null
+++ b/recorder/files.go
@@ -0,0 +1,103 @@
+package recorder
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// FileSystem is what a Recorder needs of the operating system.
+type FileSystem interface {
+	// MakeFolder makes a folder that lasts, with those above it.
+	MakeFolder(path string) error
+	// Lock keeps other processes out until it is closed.
+	Lock(path string) (io.Closer, error)
+	// Append opens a file for writing at its end and makes it where missing.
+	Append(path string) (File, error)
+	Read(path string) ([]byte, error)
+	// List returns the names in a folder in ascending order.
+	List(folder string) ([]string, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncFolder makes names made, renamed and removed in a folder last.
+	SyncFolder(path string) error
+}
+
+// File is a file open for appending.
+type File interface {
+	io.Writer
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// systemFiles is the operating system's file system.
+type systemFiles struct{}
+
+func (s systemFiles) MakeFolder(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	above := filepath.Dir(path)
+	if above != path {
+		if err := s.MakeFolder(above); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, folderMode); err != nil {
+		return err
+	}
+	return s.SyncFolder(above)
+}
+
+func (systemFiles) Lock(path string) (io.Closer, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = file.Close()
+		return nil, &LockedError{}
+	}
+	return file, nil
+}
+
+func (systemFiles) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+func (systemFiles) Read(path string) ([]byte, error) { return os.ReadFile(path) }
+
+func (systemFiles) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names, nil
+}
+
+func (systemFiles) Rename(from, to string) error { return os.Rename(from, to) }
+
+func (systemFiles) Remove(path string) error { return os.Remove(path) }
+
+func (systemFiles) SyncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	err = folder.Sync()
+	if closed := folder.Close(); err == nil {
+		err = closed
+	}
+	return err
+}
--- /dev/null
+++ b/recorder/files_test.go
@@ -0,0 +1,193 @@
+package recorder_test
+
+import (
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+
+	"burdocklink/recorder"
+)
+
+// crashedError is what every action returns after the simulated crash.
+type crashedError struct{}
+
+func (*crashedError) Error() string { return "crashed" }
+
+// memoryFile is a file with what of it is known to last.
+type memoryFile struct{ data, synced []byte }
+
+// nameAction is a change of a folder that may not last yet.
+type nameAction struct {
+	from, to string
+	file     *memoryFile
+}
+
+// memoryFiles is a file system that crashes at a chosen action.
+type memoryFiles struct {
+	random  *rand.Rand
+	names   map[string]*memoryFile
+	durable map[string]*memoryFile
+	pending []nameAction
+	// actions counts changes; crashAt is the one that does not return.
+	actions int
+	crashAt int
+	crashed bool
+	// failSync and fullAt make one action fail without a crash.
+	failSync int
+	fullAt   int
+}
+
+func newMemoryFiles(seed uint64) *memoryFiles {
+	return &memoryFiles{
+		random:  rand.New(rand.NewPCG(seed, 2)),
+		names:   map[string]*memoryFile{},
+		durable: map[string]*memoryFile{},
+	}
+}
+
+func (m *memoryFiles) act() error {
+	m.actions++
+	if m.crashed || m.actions == m.crashAt {
+		m.crashed = true
+		return &crashedError{}
+	}
+	return nil
+}
+
+// restart returns the file system as it is after the crash: names change in
+// order but not all of them last, and unsynced bytes last in part.
+func (m *memoryFiles) restart() *memoryFiles {
+	after := newMemoryFiles(m.random.Uint64())
+	for _, action := range m.pending[:m.random.IntN(len(m.pending)+1)] {
+		action.apply(m.durable)
+	}
+	for name, file := range m.durable {
+		data := slices.Clone(file.synced)
+		if len(file.data) >= len(data) {
+			rest := slices.Clone(file.data[len(data):])
+			rest = rest[:m.random.IntN(len(rest)+1)]
+			if len(rest) > 0 && m.random.IntN(2) == 0 {
+				rest[m.random.IntN(len(rest))] ^= 0xff
+			}
+			data = append(data, rest...)
+		}
+		kept := &memoryFile{data: data, synced: slices.Clone(data)}
+		after.names[name], after.durable[name] = kept, kept
+	}
+	return after
+}
+
+func (a nameAction) apply(names map[string]*memoryFile) {
+	if a.from != "" {
+		delete(names, a.from)
+	}
+	if a.to != "" {
+		names[a.to] = a.file
+	}
+}
+
+func (m *memoryFiles) change(action nameAction) {
+	action.apply(m.names)
+	m.pending = append(m.pending, action)
+}
+
+func (m *memoryFiles) MakeFolder(string) error { return m.act() }
+
+func (m *memoryFiles) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+func (m *memoryFiles) Append(path string) (recorder.File, error) {
+	if err := m.act(); err != nil {
+		return nil, err
+	}
+	if m.names[path] == nil {
+		m.change(nameAction{to: path, file: &memoryFile{}})
+	}
+	return &openFile{files: m, file: m.names[path]}, nil
+}
+
+func (m *memoryFiles) Read(path string) ([]byte, error) {
+	file := m.names[path]
+	if file == nil {
+		return nil, os.ErrNotExist
+	}
+	return slices.Clone(file.data), nil
+}
+
+func (m *memoryFiles) List(string) ([]string, error) {
+	var names []string
+	for path := range m.names {
+		names = append(names, filepath.Base(path))
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memoryFiles) Rename(from, to string) error {
+	if err := m.act(); err != nil {
+		return err
+	}
+	m.change(nameAction{from: from, to: to, file: m.names[from]})
+	return nil
+}
+
+func (m *memoryFiles) Remove(path string) error {
+	if err := m.act(); err != nil {
+		return err
+	}
+	m.change(nameAction{from: path})
+	return nil
+}
+
+func (m *memoryFiles) SyncFolder(string) error {
+	if err := m.act(); err != nil {
+		return err
+	}
+	for _, action := range m.pending {
+		action.apply(m.durable)
+	}
+	m.pending = nil
+	return nil
+}
+
+// openFile is a file of memoryFiles.
+type openFile struct {
+	files *memoryFiles
+	file  *memoryFile
+}
+
+func (o *openFile) Write(data []byte) (int, error) {
+	err := o.files.act()
+	if err != nil || o.files.actions == o.files.fullAt {
+		data = data[:o.files.random.IntN(len(data)+1)]
+		if err == nil {
+			err = syscall.ENOSPC
+		}
+	}
+	o.file.data = append(o.file.data, data...)
+	return len(data), err
+}
+
+func (o *openFile) Sync() error {
+	if err := o.files.act(); err != nil {
+		return err
+	}
+	if o.files.actions >= o.files.failSync && o.files.failSync > 0 {
+		o.files.failSync = 0
+		return syscall.EIO
+	}
+	o.file.synced = slices.Clone(o.file.data)
+	return nil
+}
+
+func (o *openFile) Truncate(size int64) error {
+	if err := o.files.act(); err != nil {
+		return err
+	}
+	o.file.data = o.file.data[:size]
+	return nil
+}
+
+func (o *openFile) Close() error { return nil }
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,253 @@
+package recorder_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/recorder"
+	"burdocklink/replicator"
+)
+
+const (
+	folder       = "data"
+	workload     = 40
+	smallSegment = 600
+)
+
+// model is what a folder should hold.
+type model struct {
+	hard     replicator.HardState
+	snapshot replicator.Snapshot
+	entries  []replicator.Entry
+}
+
+// with returns the model after a write.
+func (m model) with(write replicator.Write) model {
+	if write.Hard != nil {
+		m.hard = *write.Hard
+	}
+	if s := write.Snapshot; s != nil {
+		var kept []replicator.Entry
+		for _, entry := range m.entries {
+			if entry.Index > s.Index && !write.Reset {
+				kept = append(kept, entry)
+			}
+		}
+		m.snapshot, m.entries = *s, kept
+	}
+	if len(write.Entries) > 0 {
+		keep := write.Entries[0].Index - m.snapshot.Index - 1
+		m.entries = append(m.entries[:keep:keep], write.Entries...)
+	}
+	return m
+}
+
+func (m model) last() uint64 { return m.snapshot.Index + uint64(len(m.entries)) }
+
+// randomWrite makes a write that may follow a model, as the core would.
+func randomWrite(random *rand.Rand, m model) replicator.Write {
+	var write replicator.Write
+	term := m.hard.Term
+	if random.IntN(4) == 0 || term == 0 {
+		term++
+		write.Hard = &replicator.HardState{Group: "g", Term: term, Vote: replicator.Identity{Name: "a"}}
+	}
+	if random.IntN(8) == 0 && len(m.entries) > 0 {
+		at := m.entries[random.IntN(len(m.entries))]
+		write.Snapshot = &replicator.Snapshot{Index: at.Index, Term: at.Term, Data: []byte("state")}
+		return write
+	}
+	if random.IntN(12) == 0 {
+		index := m.last() + uint64(random.IntN(5)) + 1
+		write.Snapshot = &replicator.Snapshot{Index: index, Term: term, Data: []byte("sent")}
+		write.Reset = true
+		return write
+	}
+	first := m.last() + 1
+	if random.IntN(6) == 0 {
+		first -= uint64(random.IntN(len(m.entries) + 1))
+	}
+	for i := range 1 + random.IntN(4) {
+		write.Entries = append(write.Entries, replicator.Entry{
+			Index:   first + uint64(i),
+			Term:    term,
+			Stamp:   time.Unix(int64(first), 0).UTC(),
+			Payload: replicator.Opaque{Data: make([]byte, 1+random.IntN(60))},
+		})
+	}
+	return write
+}
+
+// play writes until the end of the workload or a failure. It returns what was
+// acknowledged and the write under way.
+func play(random *rand.Rand, files recorder.FileSystem, m model) (model, *replicator.Write) {
+	r, _, err := recorder.Open(recorder.Settings{Folder: folder, Files: files, SegmentBytes: smallSegment})
+	if err != nil {
+		return m, nil
+	}
+	for range workload {
+		write := randomWrite(random, m)
+		if r.Append(write) != nil || r.Sync() != nil {
+			return m, &write
+		}
+		m = m.with(write)
+	}
+	return m, nil
+}
+
+// matches says whether what was loaded is what may be there.
+func matches(loaded recorder.Loaded, m model, write *replicator.Write) bool {
+	allowed := []model{m}
+	if write != nil {
+		allowed = append(allowed, m.with(*write))
+		if write.Snapshot != nil {
+			allowed = append(allowed, m.with(replicator.Write{Snapshot: write.Snapshot, Reset: write.Reset}))
+		}
+	}
+	for _, one := range allowed {
+		same := cmp.Equal(loaded.Hard, one.hard) && cmp.Equal(loaded.Snapshot, one.snapshot)
+		if same && len(loaded.Entries) == len(one.entries) && (len(one.entries) == 0 || cmp.Equal(loaded.Entries, one.entries)) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestCrashAtEveryWrite crashes at each action on the files in turn, twice in
+// a row, and holds that what was acknowledged is there again.
+func TestCrashAtEveryWrite(t *testing.T) {
+	const seeds = 12
+	for seed := range uint64(seeds) {
+		for crashAt := 1; ; crashAt++ {
+			files := newMemoryFiles(seed)
+			files.crashAt = crashAt
+			random := rand.New(rand.NewPCG(seed, 3))
+			m, write := play(random, files, model{})
+			if !files.crashed {
+				break
+			}
+			files = files.restart()
+			files.crashAt = 1 + random.IntN(12)
+			if r, _, err := recorder.Open(recorder.Settings{Folder: folder, Files: files}); err == nil {
+				_ = r.Close()
+			}
+			files = files.restart()
+			_, loaded, err := recorder.Open(recorder.Settings{Folder: folder, Files: files})
+			assert.NilError(t, err, "seed %d crash at %d", seed, crashAt)
+			assert.Assert(t, matches(loaded, m, write), "seed %d crash at %d: %+v, want %+v and %+v",
+				seed, crashAt, loaded, m, write)
+		}
+	}
+}
+
+func TestFailedWritesAreFinal(t *testing.T) {
+	faults := map[string]func(*memoryFiles){
+		"failed sync": func(m *memoryFiles) { m.failSync = m.actions + 1 },
+		"full disk":   func(m *memoryFiles) { m.fullAt = m.actions + 1 },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			files := newMemoryFiles(1)
+			r, _, err := recorder.Open(recorder.Settings{Folder: folder, Files: files})
+			assert.NilError(t, err)
+			write := randomWrite(files.random, model{})
+			fault(files)
+			assert.NilError(t, r.Append(write))
+			assert.ErrorType(t, r.Sync(), &recorder.FailedError{})
+			assert.ErrorType(t, r.Append(write), &recorder.FailedError{})
+			assert.ErrorType(t, r.Sync(), &recorder.FailedError{})
+			_, loaded, err := recorder.Open(recorder.Settings{Folder: folder, Files: files.restart()})
+			assert.NilError(t, err)
+			assert.Assert(t, matches(loaded, model{}, &write))
+		})
+	}
+}
+
+// written fills a real folder and returns what it holds.
+func written(t *testing.T, path string) model {
+	t.Helper()
+	random := rand.New(rand.NewPCG(5, 5))
+	r, _, err := recorder.Open(recorder.Settings{Folder: path})
+	assert.NilError(t, err)
+	m := model{}
+	for range workload {
+		write := randomWrite(random, m)
+		assert.NilError(t, r.Append(write))
+		assert.NilError(t, r.Sync())
+		m = m.with(write)
+	}
+	assert.NilError(t, r.Close())
+	return m
+}
+
+// lastSegment returns the path and content of the longest log file.
+func lastSegment(t *testing.T, path string) (string, []byte) {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(path, "log-*"))
+	assert.NilError(t, err)
+	name := names[len(names)-1]
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	return name, data
+}
+
+func TestFolderKeepsIdentityAndContent(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "new", "data")
+	m := written(t, path)
+	r, loaded, err := recorder.Open(recorder.Settings{Folder: path})
+	assert.NilError(t, err)
+	assert.Assert(t, matches(loaded, m, nil))
+	_, _, err = recorder.Open(recorder.Settings{Folder: path})
+	assert.ErrorContains(t, err, "another process")
+	assert.NilError(t, r.Close())
+	_, again, err := recorder.Open(recorder.Settings{Folder: path})
+	assert.NilError(t, err)
+	assert.Equal(t, again.Disk, loaded.Disk)
+	assert.Assert(t, matches(again, m, nil))
+}
+
+func TestTornTailIsCut(t *testing.T) {
+	path := t.TempDir()
+	m := written(t, path)
+	name, data := lastSegment(t, path)
+	assert.NilError(t, os.WriteFile(name, append(data, data[:9]...), 0o600))
+	_, loaded, err := recorder.Open(recorder.Settings{Folder: path})
+	assert.NilError(t, err)
+	assert.Equal(t, loaded.CutBytes, 9)
+	assert.Assert(t, matches(loaded, m, nil))
+}
+
+func TestDamageIsRefused(t *testing.T) {
+	damage := map[string]func(t *testing.T, path string){
+		"middle of the log": func(t *testing.T, path string) {
+			name, data := lastSegment(t, path)
+			data[len(data)/3] ^= 1
+			assert.NilError(t, os.WriteFile(name, data, 0o600))
+		},
+		"lost identity": func(t *testing.T, path string) {
+			assert.NilError(t, os.Remove(filepath.Join(path, "disk-id")))
+		},
+		"lost snapshot": func(t *testing.T, path string) {
+			names, err := filepath.Glob(filepath.Join(path, "snapshot-*"))
+			assert.NilError(t, err)
+			for _, name := range names {
+				assert.NilError(t, os.Remove(name))
+			}
+		},
+	}
+	for name, harm := range damage {
+		t.Run(name, func(t *testing.T) {
+			path := t.TempDir()
+			written(t, path)
+			harm(t, path)
+			_, _, err := recorder.Open(recorder.Settings{Folder: path})
+			assert.ErrorType(t, err, &recorder.DamagedError{})
+		})
+	}
+}
--- /dev/null
+++ b/recorder/snapshot.go
@@ -0,0 +1,128 @@
+package recorder
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"burdocklink/encoder"
+	"burdocklink/replicator"
+)
+
+// names in the folder.
+const (
+	lockName        = "lock"
+	identityName    = "disk-id"
+	partialIdentity = "partial-disk-id"
+	partialSnapshot = "partial-snapshot"
+	segmentPrefix   = "log-"
+	snapshotPrefix  = "snapshot-"
+	identityBytes   = 16
+)
+
+func (r *Recorder) path(name string) string { return filepath.Join(r.folder, name) }
+
+func segmentName(number uint64) string { return fmt.Sprintf("%s%020d", segmentPrefix, number) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%020d", snapshotPrefix, index) }
+
+// parseName reads the number after a prefix.
+func parseName(name, prefix string) (uint64, bool) {
+	digits, is := strings.CutPrefix(name, prefix)
+	if !is {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(digits, 10, 64)
+	return number, err == nil
+}
+
+// storeSnapshot writes a snapshot beside the older ones.
+func (r *Recorder) storeSnapshot(snapshot replicator.Snapshot) error {
+	data, err := encoder.EncodeSnapshot(snapshot)
+	if err != nil {
+		return err
+	}
+	frame := sealFrame(data, 0, snapshot.Index)
+	return r.storeFile(partialSnapshot, snapshotName(snapshot.Index), frame)
+}
+
+// storeFile writes a whole file that lasts under its name.
+func (r *Recorder) storeFile(partial, name string, data []byte) error {
+	file, err := r.files.Append(r.path(partial))
+	if err != nil {
+		return err
+	}
+	if _, err = file.Write(data); err == nil {
+		err = file.Sync()
+	}
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		return err
+	}
+	if err := r.files.Rename(r.path(partial), r.path(name)); err != nil {
+		return err
+	}
+	return r.files.SyncFolder(r.folder)
+}
+
+// loadSnapshot reads the latest snapshot, if there is one.
+func (r *Recorder) loadSnapshot(names []string) (replicator.Snapshot, error) {
+	latest, found := uint64(0), false
+	for _, name := range names {
+		if index, is := parseName(name, snapshotPrefix); is {
+			latest, found = max(latest, index), true
+		}
+	}
+	if !found {
+		return replicator.Snapshot{}, nil
+	}
+	name := snapshotName(latest)
+	data, err := r.files.Read(r.path(name))
+	if err != nil {
+		return replicator.Snapshot{}, &FailedError{Action: "read " + name, Cause: err}
+	}
+	content, index, ok := openFrame(data, 0)
+	if !ok || index != latest {
+		return replicator.Snapshot{}, &DamagedError{File: name, Reason: "it does not match its checksum"}
+	}
+	return encoder.DecodeSnapshot(content)
+}
+
+// loadIdentity reads the folder's identity, or makes one for a new folder.
+func (r *Recorder) loadIdentity(names []string) (string, error) {
+	if slices.Contains(names, identityName) {
+		return r.readIdentity()
+	}
+	for _, name := range names {
+		if strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapshotPrefix) {
+			return "", &DamagedError{File: identityName, Reason: "it is missing beside a log"}
+		}
+	}
+	random := make([]byte, identityBytes)
+	if _, err := rand.Read(random); err != nil {
+		return "", &FailedError{Action: "make disk identity", Cause: err}
+	}
+	id := hex.EncodeToString(random)
+	if err := r.storeFile(partialIdentity, identityName, sealFrame([]byte(id), 0, 0)); err != nil {
+		return "", &FailedError{Action: "store disk identity", Cause: err}
+	}
+	return id, nil
+}
+
+func (r *Recorder) readIdentity() (string, error) {
+	data, err := r.files.Read(r.path(identityName))
+	if err != nil {
+		return "", &FailedError{Action: "read disk identity", Cause: err}
+	}
+	id, _, ok := openFrame(data, 0)
+	if !ok {
+		return "", &DamagedError{File: identityName, Reason: "it does not match its checksum"}
+	}
+	return string(id), nil
+}
