feat(messenger): links between members over gRPC streams

Each member dials the others, frames are acknowledged, a frame without an acknowledgement for a second ends the connection and another is dialled; queues drop the oldest. Targets are passthrough addresses, without retries.

--- /dev/null
+++ b/messenger/dial.go
@@ -0,0 +1,57 @@
+package messenger
+
+import (
+	"context"
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// dial makes a connection of its own to an address, without a resolver.
+func (m *Messenger) dial(address string) (*grpc.ClientConn, error) {
+	secure := m.settings.Credentials
+	if secure == nil {
+		secure = insecure.NewCredentials()
+	}
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(secure),
+		grpc.WithContextDialer(m.connect),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(maxGRPCBytes),
+			grpc.MaxCallSendMsgSize(maxGRPCBytes),
+		),
+	)
+}
+
+func (m *Messenger) connect(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, sent: m.sent, received: m.received}, nil
+}
+
+// countedConn counts the bytes on a connection.
+type countedConn struct {
+	net.Conn
+	sent     metrics.Counter
+	received metrics.Counter
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.received.Inc(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.sent.Inc(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/messenger/link.go
@@ -0,0 +1,247 @@
+package messenger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/replicator"
+)
+
+// link sends messages to one member.
+type link struct {
+	messenger *Messenger
+	to        replicator.Identity
+	address   string
+	context   context.Context
+	cancel    context.CancelFunc
+	wake      chan struct{}
+
+	mutex sync.Mutex
+	queue []replicator.Envelope
+}
+
+func newLink(m *Messenger, to replicator.Identity, address string) *link {
+	ctx, cancel := context.WithCancel(m.context)
+	return &link{
+		messenger: m,
+		to:        to,
+		address:   address,
+		context:   ctx,
+		cancel:    cancel,
+		wake:      make(chan struct{}, 1),
+	}
+}
+
+// put adds a message to the queue and drops the oldest where it is full.
+func (l *link) put(envelope replicator.Envelope) {
+	l.mutex.Lock()
+	if len(l.queue) >= maxQueued {
+		l.queue = l.queue[1:]
+		l.messenger.dropped.Inc(1)
+	}
+	l.queue = append(l.queue, envelope)
+	l.mutex.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take removes what fits into one frame.
+func (l *link) take() []replicator.Envelope {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	bytes, count := 0, 0
+	for count < len(l.queue) {
+		bytes += sizeOf(l.queue[count].Message)
+		if count > 0 && bytes > maxFrameBytes {
+			break
+		}
+		count++
+	}
+	taken := l.queue[:count:count]
+	l.queue = l.queue[count:]
+	if len(l.queue) == 0 {
+		l.queue = nil
+	}
+	return taken
+}
+
+// sizeOf is about how many bytes of data a message carries.
+func sizeOf(message replicator.Message) int {
+	switch message := message.(type) {
+	case replicator.SnapshotChunk:
+		return len(message.Data)
+	case replicator.AppendRequest:
+		size := 0
+		for _, entry := range message.Entries {
+			if opaque, ok := entry.Payload.(replicator.Opaque); ok {
+				size += len(opaque.Data)
+			}
+		}
+		return size
+	default:
+		return 0
+	}
+}
+
+// run keeps one session after the other until the link ends.
+func (l *link) run() {
+	defer l.messenger.running.Done()
+	wait := redialWait
+	for l.context.Err() == nil {
+		worked, err := l.session()
+		if l.context.Err() == nil {
+			l.messenger.settings.Log.Debug("link ended",
+				zap.String("member", l.to.Name), zap.String("address", l.address), zap.Error(err))
+		}
+		wait = min(2*wait, maxRedialWait)
+		if worked {
+			wait = redialWait
+		}
+		select {
+		case <-l.context.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// session is one connection with its stream.
+type session struct {
+	link     *link
+	stream   wire.Replication_LinkClient
+	acks     chan uint64
+	watchdog *time.Timer
+	sequence uint64
+	acked    uint64
+}
+
+// session dials and sends until the stream breaks or makes no progress. It
+// says whether anything was acknowledged.
+func (l *link) session() (bool, error) {
+	ctx, cancel := context.WithCancel(l.context)
+	defer cancel()
+	conn, err := l.messenger.dial(l.address)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = conn.Close() }()
+	// The watchdog ends the session, also while it waits in a call.
+	watchdog := time.AfterFunc(progressTime, cancel)
+	defer watchdog.Stop()
+	stream, err := wire.NewReplicationClient(conn).Link(ctx)
+	if err != nil {
+		return false, err
+	}
+	s := &session{link: l, stream: stream, acks: make(chan uint64, 1), watchdog: watchdog}
+	if err := s.hello(); err != nil {
+		return false, err
+	}
+	l.messenger.running.Add(1)
+	go s.runAcks()
+	err = s.send(ctx)
+	return s.acked > 0, err
+}
+
+// hello says who talks to whom.
+func (s *session) hello() error {
+	m := s.link.messenger
+	return s.sendFrame(&wire.LinkFrame{
+		From:    encoder.EncodeIdentity(m.settings.Self),
+		To:      encoder.EncodeIdentity(s.link.to),
+		Address: m.settings.Address,
+	})
+}
+
+// sendFrame numbers and sends a frame, and expects its acknowledgement.
+func (s *session) sendFrame(frame *wire.LinkFrame) error {
+	if s.acked == s.sequence {
+		s.watchdog.Reset(progressTime)
+	}
+	s.sequence++
+	frame.Sequence = s.sequence
+	return s.stream.Send(frame)
+}
+
+func (s *session) send(ctx context.Context) error {
+	ping := time.NewTicker(pingInterval)
+	defer ping.Stop()
+	sent := true
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case acked, open := <-s.acks:
+			if !open {
+				return &BrokenError{}
+			}
+			s.takeAck(acked)
+		case <-s.link.wake:
+			sent = true
+			if err := s.sendQueue(); err != nil {
+				return err
+			}
+		case <-ping.C:
+			if !sent {
+				if err := s.sendFrame(&wire.LinkFrame{}); err != nil {
+					return err
+				}
+			}
+			sent = false
+		}
+	}
+}
+
+// sendQueue sends all that is queued.
+func (s *session) sendQueue() error {
+	for envelopes := s.link.take(); len(envelopes) > 0; envelopes = s.link.take() {
+		frame := &wire.LinkFrame{}
+		for _, envelope := range envelopes {
+			one := encoder.EncodeEnvelope(envelope)
+			one.From, one.To = nil, nil
+			frame.Envelopes = append(frame.Envelopes, one)
+		}
+		if err := s.sendFrame(frame); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// takeAck lets the watchdog rest where all frames are acknowledged.
+func (s *session) takeAck(acked uint64) {
+	s.acked = max(s.acked, acked)
+	if s.acked == s.sequence {
+		s.watchdog.Stop()
+		return
+	}
+	s.watchdog.Reset(progressTime)
+}
+
+// runAcks receives acknowledgements until the stream ends.
+func (s *session) runAcks() {
+	defer s.link.messenger.running.Done()
+	defer close(s.acks)
+	for {
+		ack, err := s.stream.Recv()
+		if err != nil {
+			return
+		}
+		select {
+		case s.acks <- ack.GetSequence():
+		case <-s.stream.Context().Done():
+			return
+		}
+	}
+}
+
+// BrokenError says that the other side has ended a stream.
+type BrokenError struct{}
+
+// Error describes the end.
+func (e *BrokenError) Error() string { return "stream has ended" }
