--- a/encoder/stand_in.go
+++ b/encoder/stand_in.go
@@ -123,12 +123,14 @@
 // Execution is one call that a plain service ran.
 type Execution struct {
 	RequestID      string    `json:"request-id"`
+	Subscriber     string    `json:"subscriber,omitempty"`
 	IdempotencyKey string    `json:"idempotency-key,omitempty"`
 	Method         string    `json:"method"`
 	Path           string    `json:"path"`
 	BodyDigest     string    `json:"body-digest"`
 	Ran            time.Time `json:"ran"`
-	// Count is how many calls with the key have run, this one included.
+	// Count is how many calls of the subscriber with the key have run, this one
+	// included.
 	Count int `json:"count"`
 }
 
@@ -219,3 +221,27 @@
 	ID     string `json:"id"`
 	Object string `json:"object"`
 }
+
+// EngineRequest is a completion request as a stand-in engine reads it.
+type EngineRequest struct {
+	ChatRequest
+	StreamOptions StreamOptions `json:"stream_options"`
+}
+
+// StreamOptions are further wishes for a streamed answer.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// EngineChunk is an event or a whole answer with the tokens used.
+type EngineChunk struct {
+	ChatChunk
+	Usage *Usage `json:"usage,omitempty"`
+}
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
