test(prover): whole path under traffic, judged by the oracle

Cause: records of a killed stand-in were lost with it, so that the oracle would call true answers false.

--- a/cmd/stand_in.go
+++ b/cmd/stand_in.go
@@ -36,6 +36,7 @@
 	standInHolds               = "holds"
 	standInLoadTime            = "load-time"
 	standInResumeTime          = "resume-time"
+	standInJournal             = "journal"
 	standInDelay               = "delay"
 	standInLag                 = "lag"
 	standInVMs                 = "vms"
@@ -98,6 +99,7 @@
 			{Name: standInStore, Usage: "IP address and port of the weight store; empty for none"},
 			{Name: standInWeights, Usage: "JSON file of the weights that --holds names"},
 			{Name: standInHolds, Usage: "comma-separated weights in memory at the start"},
+			{Name: standInJournal, Usage: "file that keeps what was run, one JSON object a line; empty for none"},
 			{Name: standInLoadTime, Usage: "time that each load takes beside the store's"},
 			{Name: standInResumeTime, Default: "30s", Usage: "how long a stream without a reader is kept"},
 		},
@@ -122,6 +124,7 @@
 		LoadTime:               optionalDuration(settings, standInLoadTime),
 		ResumeTime:             settings.Duration(standInResumeTime),
 		Holds:                  heldWeights(settings),
+		Journal:                settings.Text(standInJournal),
 	}
 	return runStandIn(call, faker.NewEngine(made))
 }
@@ -152,6 +155,7 @@
 		settings: []checker.Definition{
 			standInListenDefinition,
 			{Name: standInName, Default: "service-1", Usage: "name of the upstream"},
+			{Name: standInJournal, Usage: "file that keeps what was run, one JSON object a line; empty for none"},
 			{Name: standInDelay, Usage: "time that each call takes; empty for none"},
 		},
 		run: runStandInService,
@@ -160,8 +164,9 @@
 
 func runStandInService(call *invocation) error {
 	return runStandIn(call, faker.NewService(faker.ServiceSettings{
-		Name:  call.settings.Required(standInName),
-		Delay: optionalDuration(call.settings, standInDelay),
+		Name:    call.settings.Required(standInName),
+		Delay:   optionalDuration(call.settings, standInDelay),
+		Journal: call.settings.Text(standInJournal),
 	}))
 }
 
--- a/encoder/stand_in.go
+++ b/encoder/stand_in.go
@@ -245,3 +245,15 @@
 	CompletionTokens int `json:"completion_tokens"`
 	TotalTokens      int `json:"total_tokens"`
 }
+
+// JournalLine is one line of a stand-in's journal file. One of its fields is
+// set.
+type JournalLine struct {
+	// Run is a request that an engine took, Call one that a service ran.
+	Run  *EngineRun `json:"run,omitempty"`
+	Call *Execution `json:"call,omitempty"`
+	// Order is an order that arrived at an engine.
+	Order *OrderArrival `json:"order,omitempty"`
+	// UsedBytes is an engine's memory in use after a change.
+	UsedBytes int64 `json:"used-bytes,omitempty"`
+}
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -39,6 +39,8 @@
 	ResumeTime time.Duration
 	// Holds are the weights in memory from the start.
 	Holds []encoder.Weights
+	// Journal is the path of a file of encoder.JournalLine; empty for none.
+	Journal string
 }
 
 // Defaults of EngineSettings.
@@ -56,6 +58,7 @@
 	cache    *prefixCache
 	reports  *reports
 	faults   *faults
+	journal  *journal
 	leaving  atomic.Pointer[time.Time]
 
 	mu   sync.Mutex
@@ -85,6 +88,12 @@
 
 // Start listens on the address and begins to work.
 func (e *Engine) Start(address string) error {
+	opened, err := newJournal(e.settings.Journal)
+	if err != nil {
+		return err
+	}
+	e.journal = opened
+	e.ledger.setJournal(opened)
 	if err := e.start(address, e.Handler()); err != nil {
 		return err
 	}
@@ -162,6 +171,8 @@
 	}
 	e.byID[added.id] = added
 	e.runs = append(e.runs, added)
+	run := added.record()
+	e.journal.add(encoder.JournalLine{Run: &run})
 }
 
 // Record returns what the engine saw and did so far.
--- a/faker/ledger.go
+++ b/faker/ledger.go
@@ -41,6 +41,7 @@
 	settings EngineSettings
 
 	mu         sync.Mutex
+	journal    *journal
 	held       map[string]*weights
 	used       int64
 	most       int64
@@ -66,11 +67,20 @@
 	return made
 }
 
+// setJournal notes memory use and orders in a journal from now on.
+func (l *ledger) setJournal(to *journal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.journal = to
+	l.journal.add(encoder.JournalLine{UsedBytes: l.used})
+}
+
 // reserve counts memory as used and records an overcommit. The mutex must be
 // held.
 func (l *ledger) reserve(name string, bytes int64) {
 	l.used += bytes
 	l.most = max(l.most, l.used)
+	l.journal.add(encoder.JournalLine{UsedBytes: l.used})
 	if bytes <= 0 || l.used <= l.settings.MemoryBytes {
 		return
 	}
@@ -157,13 +167,15 @@
 		reply = l.decide(order, now)
 		l.byID[order.ID] = reply
 	}
-	l.arrivals = append(l.arrivals, encoder.OrderArrival{
+	arrival := encoder.OrderArrival{
 		OrderRequest: order,
 		Arrived:      now,
 		State:        reply.State,
 		Reason:       reply.Reason,
 		Repeated:     repeated,
-	})
+	}
+	l.arrivals = append(l.arrivals, arrival)
+	l.journal.add(encoder.JournalLine{Order: &arrival})
 	return reply, !repeated && reply.State == orderRunning
 }
 
--- a/faker/service.go
+++ b/faker/service.go
@@ -17,6 +17,8 @@
 	Name string
 	// Delay is how long a call runs.
 	Delay time.Duration
+	// Journal is the path of a file of encoder.JournalLine; empty for none.
+	Journal string
 }
 
 // callKey identifies a call that must not run twice.
@@ -26,6 +28,7 @@
 type Service struct {
 	host
 	settings ServiceSettings
+	journal  *journal
 
 	mu      sync.Mutex
 	faults  encoder.ServiceFaults
@@ -44,7 +47,14 @@
 }
 
 // Start listens on the address.
-func (s *Service) Start(address string) error { return s.start(address, s.Handler()) }
+func (s *Service) Start(address string) error {
+	opened, err := newJournal(s.settings.Journal)
+	if err != nil {
+		return err
+	}
+	s.journal = opened
+	return s.start(address, s.Handler())
+}
 
 // Stop finishes calls in flight until the deadline and then cuts them.
 func (s *Service) Stop(deadline time.Time) error { return s.stop(deadline) }
@@ -165,6 +175,7 @@
 		ran.Count = s.counts[key]
 	}
 	s.calls = append(s.calls, ran)
+	s.journal.add(encoder.JournalLine{Call: &ran})
 	return ran
 }
 
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -1,11 +1,13 @@
 package prover_test
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,15 +31,17 @@
 
 // fleet is a whole system of processes with its stand-ins.
 type fleet struct {
-	t        *testing.T
-	folder   string
-	weights  []encoder.Weights
-	platform string
-	store    string
-	engines  []*upstream
-	services []*upstream
-	members  []*member
-	entries  []*entry
+	t       *testing.T
+	folder  string
+	weights []encoder.Weights
+	// weightsFile has the weights as the stand-ins read them.
+	weightsFile string
+	platform    string
+	store       string
+	engines     []*upstream
+	services    []*upstream
+	members     []*member
+	entries     []*entry
 
 	subscriberKey string
 	operatorKey   string
@@ -53,7 +57,7 @@
 	link    *link
 	address string
 	vm      encoder.VM
-	left    time.Time
+	journal string
 }
 
 // member is a control member, with a proxy before it.
@@ -68,11 +72,11 @@
 func newFleet(t *testing.T, weights ...encoder.Weights) *fleet {
 	t.Helper()
 	f := &fleet{t: t, folder: t.TempDir(), weights: weights}
-	file := f.write("weights.json", weights)
+	f.weightsFile = f.write("weights.json", weights)
 	f.subscriberKey = f.key("subscriber", subscriberName)
 	f.operatorKey = f.key("operator", operatorName)
 	f.platform = start(t, "platform", "stand-in", "platform").address(t)
-	f.store = start(t, "store", "stand-in", "store", "--weights", file,
+	f.store = start(t, "store", "stand-in", "store", "--weights", f.weightsFile,
 		"--store-loads-per-second", "100", "--model-time", "50ms", "--adapter-time", "10ms").address(t)
 	return f
 }
@@ -106,7 +110,8 @@
 	f.t.Helper()
 	incarnation := fmt.Sprintf("%s-%d", name, f.number())
 	arguments := append([]string{"stand-in", "engine", "--name", name, "--incarnation", incarnation,
-		"--memory-bytes", fmt.Sprint(memory), "--store", f.store, "--decode-tokens-per-second", "200"}, flags...)
+		"--memory-bytes", fmt.Sprint(memory), "--store", f.store, "--weights", f.weightsFile,
+		"--decode-tokens-per-second", "200"}, flags...)
 	added := &upstream{vm: encoder.VM{
 		Name:         name,
 		Incarnation:  incarnation,
@@ -139,7 +144,8 @@
 // list starts an upstream and puts it into the platform's list.
 func (f *fleet) list(added *upstream, arguments []string) {
 	f.t.Helper()
-	added.process = start(f.t, added.vm.Name, arguments...)
+	added.journal = filepath.Join(f.folder, added.vm.Incarnation+".journal")
+	added.process = start(f.t, added.vm.Name, append(arguments, "--journal", added.journal)...)
 	added.address = added.process.address(f.t)
 	added.link = newLink(f.t, added.address)
 	added.vm.Address = added.link.listen
@@ -159,11 +165,10 @@
 	})
 }
 
-// lose kills an upstream after its record was read, and takes it off the list.
+// lose kills an engine and takes it off the list.
 func (f *fleet) lose(lost *upstream) {
 	f.t.Helper()
-	held := f.harvestEngine(lost)
-	f.see(prover.Lost{At: time.Now(), Upstream: lost.vm.Name, Held: held})
+	f.see(prover.Lost{At: time.Now(), Upstream: lost.vm.Name, Held: lost.holds()})
 	lost.process.kill()
 	request, err := http.NewRequest(http.MethodDelete, "http://"+f.platform+encoder.PathVMs+"/"+lost.vm.Name, nil)
 	assert.NilError(f.t, err)
@@ -232,46 +237,59 @@
 	return json.NewDecoder(response.Body).Decode(into)
 }
 
-// harvestEngine records what an engine ran and returns what it holds.
-func (f *fleet) harvestEngine(from *upstream) []string {
-	var record encoder.EngineRecord
-	if get(from.address, encoder.PathRecord, &record) != nil {
-		return nil
-	}
-	f.see(prover.Memory{
-		Upstream:    record.Upstream,
-		Incarnation: record.Incarnation,
-		UsedBytes:   record.MostUsedBytes,
-		MemoryBytes: record.MemoryBytes,
-	})
-	for _, run := range record.Runs {
-		f.see(prover.Ran{
-			Upstream:    record.Upstream,
-			Incarnation: record.Incarnation,
-			Request:     requestOf(run.RequestID),
-			At:          run.Started,
-		})
+// harvest records what an upstream did, from its journal.
+func (f *fleet) harvest(from *upstream) {
+	file, err := os.Open(from.journal)
+	assert.NilError(f.t, err)
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var line encoder.JournalLine
+		if json.Unmarshal(lines.Bytes(), &line) == nil {
+			f.see(from.records(line)...)
+		}
 	}
-	return append(record.Models, record.Adapters...)
 }
 
-// harvestService records what a service ran.
-func (f *fleet) harvestService(from *upstream) {
-	var record encoder.ServiceRecord
-	if get(from.address, encoder.PathRecord, &record) != nil {
-		f.t.Errorf("%s: no record", from.vm.Name)
+// records maps a line of the upstream's journal.
+func (u *upstream) records(line encoder.JournalLine) []prover.Record {
+	switch {
+	case line.Run != nil:
+		return []prover.Record{prover.Ran{
+			Upstream:    u.vm.Name,
+			Incarnation: u.vm.Incarnation,
+			Request:     requestOf(line.Run.RequestID),
+			At:          line.Run.Started,
+		}}
+	case line.Call != nil:
+		return []prover.Record{prover.Ran{
+			Upstream:        u.vm.Name,
+			Incarnation:     u.vm.Incarnation,
+			Request:         requestOf(line.Call.RequestID),
+			Subscriber:      line.Call.Subscriber,
+			Key:             line.Call.IdempotencyKey,
+			RepeatForbidden: line.Call.Method == http.MethodPost,
+			At:              line.Call.Ran,
+		}}
+	case line.UsedBytes > 0:
+		return []prover.Record{prover.Memory{
+			Upstream:    u.vm.Name,
+			Incarnation: u.vm.Incarnation,
+			UsedBytes:   line.UsedBytes,
+			MemoryBytes: u.vm.MemoryBytes,
+		}}
+	default:
+		return nil
 	}
-	for _, call := range record.Calls {
-		f.see(prover.Ran{
-			Upstream:        record.Upstream,
-			Incarnation:     from.vm.Incarnation,
-			Request:         requestOf(call.RequestID),
-			Subscriber:      call.Subscriber,
-			Key:             call.IdempotencyKey,
-			RepeatForbidden: call.Method == http.MethodPost,
-			At:              call.Ran,
-		})
+}
+
+// holds asks an engine what it holds.
+func (u *upstream) holds() []string {
+	var record encoder.EngineRecord
+	if get(u.address, encoder.PathRecord, &record) != nil {
+		return nil
 	}
+	return append(record.Models, record.Adapters...)
 }
 
 // attemptBytes is the length of what the entry adds to a request's identity
@@ -286,13 +304,8 @@
 // judge reads all records and fails the test for each broken promise.
 func (f *fleet) judge() {
 	f.t.Helper()
-	for _, engine := range f.engines {
-		if !engine.process.dead() {
-			f.harvestEngine(engine)
-		}
-	}
-	for _, service := range f.services {
-		f.harvestService(service)
+	for _, each := range slices.Concat(f.engines, f.services) {
+		f.harvest(each)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/prover/path_test.go
+++ b/prover/path_test.go
@@ -19,8 +19,8 @@
 
 func TestWholePathUnderTraffic(t *testing.T) {
 	f := newFleet(t, models()...)
-	f.addEngine("engine-1", 100)
-	f.addEngine("engine-2", 100)
+	f.addEngine("engine-1", 100, "--holds", "torta,krem,torta-eskuvo")
+	f.addEngine("engine-2", 100, "--holds", "torta,krem,torta-eskuvo")
 	f.addService("naptar-1")
 	f.addMembers("control-1")
 	f.addEntries("entry-1", "entry-2")
