feat(conductor): replicated member with disk, links, membership and repair

The loop owns core and state; a writer beside it syncs, and proposals that queue meanwhile share the next sync. Members with empty disks found a group once all peers answer and none has one. The leader replaces wiped disks and long lost voters by learners that have caught up. Stop hands over first.

--- a/conductor/call.go
+++ b/conductor/call.go
@@ -2,7 +2,7 @@
 
 import (
 	"burdocklink/applier"
-	"burdocklink/cataloger"
+	"burdocklink/replicator"
 )
 
 // callQueue is how many calls may wait for the loop before callers wait.
@@ -12,9 +12,8 @@
 type call interface{ call() }
 
 type proposeCall struct {
-	command applier.Command
-	data    []byte
-	answer  chan proposed
+	data   []byte
+	answer chan proposed
 }
 
 type proposed struct {
@@ -38,56 +37,32 @@
 	answer chan struct{}
 }
 
-func (*proposeCall) call() {}
-func (*confirmCall) call() {}
-func (*followCall) call()  {}
-func (*cancelCall) call()  {}
-func (*readCall) call()    {}
-
-// followerQueue is how many deltas a reader may be behind.
-const followerQueue = 256
-
-// follower is one reader of the catalog's deltas.
-type follower struct {
-	catalog *cataloger.Catalog
-	deltas  chan cataloger.Delta
-	cancel  func()
+// changeCall changes the group by one step.
+type changeCall struct {
+	change replicator.Change
+	answer chan proposed
 }
 
-func (c *Conductor) addFollower() *follower {
-	f := &follower{
-		catalog: c.state.Catalog(),
-		deltas:  make(chan cataloger.Delta, followerQueue),
-	}
-	f.cancel = func() {
-		select {
-		case c.calls <- &cancelCall{follower: f}:
-		case <-c.stopped:
-		}
-	}
-	c.followers[f] = struct{}{}
-	return f
+type transferCall struct {
+	name   string
+	answer chan error
 }
 
-// dropFollower closes the reader's channel, once.
-func (c *Conductor) dropFollower(f *follower) {
-	if _, known := c.followers[f]; !known {
-		return
-	}
-	delete(c.followers, f)
-	close(f.deltas)
-}
+// coreCall asks how the core sees the group.
+type coreCall struct{ answer chan replicator.Status }
 
-// tell sends a delta to all readers and drops those that are full.
-func (c *Conductor) tell(delta cataloger.Delta) {
-	if len(delta.Changes) == 0 {
-		return
-	}
-	for f := range c.followers {
-		select {
-		case f.deltas <- delta:
-		default:
-			c.dropFollower(f)
-		}
-	}
+// foundCall begins a new group.
+type foundCall struct {
+	members []replicator.Member
+	answer  chan struct{}
 }
+
+func (*proposeCall) call()  {}
+func (*confirmCall) call()  {}
+func (*followCall) call()   {}
+func (*cancelCall) call()   {}
+func (*readCall) call()     {}
+func (*changeCall) call()   {}
+func (*transferCall) call() {}
+func (*coreCall) call()     {}
+func (*foundCall) call()    {}
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -24,8 +24,8 @@
 	// disks form a group once all of them answer; a member without a group
 	// waits to be added to the one that its peers have.
 	Peers []Member
-	// Voters is how many voters the group repairs itself to; zero means the
-	// number of peers.
+	// Voters is how many voters the group founds and repairs itself with; zero
+	// means the number of peers. Further members are learners and stand by.
 	Voters int
 	// Credentials secure the links; nil means none.
 	Credentials credentials.TransportCredentials
@@ -34,8 +34,11 @@
 	// SnapshotEntries is how many applied entries the log keeps before a
 	// snapshot replaces them; zero means the default.
 	SnapshotEntries uint64
-	Log             *zap.Logger
-	Metrics         metrics.Registry
+	// LostAfter is how long a voter may be silent before a learner takes its
+	// place; zero means the default.
+	LostAfter time.Duration
+	Log       *zap.Logger
+	Metrics   metrics.Registry
 	// Fatal is called once when the member can't go on, as after a failed
 	// sync. The member has stopped by then; the process should end.
 	Fatal func(error)
@@ -71,6 +74,8 @@
 	StandardLease       = 500 * time.Millisecond
 	// StandardSnapshotEntries is the standard bound of the log's length.
 	StandardSnapshotEntries = 16384
+	// StandardLostAfter is the standard silence before a voter is replaced.
+	StandardLostAfter = 30 * time.Second
 )
 
 // StandardTiming returns the timing for members close together.
@@ -108,9 +113,23 @@
 	if c.Timing.ElectionMax <= c.Timing.ElectionMin {
 		return &InvalidConfigError{Field: "election-max", Reason: "must be longer than election-min"}
 	}
+	if c.Folder == "" && len(c.others()) > 0 {
+		return &InvalidConfigError{Field: "folder", Reason: "is empty, but the member is not alone"}
+	}
 	return nil
 }
 
+// others are the peers without this member.
+func (c *Config) others() []Member {
+	var others []Member
+	for _, peer := range c.Peers {
+		if peer.Name != c.Name {
+			others = append(others, peer)
+		}
+	}
+	return others
+}
+
 func (c *Config) fill() {
 	if c.Timing == (Timing{}) {
 		c.Timing = StandardTiming()
@@ -118,6 +137,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = StandardSnapshotEntries
 	}
+	if c.LostAfter == 0 {
+		c.LostAfter = StandardLostAfter
+	}
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
--- /dev/null
+++ b/conductor/followers.go
@@ -0,0 +1,57 @@
+package conductor
+
+import "burdocklink/cataloger"
+
+// followerQueue is how many deltas a reader may be behind.
+const followerQueue = 256
+
+// follower is one reader of the catalog's deltas.
+type follower struct {
+	catalog *cataloger.Catalog
+	deltas  chan cataloger.Delta
+	cancel  func()
+}
+
+func (c *Conductor) addFollower() *follower {
+	f := &follower{
+		catalog: c.state.Catalog(),
+		deltas:  make(chan cataloger.Delta, followerQueue),
+	}
+	f.cancel = func() {
+		select {
+		case c.calls <- &cancelCall{follower: f}:
+		case <-c.stopped:
+		}
+	}
+	c.followers[f] = struct{}{}
+	return f
+}
+
+// dropFollower closes the reader's channel, once.
+func (c *Conductor) dropFollower(f *follower) {
+	if _, known := c.followers[f]; !known {
+		return
+	}
+	delete(c.followers, f)
+	close(f.deltas)
+}
+
+func (c *Conductor) dropFollowers() {
+	for f := range c.followers {
+		c.dropFollower(f)
+	}
+}
+
+// tell sends a delta to all readers and drops those that are full.
+func (c *Conductor) tell(delta cataloger.Delta) {
+	if len(delta.Changes) == 0 {
+		return
+	}
+	for f := range c.followers {
+		select {
+		case f.deltas <- delta:
+		default:
+			c.dropFollower(f)
+		}
+	}
+}
--- /dev/null
+++ b/conductor/group_test.go
@@ -0,0 +1,318 @@
+package conductor_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/conductor"
+	"burdocklink/encoder"
+)
+
+// waitTime is a generous end of every wait.
+const waitTime = 60 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func realCodec() conductor.Codec {
+	return conductor.Codec{
+		EncodeCommand: encoder.EncodeCommand,
+		DecodeCommand: encoder.DecodeCommand,
+		EncodeState:   encoder.EncodeState,
+		DecodeState:   encoder.DecodeState,
+	}
+}
+
+// process is one control member with its server.
+type process struct {
+	*conductor.Conductor
+	config   conductor.Config
+	listener net.Listener
+	server   *grpc.Server
+	down     bool
+}
+
+func (p *process) runServer(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
+
+// cluster is some control members of one group on this machine.
+type cluster struct {
+	t         testing.TB
+	processes map[string]*process
+	number    atomic.Uint64
+}
+
+// newCluster starts members with the names; all know each other.
+func newCluster(t testing.TB, change func(*conductor.Config), names ...string) *cluster {
+	t.Helper()
+	g := &cluster{t: t, processes: map[string]*process{}}
+	root := t.TempDir()
+	var peers []conductor.Member
+	for _, name := range names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := listener.Addr().String()
+		peers = append(peers, conductor.Member{Name: name, Address: address})
+		g.processes[name] = &process{
+			listener: listener,
+			config: conductor.Config{
+				Name:    name,
+				Address: address,
+				Folder:  filepath.Join(root, name),
+				Codec:   realCodec(),
+			},
+		}
+	}
+	for _, p := range g.processes {
+		p.config.Peers = peers
+		if change != nil {
+			change(&p.config)
+		}
+		g.start(p)
+	}
+	t.Cleanup(g.stop)
+	return g
+}
+
+func (g *cluster) start(p *process) {
+	g.t.Helper()
+	member, err := conductor.New(p.config)
+	assert.NilError(g.t, err)
+	if p.listener == nil {
+		p.listener, err = net.Listen("tcp", p.config.Address)
+		assert.NilError(g.t, err)
+	}
+	p.Conductor, p.server, p.down = member, grpc.NewServer(), false
+	member.ServeReplication(p.server)
+	go p.runServer(p.server, p.listener)
+	assert.NilError(g.t, member.Start(context.Background(), nil))
+}
+
+// kill ends a member as a crash does.
+func (g *cluster) kill(p *process) {
+	p.Kill()
+	p.server.Stop()
+	p.listener, p.down = nil, true
+}
+
+func (g *cluster) wipe(p *process) {
+	g.kill(p)
+	assert.NilError(g.t, os.RemoveAll(p.config.Folder))
+	g.start(p)
+}
+
+func (g *cluster) stop() {
+	for _, p := range g.processes {
+		if !p.down {
+			g.kill(p)
+		}
+	}
+}
+
+// eventually waits until a condition holds.
+func (g *cluster) eventually(what string, holds func() bool) {
+	g.t.Helper()
+	for until := time.Now().Add(waitTime); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	g.t.Fatalf("not in time: %s", what)
+}
+
+// leader waits for a member with a lease.
+func (g *cluster) leader() *process {
+	g.t.Helper()
+	var found *process
+	g.eventually("a leader", func() bool {
+		for _, p := range g.processes {
+			if !p.down && p.Status().Leading {
+				found = p
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// model returns a change that puts a model with a number.
+func (g *cluster) model() applier.Change {
+	number := g.number.Add(1)
+	name := "model-" + strconv.FormatUint(number, 10)
+	return applier.Change{
+		Operator: "operator",
+		Request:  name,
+		Based:    applier.AnyRevision,
+		Changes:  []cataloger.Change{cataloger.PutModel{Model: cataloger.Model{Name: name, Service: "s", MemoryBytes: 1, Version: "1"}}},
+	}
+}
+
+// commit proposes a model until it is accepted and returns its name.
+func (g *cluster) commit() string {
+	g.t.Helper()
+	command := g.model()
+	g.eventually("a commit", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		applied, err := g.leader().Propose(ctx, command)
+		if err != nil {
+			return false
+		}
+		_, accepted := applied.Result.(applier.Accepted)
+		return accepted
+	})
+	return command.Request
+}
+
+func (g *cluster) models(p *process) map[string]cataloger.Model {
+	var models map[string]cataloger.Model
+	assert.NilError(g.t, p.Read(context.Background(), func(s *applier.State) { models = s.Catalog().Models }))
+	return models
+}
+
+// voters waits until a member sees so many voters, all on their present disks.
+func (g *cluster) voters(want int) {
+	g.t.Helper()
+	g.eventually(strconv.Itoa(want)+" voters", func() bool {
+		count := 0
+		for _, member := range g.leader().Status().Members {
+			p := g.processes[member.Name]
+			if member.Role == conductor.Voter && p != nil && !p.down && p.Disk() == member.Disk {
+				count++
+			}
+		}
+		return count == want
+	})
+}
+
+func TestGroupSurvivesKillsAndRestarts(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	names := []string{g.commit()}
+	for range 3 {
+		killed := g.leader()
+		g.kill(killed)
+		names = append(names, g.commit())
+		g.start(killed)
+	}
+	for _, p := range g.processes {
+		g.kill(p)
+	}
+	for _, p := range g.processes {
+		g.start(p)
+	}
+	names = append(names, g.commit())
+	for _, p := range g.processes {
+		g.eventually("all changes", func() bool { return len(g.models(p)) == len(names) })
+	}
+	_, err := g.leader().Confirm(context.Background())
+	assert.NilError(t, err)
+}
+
+func TestStopHandsOver(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	g.commit()
+	old := g.leader()
+	assert.NilError(t, old.Stop(time.Now().Add(waitTime)))
+	old.server.Stop()
+	old.listener, old.down = nil, true
+	g.commit()
+}
+
+func TestWipedDiskIsRepairedAndNextLossSurvived(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	g.commit()
+	leader := g.leader()
+	var wiped *process
+	for _, p := range g.processes {
+		if p != leader {
+			wiped = p
+		}
+	}
+	old := wiped.Disk()
+	g.wipe(wiped)
+	assert.Assert(t, wiped.Disk() != old)
+	g.voters(3)
+	g.commit()
+	g.kill(g.leader())
+	g.commit()
+}
+
+func TestSpareTakesThePlaceOfALostVoter(t *testing.T) {
+	g := newCluster(t, func(c *conductor.Config) {
+		c.Voters = 3
+		c.LostAfter = time.Second
+	}, "a", "b", "c", "d")
+	g.commit()
+	g.kill(g.leader())
+	g.voters(3)
+	g.kill(g.leader())
+	g.commit()
+}
+
+func TestMembersAreAddedAndRemovedWhileServing(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	g.commit()
+	added := newCluster(t, func(c *conductor.Config) {
+		c.Peers = append(c.Peers, conductor.Member{Name: "a", Address: g.processes["a"].config.Address})
+	}, "z")
+	z := added.processes["z"]
+	g.processes["z"] = z
+	ctx, cancel := context.WithTimeout(context.Background(), waitTime)
+	defer cancel()
+	member := conductor.Member{Name: "z", Address: z.config.Address}
+	assert.NilError(t, g.leader().AddMember(ctx, member))
+	g.voters(4)
+	old := g.leader()
+	g.eventually("removal", func() bool {
+		err := g.leader().RemoveMember(ctx, old.config.Name, "")
+		var elsewhere *conductor.NotLeaderError
+		assert.Assert(t, err == nil || errors.As(err, &elsewhere), "%v", err)
+		return err == nil
+	})
+	g.voters(3)
+	g.commit()
+	delete(g.processes, "z")
+}
+
+func TestFollowersSeeEachRevisionOnce(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	g.commit()
+	for _, p := range g.processes {
+		catalog, deltas, cancel := p.Follow()
+		defer cancel()
+		g.commit()
+		delta := <-deltas
+		for delta.To <= catalog.Revision {
+			delta = <-deltas
+		}
+		assert.Equal(t, delta.From, catalog.Revision)
+	}
+}
+
+func TestSnapshotsBoundTheLogAndBringLaggardsUp(t *testing.T) {
+	g := newCluster(t, func(c *conductor.Config) { c.SnapshotEntries = 20 }, "a", "b", "c")
+	g.commit()
+	lagging := g.leader()
+	g.kill(lagging)
+	const changes = 1200
+	for range changes {
+		g.commit()
+	}
+	g.start(lagging)
+	g.eventually("a snapshot", func() bool { return len(g.models(lagging)) == changes+1 })
+	segments, err := filepath.Glob(filepath.Join(lagging.config.Folder, "log-*"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(segments) < 5)
+}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -3,35 +3,105 @@
 import (
 	"time"
 
-	"burdocklink/applier"
+	"go.uber.org/zap"
+
+	"burdocklink/replicator"
 )
 
+// maxBatch is how many proposals go into the log in one step.
+const maxBatch = 1024
+
 // loop owns the control state.
 func (c *Conductor) loop() {
 	defer c.end()
-	for {
+	ticker := time.NewTicker(c.config.Timing.Heartbeat / 2)
+	defer ticker.Stop()
+	if c.core.Status().Group == "" && len(c.config.others()) == 0 {
+		c.found([]replicator.Member{c.selfMember()})
+	}
+	c.step(replicator.Tick{})
+	for c.failure == nil {
 		select {
 		case <-c.stop:
 			return
+		case <-ticker.C:
+			c.step(replicator.Tick{})
+		case done := <-c.synced:
+			c.takeSynced(done)
+		case envelope := <-c.inbox:
+			c.step(replicator.Received{Envelope: envelope})
 		case asked := <-c.calls:
 			c.serve(asked)
 		}
+		c.settle()
 	}
 }
 
+// end lets everybody go that waits for the member.
 func (c *Conductor) end() {
-	for f := range c.followers {
-		c.dropFollower(f)
-	}
+	c.dropFollowers()
+	c.close()
 	close(c.stopped)
+	if c.failure == nil {
+		return
+	}
+	c.config.Log.Error("member has failed", zap.Error(c.failure))
+	if c.config.Fatal != nil {
+		c.config.Fatal(c.failure)
+	}
+}
+
+// close ends the links and lets go of the folder.
+func (c *Conductor) close() {
+	if c.writer != nil {
+		c.writer.end()
+	}
+	if c.recorder != nil {
+		_ = c.recorder.Close()
+	}
+	c.messenger.Close()
+}
+
+// fail ends the loop after the current event.
+func (c *Conductor) fail(err error) {
+	if c.failure == nil {
+		c.failure = err
+	}
 }
 
-func (c *Conductor) serve(asked call) {
+// serve takes a call, with all those that wait behind it.
+func (c *Conductor) serve(first call) {
+	var batch []*proposeCall
+	for next := first; next != nil; next = c.nextCall() {
+		if asked, ok := next.(*proposeCall); ok {
+			batch = append(batch, asked)
+		} else {
+			c.serveOne(next)
+		}
+		if len(batch) == maxBatch {
+			break
+		}
+	}
+	if len(batch) > 0 {
+		c.propose(batch)
+	}
+}
+
+func (c *Conductor) nextCall() call {
+	select {
+	case next := <-c.calls:
+		return next
+	default:
+		return nil
+	}
+}
+
+func (c *Conductor) serveOne(asked call) {
 	switch asked := asked.(type) {
-	case *proposeCall:
-		asked.answer <- proposed{applied: c.apply(asked.command)}
 	case *confirmCall:
-		asked.answer <- confirmed{revision: c.state.Catalog().Revision}
+		c.lastRead++
+		c.reads[c.lastRead] = asked
+		c.step(replicator.Read{ID: c.lastRead})
 	case *followCall:
 		asked.answer <- c.addFollower()
 	case *cancelCall:
@@ -39,30 +109,21 @@
 	case *readCall:
 		asked.read(c.state)
 		close(asked.answer)
+	case *changeCall:
+		c.change(asked)
+	case *transferCall:
+		c.transfer(asked)
+	case *coreCall:
+		asked.answer <- c.core.Status()
+	case *foundCall:
+		c.found(asked.members)
+		close(asked.answer)
 	}
 }
 
-func (c *Conductor) apply(command applier.Command) applier.Applied {
-	c.index++
-	if now := time.Now().Round(0); now.After(c.stamp) {
-		c.stamp = now
-	}
-	applied := c.state.Apply(c.index, c.stamp, command)
-	c.tell(applied.Delta)
+// settle does what follows from a step.
+func (c *Conductor) settle() {
+	c.forgetOldTerms()
+	c.takeSnapshot()
 	c.publish()
-	return applied
-}
-
-func (c *Conductor) publish() {
-	self := Member{Name: c.config.Name, Address: c.config.Address, Role: Voter}
-	c.status.Store(&Status{
-		Member:     c.config.Name,
-		Leader:     c.config.Name,
-		Leading:    true,
-		LeaseUntil: time.Now().Add(time.Hour),
-		Term:       1,
-		Committed:  c.index,
-		Applied:    c.index,
-		Members:    []Member{self},
-	})
 }
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -2,32 +2,60 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 
 	"burdocklink/applier"
 	"burdocklink/cataloger"
+	"burdocklink/messenger"
+	"burdocklink/recorder"
 	"burdocklink/registrar"
+	"burdocklink/replicator"
 )
 
 // Conductor is one running control member.
 type Conductor struct {
-	config  Config
-	calls   chan call
-	stop    chan struct{}
-	stopped chan struct{}
-	status  atomic.Pointer[Status]
+	config    Config
+	self      replicator.Identity
+	messenger *messenger.Messenger
+	calls     chan call
+	inbox     chan replicator.Envelope
+	synced    chan syncResult
+	stop      chan struct{}
+	stopOnce  sync.Once
+	started   atomic.Bool
+	stopped   chan struct{}
+	status    atomic.Pointer[Status]
+	group     atomic.Pointer[string]
+	commits   metrics.Counter
 
 	// what follows belongs to loop.
+	recorder  *recorder.Recorder
+	writer    *writer
+	core      *replicator.Core
 	state     *applier.State
-	index     uint64
-	stamp     time.Time
+	applied   uint64
+	unsaved   int
+	term      uint64
+	pending   map[uint64]pendingProposal
+	reads     map[uint64]*confirmCall
+	lastRead  uint64
+	waiting   []waitingRead
 	followers map[*follower]struct{}
+	members   []replicator.Member
+	failure   error
 }
 
-// New checks a config and returns a member that is not started.
+// inboxQueue is how many messages may wait for the loop before links wait.
+const inboxQueue = 1024
+
+// New checks a config, opens the data folder and returns a member that is not
+// started. Stop closes the folder again.
 func New(config Config) (*Conductor, error) {
 	if err := config.check(); err != nil {
 		return nil, err
@@ -35,11 +63,27 @@
 	c := &Conductor{
 		config:    config,
 		calls:     make(chan call, callQueue),
+		inbox:     make(chan replicator.Envelope, inboxQueue),
+		synced:    make(chan syncResult, 1),
 		stop:      make(chan struct{}),
 		stopped:   make(chan struct{}),
-		state:     applier.New(),
+		commits:   metrics.GetOrRegisterCounter("replication-entries-applied", config.Metrics),
+		pending:   map[uint64]pendingProposal{},
+		reads:     map[uint64]*confirmCall{},
 		followers: map[*follower]struct{}{},
 	}
+	if err := c.open(); err != nil {
+		return nil, err
+	}
+	c.messenger = messenger.New(messenger.Settings{
+		Self:        c.self,
+		Address:     config.Address,
+		Credentials: config.Credentials,
+		Deliver:     c.deliver,
+		Group:       c.groupName,
+		Log:         config.Log,
+		Metrics:     config.Metrics,
+	})
 	c.publish()
 	return c, nil
 }
@@ -49,49 +93,55 @@
 
 // Start begins the work; kernel may be nil. It does not wait for a leader.
 func (c *Conductor) Start(_ context.Context, _ *registrar.Registrar) error {
+	c.started.Store(true)
 	go c.loop()
+	if len(c.config.others()) > 0 {
+		go c.runFormation()
+		go c.runRepair()
+	}
 	return nil
 }
 
 // Stop ends the work; a leader hands over first where it can.
 func (c *Conductor) Stop(deadline time.Time) error {
-	close(c.stop)
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if !c.started.Load() {
+		c.stopOnce.Do(c.close)
+		return nil
+	}
+	c.handOver(ctx)
+	c.stopOnce.Do(func() { close(c.stop) })
 	select {
 	case <-c.stopped:
 		return nil
-	case <-timer.C:
+	case <-ctx.Done():
 		return &DeadlineError{}
 	}
 }
 
+// handOver gives the lead to another voter, if there is one that answers.
+func (c *Conductor) handOver(ctx context.Context) {
+	status := c.Status()
+	voters := slices.DeleteFunc(status.Members, func(m Member) bool { return m.Role != Voter })
+	if !status.Leading || len(voters) < 2 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*c.config.Timing.ElectionMax)
+	defer cancel()
+	_ = c.Transfer(ctx, "")
+}
+
 // DeadlineError says that the member did not stop in time.
 type DeadlineError struct{}
 
 // Error describes the miss.
 func (e *DeadlineError) Error() string { return "member did not stop in time" }
 
-// ServeReplication registers the service through which members talk.
-func (c *Conductor) ServeReplication(_ grpc.ServiceRegistrar) {}
-
-// AddMember adds a learner and promotes it to a voter once it has caught up,
-// where the member's role asks for that. An empty Disk is asked for at the
-// address.
-func (c *Conductor) AddMember(ctx context.Context, member Member) error {
-	return &NotLeaderError{}
-}
-
-// RemoveMember removes the member with the name, and the disk where one is
-// given.
-func (c *Conductor) RemoveMember(ctx context.Context, name, disk string) error {
-	return &NotLeaderError{}
-}
-
-// Transfer hands the lead to the voter with the name, or to the one that is
-// furthest where the name is empty.
-func (c *Conductor) Transfer(ctx context.Context, name string) error {
-	return &NotLeaderError{}
+// ServeReplication registers the service through which members talk. It may
+// be called, and the server may serve, before Start.
+func (c *Conductor) ServeReplication(registrar grpc.ServiceRegistrar) {
+	c.messenger.Register(registrar)
 }
 
 // Propose commits a command and returns its result.
@@ -100,16 +150,26 @@
 	if err != nil {
 		return applier.Applied{}, err
 	}
-	asked := &proposeCall{command: command, data: data, answer: make(chan proposed, 1)}
+	asked := &proposeCall{data: data, answer: make(chan proposed, 1)}
 	if err := c.ask(ctx, asked); err != nil {
 		return applier.Applied{}, err
 	}
+	return c.await(ctx, asked.answer)
+}
+
+// await waits for the result of a proposal that may be in the log already.
+func (c *Conductor) await(ctx context.Context, answer <-chan proposed) (applier.Applied, error) {
 	select {
-	case got := <-asked.answer:
+	case got := <-answer:
 		return got.applied, got.err
 	case <-ctx.Done():
 		return applier.Applied{}, &UncertainError{Cause: ctx.Err()}
 	case <-c.stopped:
+	}
+	select {
+	case got := <-answer:
+		return got.applied, got.err
+	default:
 		return applier.Applied{}, &UncertainError{Cause: &StoppedError{}}
 	}
 }
@@ -160,11 +220,13 @@
 	}
 }
 
-// Status describes the member as it sees itself.
-func (c *Conductor) Status() Status { return *c.status.Load() }
-
 // ask puts a call into the loop's queue.
 func (c *Conductor) ask(ctx context.Context, asked call) error {
+	select {
+	case <-c.stopped:
+		return &StoppedError{}
+	default:
+	}
 	select {
 	case <-c.stopped:
 		return &StoppedError{}
@@ -174,3 +236,18 @@
 		return nil
 	}
 }
+
+// deliver hands a message from a link to the loop.
+func (c *Conductor) deliver(envelope replicator.Envelope) {
+	select {
+	case c.inbox <- envelope:
+	case <-c.stopped:
+	}
+}
+
+func (c *Conductor) groupName() string {
+	if name := c.group.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
--- /dev/null
+++ b/conductor/status.go
@@ -0,0 +1,68 @@
+package conductor
+
+import (
+	"slices"
+	"time"
+
+	"burdocklink/replicator"
+)
+
+// Status describes the member as it sees itself.
+func (c *Conductor) Status() Status {
+	status := *c.status.Load()
+	status.Leading = status.Leading && time.Now().Before(status.LeaseUntil)
+	status.Members = slices.Clone(status.Members)
+	select {
+	case <-c.stopped:
+		status.Leading = false
+	default:
+	}
+	return status
+}
+
+// publish makes the core's status readable for others.
+func (c *Conductor) publish() {
+	core := c.core.Status()
+	if core.Group != c.groupName() {
+		c.group.Store(&core.Group)
+	}
+	if !slices.Equal(core.Configuration.Members, c.members) {
+		c.members = core.Configuration.Members
+		c.messenger.Route(c.members)
+	}
+	status := &Status{
+		Member:     c.self.Name,
+		Leader:     core.Leader.Name,
+		Leading:    core.Leading,
+		LeaseUntil: core.LeaseUntil,
+		Term:       core.Term,
+		Committed:  core.Committed,
+		Applied:    c.applied,
+		Members:    make([]Member, 0, len(core.Configuration.Members)),
+	}
+	for _, member := range core.Configuration.Members {
+		status.Members = append(status.Members, c.memberOf(member))
+	}
+	c.status.Store(status)
+}
+
+func (c *Conductor) memberOf(member replicator.Member) Member {
+	role := Learner
+	if member.Role == replicator.Voter {
+		role = Voter
+	}
+	address := member.Address
+	if moved := c.messenger.Address(member.ID); moved != "" {
+		address = moved
+	}
+	return Member{Name: member.ID.Name, Disk: member.ID.Disk, Address: address, Role: role}
+}
+
+// takeSynced passes on what the disk has.
+func (c *Conductor) takeSynced(done syncResult) {
+	if done.err != nil {
+		c.fail(done.err)
+		return
+	}
+	c.step(replicator.Synced{Sequence: done.sequence})
+}
--- /dev/null
+++ b/conductor/writer.go
@@ -0,0 +1,96 @@
+package conductor
+
+import (
+	"sync"
+
+	"burdocklink/recorder"
+	"burdocklink/replicator"
+)
+
+// syncResult says up to which write the disk has everything.
+type syncResult struct {
+	sequence uint64
+	err      error
+}
+
+// writer writes to the disk beside the loop. What is queued while it syncs
+// goes into the next sync together.
+type writer struct {
+	recorder *recorder.Recorder
+	synced   chan<- syncResult
+	wake     chan struct{}
+	stop     chan struct{}
+	stopped  chan struct{}
+
+	mutex sync.Mutex
+	queue []replicator.Write
+}
+
+func newWriter(disk *recorder.Recorder, synced chan<- syncResult) *writer {
+	return &writer{
+		recorder: disk,
+		synced:   synced,
+		wake:     make(chan struct{}, 1),
+		stop:     make(chan struct{}),
+		stopped:  make(chan struct{}),
+	}
+}
+
+// put queues a write.
+func (w *writer) put(write replicator.Write) {
+	w.mutex.Lock()
+	w.queue = append(w.queue, write)
+	w.mutex.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end waits for the write under way; what is queued is given up.
+func (w *writer) end() {
+	close(w.stop)
+	<-w.stopped
+}
+
+// run writes until it is stopped or a write fails.
+func (w *writer) run() {
+	defer close(w.stopped)
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-w.wake:
+		}
+		result, worked := w.flush()
+		if !worked {
+			continue
+		}
+		select {
+		case w.synced <- result:
+		case <-w.stop:
+			return
+		}
+		if result.err != nil {
+			return
+		}
+	}
+}
+
+// flush writes all that is queued under one sync.
+func (w *writer) flush() (syncResult, bool) {
+	w.mutex.Lock()
+	queue := w.queue
+	w.queue = nil
+	w.mutex.Unlock()
+	if len(queue) == 0 {
+		return syncResult{}, false
+	}
+	for _, write := range queue {
+		if err := w.recorder.Append(write); err != nil {
+			return syncResult{err: err}, true
+		}
+	}
+	sequence := queue[len(queue)-1].Sequence
+	return syncResult{sequence: sequence, err: w.recorder.Sync()}, true
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -52,7 +52,7 @@
 
 	mutex sync.Mutex
 	// routes are the addresses from the configuration, learned those that
-	// peers gave themselves.
+	// peers gave for themselves.
 	routes  map[replicator.Identity]string
 	learned map[replicator.Identity]string
 	links   map[replicator.Identity]*link
@@ -96,11 +96,19 @@
 	}
 }
 
+// addressOf prefers what a member says of itself: it may have moved.
 func (m *Messenger) addressOf(id replicator.Identity) string {
-	if address := m.routes[id]; address != "" {
+	if address := m.learned[id]; address != "" {
 		return address
 	}
-	return m.learned[id]
+	return m.routes[id]
+}
+
+// Address is where a member is reached; empty where that is not known.
+func (m *Messenger) Address(id replicator.Identity) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.addressOf(id)
 }
 
 // Send queues a message. It never waits; where there is no route or no room,
@@ -136,11 +144,8 @@
 func (m *Messenger) learn(id replicator.Identity, address string) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if _, routed := m.routes[id]; routed || m.learned[id] == address {
-		return
-	}
 	m.learned[id] = address
-	if l := m.links[id]; l != nil {
+	if l := m.links[id]; l != nil && l.address != address {
 		l.cancel()
 		delete(m.links, id)
 	}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -107,9 +107,18 @@
 	c.configurations = []placed{{settings.Snapshot.Index, settings.Snapshot.Configuration}}
 	c.noteConfigurations(settings.Entries)
 	c.restartElection()
+	if c.alone() {
+		c.electionDue = now
+	}
 	return c
 }
 
+// alone says whether this member is the only voter, so that nobody else may
+// hold a lease.
+func (c *Core) alone() bool {
+	return c.configuration().Voters() == 1 && c.configuration().Votes(c.id)
+}
+
 // Step takes in an event at a time that never steps back.
 func (c *Core) Step(event Event, now time.Time) Output {
 	if now.After(c.now) {
