fix(orderer): don't let a fence rule out a duplicate that may be under way

A duplicate of an order that was done changes nothing on an engine that checks fences (the test's engine was wrong there); one of an order that was refused at first may. Only orders that were done are superseded now. An order that expired unseen is dropped at once.

--- a/applier/history_engine_test.go
+++ b/applier/history_engine_test.go
@@ -58,6 +58,13 @@
 	e.jobs = nil
 }
 
+// hold puts a model into memory from the start.
+func (e *engine) hold(name string, bytes int64) {
+	id := copyID{name, "1"}
+	e.held[name] = id
+	e.bytes[id] = bytes
+}
+
 // take is the arrival of an order, maybe late, maybe a duplicate.
 func (e *engine) take(order orderer.Order) {
 	if e.states[order.ID] != orderUnseen && !e.forgets || e.runs(order.ID) {
@@ -111,7 +118,7 @@
 	case orderer.UnloadAdapter:
 		started.id.name = work.Adapter
 	}
-	if started.bytes > 0 && e.held[started.id.name] == started.id {
+	if e.changesNothing(started) {
 		e.end(order.ID, orderDone)
 		return
 	}
@@ -124,6 +131,16 @@
 	}
 }
 
+// changesNothing reports whether the job loads what is held or unloads what is
+// not.
+func (e *engine) changesNothing(j *job) bool {
+	held, holds := e.held[j.id.name]
+	if j.bytes > 0 {
+		return held == j.id
+	}
+	return j.id.name != "" && !holds
+}
+
 // used is the memory of what is held and of what is being loaded.
 func (e *engine) used() int64 {
 	all := map[copyID]int64{}
--- a/applier/history_fleet_test.go
+++ b/applier/history_fleet_test.go
@@ -11,20 +11,32 @@
 	"burdocklink/orderer"
 )
 
-const (
-	fleetEngines  = 3
-	fleetModels   = 4
-	fleetAdapters = 3
-)
+// profile is what a fleet is made of.
+type profile struct {
+	engines, models, adapters int
+	// memory is that of each engine; a model needs 6 and more.
+	memory int64
+	// calm histories have no losses of engines, so that each loss of a last
+	// copy is an eviction.
+	calm bool
+}
+
+// profiles are chosen by the seed: two with memory for two models, one of them
+// with losses, and one with copies to spare.
+func profiles() []profile {
+	return []profile{
+		{engines: 2, models: 4, adapters: 2, memory: 16},
+		{engines: 2, models: 4, adapters: 2, memory: 16, calm: true},
+		{engines: 3, models: 2, adapters: 1, memory: 40, calm: true},
+	}
+}
 
 // fleet simulates engines and the leaders that give them orders, and checks
 // what happens to the engines in truth.
 type fleet struct {
-	w       *world
+	w *world
+	profile
 	engines []*engine
-	// calm histories have no losses of engines, so that each loss of a last
-	// copy is an eviction.
-	calm bool
 	// mail are orders on their way to engines, for ever.
 	mail    []orderer.Order
 	reports []orderer.Observe
@@ -38,10 +50,10 @@
 
 func newFleet(w *world) *fleet {
 	return &fleet{
-		w:      w,
-		calm:   w.chance(2),
-		known:  map[uint64]orderer.Order{},
-		limits: orderer.StoreLimits{LoadsPerSecond: 1.4, LoadsAtOnce: 2, AdaptersInTransit: 1},
+		w:       w,
+		profile: profiles()[w.rand.IntN(len(profiles()))],
+		known:   map[uint64]orderer.Order{},
+		limits:  orderer.StoreLimits{LoadsPerSecond: 1.4, LoadsAtOnce: 2, AdaptersInTransit: 1},
 	}
 }
 
@@ -50,24 +62,26 @@
 	w := f.w
 	w.apply(applier.Order{Event: orderer.Limit{Limits: f.limits}})
 	var steps []cataloger.Change
-	for at := range fleetModels {
+	for at := range f.models {
 		steps = append(steps, f.model(at, "1"))
 	}
-	for at := range fleetAdapters {
+	for at := range f.adapters {
 		steps = append(steps, cataloger.PutAdapter{Adapter: cataloger.Adapter{
 			Name: "a" + strconv.Itoa(at), Model: "m" + strconv.Itoa(at%2), MemoryBytes: 2, Version: "1",
 		}})
 	}
-	for at := range fleetEngines {
+	for at := range f.profile.engines {
 		e := &engine{
 			w:           w,
 			name:        "e" + strconv.Itoa(at),
-			memory:      16,
+			memory:      f.memory,
 			checksFence: w.chance(2),
 			forgets:     w.chance(2),
 			skew:        time.Duration(w.rand.IntN(9)-4) * time.Second,
 		}
 		e.restart("i0")
+		e.hold("m0", 6)
+		e.hold("m1", 7)
 		f.engines = append(f.engines, e)
 		steps = append(steps, f.listing(e, cataloger.UpstreamLive))
 	}
@@ -113,8 +127,8 @@
 
 // intend proposes an order that any planner, even a bad one, might want.
 func (f *fleet) intend(e *engine) {
-	model := "m" + strconv.Itoa(f.w.rand.IntN(fleetModels))
-	adapter := "a" + strconv.Itoa(f.w.rand.IntN(fleetAdapters))
+	model := "m" + strconv.Itoa(f.w.rand.IntN(f.models))
+	adapter := "a" + strconv.Itoa(f.w.rand.IntN(f.adapters))
 	work := []orderer.Work{
 		orderer.LoadModel{Model: model},
 		orderer.LoadModel{Model: model},
@@ -127,7 +141,7 @@
 		work = f.unload(e)
 	}
 	f.tokens++
-	f.w.propose(applier.Order{Event: orderer.Intend{
+	f.propose(applier.Order{Event: orderer.Intend{
 		Token: strconv.Itoa(f.tokens),
 		Order: orderer.Order{
 			Upstream:    e.name,
@@ -135,7 +149,16 @@
 			Work:        work,
 			NotAfter:    f.w.now.Add(time.Duration(5+f.w.rand.IntN(60)) * time.Second),
 		},
-	}}, nil)
+	}})
+}
+
+// propose commits a command at once, or sends it off.
+func (f *fleet) propose(command applier.Command) {
+	if f.w.chance(2) {
+		f.w.apply(command)
+		return
+	}
+	f.w.propose(command, nil)
 }
 
 // unload gives work that takes out something the engine holds.
@@ -170,11 +193,14 @@
 		f.settle(order, orderer.OutcomeExpired)
 	case state == orderUnseen:
 		f.mail = append(f.mail, order)
+		if !f.w.chance(3) {
+			e.take(order)
+		}
 	}
 }
 
 func (f *fleet) settle(order orderer.Order, outcome orderer.Outcome) {
-	f.w.propose(applier.Order{Event: orderer.Settle{ID: order.ID, Outcome: outcome}}, nil)
+	f.propose(applier.Order{Event: orderer.Settle{ID: order.ID, Outcome: outcome}})
 }
 
 func (f *fleet) engine(name string) *engine {
@@ -194,7 +220,7 @@
 	}
 	at := f.w.rand.IntN(len(f.mail))
 	order := f.mail[at]
-	if f.w.chance(3) {
+	if f.w.now.After(order.NotAfter.Add(orderer.ClockMargin)) {
 		f.mail = append(f.mail[:at:at], f.mail[at+1:]...)
 	}
 	f.engine(order.Upstream).take(order)
@@ -206,7 +232,7 @@
 	if f.w.chance(3) {
 		report = f.reports[f.w.rand.IntN(len(f.reports))]
 	}
-	f.w.propose(applier.Order{Event: report}, nil)
+	f.propose(applier.Order{Event: report})
 }
 
 // disturb changes what the platform and the store list.
--- a/applier/history_test.go
+++ b/applier/history_test.go
@@ -131,7 +131,7 @@
 func (w *world) pass() {
 	spans := []time.Duration{time.Millisecond, 100 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second}
 	span := spans[w.rand.IntN(len(spans))]
-	if w.chance(30) {
+	if w.chance(60) {
 		span = time.Duration(w.rand.IntN(10)) * time.Hour
 	}
 	w.now = w.now.Add(span)
@@ -140,7 +140,7 @@
 // step does one thing. Each history has a matter that it is mostly about, so
 // that it gets far into it.
 func (w *world) step() {
-	switch w.rand.IntN(12) {
+	switch w.rand.IntN(16) {
 	case 0:
 		w.pass()
 	case 1:
--- a/encoder/ledger.go
+++ b/encoder/ledger.go
@@ -74,6 +74,7 @@
 			MemoryBytes: late.MemoryBytes,
 			NotAfter:    encodeTime(late.NotAfter),
 			Version:     late.Version,
+			Done:        late.Done,
 		})
 	}
 	return message
@@ -106,6 +107,7 @@
 			MemoryBytes: late.GetMemoryBytes(),
 			NotAfter:    decodeTime(late.GetNotAfter()),
 			Version:     late.GetVersion(),
+			Done:        late.GetDone(),
 		})
 	}
 	return account
--- a/orderer/ledger.go
+++ b/orderer/ledger.go
@@ -20,10 +20,11 @@
 // only when it is settled as done.
 //
 // A duplicate of an order counts until one of two things rules it out. An
-// upstream that checks fences refuses earlier orders once it has carried out
-// a later one. Elsewhere a report must show it: one that was taken, by the
-// upstream's own clock, after the order's NotAfter, and whose used memory is
-// explained by the names it lists, so that no load is still under way.
+// upstream that checks fences refuses duplicates of an order that was done
+// once it has carried out a later one; until then they change nothing there.
+// Otherwise a report must show it: one that was taken, by the upstream's own
+// clock, after the order's NotAfter, and whose used memory is explained by the
+// names it lists, so that no load is still under way.
 //
 // The ledger relies on upstreams to refuse an order after its NotAfter and an
 // order for another incarnation, and to remember an order for longer than
@@ -66,6 +67,8 @@
 	MemoryBytes int64
 	// NotAfter is the order's: a duplicate that arrives later is not begun.
 	NotAfter time.Time
+	// Done is true once the order was settled as done.
+	Done bool
 }
 
 // Account is what the ledger knows of one upstream.
--- a/orderer/memory.go
+++ b/orderer/memory.go
@@ -126,10 +126,25 @@
 	return total
 }
 
-// supersede drops earlier orders that the upstream refuses from now on,
-// because it carried out a later one and checks fences.
+// supersede drops earlier orders that were done and that the upstream refuses
+// from now on, because it carried out a later one and checks fences. A
+// duplicate of an order that was refused at first may be under way by now.
 func (a *Account) supersede(id uint64) {
-	a.Late = slices.DeleteFunc(a.Late, func(late Late) bool { return late.ID < id })
+	a.Late = slices.DeleteFunc(a.Late, func(late Late) bool { return late.Done && late.ID < id })
+}
+
+// noteDone marks the order as done.
+func (a *Account) noteDone(id uint64) {
+	for at := range a.Late {
+		if a.Late[at].ID == id {
+			a.Late[at].Done = true
+		}
+	}
+}
+
+// noteExpired drops an order that the upstream never saw and can't begin.
+func (a *Account) noteExpired(id uint64) {
+	a.Late = slices.DeleteFunc(a.Late, func(late Late) bool { return late.ID == id })
 }
 
 // mayLose reports whether a late duplicate of an unload could take the name.
--- a/orderer/settle.go
+++ b/orderer/settle.go
@@ -28,6 +28,7 @@
 			return Unsuitable{Reason: "order may still begin"}, nil
 		}
 		l.close(account, order.ID)
+		account.noteExpired(order.ID)
 	default:
 		return Unsuitable{Reason: "unknown outcome"}, nil
 	}
@@ -37,8 +38,8 @@
 // done changes what the upstream holds by an order it carried out.
 func (l *Ledger) done(catalog *cataloger.Catalog, account *Account, order Order) (Result, []cataloger.Change) {
 	account.LastOrder = max(account.LastOrder, order.ID)
-	upstream := catalog.Upstreams[order.Upstream]
-	if upstream.ChecksFence {
+	account.noteDone(order.ID)
+	if catalog.Upstreams[order.Upstream].ChecksFence {
 		account.supersede(order.ID)
 	}
 	role := catalog.Placements[order.Upstream].Role
