fix(assembler): stop the member before its server

Cause: the server's graceful stop waits for the members' streams, which end only when the member stops; each stop took the whole deadline and the member had no time left to hand over ('member did not stop in time'). Ruled out: a shorter deadline for the server, which would cut proposals.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -105,7 +105,9 @@
 		Meter:     meter,
 		Conductor: member,
 		Responder: answers,
-		Services:  []registrar.Service{settings.Keys, member, answers, lists, duties, health},
+		// The member stops before its server, so that it can hand over the lead
+		// and end its streams.
+		Services: []registrar.Service{settings.Keys, answers, member, lists, duties, health},
 	}, nil
 }
 
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	memberCount = 1
+	memberCount = 3
 	entryCount  = 2
 	// lookInterval is the time between two looks at readiness.
 	lookInterval = 100 * time.Millisecond
