feat(certifier): mutual TLS between processes, reloaded without restart

Cause: links between the system's processes were plain text. Ruled out: names of addresses in certificates; targets are IP numbers that change with each replaced VM, so all certificates carry the system's name and the authority alone decides. Ruled out: a client certificate of operators, who show a key.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -5,9 +5,9 @@
 
 import (
 	"go.uber.org/zap"
-	"google.golang.org/grpc/credentials"
 
 	"burdocklink/authenticator"
+	"burdocklink/certifier"
 	"burdocklink/conductor"
 	"burdocklink/encoder"
 	"burdocklink/linker"
@@ -36,9 +36,8 @@
 	Platform string
 	Store    string
 	Limits   orderer.StoreLimits
-	// ServerCredentials and ClientCredentials are nil for plain text.
-	ServerCredentials credentials.TransportCredentials
-	ClientCredentials credentials.TransportCredentials
+	// Certificates are nil for plain text.
+	Certificates *certifier.Certifier
 	// Keys tells whose key an operator's call carries.
 	Keys *authenticator.Authenticator
 	// Fatal is called once when the member can't go on.
@@ -64,7 +63,7 @@
 		Address:     settings.Member.Address,
 		Folder:      settings.Folder,
 		Peers:       settings.Peers,
-		Credentials: settings.ClientCredentials,
+		Credentials: clientCredentials(settings.Certificates),
 		Codec:       codec(),
 		Metrics:     metrics.Registry(),
 		Log:         settings.Log,
@@ -75,7 +74,7 @@
 	}
 	answers := responder.New(responder.Settings{
 		Listen:      settings.Listen,
-		Credentials: settings.ServerCredentials,
+		Credentials: serverCredentials(settings.Certificates),
 		Operator:    operatorOf(settings.Keys),
 		Group:       member,
 		Meter:       meter,
@@ -107,7 +106,8 @@
 		Responder: answers,
 		// The member stops before its server, so that it can hand over the lead
 		// and end its streams.
-		Services: []registrar.Service{settings.Keys, answers, member, lists, duties, health},
+		Services: withCertificates(settings.Certificates,
+			settings.Keys, answers, member, lists, duties, health),
 	}, nil
 }
 
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -1,17 +1,16 @@
 package assembler
 
 import (
-	"crypto/tls"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
-	"google.golang.org/grpc/credentials"
 
 	"burdocklink/admitter"
 	"burdocklink/authenticator"
 	"burdocklink/cataloger"
+	"burdocklink/certifier"
 	"burdocklink/dispatcher"
 	"burdocklink/follower"
 	"burdocklink/gossiper"
@@ -34,14 +33,13 @@
 	Control []string
 	// Callers bound what is taken from callers.
 	Callers receiver.Settings
-	// CallersTLS is nil for plain HTTP.
-	CallersTLS *tls.Config
+	// CallersTLS serves callers over TLS, which needs Certificates.
+	CallersTLS bool
 	// Keys tells whose key a request carries.
 	Keys *authenticator.Authenticator
-	// ServerCredentials and ClientCredentials are nil for plain text.
-	ServerCredentials credentials.TransportCredentials
-	ClientCredentials credentials.TransportCredentials
-	Log               *zap.Logger
+	// Certificates are nil for plain text.
+	Certificates *certifier.Certifier
+	Log          *zap.Logger
 }
 
 // Entry is an entry that has not started.
@@ -58,7 +56,7 @@
 func NewEntry(settings EntrySettings) *Entry {
 	metrics := reporter.New(reporter.Settings{})
 	meter := linker.NewMeter(metrics.Registry())
-	links := linker.New(settings.ClientCredentials, meter)
+	links := linker.New(clientCredentials(settings.Certificates), meter)
 	routes := router.New(router.Settings{
 		AvailabilityZone: settings.AvailabilityZone,
 		Seed:             xxhash.Sum64String(settings.Name),
@@ -84,7 +82,7 @@
 		Peers:       settings.Peers,
 		Links:       links,
 		Meter:       meter,
-		Credentials: settings.ServerCredentials,
+		Credentials: peerCredentials(settings.Certificates),
 		Follower:    catalogs,
 		Dispatches:  func() map[string]int { return nil },
 		Heard:       func(string, map[string]int) {},
@@ -98,7 +96,7 @@
 	callers := receiver.New(receiver.Config{
 		Settings: settings.Callers,
 		Log:      settings.Log,
-		TLS:      settings.CallersTLS,
+		TLS:      callersTLS(settings),
 		Catalog:  catalogs.Catalog,
 		Ready:    func() error { return catalogs.Ready(time.Now(), peers) },
 		Keys:     settings.Keys,
@@ -112,6 +110,7 @@
 		Follower: catalogs,
 		Gossiper: peers,
 		Receiver: callers,
-		Services: []registrar.Service{settings.Keys, admission, catalogs, peers, callers},
+		Services: withCertificates(settings.Certificates,
+			settings.Keys, admission, catalogs, peers, callers),
 	}
 }
--- /dev/null
+++ b/certifier/certifier.go
@@ -0,0 +1,259 @@
+// Package certifier holds the TLS material of a process: its certificate, key
+// and the authority that signs the system's certificates. The files are read
+// again when they change.
+package certifier
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc/credentials"
+
+	"burdocklink/registrar"
+)
+
+// Name is the service's name in the kernel.
+const Name = "certifier"
+
+// lookInterval is the time between two looks at the files.
+const lookInterval = 2 * time.Second
+
+// Files are the paths of PEM files.
+type Files struct {
+	// Certificate and Key may both be empty for a client without a
+	// certificate.
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+// material is what the files held at one time.
+type material struct {
+	contents    [][]byte
+	certificate *tls.Certificate
+	authority   *x509.CertPool
+}
+
+// Certifier gives TLS configurations whose material follows the files.
+type Certifier struct {
+	files   Files
+	log     *zap.Logger
+	current atomic.Pointer[material]
+	stop    chan struct{}
+	stopped chan struct{}
+}
+
+// New reads the files. It returns *FileError where one can't be used.
+func New(files Files, log *zap.Logger) (*Certifier, error) {
+	read, err := load(files)
+	if err != nil {
+		return nil, err
+	}
+	c := &Certifier{files: files, log: log, stop: make(chan struct{}), stopped: make(chan struct{})}
+	c.current.Store(read)
+	return c, nil
+}
+
+// String names the service.
+func (c *Certifier) String() string { return Name }
+
+// Start begins to look at the files.
+func (c *Certifier) Start(context.Context, *registrar.Registrar) error {
+	go c.loop()
+	return nil
+}
+
+// Stop ends the looking.
+func (c *Certifier) Stop(deadline time.Time) error {
+	close(c.stop)
+	select {
+	case <-c.stopped:
+	case <-time.After(time.Until(deadline)):
+	}
+	return nil
+}
+
+func (c *Certifier) loop() {
+	defer close(c.stopped)
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-ticker.C:
+			if err := c.Reload(); err != nil {
+				c.log.Warn("certificates kept as they were", zap.Error(err))
+			}
+		}
+	}
+}
+
+// Reload reads the files again. Material that can't be used leaves the one
+// before in force.
+func (c *Certifier) Reload() error {
+	read, err := load(c.files)
+	if err != nil {
+		return err
+	}
+	if read.same(c.current.Load()) {
+		return nil
+	}
+	c.current.Store(read)
+	c.log.Info("certificates read anew")
+	return nil
+}
+
+// Server returns the credentials of a gRPC server. A client's certificate is
+// verified where it shows one; the services decide which calls need it.
+func (c *Certifier) Server() credentials.TransportCredentials {
+	return credentials.NewTLS(c.serverConfig(tls.VerifyClientCertIfGiven))
+}
+
+// MutualServer returns the credentials of a gRPC server that takes no client
+// without a certificate.
+func (c *Certifier) MutualServer() credentials.TransportCredentials {
+	return credentials.NewTLS(c.serverConfig(tls.RequireAndVerifyClientCert))
+}
+
+// Client returns the credentials of a gRPC client.
+func (c *Certifier) Client() credentials.TransportCredentials {
+	return credentials.NewTLS(c.clientConfig())
+}
+
+// Callers returns the configuration of an HTTP server for callers, who show
+// keys and no certificates.
+func (c *Certifier) Callers() *tls.Config {
+	return &tls.Config{
+		MinVersion:     tls.VersionTLS12,
+		GetCertificate: c.serverCertificate,
+	}
+}
+
+func (c *Certifier) serverConfig(demand tls.ClientAuthType) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			return &tls.Config{
+				MinVersion:     tls.VersionTLS13,
+				NextProtos:     []string{"h2"},
+				GetCertificate: c.serverCertificate,
+				ClientAuth:     demand,
+				ClientCAs:      c.current.Load().authority,
+			}, nil
+		},
+	}
+}
+
+// clientConfig verifies the server's chain itself, so that the authority in
+// force at the time of the call counts. The name in the certificate is that of
+// the system, not of the address.
+func (c *Certifier) clientConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion:           tls.VersionTLS13,
+		ServerName:           SystemName,
+		InsecureSkipVerify:   true,
+		VerifyConnection:     c.verifyServer,
+		GetClientCertificate: c.clientCertificate,
+	}
+}
+
+func (c *Certifier) verifyServer(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return &NoCertificateError{}
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range state.PeerCertificates[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		DNSName:       SystemName,
+		Roots:         c.current.Load().authority,
+		Intermediates: intermediates,
+	})
+	return err
+}
+
+func (c *Certifier) serverCertificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	certificate := c.current.Load().certificate
+	if certificate == nil {
+		return nil, &NoCertificateError{}
+	}
+	return certificate, nil
+}
+
+func (c *Certifier) clientCertificate(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+	certificate := c.current.Load().certificate
+	if certificate == nil {
+		return &tls.Certificate{}, nil
+	}
+	return certificate, nil
+}
+
+// same is true where the files have not changed.
+func (m *material) same(other *material) bool {
+	for at, content := range m.contents {
+		if !bytes.Equal(content, other.contents[at]) {
+			return false
+		}
+	}
+	return true
+}
+
+func load(files Files) (*material, error) {
+	read := &material{authority: x509.NewCertPool()}
+	for _, path := range []string{files.Certificate, files.Key, files.Authority} {
+		content, err := readFile(path)
+		if err != nil {
+			return nil, err
+		}
+		read.contents = append(read.contents, content)
+	}
+	if !read.authority.AppendCertsFromPEM(read.contents[2]) {
+		return nil, &FileError{Path: files.Authority, Cause: &NoCertificateError{}}
+	}
+	if files.Certificate == "" && files.Key == "" {
+		return read, nil
+	}
+	pair, err := tls.X509KeyPair(read.contents[0], read.contents[1])
+	if err != nil {
+		return nil, &FileError{Path: files.Certificate, Cause: err}
+	}
+	read.certificate = &pair
+	return read, nil
+}
+
+func readFile(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{Path: path, Cause: err}
+	}
+	return content, nil
+}
+
+// FileError says that a file can't be used.
+type FileError struct {
+	Path  string
+	Cause error
+}
+
+// Error describes the file.
+func (e *FileError) Error() string { return e.Path + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// NoCertificateError says that a certificate is needed and there is none.
+type NoCertificateError struct{}
+
+// Error describes the lack.
+func (e *NoCertificateError) Error() string { return "no certificate" }
--- a/cmd/command.go
+++ b/cmd/command.go
@@ -44,6 +44,7 @@
 		memberCommand(),
 		standInCommand(),
 		keyCommand(),
+		certificateCommand(),
 		versionCommand(),
 	}
 }
--- a/cmd/control.go
+++ b/cmd/control.go
@@ -116,6 +116,7 @@
 func runControl(call *invocation) error {
 	settings := readControlSettings(call.settings)
 	keys := readKeys(call)
+	settings.Certificates = readCertificates(call)
 	drain := call.settings.Duration(drainTime.Name)
 	if err := call.settings.Err(); err != nil {
 		return err
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -32,6 +32,11 @@
 		Name:  "peers",
 		Usage: "addresses of the other entries, separated by commas",
 	}
+	callersTLS = checker.Definition{
+		Name:   "callers-tls",
+		Usage:  "serve callers over TLS with this process's certificate",
+		Switch: true,
+	}
 	lingerTime = checker.Definition{
 		Name:    "linger",
 		Default: "10s",
@@ -75,7 +80,7 @@
 		name:  "entry",
 		usage: "run an entry, which takes callers' requests",
 		settings: append(tlsSettings(), entryName, entryZone, entryListen, peerListen, peerAddresses,
-			controlAddresses, keysFile, lingerTime, requestTime, bodyBytes,
+			callersTLS, controlAddresses, keysFile, lingerTime, requestTime, bodyBytes,
 			completionClass, lookupClass, actionClass, drainTime, checkSettings),
 		run: runEntry,
 	}
@@ -110,6 +115,11 @@
 func runEntry(call *invocation) error {
 	settings := readEntrySettings(call.settings)
 	settings.Keys = readKeys(call)
+	settings.Certificates = readCertificates(call)
+	settings.CallersTLS = call.settings.Switch(callersTLS.Name)
+	if settings.CallersTLS && settings.Certificates == nil {
+		call.settings.Fault(callersTLS.Name, "needs --"+certificateFile.Name)
+	}
 	drain := call.settings.Duration(drainTime.Name)
 	checkDrain(call.settings, settings.Callers.Linger, drain)
 	if err := call.settings.Err(); err != nil {
--- a/cmd/operator.go
+++ b/cmd/operator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/credentials"
 
 	"burdocklink/administrator"
 	"burdocklink/checker"
@@ -72,13 +73,14 @@
 	if output != outputTable && output != outputJSON {
 		call.settings.Fault(outputFormat.Name, "must be table or json")
 	}
-	transport, err := clientCredentials(call)
-	if err != nil {
-		return nil, err
-	}
+	certificates := readAuthority(call)
 	if err := call.settings.Err(); err != nil {
 		return nil, err
 	}
+	var transport credentials.TransportCredentials
+	if certificates != nil {
+		transport = certificates.Client()
+	}
 	client := administrator.New(administrator.Settings{
 		Control: control,
 		Links:   linker.New(transport, linker.NewMeter(metrics.NewRegistry())),
--- a/cmd/tls.go
+++ b/cmd/tls.go
@@ -1,8 +1,7 @@
 package cmd
 
 import (
-	"google.golang.org/grpc/credentials"
-
+	"burdocklink/certifier"
 	"burdocklink/checker"
 )
 
@@ -18,7 +17,7 @@
 	}
 	authorityFile = checker.Definition{
 		Name:  "certificate-authority",
-		Usage: "file of the authority that signs the system's certificates, in PEM",
+		Usage: "file of the authority that signs the system's certificates, in PEM; plain text where none is given",
 	}
 )
 
@@ -26,7 +25,38 @@
 	return []checker.Definition{certificateFile, certificateKeyFile, authorityFile}
 }
 
-// clientCredentials returns nil for plain text where no certificate is given.
-func clientCredentials(call *invocation) (credentials.TransportCredentials, error) {
-	return nil, nil
+// readCertificates opens the TLS material of a daemon, or returns nil where
+// none is given. A fault shows in settings.Err.
+func readCertificates(call *invocation) *certifier.Certifier {
+	opened := readAuthority(call)
+	if opened != nil && call.settings.Text(certificateFile.Name) == "" {
+		call.settings.Fault(certificateFile.Name, "must be given beside --"+authorityFile.Name)
+	}
+	return opened
+}
+
+// readAuthority opens the TLS material of a client, which needs no certificate
+// of its own. A fault shows in settings.Err.
+func readAuthority(call *invocation) *certifier.Certifier {
+	files := certifier.Files{
+		Certificate: call.settings.File(certificateFile.Name),
+		Key:         call.settings.File(certificateKeyFile.Name),
+		Authority:   call.settings.File(authorityFile.Name),
+	}
+	if files == (certifier.Files{}) {
+		return nil
+	}
+	if files.Authority == "" {
+		call.settings.Fault(authorityFile.Name, "must be given beside --"+certificateFile.Name)
+		return nil
+	}
+	if call.settings.Err() != nil {
+		return nil
+	}
+	opened, err := certifier.New(files, call.log)
+	if err != nil {
+		call.settings.Fault(authorityFile.Name, err.Error())
+		return nil
+	}
+	return opened
 }
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -78,6 +78,7 @@
 func start() []step {
 	return []step{
 		makeKeys{},
+		makeCertificates{},
 		startStore{},
 		startUpstreams{},
 		startPlatform{},
--- a/demonstrator/outside.go
+++ b/demonstrator/outside.go
@@ -1,10 +1,13 @@
 package demonstrator
 
 import (
+	"net"
 	"os"
 	"path/filepath"
+	"time"
 
 	"burdocklink/authenticator"
+	"burdocklink/certifier"
 	"burdocklink/encoder"
 	"burdocklink/faker"
 )
@@ -18,6 +21,7 @@
 	calendar     = "calendar"
 	baseModel    = "planner-large"
 	secondModel  = "planner-small"
+	operatorName = "night-desk"
 	adapterName  = "planner-large-weddings"
 	gigabyte     = 1 << 30
 	engineMemory = 80 * gigabyte
@@ -46,7 +50,7 @@
 func (makeKeys) Run(ctx *Context) error {
 	ctx.OperatorKey = authenticator.NewKey()
 	ctx.SubscriberKey = authenticator.NewKey()
-	operator := authenticator.Identity{Name: "night-desk", Role: authenticator.RoleOperator}
+	operator := authenticator.Identity{Name: operatorName, Role: authenticator.RoleOperator}
 	subscriber := authenticator.Identity{Name: "first-couple", Role: authenticator.RoleSubscriber}
 	content, err := authenticator.Add(nil, operator, ctx.OperatorKey)
 	if err != nil {
@@ -66,6 +70,36 @@
 	return authenticator.New(authenticator.Settings{File: c.keysPath()}, c.Log)
 }
 
+type makeCertificates struct{}
+
+// String says what the step does.
+func (makeCertificates) String() string { return "make certificates" }
+
+// Run makes an authority and a certificate for each process.
+func (makeCertificates) Run(ctx *Context) error {
+	names := []string{operatorName}
+	for number := range memberCount {
+		names = append(names, memberName(number))
+	}
+	for number := range entryCount {
+		names = append(names, entryName(number))
+	}
+	return certifier.MakeSet(ctx.Folder, names, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now())
+}
+
+// certificates opens the certificate of one process.
+func (c *Context) certificates(name string) (*certifier.Certifier, error) {
+	return certifier.New(certifier.Files{
+		Certificate: filepath.Join(c.Folder, name+".pem"),
+		Key:         filepath.Join(c.Folder, name+"-key.pem"),
+		Authority:   filepath.Join(c.Folder, "authority.pem"),
+	}, c.Log)
+}
+
+func memberName(number int) string { return "control-" + string(rune('1'+number)) }
+
+func entryName(number int) string { return "entry-" + string(rune('1'+number)) }
+
 type startStore struct{}
 
 // String says what the step does.
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -45,9 +45,13 @@
 			return err
 		}
 	}
+	certificates, err := ctx.certificates(operatorName)
+	if err != nil {
+		return err
+	}
 	ctx.Operator = administrator.New(administrator.Settings{
 		Control: ctx.Control,
-		Links:   linker.New(nil, linker.NewMeter(metrics.NewRegistry())),
+		Links:   linker.New(certificates.Client(), linker.NewMeter(metrics.NewRegistry())),
 		Key:     ctx.OperatorKey,
 	})
 	return nil
@@ -61,7 +65,7 @@
 			return nil, err
 		}
 		members = append(members, conductor.Member{
-			Name:    "control-" + string(rune('1'+number)),
+			Name:    memberName(number),
 			Address: address,
 			Role:    conductor.Voter,
 		})
@@ -74,6 +78,10 @@
 	if err != nil {
 		return err
 	}
+	certificates, err := ctx.certificates(member.Name)
+	if err != nil {
+		return err
+	}
 	control, err := assembler.NewControl(assembler.ControlSettings{
 		Member:       member,
 		Listen:       member.Address,
@@ -87,8 +95,9 @@
 			LoadsAtOnce:       storeAtOnce,
 			AdaptersInTransit: storeTransit,
 		},
-		Keys: keys,
-		Log:  ctx.Log,
+		Keys:         keys,
+		Certificates: certificates,
+		Log:          ctx.Log,
 	})
 	if err != nil {
 		return err
@@ -135,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	name := "entry-" + string(rune('1'+number))
+	name := entryName(number)
 	zone := zones[number%len(zones)]
 	var peers []string
 	for other, address := range addresses {
@@ -143,6 +152,10 @@
 			peers = append(peers, address)
 		}
 	}
+	certificates, err := ctx.certificates(name)
+	if err != nil {
+		return err
+	}
 	entry := assembler.NewEntry(assembler.EntrySettings{
 		Name:             name,
 		AvailabilityZone: zone,
@@ -151,6 +164,7 @@
 		Control:          ctx.Control,
 		Callers:          receiver.Settings{Listen: loopback, Entry: name, AvailabilityZone: zone},
 		Keys:             keys,
+		Certificates:     certificates,
 		Log:              ctx.Log,
 	})
 	ctx.Entries = append(ctx.Entries, entry)
