fix(applier): order the readings of lists, and keep replaced incarnations out

Readings now carry the leader's term and a sequence, and one that is not later than the last does nothing. An incarnation that was listed before another one stays out, also where it was removed in between; one that was leaving stays leaving.

Ruled out: ordering by the reader's clock, since clocks of two leaders differ. Late now holds all orders that may still be carried out, unsettled or not; counting the unsettled ones a second time is gone.

--- a/applier/command.go
+++ b/applier/command.go
@@ -37,7 +37,15 @@
 const AnyRevision = ^uint64(0)
 
 // Watch records what the platform's list and the weight store say.
-type Watch struct{ Changes []cataloger.Change }
+type Watch struct {
+	// Term and Sequence order the readings: Term is the leader's when it read
+	// the list and Sequence counts up within the term. A Watch that is not
+	// later than one applied before does nothing. Zero for both leaves it
+	// unordered.
+	Term     uint64
+	Sequence uint64
+	Changes  []cataloger.Change
+}
 
 // Noop does nothing; a new leader commits one.
 type Noop struct{}
--- a/applier/departures.go
+++ b/applier/departures.go
@@ -2,48 +2,66 @@
 
 import "burdocklink/cataloger"
 
-// Departure is an incarnation that must not come back to live.
+// Departure is an incarnation that was listed once and is no longer.
 type Departure struct {
 	Upstream    string
 	Incarnation string
-	// Replaced is true where a later incarnation was seen; otherwise the
-	// incarnation was removed while it was leaving and stays leaving.
+	// Replaced is true where another incarnation was listed after it; it must
+	// not come back.
 	Replaced bool
+	// Leaving is true where it was leaving; it must not come back to live.
+	Leaving bool
 }
 
 type incarnation struct{ upstream, incarnation string }
 
 // departures remembers the latest departed incarnations.
 type departures struct {
-	entries []Departure
-	byKey   map[incarnation]bool
+	entries []*Departure
+	byKey   map[incarnation]*Departure
 }
 
-func newDepartures() *departures { return &departures{byKey: map[incarnation]bool{}} }
+func newDepartures() *departures { return &departures{byKey: map[incarnation]*Departure{}} }
 
 func (d *departures) add(departure Departure) {
 	key := incarnation{departure.Upstream, departure.Incarnation}
-	if replaced, known := d.byKey[key]; known && (replaced || !departure.Replaced) {
+	if known := d.byKey[key]; known != nil {
+		known.Replaced = known.Replaced || departure.Replaced
+		known.Leaving = known.Leaving || departure.Leaving
 		return
 	}
-	d.entries = append(d.entries, departure)
-	d.byKey[key] = departure.Replaced
+	d.entries = append(d.entries, &departure)
+	d.byKey[key] = &departure
 	for len(d.entries) > MaxDepartures {
-		d.dropOldest()
+		oldest := d.entries[0]
+		d.entries = d.entries[1:]
+		delete(d.byKey, incarnation{oldest.Upstream, oldest.Incarnation})
 	}
 }
 
-func (d *departures) dropOldest() {
-	oldest := d.entries[0]
-	d.entries = d.entries[1:]
-	key := incarnation{oldest.Upstream, oldest.Incarnation}
-	if d.byKey[key] == oldest.Replaced {
-		delete(d.byKey, key)
+// replace notes that the upstream is listed in an incarnation, so that all
+// others of it are replaced.
+func (d *departures) replace(upstream, current string) {
+	for _, departure := range d.entries {
+		if departure.Upstream == upstream && departure.Incarnation != current {
+			departure.Replaced = true
+		}
 	}
 }
 
-// find reports whether the incarnation departed and whether it was replaced.
-func (d *departures) find(upstream cataloger.Upstream) (replaced, departed bool) {
-	replaced, departed = d.byKey[incarnation{upstream.Name, upstream.Incarnation}]
-	return replaced, departed
+// find returns what is known of the incarnation's departure.
+func (d *departures) find(upstream cataloger.Upstream) Departure {
+	known := d.byKey[incarnation{upstream.Name, upstream.Incarnation}]
+	if known == nil {
+		return Departure{}
+	}
+	return *known
+}
+
+func (d *departures) list() []Departure {
+	var all []Departure
+	for _, departure := range d.entries {
+		all = append(all, *departure)
+	}
+	return all
 }
--- a/applier/history_fleet_test.go
+++ b/applier/history_fleet_test.go
@@ -44,8 +44,15 @@
 	loads   []time.Time
 	tokens  int
 	epoch   int
-	// known are the committed orders by ID.
-	known map[uint64]orderer.Order
+	// known are the committed orders by ID, byToken their IDs.
+	known   map[uint64]orderer.Order
+	byToken map[string]uint64
+	// listed and left are the latest incarnations and states seen.
+	listed map[string]int
+	left   map[string]bool
+	shown  map[string][]string
+	// sequence counts the readings of lists.
+	sequence uint64
 }
 
 func newFleet(w *world) *fleet {
@@ -53,6 +60,10 @@
 		w:       w,
 		profile: profiles()[w.rand.IntN(len(profiles()))],
 		known:   map[uint64]orderer.Order{},
+		byToken: map[string]uint64{},
+		listed:  map[string]int{},
+		left:    map[string]bool{},
+		shown:   map[string][]string{},
 		limits:  orderer.StoreLimits{LoadsPerSecond: 1.4, LoadsAtOnce: 2, AdaptersInTransit: 1},
 	}
 }
@@ -119,7 +130,7 @@
 		f.reports = append(f.reports, e.report())
 		f.observe()
 	default:
-		if f.w.chance(4) {
+		if !f.calm || f.w.chance(4) {
 			f.disturb(e)
 		}
 	}
@@ -238,25 +249,46 @@
 // disturb changes what the platform and the store list.
 func (f *fleet) disturb(e *engine) {
 	state := cataloger.UpstreamLive
-	switch f.w.rand.IntN(5) {
+	switch f.w.rand.IntN(6) {
 	case 0:
-		f.w.propose(applier.Watch{Changes: []cataloger.Change{f.model(f.w.rand.IntN(2), strconv.Itoa(f.w.rand.IntN(3)))}}, nil)
+		f.list(f.model(f.w.rand.IntN(2), strconv.Itoa(f.w.rand.IntN(3))))
 		return
 	case 1:
 		if !f.calm {
 			f.epoch++
 			e.restart("i" + strconv.Itoa(f.epoch))
+			e.hold("m1", 7)
 		}
 	case 2:
 		if !f.calm {
-			f.w.propose(applier.Watch{Changes: []cataloger.Change{cataloger.RemoveUpstream{Name: e.name}}}, nil)
+			f.list(cataloger.RemoveUpstream{Name: e.name})
+			return
 		}
 	case 3:
 		if !f.calm && f.w.chance(3) {
 			state = cataloger.UpstreamLeaving
 		}
+	case 4:
+		f.list(f.stale(e))
+		return
 	}
-	f.w.propose(applier.Watch{Changes: []cataloger.Change{f.listing(e, state)}}, nil)
+	f.list(f.listing(e, state))
+}
+
+// list proposes what was read from a list.
+func (f *fleet) list(change cataloger.Change) {
+	f.sequence++
+	f.w.propose(applier.Watch{Term: 1, Sequence: f.sequence, Changes: []cataloger.Change{change}}, nil)
+}
+
+// stale is a line of a list that lags behind what was listed before.
+func (f *fleet) stale(e *engine) cataloger.Change {
+	before := *e
+	before.incarnation = "i" + strconv.Itoa(f.listed[e.name])
+	if f.w.chance(2) && len(f.shown[e.name]) > 0 {
+		before.incarnation = f.shown[e.name][f.w.rand.IntN(len(f.shown[e.name]))]
+	}
+	return f.listing(&before, cataloger.UpstreamLive)
 }
 
 // unloaded is told when an engine has dropped a copy.
@@ -283,6 +315,9 @@
 		return
 	}
 	order := committed.Order
+	if intend, ok := command.(applier.Order).Event.(orderer.Intend); ok {
+		f.checkToken(intend.Token, order.ID)
+	}
 	if _, repeated := f.known[order.ID]; repeated {
 		return
 	}
@@ -293,6 +328,33 @@
 	f.checkStore(order)
 }
 
+// checkToken makes sure that a token stands for one order only.
+func (f *fleet) checkToken(token string, id uint64) {
+	if first, repeated := f.byToken[token]; repeated && first != id {
+		f.w.failf("token %s gave order %d, then %d", token, first, id)
+	}
+	f.byToken[token] = id
+}
+
+// watchListing makes sure that no incarnation comes back after a later one,
+// and none that was leaving is live again.
+func (f *fleet) watchListing() {
+	for name, upstream := range f.w.state.Catalog().Upstreams {
+		epoch, _ := strconv.Atoi(upstream.Incarnation[1:])
+		if epoch < f.listed[name] {
+			f.w.failf("%s went back to incarnation %d after %d", name, epoch, f.listed[name])
+		}
+		if f.listed[name] = epoch; !slices.Contains(f.shown[name], upstream.Incarnation) {
+			f.shown[name] = append(f.shown[name], upstream.Incarnation)
+		}
+		id := name + upstream.Incarnation
+		if f.left[id] && upstream.State == cataloger.UpstreamLive {
+			f.w.failf("%s was leaving and is live again", id)
+		}
+		f.left[id] = upstream.State == cataloger.UpstreamLeaving
+	}
+}
+
 func (f *fleet) checkStore(order orderer.Order) {
 	if !isLoad(order.Work) {
 		return
--- a/applier/history_test.go
+++ b/applier/history_test.go
@@ -116,6 +116,7 @@
 	w.claims.watch(command, applied.Result)
 	w.operators.watch(command, applied.Result)
 	w.fleet.watch(command, applied.Result)
+	w.fleet.watchListing()
 	return applied.Result
 }
 
@@ -131,7 +132,7 @@
 func (w *world) pass() {
 	spans := []time.Duration{time.Millisecond, 100 * time.Millisecond, time.Second, 2 * time.Second, 10 * time.Second}
 	span := spans[w.rand.IntN(len(spans))]
-	if w.chance(60) {
+	if w.seed%4 == 0 && w.chance(4) || w.chance(60) {
 		span = time.Duration(w.rand.IntN(10)) * time.Hour
 	}
 	w.now = w.now.Add(span)
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -24,6 +24,8 @@
 	// Remembered and Departures are oldest first.
 	Remembered []Remembered
 	Departures []Departure
+	// Watched is the last Watch applied.
+	Watched Reading
 }
 
 // Snapshot returns the content, for storing. Answers and changes are shared
@@ -38,7 +40,8 @@
 		Orders:           s.orders.Snapshot(),
 		OperatorRevision: s.operators.revision,
 		Remembered:       slices.Clone(s.operators.entries),
-		Departures:       slices.Clone(s.departed.entries),
+		Departures:       s.departed.list(),
+		Watched:          s.watched,
 	}
 }
 
@@ -53,6 +56,7 @@
 		s.operators.add(entry)
 	}
 	s.operators.revision = snapshot.OperatorRevision
+	s.watched = snapshot.Watched
 	for _, departure := range snapshot.Departures {
 		s.departed.add(departure)
 	}
--- a/applier/state.go
+++ b/applier/state.go
@@ -17,8 +17,12 @@
 	orders    *orderer.Ledger
 	operators *journal
 	departed  *departures
+	watched   Reading
 }
 
+// Reading is the place of a Watch in the order of all of them.
+type Reading struct{ Term, Sequence uint64 }
+
 // New returns the empty state.
 func New() *State {
 	return &State{
--- a/applier/watch.go
+++ b/applier/watch.go
@@ -5,12 +5,14 @@
 // watch carries out what the platform and the weight store say. Steps that
 // change nothing are left out, and so is what is known to be outdated: an
 // incarnation that was replaced does not come back, and one that was leaving
-// stays so. Where a step contradicts the catalog, none comes into force.
+// stays so. Where a step contradicts the catalog or two steps are about the
+// same thing, none comes into force.
 func (s *State) watch(command Watch) Applied {
-	for _, step := range command.Changes {
-		if !forWatchers(step) {
-			return Applied{Result: Invalid{Reason: "watchers change upstreams, models and adapters only"}, Delta: s.commit(nil)}
-		}
+	if reason := watchFault(command); reason != "" {
+		return Applied{Result: Invalid{Reason: reason}, Delta: s.commit(nil)}
+	}
+	if s.outdated(command) {
+		return Applied{Result: Nothing{}, Delta: s.commit(nil)}
 	}
 	steps := s.news(command.Changes)
 	if reason := checkAll(s.catalog, steps); reason != "" {
@@ -25,6 +27,19 @@
 	return Applied{Result: Accepted{Revision: delta.To}, Delta: delta}
 }
 
+// watchFault says what is wrong with the command itself.
+func watchFault(command Watch) string {
+	for _, step := range command.Changes {
+		if !forWatchers(step) {
+			return "watchers change upstreams, models and adapters only"
+		}
+	}
+	if repeats(command.Changes) {
+		return "two steps are about the same thing"
+	}
+	return ""
+}
+
 func forWatchers(step cataloger.Change) bool {
 	switch step.(type) {
 	case cataloger.PutUpstream, cataloger.RemoveUpstream, cataloger.PutModel, cataloger.RemoveModel,
@@ -73,11 +88,11 @@
 }
 
 func (s *State) newUpstream(upstream cataloger.Upstream) []cataloger.Change {
-	replaced, departed := s.departed.find(upstream)
-	if replaced {
+	departed := s.departed.find(upstream)
+	if departed.Replaced {
 		return nil
 	}
-	if departed {
+	if departed.Leaving {
 		upstream.State = cataloger.UpstreamLeaving
 	}
 	before, listed := s.catalog.Upstreams[upstream.Name]
@@ -99,27 +114,69 @@
 	return []cataloger.Change{cataloger.PutUpstream{Upstream: upstream}}
 }
 
-// depart notes the incarnations that the steps replace or remove.
+// depart notes the incarnations that the steps remove or replace.
 func (s *State) depart(steps []cataloger.Change) {
-	puts := map[string]string{}
 	for _, step := range steps {
-		if put, ok := step.(cataloger.PutUpstream); ok {
-			puts[put.Upstream.Name] = put.Upstream.Incarnation
+		switch step := step.(type) {
+		case cataloger.RemoveUpstream:
+			before, listed := s.catalog.Upstreams[step.Name]
+			if !listed {
+				continue
+			}
+			s.departed.add(Departure{
+				Upstream:    before.Name,
+				Incarnation: before.Incarnation,
+				Leaving:     before.State == cataloger.UpstreamLeaving,
+			})
+		case cataloger.PutUpstream:
+			s.departed.replace(step.Upstream.Name, step.Upstream.Incarnation)
 		}
 	}
+}
+
+// outdated reports whether a later reading was applied before, and notes this
+// one where not.
+func (s *State) outdated(command Watch) bool {
+	if command.Term == 0 && command.Sequence == 0 {
+		return false
+	}
+	earlier := command.Term < s.watched.Term ||
+		command.Term == s.watched.Term && command.Sequence <= s.watched.Sequence
+	if !earlier {
+		s.watched = Reading{Term: command.Term, Sequence: command.Sequence}
+	}
+	return earlier
+}
+
+// repeats reports whether two steps are about the same thing.
+func repeats(steps []cataloger.Change) bool {
+	seen := map[string]bool{}
 	for _, step := range steps {
-		remove, ok := step.(cataloger.RemoveUpstream)
-		if !ok {
-			continue
-		}
-		before, listed := s.catalog.Upstreams[remove.Name]
-		if !listed {
-			continue
-		}
-		next, again := puts[remove.Name]
-		replaced := again && next != before.Incarnation
-		if replaced || before.State == cataloger.UpstreamLeaving {
-			s.departed.add(Departure{Upstream: before.Name, Incarnation: before.Incarnation, Replaced: replaced})
+		about := subject(step)
+		if seen[about] {
+			return true
 		}
+		seen[about] = true
+	}
+	return false
+}
+
+// subject names what a step is about.
+func subject(step cataloger.Change) string {
+	switch step := step.(type) {
+	case cataloger.PutUpstream:
+		return "upstream " + step.Upstream.Name
+	case cataloger.RemoveUpstream:
+		return "upstream " + step.Name
+	case cataloger.PutModel:
+		return "weights " + step.Model.Name
+	case cataloger.RemoveModel:
+		return "weights " + step.Name
+	case cataloger.PutAdapter:
+		return "weights " + step.Adapter.Name
+	case cataloger.RemoveAdapter:
+		return "weights " + step.Name
+	default:
+		return ""
 	}
 }
--- a/encoder/command.go
+++ b/encoder/command.go
@@ -68,7 +68,11 @@
 		return message, err
 	case applier.Watch:
 		changes, err := encodeChanges(command.Changes)
-		message.Command = &wire.Command_Watch{Watch: &wire.WatchChange{Changes: changes}}
+		message.Command = &wire.Command_Watch{Watch: &wire.WatchChange{
+			Changes:  changes,
+			Term:     command.Term,
+			Sequence: command.Sequence,
+		}}
 		return message, err
 	case applier.Noop:
 		message.Command = &wire.Command_Noop{Noop: &wire.Empty{}}
@@ -90,7 +94,11 @@
 		return decodeOperatorChange(command.Change)
 	case *wire.Command_Watch:
 		changes, err := decodeChanges(command.Watch.GetChanges())
-		return applier.Watch{Changes: changes}, err
+		return applier.Watch{
+			Term:     command.Watch.GetTerm(),
+			Sequence: command.Watch.GetSequence(),
+			Changes:  changes,
+		}, err
 	case *wire.Command_Noop:
 		return applier.Noop{}, nil
 	default:
--- a/encoder/command_test.go
+++ b/encoder/command_test.go
@@ -72,7 +72,7 @@
 			LoadsPerSecond: 1.4, LoadsAtOnce: 11, AdaptersInTransit: 90,
 		}}},
 		"change": applier.Change{Operator: "o", Request: "1", Based: applier.AnyRevision, Changes: allChanges()},
-		"watch":  applier.Watch{Changes: allChanges()},
+		"watch":  applier.Watch{Term: 2, Sequence: 3, Changes: allChanges()},
 		"noop":   applier.Noop{},
 	}
 	for name, command := range tests {
--- a/encoder/state.go
+++ b/encoder/state.go
@@ -30,6 +30,8 @@
 		Orders:           ledger,
 		OperatorRevision: snapshot.OperatorRevision,
 		Remembered:       remembered,
+		WatchedTerm:      snapshot.Watched.Term,
+		WatchedSequence:  snapshot.Watched.Sequence,
 	}
 	for _, record := range snapshot.Claims {
 		message.Claims = append(message.Claims, encodeClaimRecord(record))
@@ -39,6 +41,7 @@
 			Upstream:    departure.Upstream,
 			Incarnation: departure.Incarnation,
 			Replaced:    departure.Replaced,
+			Leaving:     departure.Leaving,
 		})
 	}
 	return marshal(message)
@@ -56,6 +59,10 @@
 		Stamp:            decodeTime(message.GetStamp()),
 		ClaimSerial:      message.GetClaimSerial(),
 		OperatorRevision: message.GetOperatorRevision(),
+		Watched: applier.Reading{
+			Term:     message.GetWatchedTerm(),
+			Sequence: message.GetWatchedSequence(),
+		},
 	}
 	var err error
 	if snapshot.Catalog, err = decodeCatalog(message.GetCatalog()); err != nil {
@@ -75,6 +82,7 @@
 			Upstream:    departure.GetUpstream(),
 			Incarnation: departure.GetIncarnation(),
 			Replaced:    departure.GetReplaced(),
+			Leaving:     departure.GetLeaving(),
 		})
 	}
 	return applier.Restore(snapshot), nil
--- a/orderer/intend.go
+++ b/orderer/intend.go
@@ -172,7 +172,7 @@
 
 // checkLoad compares a load with the memory and with the store's limits.
 func (i *intent) checkLoad(what weights, bytes int64, adapter bool) Result {
-	possible := i.ledger.possible(i.account)
+	possible := possible(i.account)
 	free := i.upstream.MemoryBytes - possible.total()
 	need := bytes - min(bytes, possible[what])
 	if need > free {
@@ -222,7 +222,7 @@
 	if !known || !account.Observed || upstream.State != cataloger.UpstreamLive {
 		return false
 	}
-	if _, unsettled := l.unsettledUnload(account, name); unsettled || account.mayLose(name) {
+	if account.mayLose(name) {
 		return false
 	}
 	return account.Incarnation == upstream.Incarnation && account.holds(name)
--- a/orderer/ledger.go
+++ b/orderer/ledger.go
@@ -15,7 +15,7 @@
 //
 // Memory of an upstream is counted over the union of what it is confirmed to
 // hold, what its unsettled orders load, and what a late duplicate of an
-// earlier load could still bring back. Two versions of one name count apart,
+// earlier load could still bring back (Account.Late). Two versions of one name count apart,
 // since a new version is loaded beside the old one. An unload frees memory
 // only when it is settled as done.
 //
@@ -56,7 +56,8 @@
 	Base    string
 }
 
-// Late is an order whose duplicate may still arrive.
+// Late is an order that may still be carried out: it is unsettled, or a
+// duplicate of it may still arrive or be under way.
 type Late struct {
 	// ID is the order's.
 	ID      uint64
--- a/orderer/memory.go
+++ b/orderer/memory.go
@@ -27,16 +27,11 @@
 
 // possible returns all that the upstream could come to hold if every order
 // that may still be carried out were, and no unload.
-func (l *Ledger) possible(account *Account) copies {
+func possible(account *Account) copies {
 	all := copies{}
 	for _, held := range account.Held {
 		all.add(weights{held.Name, held.Version}, held.MemoryBytes)
 	}
-	for _, id := range account.Unsettled {
-		if what, bytes, loads := load(l.orders[id].Order.Work); loads {
-			all.add(what, bytes)
-		}
-	}
 	for _, late := range account.Late {
 		if late.Loads {
 			all.add(weights{late.Name, late.Version}, late.MemoryBytes)
@@ -52,7 +47,7 @@
 	if !known {
 		return 0
 	}
-	return l.possible(account).total()
+	return possible(account).total()
 }
 
 // load gives the weights and the size that a piece of work brings in.
@@ -88,7 +83,7 @@
 	return name
 }
 
-// remember notes that a duplicate of the order may arrive until its NotAfter.
+// remember notes that the order may be carried out, now or as a duplicate.
 func (a *Account) remember(order Order) {
 	what, bytes, loads := load(order.Work)
 	late := Late{
@@ -147,7 +142,8 @@
 	a.Late = slices.DeleteFunc(a.Late, func(late Late) bool { return late.ID == id })
 }
 
-// mayLose reports whether a late duplicate of an unload could take the name.
+// mayLose reports whether an unload, unsettled or a late duplicate of one, could
+// take the name.
 func (a *Account) mayLose(name string) bool {
 	for _, late := range a.Late {
 		if !late.Loads && late.Name == name {
@@ -186,16 +182,19 @@
 			reserved[name] = upstream.MemoryBytes
 			continue
 		}
-		if bytes := l.unaccounted(account); bytes > 0 {
+		if bytes := unaccounted(account); bytes > 0 {
 			reserved[name] = bytes
 		}
 	}
 	return reserved
 }
 
-// unaccounted is what late duplicates could add to what is held and loading.
-func (l *Ledger) unaccounted(account *Account) int64 {
-	settled := *account
-	settled.Late = nil
-	return l.possible(account).total() - l.possible(&settled).total()
+// unaccounted is what duplicates of settled orders could add to what is held
+// and loading.
+func unaccounted(account *Account) int64 {
+	known := *account
+	known.Late = slices.DeleteFunc(slices.Clone(account.Late), func(late Late) bool {
+		return !slices.Contains(account.Unsettled, late.ID)
+	})
+	return possible(account).total() - possible(&known).total()
 }
