--- a/faker/service.go
+++ b/faker/service.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdocklink/encoder"
@@ -29,6 +30,7 @@
 	host
 	settings ServiceSettings
 	journal  *journal
+	running  atomic.Int64
 
 	mu      sync.Mutex
 	faults  encoder.ServiceFaults
@@ -107,6 +109,7 @@
 	report := encoder.LoadReport{
 		Upstream: s.settings.Name,
 		Taken:    time.Now(),
+		Running:  int(s.running.Load()),
 		Leaving:  !s.leaving.IsZero(),
 	}
 	s.mu.Unlock()
@@ -119,6 +122,8 @@
 	if err != nil {
 		drop()
 	}
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	s.mu.Lock()
 	faults, thawed := s.faults, s.thawed
 	s.mu.Unlock()
--- /dev/null
+++ b/prover/booking_test.go
@@ -0,0 +1,109 @@
+package prover_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+)
+
+func TestBookingIsSentAgain(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	tests := map[string]struct {
+		faults encoder.ServiceFaults
+		first  string
+		again  string
+		ran    int
+	}{
+		"answered":            {encoder.ServiceFaults{}, "ran", "ran", 1},
+		"refused as not run":  {encoder.ServiceFaults{RefuseRequests: true}, "not-run", "ran", 1},
+		"failed after it ran": {encoder.ServiceFaults{FailAfterRun: true}, "unknown", "unknown", 1},
+		"cut after it ran":    {encoder.ServiceFaults{CutAfterRun: true}, "unknown", "unknown", 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			key := f.newKey()
+			for _, service := range f.services {
+				f.fault(service, test.faults)
+			}
+			first := f.book(f.entries[0], key)
+			for _, service := range f.services {
+				f.fault(service, encoder.ServiceFaults{})
+			}
+
+			again := f.book(f.entries[1], key)
+
+			assert.Equal(t, first.Outcome, test.first)
+			assert.Equal(t, again.Outcome, test.again)
+			assert.Equal(t, f.runsOf(key), test.ran)
+		})
+	}
+	f.judge()
+}
+
+// runsOf counts the runs of a key at all services.
+func (f *fleet) runsOf(key string) int {
+	runs := 0
+	for _, service := range f.services {
+		var record encoder.ServiceRecord
+		assert.NilError(f.t, get(service.address, encoder.PathRecord, &record))
+		for _, call := range record.Calls {
+			if call.IdempotencyKey == key {
+				runs++
+			}
+		}
+	}
+	return runs
+}
+
+func TestBookingsWhileConnectionsGoSilent(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	traffic := f.startTraffic(4, 5, "torta")
+	f.answered(10)
+	for range 2 {
+		for _, service := range f.services {
+			service.link.forget(t)
+		}
+		f.answered(10)
+		for _, service := range f.services {
+			service.link.heal(t)
+		}
+	}
+	traffic.end()
+	f.judge()
+}
+
+func TestEntryKilledWhileItBooks(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	for _, service := range f.services {
+		f.fault(service, encoder.ServiceFaults{DelayMilliseconds: 300})
+	}
+	var keys []string
+	for range 8 {
+		keys = append(keys, f.newKey())
+	}
+	senders := f.startBookings(f.entries[0], keys)
+	eventually(t, "a booking is at a service", func() bool { return f.waiting() > 0 })
+
+	f.entries[0].process.kill()
+	senders.Wait()
+
+	for _, key := range keys {
+		f.book(f.entries[1], key)
+		assert.Assert(t, f.runsOf(key) <= 1)
+	}
+	f.judge()
+}
+
+// waiting counts the calls under way at all services.
+func (f *fleet) waiting() int {
+	waiting := 0
+	for _, service := range f.services {
+		var report encoder.LoadReport
+		if get(service.address, encoder.PathLoad, &report) == nil {
+			waiting += report.Running
+		}
+	}
+	return waiting
+}
--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -203,7 +203,7 @@
 		}
 		at := l.fleet.entries[i%len(l.fleet.entries)]
 		if i%3 == 2 && len(l.fleet.services) > 0 {
-			l.fleet.book(at, fmt.Sprintf("key-%d", l.fleet.number()))
+			l.fleet.book(at, l.fleet.newKey())
 			continue
 		}
 		l.fleet.chat(at, l.models[i%len(l.models)], l.tokens)
@@ -238,3 +238,27 @@
 	}
 	return seen
 }
+
+// newKey returns an idempotency key that was not used yet.
+func (f *fleet) newKey() string { return fmt.Sprintf("key-%d", f.number()) }
+
+// bookings sends one booking for each key at the same time.
+type bookings struct {
+	sync.WaitGroup
+	fleet *fleet
+}
+
+// startBookings begins a booking for each key at an entry.
+func (f *fleet) startBookings(at *entry, keys []string) *bookings {
+	begun := &bookings{fleet: f}
+	for _, key := range keys {
+		begun.Add(1)
+		go begun.run(at, key)
+	}
+	return begun
+}
+
+func (b *bookings) run(at *entry, key string) {
+	defer b.Done()
+	b.fleet.book(at, key)
+}
--- /dev/null
+++ b/prover/fault_test.go
@@ -0,0 +1,38 @@
+package prover_test
+
+import (
+	"testing"
+
+	"burdocklink/encoder"
+)
+
+// newSmallFleet starts two engines that hold all models, two services, as many
+// control members and two entries, and waits until each entry answers.
+func newSmallFleet(t *testing.T, members int) *fleet {
+	t.Helper()
+	f := newFleet(t, models()...)
+	f.addEngine("engine-1", 100, "--holds", "torta,krem,torta-eskuvo")
+	f.addEngine("engine-2", 100, "--holds", "torta,krem,torta-eskuvo", "--checks-fence")
+	f.addService("naptar-1")
+	f.addService("naptar-2")
+	f.addMembers([]string{"control-1", "control-2", "control-3"}[:members]...)
+	f.addEntries("entry-1", "entry-2")
+	for _, each := range f.entries {
+		eventually(t, each.name+" answers", func() bool { return f.chat(each, "torta", 5).Complete })
+		eventually(t, each.name+" books", func() bool { return f.book(each, f.newKey()).Complete })
+	}
+	return f
+}
+
+// fault switches the faults of an upstream on.
+func (f *fleet) fault(at *upstream, faults any) {
+	f.t.Helper()
+	post(f.t, at.address, encoder.PathFaults, faults)
+}
+
+// answered waits until so many more answers are complete.
+func (f *fleet) answered(more int) {
+	f.t.Helper()
+	from := f.count().complete
+	eventually(f.t, "answers go on", func() bool { return f.count().complete >= from+more })
+}
--- a/prover/operator_test.go
+++ b/prover/operator_test.go
@@ -48,7 +48,7 @@
 // exit code.
 func (f *fleet) set(wanted change) (encoder.AcceptedPage, int) {
 	arguments := append([]string{"class", "set", wanted.class, "--request", wanted.request}, wanted.flags...)
-	based := uint64(prover.Unbased)
+	based := prover.Unbased
 	if wanted.based > 0 {
 		based = wanted.based
 		arguments = append(arguments, "--based", strconv.FormatUint(wanted.based, 10))
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -152,3 +152,8 @@
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
+
+// freeze stops the process where it is; thaw lets it go on.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+func (p *process) thaw() { p.signal(syscall.SIGCONT) }
