--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"burdocklink/administrator"
 	"burdocklink/applier"
@@ -21,7 +22,7 @@
 )
 
 const (
-	memberCount = 1
+	memberCount = 3
 	entryCount  = 2
 	// lookInterval is the time between two looks at readiness.
 	lookInterval = 100 * time.Millisecond
@@ -46,7 +47,7 @@
 	}
 	ctx.Operator = administrator.New(administrator.Settings{
 		Control: ctx.Control,
-		Links:   linker.New(nil),
+		Links:   linker.New(nil, linker.NewMeter(metrics.NewRegistry())),
 		Key:     ctx.OperatorKey,
 	})
 	return nil
@@ -74,12 +75,13 @@
 		return err
 	}
 	control, err := assembler.NewControl(assembler.ControlSettings{
-		Member:   member,
-		Listen:   member.Address,
-		Folder:   filepath.Join(ctx.Folder, member.Name),
-		Peers:    members,
-		Platform: "http://" + ctx.Platform.Address(),
-		Store:    "http://" + ctx.Store.Address(),
+		Member:       member,
+		Listen:       member.Address,
+		HealthListen: loopback,
+		Folder:       filepath.Join(ctx.Folder, member.Name),
+		Peers:        members,
+		Platform:     "http://" + ctx.Platform.Address(),
+		Store:        "http://" + ctx.Store.Address(),
 		Limits: orderer.StoreLimits{
 			LoadsPerSecond:    storeRate,
 			LoadsAtOnce:       storeAtOnce,
