--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -44,6 +44,10 @@
 	client   *http.Client
 	absent   absences
 	reports  *reportTable
+	// term is the leader's when the lists are read, sequence counts the
+	// readings; both belong to the loop.
+	term     uint64
+	sequence uint64
 	stop     chan struct{}
 	stopped  chan struct{}
 }
@@ -94,7 +98,9 @@
 		case <-w.stop:
 			return
 		case <-ticker.C:
-			if w.settings.Group.Status().Leading {
+			state := w.settings.Group.Status()
+			if state.Leading {
+				w.term = state.Term
 				w.look()
 			}
 		}
@@ -144,7 +150,9 @@
 	}
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposeLimit)
 	defer cancel()
-	applied, err := w.settings.Group.Propose(limited, applier.Watch{Changes: changes})
+	w.sequence++
+	reading := applier.Watch{Term: w.term, Sequence: w.sequence, Changes: changes}
+	applied, err := w.settings.Group.Propose(limited, reading)
 	if err != nil {
 		return err
 	}
