test(sender): drive orders through lost, late and repeated deliveries

Cause: sender and supervisor had no tests of their own. What stands: stand-in engines that lose orders, lose replies or let them arrive late; a silent address (Silent only after a second connection); a new leader that inherits an order; members that do not lead stay idle; claims expire; gone upstreams are forgotten.

--- /dev/null
+++ b/sender/sender_test.go
@@ -0,0 +1,135 @@
+package sender_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+	"burdocklink/faker"
+	"burdocklink/orderer"
+	"burdocklink/sender"
+)
+
+// testEnd is the generous end of every wait.
+const testEnd = 30 * time.Second
+
+func startEngine(t *testing.T, checksFence bool) *faker.Engine {
+	t.Helper()
+	engine := faker.NewEngine(faker.EngineSettings{
+		Name: "e", Incarnation: "i", MemoryBytes: 100, ChecksFence: checksFence,
+	})
+	assert.NilError(t, engine.Start("127.0.0.1:0"))
+	t.Cleanup(func() { _ = engine.Stop(time.Now().Add(testEnd)) })
+	return engine
+}
+
+func startSender(t *testing.T) *sender.Sender {
+	t.Helper()
+	s := sender.New(sender.Settings{
+		Silence:   200 * time.Millisecond,
+		AskEvery:  time.Millisecond,
+		AskAtMost: 20 * time.Millisecond,
+	}, zap.NewNop())
+	t.Cleanup(s.Stop)
+	return s
+}
+
+func loadOrder(id uint64, incarnation string, life time.Duration) orderer.Order {
+	return orderer.Order{
+		ID:          id,
+		Upstream:    "e",
+		Incarnation: incarnation,
+		Work:        orderer.LoadModel{Model: "m", Version: "1", MemoryBytes: 10},
+		Fence:       id,
+		NotAfter:    time.Now().Add(life),
+	}
+}
+
+// next waits for a report.
+func next(t *testing.T, s *sender.Sender) sender.Report {
+	t.Helper()
+	select {
+	case report := <-s.Reports():
+		return report
+	case <-time.After(testEnd):
+		t.Fatal("no report")
+		return nil
+	}
+}
+
+// nextSettled waits for the end of an order. Lost calls may be told before.
+func nextSettled(t *testing.T, s *sender.Sender) sender.Settled {
+	t.Helper()
+	for {
+		if settled, ok := next(t, s).(sender.Settled); ok {
+			return settled
+		}
+	}
+}
+
+func TestOrdersAreDrivenToAnEnd(t *testing.T) {
+	tests := map[string]struct {
+		faults      encoder.EngineFaults
+		incarnation string
+		life        time.Duration
+		outcome     orderer.Outcome
+		reason      string
+	}{
+		"calm":            {incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"orders lost":     {faults: encoder.EngineFaults{LoseOrders: 3}, incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"reply lost":      {faults: encoder.EngineFaults{LoseOrderReplies: 1}, incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"arrives late":    {faults: encoder.EngineFaults{LateOrders: 1, LateOrderMilliseconds: 50}, incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"refused":         {incarnation: "other", life: time.Minute, outcome: orderer.OutcomeRefused, reason: "wrong incarnation"},
+		"surely too late": {incarnation: "i", life: -2 * orderer.ClockMargin, outcome: orderer.OutcomeExpired},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			engine := startEngine(t, true)
+			engine.SetFaults(test.faults)
+			s := startSender(t)
+			order := loadOrder(7, test.incarnation, test.life)
+			s.Drive([]sender.Task{{Order: order, Address: engine.Address()}})
+			settled := nextSettled(t, s)
+			assert.Equal(t, settled.Order.ID, order.ID)
+			assert.Equal(t, settled.Outcome, test.outcome)
+			assert.Equal(t, settled.Reason, test.reason)
+			assert.Equal(t, len(engine.Record().Violations), 0)
+		})
+	}
+}
+
+// TestSilentUpstreamIsTriedAnew has an upstream that takes connections and
+// never answers: it is said to be silent only after a second connection.
+func TestSilentUpstreamIsTriedAnew(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: listener.Addr().String()}})
+	silent, ok := next(t, s).(sender.Silent)
+	assert.Assert(t, ok)
+	assert.Equal(t, silent.Upstream, "e")
+	for range 2 {
+		connection, err := listener.Accept()
+		assert.NilError(t, err)
+		_ = connection.Close()
+	}
+}
+
+// TestOrdersLeftOutAreNotSent replaces the tasks while the upstream does not
+// answer, as when another member leads.
+func TestOrdersLeftOutAreNotSent(t *testing.T) {
+	engine := startEngine(t, false)
+	engine.SetFaults(encoder.EngineFaults{Frozen: true})
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: engine.Address()}})
+	next(t, s)
+	s.Drive(nil)
+	s.Stop()
+	engine.SetFaults(encoder.EngineFaults{})
+	assert.Equal(t, len(engine.Record().Orders), 0)
+}
--- /dev/null
+++ b/supervisor/supervisor_test.go
@@ -0,0 +1,265 @@
+package supervisor_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/claimer"
+	"burdocklink/conductor"
+	"burdocklink/encoder"
+	"burdocklink/estimator"
+	"burdocklink/faker"
+	"burdocklink/orderer"
+	"burdocklink/placer"
+	"burdocklink/sender"
+	"burdocklink/supervisor"
+)
+
+// testEnd is the generous end of every wait.
+const testEnd = 30 * time.Second
+
+// group is the state of a control group that never loses a command.
+type group struct {
+	mu    sync.Mutex
+	state *applier.State
+	index uint64
+}
+
+// member is one member's view of the group.
+type member struct {
+	*group
+	leading bool
+}
+
+func (m *member) Propose(_ context.Context, command applier.Command) (applier.Applied, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.leading {
+		return applier.Applied{}, &conductor.NotLeaderError{}
+	}
+	m.index++
+	return m.state.Apply(m.index, time.Now(), command), nil
+}
+
+func (m *member) Confirm(context.Context) (uint64, error) { return 0, nil }
+
+func (m *member) Follow() (*cataloger.Catalog, <-chan cataloger.Delta, func()) { return nil, nil, nil }
+
+func (m *member) Read(_ context.Context, read func(*applier.State)) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	read(m.state)
+	return nil
+}
+
+func (m *member) Status() conductor.Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return conductor.Status{Leading: m.leading}
+}
+
+func (m *member) lead(leads bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leading = leads
+}
+
+// wanted plans loads of the models that an engine does not hold.
+type wanted struct{ models []string }
+
+func (w wanted) Plan(input placer.Input) placer.Output {
+	var output placer.Output
+	for _, model := range w.models {
+		if len(input.Catalog.Holders[model]) == 0 {
+			output.Moves = append(output.Moves, placer.Move{
+				Upstream: "e", Incarnation: "i", Work: orderer.LoadModel{Model: model},
+			})
+		}
+	}
+	return output
+}
+
+// scene is an engine that the group knows.
+type scene struct {
+	t      *testing.T
+	group  *group
+	engine *faker.Engine
+}
+
+func newScene(t *testing.T, checksFence bool) *scene {
+	t.Helper()
+	engine := faker.NewEngine(faker.EngineSettings{
+		Name: "e", Incarnation: "i", MemoryBytes: 25, ChecksFence: checksFence, LoadTime: 20 * time.Millisecond,
+		Holds: []encoder.Weights{{Name: "m0", Kind: "model", Version: "1", MemoryBytes: 10}},
+	})
+	assert.NilError(t, engine.Start("127.0.0.1:0"))
+	t.Cleanup(func() { _ = engine.Stop(time.Now().Add(testEnd)) })
+	s := &scene{t: t, group: &group{state: applier.New()}, engine: engine}
+	changes := []cataloger.Change{cataloger.PutUpstream{Upstream: cataloger.Upstream{
+		Name: "e", Incarnation: "i", Address: engine.Address(), Service: "s", Kind: cataloger.EngineUpstream,
+		State: cataloger.UpstreamLive, MemoryBytes: 25, ChecksFence: checksFence,
+	}}}
+	for _, name := range []string{"m0", "m1", "m2"} {
+		changes = append(changes, cataloger.PutModel{Model: cataloger.Model{
+			Name: name, Service: "s", MemoryBytes: 10, Version: "1",
+		}})
+	}
+	s.propose(applier.Watch{Changes: changes})
+	return s
+}
+
+func (s *scene) propose(command applier.Command) applier.Result {
+	applied, err := (&member{group: s.group, leading: true}).Propose(context.Background(), command)
+	assert.NilError(s.t, err)
+	return applied.Result
+}
+
+// reports reads the engine's load report.
+func (s *scene) reports() map[string]estimator.Report {
+	response, err := http.Get("http://" + s.engine.Address() + encoder.PathLoad)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var wire encoder.LoadReport
+	if err := json.NewDecoder(response.Body).Decode(&wire); err != nil {
+		return nil
+	}
+	return map[string]estimator.Report{"e": encoder.DecodeReport(wire, time.Now())}
+}
+
+// join starts a member with its supervisor.
+func (s *scene) join(planner supervisor.Planner) *member {
+	m := &member{group: s.group}
+	duties := supervisor.New(supervisor.Config{
+		Proposer: m,
+		Planner:  planner,
+		Demands:  func() map[string]placer.Demand { return nil },
+		Reports:  s.reports,
+		Limits:   orderer.StoreLimits{LoadsPerSecond: 1000, LoadsAtOnce: 8, AdaptersInTransit: 8},
+		Settings: supervisor.Settings{Tick: 2 * time.Millisecond, Plan: 5 * time.Millisecond},
+		Sender:   sender.Settings{Silence: 500 * time.Millisecond, AskEvery: time.Millisecond, AskAtMost: 10 * time.Millisecond},
+		Log:      zap.NewNop(),
+	})
+	assert.NilError(s.t, duties.Start(context.Background(), nil))
+	s.t.Cleanup(func() { assert.NilError(s.t, duties.Stop(time.Now().Add(testEnd))) })
+	return m
+}
+
+// await waits until the state is as asked.
+func (s *scene) await(what string, holds func(*applier.State) bool) {
+	s.t.Helper()
+	end := time.Now().Add(testEnd)
+	for time.Now().Before(end) {
+		s.group.mu.Lock()
+		met := holds(s.group.state)
+		s.group.mu.Unlock()
+		if met {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatalf("not reached: %s", what)
+}
+
+func holds(model string) func(*applier.State) bool {
+	return func(state *applier.State) bool { return len(state.Catalog().Holders[model]) == 1 }
+}
+
+func TestPlanReachesEngine(t *testing.T) {
+	tests := map[string]bool{"engine checks fences": true, "engine ignores fences": false}
+	for name, checksFence := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, checksFence)
+			s.engine.SetFaults(encoder.EngineFaults{LoseOrders: 1, LoseOrderReplies: 1})
+			s.join(wanted{models: []string{"m1", "m2"}}).lead(true)
+			s.await("m0 is seen", holds("m0"))
+			s.await("m1 is loaded", holds("m1"))
+			s.await("limits are set", func(state *applier.State) bool {
+				return state.Orders().Limits().LoadsAtOnce == 8
+			})
+			record := s.engine.Record()
+			assert.Equal(t, len(record.Violations), 0, "%v", record.Violations)
+			assert.DeepEqual(t, record.Models, []string{"m0", "m1"})
+		})
+	}
+}
+
+// TestNewLeaderInheritsOrders has a leader that commits an order which never
+// arrives, and then no longer leads.
+func TestNewLeaderInheritsOrders(t *testing.T) {
+	s := newScene(t, false)
+	s.engine.SetFaults(encoder.EngineFaults{LoseOrders: 1 << 30})
+	first := s.join(wanted{models: []string{"m1"}})
+	first.lead(true)
+	unsettled := func(state *applier.State) bool { return len(state.Orders().Unsettled()) == 1 }
+	s.await("an order is committed", unsettled)
+	first.lead(false)
+	var id uint64
+	s.await("its number is known", func(state *applier.State) bool {
+		id = state.Orders().Unsettled()[0].ID
+		return true
+	})
+	s.engine.SetFaults(encoder.EngineFaults{})
+	s.join(wanted{}).lead(true)
+	s.await("m1 is loaded", holds("m1"))
+	arrivals := s.engine.Record().Orders
+	assert.Assert(t, len(arrivals) > 0)
+	for _, arrival := range arrivals {
+		assert.Equal(t, arrival.ID, id)
+	}
+}
+
+func TestIdleMemberDoesNothing(t *testing.T) {
+	s := newScene(t, true)
+	s.join(wanted{models: []string{"m1"}})
+	leader := s.join(wanted{models: []string{"m1"}})
+	leader.lead(true)
+	s.await("m1 is loaded", holds("m1"))
+	assert.Equal(t, len(s.engine.Record().Orders), 1)
+}
+
+func TestClaimsExpire(t *testing.T) {
+	s := newScene(t, true)
+	key := claimer.Key{Subscriber: "carbono", Name: "retire-7"}
+	result := s.propose(applier.Claim{Event: claimer.Open{
+		Key: key, Attempt: "a", Entry: "e", Deadline: time.Now().Add(20 * time.Millisecond),
+	}})
+	assert.Assert(t, result.(applier.ClaimResult).Result.(claimer.Granted) != claimer.Granted{})
+	s.join(wanted{}).lead(true)
+	s.await("the claim is lost", func(state *applier.State) bool {
+		return state.Claims().Records()[0].Phase == claimer.PhaseLost
+	})
+}
+
+// TestGoneUpstreamIsForgotten removes an upstream that was observed.
+func TestGoneUpstreamIsForgotten(t *testing.T) {
+	s := newScene(t, true)
+	m := &member{group: s.group}
+	duties := supervisor.New(supervisor.Config{
+		Proposer: m,
+		Planner:  wanted{},
+		Demands:  func() map[string]placer.Demand { return nil },
+		Reports:  s.reports,
+		Settings: supervisor.Settings{Tick: time.Millisecond, Plan: time.Millisecond, Grace: time.Millisecond},
+		Log:      zap.NewNop(),
+	})
+	assert.NilError(t, duties.Start(context.Background(), nil))
+	defer func() { assert.NilError(t, duties.Stop(time.Now().Add(testEnd))) }()
+	m.lead(true)
+	s.await("m0 is seen", holds("m0"))
+	s.propose(applier.Watch{Changes: []cataloger.Change{cataloger.RemoveUpstream{Name: "e"}}})
+	s.await("the account is gone", func(state *applier.State) bool {
+		_, known := state.Orders().Account("e")
+		return !known
+	})
+}
