--- /dev/null
+++ b/claimer/table_test.go
@@ -0,0 +1,146 @@
+package claimer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/claimer"
+)
+
+var start = time.Date(2030, 1, 2, 12, 0, 0, 0, time.UTC)
+
+func key(name string) claimer.Key { return claimer.Key{Subscriber: "carbono", Name: name} }
+
+func open(name, attempt string, at time.Time) claimer.Open {
+	return claimer.Open{Key: key(name), Attempt: attempt, Entry: "entry", Deadline: at.Add(time.Minute), Issued: start}
+}
+
+// stepAt is an event at a time after the start.
+type stepAt struct {
+	after time.Duration
+	event claimer.Event
+}
+
+func TestResults(t *testing.T) {
+	a, b := open("k", "a", start), open("k", "b", start.Add(time.Second))
+	answer := claimer.Answer{Status: 201, Body: []byte("certificate 7")}
+	finish := claimer.Finish{Key: a.Key, Attempt: "a", Answer: answer}
+	release := claimer.Release{Key: a.Key, Attempt: "a"}
+	other := b
+	other.Digest = [32]byte{9}
+	late, fresh := open("k", "c", start.Add(30*time.Hour)), open("k", "d", start.Add(30*time.Hour))
+	fresh.Issued = time.Time{}
+	ahead := open("k", "a", start)
+	ahead.Issued = start.Add(time.Hour)
+	big := claimer.Finish{Key: a.Key, Attempt: "a", Answer: claimer.Answer{Body: make([]byte, claimer.MaxAnswerBytes+1)}}
+	horizon := start.Add(30*time.Hour + claimer.ClockMargin - claimer.ClaimKept)
+	tests := map[string]struct {
+		steps []stepAt
+		last  claimer.Result
+	}{
+		"granted":                     {[]stepAt{{0, a}}, claimer.Granted{Deadline: a.Deadline}},
+		"repeat is granted again":     {[]stepAt{{0, a}, {1, a}}, claimer.Granted{Deadline: a.Deadline}},
+		"another attempt waits":       {[]stepAt{{0, a}, {1, b}}, claimer.Pending{Deadline: a.Deadline}},
+		"another body is refused":     {[]stepAt{{0, a}, {1, other}}, claimer.Mismatch{}},
+		"answer is repeated":          {[]stepAt{{0, a}, {1, finish}, {2, b}}, claimer.Answered{Answer: answer}},
+		"answer is repeated to self":  {[]stepAt{{0, a}, {1, finish}, {2, a}}, claimer.Answered{Answer: answer}},
+		"big answer is dropped":       {[]stepAt{{0, a}, {1, big}, {2, b}}, claimer.AnswerDropped{}},
+		"answer is dropped in time":   {[]stepAt{{0, a}, {1, finish}, {claimer.AnswerKept + 1, b}}, claimer.AnswerDropped{}},
+		"released goes to another":    {[]stepAt{{0, a}, {1, release}, {2, b}}, claimer.Granted{Deadline: b.Deadline}},
+		"released attempt is stale":   {[]stepAt{{0, a}, {1, release}, {2, a}}, claimer.Stale{}},
+		"release is repeated":         {[]stepAt{{0, a}, {1, release}, {2, b}, {3, release}}, claimer.Recorded{}},
+		"release of another is stale": {[]stepAt{{0, a}, {1, claimer.Release{Key: a.Key, Attempt: "b"}}}, claimer.Stale{}},
+		"late open after all is gone": {[]stepAt{{0, a}, {1, release}, {time.Minute, a}}, claimer.Overdue{}},
+		"deadline makes unknown":      {[]stepAt{{0, a}, {time.Minute, b}}, claimer.Unknown{}},
+		"release after deadline":      {[]stepAt{{0, a}, {time.Minute, release}}, claimer.Stale{}},
+		"lost is unknown":             {[]stepAt{{0, a}, {1, claimer.Lose{Key: a.Key, Attempt: "a"}}, {2, b}}, claimer.Unknown{}},
+		"late answer settles unknown": {[]stepAt{{0, a}, {time.Minute, claimer.Expire{}}, {2 * time.Minute, finish}, {3 * time.Minute, b}}, claimer.Answered{Answer: answer}},
+		"finish of another is stale":  {[]stepAt{{0, a}, {1, claimer.Finish{Key: a.Key, Attempt: "b"}}}, claimer.Stale{}},
+		"forgotten and issued":        {[]stepAt{{0, a}, {1, finish}, {30 * time.Hour, late}}, claimer.TooOld{Horizon: horizon}},
+		"forgotten and not dated":     {[]stepAt{{0, a}, {1, finish}, {30 * time.Hour, fresh}}, claimer.Granted{Deadline: fresh.Deadline}},
+		"issued in the future":        {[]stepAt{{0, ahead}}, claimer.Invalid{Reason: "issued in the future"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := claimer.New()
+			var last claimer.Result
+			for _, step := range test.steps {
+				last = table.Apply(start.Add(step.after), step.event)
+				table = claimer.Restore(table.Records(), table.Serial())
+			}
+			assert.DeepEqual(t, last, test.last)
+		})
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	table := claimer.New()
+	for n := range claimer.MaxClaims {
+		result := table.Apply(start, open(fmt.Sprint(n), "a", start))
+		assert.Assert(t, result == claimer.Granted{Deadline: start.Add(time.Minute)})
+	}
+	assert.DeepEqual(t, table.Apply(start, open("more", "a", start)), claimer.Full{Retry: start.Add(time.Minute)})
+	later := start.Add(25 * time.Hour)
+	table.Apply(later, claimer.Expire{})
+	assert.Equal(t, table.Len(), 0)
+}
+
+func TestKeptAnswersAreBounded(t *testing.T) {
+	table := claimer.New()
+	body := make([]byte, claimer.MaxAnswerBytes)
+	count := claimer.MaxKeptBytes/claimer.MaxAnswerBytes + 3
+	for n := range count {
+		table.Apply(start, open(fmt.Sprint(n), "a", start))
+		table.Apply(start, claimer.Finish{Key: key(fmt.Sprint(n)), Attempt: "a", Answer: claimer.Answer{Body: body}})
+		assert.Assert(t, table.KeptBytes() <= claimer.MaxKeptBytes)
+	}
+	assert.DeepEqual(t, table.Apply(start, open("0", "b", start)), claimer.AnswerDropped{})
+	_, kept := table.Apply(start, open(fmt.Sprint(count-1), "b", start)).(claimer.Answered)
+	assert.Assert(t, kept)
+}
+
+func TestGroupsShareKeysEvenly(t *testing.T) {
+	const groups, keys = 5, 10_000
+	counts := [groups]int{}
+	moved := 0
+	for n := range keys {
+		group := claimer.GroupOf(key(fmt.Sprint(n)), groups)
+		counts[group]++
+		if claimer.GroupOf(key(fmt.Sprint(n)), groups+1) != group {
+			moved++
+		}
+	}
+	for _, count := range counts {
+		assert.Assert(t, count > keys/groups*9/10 && count < keys/groups*11/10, "%v", counts)
+	}
+	assert.Assert(t, moved < keys/groups, "%d keys moved", moved)
+	assert.Equal(t, claimer.GroupOf(key("k"), 0), 0)
+}
+
+// ExampleTable shows a claim from its grant to the answer of a resend.
+func ExampleTable() {
+	table := claimer.New()
+	fmt.Printf("%T\n", table.Apply(start, open("k", "a", start)))
+	table.Apply(start, claimer.Finish{Key: key("k"), Attempt: "a", Answer: claimer.Answer{Status: 201}})
+	fmt.Println(table.Apply(start, open("k", "b", start)).(claimer.Answered).Answer.Status)
+	// Output:
+	// claimer.Granted
+	// 201
+}
+
+func BenchmarkOpenAndFinish(b *testing.B) {
+	table := claimer.New()
+	now := start
+	answer := claimer.Answer{Status: 200, Body: make([]byte, 512)}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(time.Second)
+		claim := open(fmt.Sprint(n), "a", now)
+		claim.Issued = now
+		table.Apply(now, claim)
+		table.Apply(now, claimer.Finish{Key: claim.Key, Attempt: "a", Answer: answer})
+	}
+}
--- a/encoder/state.go
+++ b/encoder/state.go
@@ -9,7 +9,12 @@
 
 // EncodeState writes the whole state. Equal states give equal bytes.
 func EncodeState(state *applier.State) ([]byte, error) {
-	snapshot := state.Snapshot()
+	return EncodeStateSnapshot(state.Snapshot())
+}
+
+// EncodeStateSnapshot writes the content of a state. The state may change meanwhile,
+// so that its owner need not wait.
+func EncodeStateSnapshot(snapshot applier.Snapshot) ([]byte, error) {
 	catalog, err := encodeCatalog(snapshot.Catalog)
 	if err != nil {
 		return nil, err
