perf(supervisor): send orders off in the round that committed them

Cause: a committed order waited one tick, and room made by an unload waited up to a whole plan interval. A report that could rule nothing out was proposed at every plan.

Done: a second round after commits, a plan right after a settlement, RulesOut uses the ledger's own rule, records are sorted by pointer.

--- a/claimer/limits.go
+++ b/claimer/limits.go
@@ -9,10 +9,10 @@
 	MaxAnswerBytes = 64 << 10
 	// MaxKeptBytes is the total of all kept answers; beyond it the oldest
 	// answers are dropped and a resend gets AnswerDropped.
-	MaxKeptBytes = 64 << 20
+	MaxKeptBytes = 32 << 20
 	// MaxClaims is the number of claims held, finished and forgotten bodies
 	// included.
-	MaxClaims = 1 << 18
+	MaxClaims = 1 << 17
 	// MaxKeyBytes is the largest subscriber and key name together.
 	MaxKeyBytes = 512
 	// MaxAttemptBytes is the largest attempt and entry name together.
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -67,13 +68,17 @@
 // Records returns all records in ascending order of key. The answers are
 // shared with the table and must not be changed.
 func (t *Table) Records() []Record {
-	records := make([]Record, 0, len(t.claims))
+	entries := make([]*entry, 0, len(t.claims))
 	for _, e := range t.claims {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b *entry) int { return compareKeys(a.Key, b.Key) })
+	records := make([]Record, 0, len(entries))
+	for _, e := range entries {
 		record := e.Record
 		record.Released = slices.Clone(record.Released)
 		records = append(records, record)
 	}
-	slices.SortFunc(records, func(a, b Record) int { return compareKeys(a.Key, b.Key) })
 	return records
 }
 
@@ -98,7 +103,10 @@
 }
 
 func compareKeys(a, b Key) int {
-	return cmp.Or(cmp.Compare(a.Subscriber, b.Subscriber), cmp.Compare(a.Name, b.Name))
+	if order := strings.Compare(a.Subscriber, b.Subscriber); order != 0 {
+		return order
+	}
+	return strings.Compare(a.Name, b.Name)
 }
 
 // expire makes all changes whose time has come.
--- a/claimer/table_test.go
+++ b/claimer/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -144,3 +145,33 @@
 		table.Apply(now, claimer.Finish{Key: claim.Key, Attempt: "a", Answer: answer})
 	}
 }
+
+// BenchmarkMemory measures the memory that one lost or answered claim takes.
+func BenchmarkMemory(b *testing.B) {
+	const claims = 50_000
+	for name, body := range map[string]int{"without answer": 0, "answer of 512": 512} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				table := claimer.New()
+				for n := range claims {
+					claim := open(fmt.Sprintf("booking-%030d", n), fmt.Sprintf("entry-1/%d", n), start)
+					table.Apply(start, claim)
+					if body > 0 {
+						answer := claimer.Answer{Body: make([]byte, body)}
+						table.Apply(start, claimer.Finish{Key: claim.Key, Attempt: claim.Attempt, Answer: answer})
+					}
+				}
+				b.ReportMetric(float64(heapBytes()-before)/claims, "bytes/claim")
+				runtime.KeepAlive(table)
+			}
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/orderer/memory.go
+++ b/orderer/memory.go
@@ -99,18 +99,22 @@
 	}
 }
 
-// RulesOut reports whether a report was taken after the NotAfter of any order
-// whose duplicate still counts.
+// RulesOut reports whether a report that lists what is held rules out any order
+// that may still be carried out.
 func (a *Account) RulesOut(report Observe) bool {
-	return slices.ContainsFunc(a.Late, func(late Late) bool { return report.Taken.After(late.NotAfter) })
+	return slices.ContainsFunc(a.Late, a.ruledOut(report))
 }
 
 // rule drops orders that a report rules out.
 func (a *Account) rule(report Observe) {
+	a.Late = slices.DeleteFunc(a.Late, a.ruledOut(report))
+}
+
+func (a *Account) ruledOut(report Observe) func(Late) bool {
 	explained := report.UsedBytes <= a.heldBytes()
-	a.Late = slices.DeleteFunc(a.Late, func(late Late) bool {
+	return func(late Late) bool {
 		return report.Taken.After(late.NotAfter) && (explained || !late.Loads)
-	})
+	}
 }
 
 func (a *Account) heldBytes() int64 {
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -85,7 +85,8 @@
 	// Taken is the upstream's time of the report.
 	Taken time.Time
 	// UsedBytes is the accelerator memory of all weights that the upstream
-	// holds or is loading.
+	// holds or is loading. Caches must not be part of it: a load under way is
+	// told from it.
 	UsedBytes int64
 }
 
--- a/supervisor/plan.go
+++ b/supervisor/plan.go
@@ -13,10 +13,11 @@
 )
 
 // intend plans on the state as it is now and commits the moves in their order.
-func (s *Supervisor) intend(now time.Time, reports map[string]estimator.Report) {
+// It reports whether any was committed.
+func (s *Supervisor) intend(now time.Time, reports map[string]estimator.Report) bool {
 	seen, ok := s.look(true)
 	if !ok {
-		return
+		return false
 	}
 	output := s.config.Planner.Plan(placer.Input{
 		Now:       now,
@@ -30,25 +31,30 @@
 		State:     s.plan,
 	})
 	s.plan = output.State
+	sent := false
 	for _, move := range output.Moves {
-		if !s.intendOne(move) {
-			return
+		committed, next := s.intendOne(move)
+		sent = sent || committed
+		if !next {
+			break
 		}
 	}
+	return sent
 }
 
-// planAt brings the next plan forward to when the store has room again.
-func (s *Supervisor) planAt(retry time.Time) {
-	if retry.Before(s.nextPlan) {
-		s.nextPlan = retry
+// planAt brings the next plan forward, as to when the store has room again.
+func (s *Supervisor) planAt(at time.Time) {
+	if at.Before(s.nextPlan) {
+		s.nextPlan = at
 	}
 }
 
-// intendOne commits one move and reports whether the next one may follow. A
-// refused move is dropped: the next plan decides anew. Loads that the store
-// has no room for wait, and so does all that comes after them.
-func (s *Supervisor) intendOne(move placer.Move) bool {
-	result, committed := s.propose(applier.Order{Event: orderer.Intend{
+// intendOne commits one move and reports whether it is committed and whether
+// the next one may follow. A refused move is dropped: the next plan decides
+// anew. Loads that the store has no room for wait, and so does all that comes
+// after them.
+func (s *Supervisor) intendOne(move placer.Move) (committed, next bool) {
+	result, known := s.propose(applier.Order{Event: orderer.Intend{
 		Token: uuid.NewString(),
 		Order: orderer.Order{
 			Upstream:    move.Upstream,
@@ -57,20 +63,20 @@
 			NotAfter:    time.Now().Add(s.config.Settings.OrderLife),
 		},
 	}})
-	if !committed {
-		return false
+	if !known {
+		return false, false
 	}
 	switch refusal := orderResult(result).(type) {
 	case orderer.Committed:
 		s.log.Info("order committed",
 			zap.Uint64("order", refusal.Order.ID), zap.String("upstream", move.Upstream),
 			zap.Any("work", move.Work), zap.Int("reason", int(move.Reason)))
-		return true
+		return true, true
 	case orderer.StoreFull:
 		s.planAt(refusal.Retry)
-		return false
+		return false, false
 	default:
 		s.log.Debug("move refused", zap.String("upstream", move.Upstream), zap.Any("refusal", refusal))
-		return true
+		return false, true
 	}
 }
--- a/supervisor/round.go
+++ b/supervisor/round.go
@@ -29,30 +29,31 @@
 	reserved map[string]int64
 }
 
-// round does all duties once, if this member leads.
-func (s *Supervisor) round(now time.Time) {
+// round does all duties once, if this member leads. It reports whether orders
+// were committed, which another round sends off.
+func (s *Supervisor) round(now time.Time) bool {
 	if !s.config.Proposer.Status().Leading {
 		s.rest()
-		return
+		return false
 	}
 	plans := !now.Before(s.nextPlan)
 	seen, ok := s.look(plans)
 	if !ok {
-		return
+		return false
 	}
 	s.leading = true
 	s.sender.Drive(tasks(seen))
 	s.settle(seen)
 	s.expire(now, seen)
 	if !plans {
-		return
+		return false
 	}
 	s.nextPlan = now.Add(s.config.Settings.Plan)
 	s.limit(seen)
 	reports := s.config.Reports()
 	s.observe(seen, reports)
 	s.forget(now, seen)
-	s.intend(now, reports)
+	return s.intend(now, reports)
 }
 
 // rest stops driving orders once another member leads. What the planner
@@ -144,6 +145,7 @@
 		return true
 	}
 	delete(s.outcomes, id)
+	s.planAt(time.Now().Add(s.config.Settings.Tick))
 	return true
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -163,7 +163,9 @@
 		case <-ticker.C:
 		}
 		s.takeWaiting()
-		s.round(time.Now())
+		if s.round(time.Now()) {
+			s.round(time.Now())
+		}
 	}
 }
 
