fix(orderer): don't let dead upstreams block the store

Cause: a load on an upstream that died but stays listed took one of the store's places for as long as the list lags, so that copies lost with a rack could not be restored. Its memory still counts; its place in the store ends two minutes after its NotAfter. Commands that let claims expire go out once a second.

--- a/applier/history_fleet_test.go
+++ b/applier/history_fleet_test.go
@@ -371,6 +371,9 @@
 		if f.w.state.Catalog().Upstreams[unsettled.Upstream].Incarnation != unsettled.Incarnation {
 			continue
 		}
+		if f.w.state.Stamp().After(unsettled.NotAfter.Add(orderer.LongestLoad)) {
+			continue
+		}
 		if isLoad(unsettled.Work) {
 			loads++
 		}
--- a/orderer/intend.go
+++ b/orderer/intend.go
@@ -240,7 +240,7 @@
 	if now.Before(l.nextLoad) {
 		return StoreFull{Retry: l.nextLoad}
 	}
-	loads, adapters := l.inTransit(catalog)
+	loads, adapters := l.inTransit(now, catalog)
 	if loads >= l.limits.LoadsAtOnce {
 		return StoreFull{Retry: now.Add(l.limits.interval())}
 	}
@@ -251,12 +251,15 @@
 }
 
 // inTransit counts the unsettled loads of upstreams that are still listed.
-func (l *Ledger) inTransit(catalog *cataloger.Catalog) (loads, adapters int) {
+func (l *Ledger) inTransit(now time.Time, catalog *cataloger.Catalog) (loads, adapters int) {
 	for _, pending := range l.orders {
 		order := pending.Order
 		if catalog.Upstreams[order.Upstream].Incarnation != order.Incarnation {
 			continue
 		}
+		if now.After(order.NotAfter.Add(LongestLoad)) {
+			continue
+		}
 		switch order.Work.(type) {
 		case LoadModel:
 			loads++
--- a/orderer/ledger_test.go
+++ b/orderer/ledger_test.go
@@ -258,6 +258,19 @@
 	assert.Equal(t, s.ledger.CountedBytes("e"), int64(10))
 }
 
+// TestDeadUpstreamsDoNotBlockTheStore has loads on an upstream that stays
+// listed and never answers.
+func TestDeadUpstreamsDoNotBlockTheStore(t *testing.T) {
+	s := newScene(t, true)
+	s.apply(orderer.Limit{Limits: orderer.StoreLimits{LoadsPerSecond: 1e6, LoadsAtOnce: 1, AdaptersInTransit: 1}})
+	s.order("e", orderer.LoadModel{Model: "m"})
+	_, full := s.intend("f", orderer.LoadModel{Model: "n"}).(orderer.StoreFull)
+	assert.Assert(t, full)
+	s.now = s.now.Add(orderLife + orderer.LongestLoad + time.Second)
+	s.order("f", orderer.LoadModel{Model: "n"})
+	assert.Equal(t, s.ledger.CountedBytes("e"), int64(10))
+}
+
 func TestLimitsAreChecked(t *testing.T) {
 	good := orderer.DefaultLimits()
 	slow, none, blocked := good, good, good
--- a/orderer/limits.go
+++ b/orderer/limits.go
@@ -7,6 +7,10 @@
 const (
 	// LongestOrder is the longest time from intent to NotAfter.
 	LongestOrder = 10 * time.Minute
+	// LongestLoad is how long after its NotAfter an unsettled load still takes
+	// part of what the store allows. A dead upstream that stays listed must
+	// not block the loads that restore what it held.
+	LongestLoad = 2 * time.Minute
 	// ClockMargin is how far an upstream's clock may differ from the stamps.
 	ClockMargin = 5 * time.Second
 	// MaxUnsettled is the number of unsettled orders of one upstream that
--- a/supervisor/round.go
+++ b/supervisor/round.go
@@ -154,11 +154,13 @@
 	return of.Result
 }
 
-// expire lets claims expire when one can.
+// expire lets claims expire when one can. Claims that are asked for expire by
+// themselves, so that this is only for the memory of the others.
 func (s *Supervisor) expire(now time.Time, seen *view) {
-	if seen.expires.IsZero() || now.Before(seen.expires) {
+	if seen.expires.IsZero() || now.Before(seen.expires) || now.Before(s.nextExpire) {
 		return
 	}
+	s.nextExpire = now.Add(expireEvery)
 	s.propose(applier.Claim{Event: claimer.Expire{}})
 }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -49,6 +49,9 @@
 	StandardGrace     = 10 * time.Minute
 )
 
+// expireEvery is the shortest time between two commands that let claims expire.
+const expireEvery = time.Second
+
 // Config is what a supervisor needs.
 type Config struct {
 	Proposer conductor.Proposer
@@ -82,7 +85,9 @@
 	leading  bool
 	plan     placer.State
 	nextPlan time.Time
-	gone     map[string]time.Time
+	// nextExpire is when claims may be let expire again.
+	nextExpire time.Time
+	gone       map[string]time.Time
 }
 
 // LateStopError says that the supervisor did not end in time.
