--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -148,6 +149,29 @@
 	assert.Equal(t, nextSettled(t, s).Outcome, orderer.OutcomeDone)
 }
 
+// TestConnectionsAreNotReused has an upstream whose connections go silent after
+// their first call. Reused ones would cost a silence each.
+func TestConnectionsAreNotReused(t *testing.T) {
+	var calls sync.Map
+	var asked, silent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, reused := calls.LoadOrStore(r.RemoteAddr, true); reused {
+			silent.Add(1)
+			<-r.Context().Done()
+			return
+		}
+		if asked.Add(1) < 5 {
+			w.WriteHeader(http.StatusAccepted)
+		}
+		_, _ = w.Write([]byte(`{"id":7,"state":"running"}`))
+	}))
+	defer server.Close()
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: server.Listener.Addr().String()}})
+	assert.Equal(t, nextSettled(t, s).Outcome, orderer.OutcomeDone)
+	assert.Equal(t, silent.Load(), int64(0))
+}
+
 // TestOrdersLeftOutAreNotSent replaces the tasks while the upstream does not
 // answer, as when another member leads.
 func TestOrdersLeftOutAreNotSent(t *testing.T) {
