--- a/cmd/command.go
+++ b/cmd/command.go
@@ -43,6 +43,7 @@
 		historyCommand(),
 		memberCommand(),
 		standInCommand(),
+		loadCommand(),
 		keyCommand(),
 		certificateCommand(),
 		versionCommand(),
--- /dev/null
+++ b/illustrator/illustrator.go
@@ -0,0 +1,115 @@
+// Package illustrator writes the results of experiments as one HTML page with
+// plots. The page needs nothing from elsewhere.
+package illustrator
+
+import (
+	"html/template"
+	"io"
+	"slices"
+
+	"burdocklink/experimenter"
+)
+
+// page is what the template reads.
+type page struct{ Groups []group }
+
+// group is one case of one deployment under all policies.
+type group struct {
+	Deployment string
+	Case       string
+	Seed       uint64
+	Plot       template.HTML
+	Rows       []row
+}
+
+// row is one policy's result.
+type row struct {
+	experimenter.Result
+	Attainment float64
+	MoveCount  int
+}
+
+// PlotError says which plot can't be drawn.
+type PlotError struct {
+	Case  string
+	Cause error
+}
+
+// Error names the plot.
+func (e *PlotError) Error() string { return "plot of " + e.Case + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PlotError) Unwrap() error { return e.Cause }
+
+// WritePage writes the page of the results, in the order of their cases.
+func WritePage(to io.Writer, results []experimenter.Result) error {
+	var made page
+	for _, same := range groups(results) {
+		plot, err := drawTimeline(same)
+		if err != nil {
+			return &PlotError{Case: same[0].Case, Cause: err}
+		}
+		made.Groups = append(made.Groups, newGroup(same, plot))
+	}
+	return layout.Execute(to, made)
+}
+
+func newGroup(same []experimenter.Result, plot template.HTML) group {
+	made := group{
+		Deployment: same[0].Deployment,
+		Case:       same[0].Case,
+		Seed:       same[0].Seed,
+		Plot:       plot,
+	}
+	for _, result := range same {
+		made.Rows = append(made.Rows, row{
+			Result:     result,
+			Attainment: result.Total.Attainment(),
+			MoveCount:  result.MoveCount(),
+		})
+	}
+	return made
+}
+
+// groups puts the results of one case together, in the order in which the
+// cases first appear.
+func groups(results []experimenter.Result) [][]experimenter.Result {
+	var found [][]experimenter.Result
+	for _, result := range results {
+		at := slices.IndexFunc(found, func(same []experimenter.Result) bool {
+			return same[0].Deployment == result.Deployment && same[0].Case == result.Case
+		})
+		if at < 0 {
+			found = append(found, []experimenter.Result{result})
+			continue
+		}
+		found[at] = append(found[at], result)
+	}
+	return found
+}
+
+var layout = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>burdocklink experiments</title>
+<style>
+body { font-family: sans-serif; margin: 2em; max-width: 60em; }
+table { border-collapse: collapse; }
+td, th { border: 1px solid #bbb; padding: 0.2em 0.6em; text-align: right; }
+td:first-child, th:first-child { text-align: left; }
+</style>
+</head>
+<body>
+<h1>Experiments</h1>
+{{range .Groups}}
+<h2>{{.Deployment}}: {{.Case}} (seed {{.Seed}})</h2>
+<table>
+<tr><th>policy</th><th>attainment</th><th>per accelerator</th><th>moves</th><th>late</th><th>hopeless</th><th>overloaded</th><th>no upstream</th><th>failed</th><th>lost</th><th>doubled</th><th>cut</th></tr>
+{{range .Rows}}<tr><td>{{.Policy}}</td><td>{{printf "%.4f" .Attainment}}</td><td>{{printf "%.5f" .PerAccelerator}}</td><td>{{.MoveCount}}</td><td>{{.Total.Late}}</td><td>{{.Total.Hopeless}}</td><td>{{.Total.Overloaded}}</td><td>{{.Total.NoUpstream}}</td><td>{{.Total.Failed}}</td><td>{{.Total.Lost}}</td><td>{{.Total.Doubled}}</td><td>{{.Total.Cut}}</td></tr>
+{{end}}</table>
+{{.Plot}}
+{{end}}
+</body>
+</html>
+`))
