feat(router): patient work leaves room for urgent work

Cause: overnight drafts took slots that couples then waited for, and requests granted just before their target were late all the same. Rules: requests whose first token is promised more than a minute off get half of an upstream limit while urgent ones go there, and all of it otherwise; a request that has waited is given up on when the predicted first token is late; a tenth of the slots may wait in an engine instead of a quarter. Tests: TestPatientRequestsLeaveRoomForUrgentOnes without the rule: "expression is false: count >= c.least && count <= c.most: 16"; with it ok.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -129,6 +129,7 @@
 }
 
 func (q *Queue) insert(t *Ticket) {
+	t.waited = true
 	at, _ := slices.BinarySearchFunc(q.waiting, t, func(a, b *Ticket) int {
 		if a.key.After(b.key) {
 			return 1
@@ -155,9 +156,13 @@
 	if t.giveUpBy.IsZero() || now.Before(t.giveUpBy) {
 		return false
 	}
+	q.giveUp(now, t)
+	return true
+}
+
+func (q *Queue) giveUp(now time.Time, t *Ticket) {
 	q.demand.refused(&t.request)
 	q.decide(Decision{Ticket: t, Err: &HopelessError{Retry: now.Add(backlogRetry)}})
-	return true
 }
 
 func (q *Queue) overload(now time.Time, t *Ticket) {
@@ -170,6 +175,10 @@
 func (q *Queue) try(now time.Time, t *Ticket) bool {
 	choice, err := q.router.Choose(now, &t.request.Route)
 	if err == nil {
+		if t.waited && t.late(choice.Predicted) {
+			q.giveUp(now, t)
+			return true
+		}
 		q.grant(now, t, choice)
 		return true
 	}
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -13,7 +13,9 @@
 	// giveUpBy is when waiting stops making sense, zero for never.
 	giveUpBy time.Time
 	// retry is true for a second dispatch, which needs the retry budget.
-	retry  bool
+	retry bool
+	// waited is true once the ticket has been in the queue.
+	waited bool
 	answer chan Decision
 }
 
@@ -45,3 +47,10 @@
 	t.request.Route.Avoid = append([]string{grant.Choice.Upstream}, grant.request.Route.Avoid...)
 	return t
 }
+
+// late says whether a first token at a time misses the class target. A request
+// that had to wait then gives way to those that can still meet theirs.
+func (t *Ticket) late(first time.Time) bool {
+	promised := t.request.Class.Target.FirstToken
+	return promised > 0 && first.After(t.request.Arrived.Add(promised))
+}
--- a/router/choose.go
+++ b/router/choose.go
@@ -17,6 +17,7 @@
 	now     time.Time
 	request *Request
 	random  uint64
+	patient bool
 	best    *upstream
 	cost    time.Duration
 	wait    time.Duration
@@ -32,6 +33,7 @@
 	candidates := r.candidates(request)
 	s := search{now: now, request: request, cost: math.MaxInt64}
 	s.random = mix(r.settings.Seed ^ mix(request.Seed))
+	s.patient = request.patient(now)
 	if len(candidates) <= sampled {
 		for _, u := range candidates {
 			r.look(&s, u)
@@ -83,7 +85,7 @@
 		return
 	}
 	work := estimator.Work{PromptTokens: s.request.PromptTokens}
-	prediction, verdict := u.judge(s.now, work, r.entries)
+	prediction, verdict := u.judge(s.now, work, r.entries, s.patient)
 	if verdict == unusable {
 		return
 	}
@@ -125,3 +127,8 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
+
+// patient says whether the request leaves room for those that are in a hurry.
+func (r *Request) patient(now time.Time) bool {
+	return r.FirstTokenBy.IsZero() || r.FirstTokenBy.After(now.Add(patience))
+}
--- /dev/null
+++ b/router/patient_test.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// fill dispatches requests until none fits and returns how many did.
+func fill(t *testing.T, r *Router, now time.Time, request *Request) int {
+	t.Helper()
+	for count := 0; ; count++ {
+		choice, err := r.Choose(now, request)
+		var saturated *SaturatedError
+		if errors.As(err, &saturated) {
+			return count
+		}
+		assert.NilError(t, err)
+		r.Started(choice, request, now)
+	}
+}
+
+func TestPatientRequestsLeaveRoomForUrgentOnes(t *testing.T) {
+	urgent := ask(1)
+	urgent.FirstTokenBy = epoch.Add(time.Second)
+	patient := ask(2)
+	cases := map[string]struct {
+		first *Request
+		least int
+		most  int
+	}{
+		"all of the limit without urgent requests": {first: patient, least: 16, most: 24},
+		"half of it after an urgent one":           {first: urgent, least: 6, most: 10},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			r.Update(fleet(t, 1))
+			choice, err := r.Choose(epoch, c.first)
+			assert.NilError(t, err)
+			r.Started(choice, c.first, epoch)
+			count := fill(t, r, epoch, patient)
+			assert.Assert(t, count >= c.least && count <= c.most, "%d", count)
+			assert.Equal(t, fill(t, r, epoch, urgent) > 0, c.first == urgent)
+			assert.Equal(t, fill(t, r, epoch.Add(2*hurryTime), patient), 0)
+		})
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -45,7 +45,7 @@
 // Started counts an own dispatch.
 func (r *Router) Started(choice Choice, request *Request, now time.Time) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
-		u.started(now, estimator.Work{PromptTokens: request.PromptTokens})
+		u.started(now, estimator.Work{PromptTokens: request.PromptTokens}, request.patient(now))
 	}
 }
 
--- a/router/settings.go
+++ b/router/settings.go
@@ -26,9 +26,15 @@
 	// plainLimit the highest of one that reports no slots.
 	leastLimit = 1
 	plainLimit = 256
+	// patience is how far off the first token may be promised so that a request
+	// counts as patient; patientShare of an upstream's limit is open to those
+	// for hurryTime after an urgent request went there, and all of it later.
+	patience     = time.Minute
+	patientShare = 0.5
+	hurryTime    = 10 * time.Second
 	// waitingShare is how many requests may wait on an engine for each slot,
 	// so that its batch does not run dry between two reports.
-	waitingShare = 0.25
+	waitingShare = 0.1
 )
 
 // Waits before a refused request should come back.
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -22,6 +22,8 @@
 	engine  *estimator.Engine
 	limit   *limiter.Limit
 	circuit limiter.Circuit
+	// hurryUntil is how long patient requests leave room for urgent ones.
+	hurryUntil time.Time
 	// leaving is final for an incarnation.
 	leaving bool
 	// models and adapters are what the last report lists.
@@ -32,7 +34,7 @@
 func newUpstream(about cataloger.Upstream) *upstream {
 	most := plainLimit
 	if about.Slots > 0 {
-		most = about.Slots + max(1, int(float64(about.Slots)*waitingShare))
+		most = about.Slots + max(0, int(float64(about.Slots)*waitingShare))
 	}
 	return &upstream{about: about, measured: &measured{
 		engine: estimator.New(about.Slots),
@@ -61,14 +63,18 @@
 )
 
 // judge predicts a request on the upstream.
-func (m *measured) judge(now time.Time, work estimator.Work, entries float64) (estimator.Prediction, verdict) {
+func (m *measured) judge(now time.Time, work estimator.Work, entries float64, patient bool) (estimator.Prediction, verdict) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.leaving || !m.circuit.Allows(now) {
 		return estimator.Prediction{}, unusable
 	}
 	prediction := m.engine.Predict(work, entries)
-	if !m.limit.Allows(prediction.Load) {
+	share := 1.0
+	if patient && now.Before(m.hurryUntil) {
+		share = patientShare
+	}
+	if !m.limit.Allows(prediction.Load / share) {
 		return prediction, full
 	}
 	return prediction, fits
@@ -84,9 +90,12 @@
 	return !slices.Contains(m.models, request.Holds) && !slices.Contains(m.adapters, request.Holds)
 }
 
-func (m *measured) started(now time.Time, work estimator.Work) {
+func (m *measured) started(now time.Time, work estimator.Work, patient bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if !patient {
+		m.hurryUntil = now.Add(hurryTime)
+	}
 	m.engine.Started(now, work)
 	m.circuit.Tried(now)
 }
