--- /dev/null
+++ b/responder/responder_test.go
@@ -0,0 +1,246 @@
+package responder_test
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/certifier"
+	"burdocklink/claimer"
+	"burdocklink/classifier"
+	"burdocklink/conductor"
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/linker"
+	"burdocklink/responder"
+)
+
+// endOfWait is a generous end of a wait for a condition.
+const endOfWait = 30 * time.Second
+
+type strangerError struct{}
+
+func (strangerError) Error() string { return "not an operator" }
+
+// newGroup starts a member that is alone and keeps its state in memory.
+func newGroup(t *testing.T) *conductor.Conductor {
+	t.Helper()
+	member, err := conductor.New(conductor.Config{
+		Name:    "c-1",
+		Address: "127.0.0.1:1",
+		Codec: conductor.Codec{
+			EncodeCommand: encoder.EncodeCommand,
+			DecodeCommand: encoder.DecodeCommand,
+			EncodeState:   encoder.EncodeState,
+			DecodeState:   encoder.DecodeState,
+		},
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, member.Start(context.Background(), nil))
+	t.Cleanup(func() { assert.NilError(t, member.Stop(time.Now().Add(endOfWait))) })
+	return member
+}
+
+// serve starts a responder whose only operator is the one given, if any.
+func serve(t *testing.T, transport credentials.TransportCredentials, operator string) *responder.Responder {
+	t.Helper()
+	r := responder.New(responder.Settings{
+		Listen:      "127.0.0.1:0",
+		Credentials: transport,
+		Operator: func(context.Context) (string, error) {
+			if operator == "" {
+				return "", strangerError{}
+			}
+			return operator, nil
+		},
+		Group: newGroup(t),
+		Meter: linker.NewMeter(metrics.NewRegistry()),
+		Log:   zap.NewNop(),
+	})
+	assert.NilError(t, r.Start(context.Background(), nil))
+	t.Cleanup(func() { assert.NilError(t, r.Stop(time.Now().Add(endOfWait))) })
+	return r
+}
+
+func dial(t *testing.T, r *responder.Responder, transport credentials.TransportCredentials) *grpc.ClientConn {
+	t.Helper()
+	links := linker.New(transport, linker.NewMeter(metrics.NewRegistry()))
+	t.Cleanup(links.Close)
+	link, err := links.Connect(r.Address())
+	assert.NilError(t, err)
+	return link
+}
+
+func limited(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), endOfWait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func encode(t *testing.T, command applier.Command) *wire.ProposeRequest {
+	t.Helper()
+	data, err := encoder.EncodeCommand(command)
+	assert.NilError(t, err)
+	return &wire.ProposeRequest{Command: data}
+}
+
+func setClass(name string) []cataloger.Change {
+	class := classifier.Class{Name: name, Target: classifier.Target{Whole: time.Second}}
+	return []cataloger.Change{cataloger.PutClass{Class: class}}
+}
+
+func TestEntriesMayProposeClaimsOnly(t *testing.T) {
+	client := wire.NewControlClient(dial(t, serve(t, nil, ""), nil))
+	cases := map[string]struct {
+		request *wire.ProposeRequest
+		want    codes.Code
+	}{
+		"a claim": {
+			request: encode(t, applier.Claim{Event: claimer.Open{
+				Key:      claimer.Key{Subscriber: "s", Name: "k"},
+				Attempt:  "a",
+				Deadline: time.Now().Add(time.Minute),
+			}}),
+			want: codes.OK,
+		},
+		"a change":  {request: encode(t, applier.Change{Operator: "eve", Request: "1"}), want: codes.PermissionDenied},
+		"a reading": {request: encode(t, applier.Watch{}), want: codes.PermissionDenied},
+		"nonsense":  {request: &wire.ProposeRequest{Command: []byte{0xff}}, want: codes.InvalidArgument},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := client.Propose(limited(t), test.request)
+			assert.Equal(t, status.Code(err), test.want)
+		})
+	}
+}
+
+func TestAChangeIsMadeInTheNameOfTheKeysOwner(t *testing.T) {
+	client := wire.NewOperatorClient(dial(t, serve(t, nil, "anna"), nil))
+	change := applier.Change{Operator: "eve", Request: "1", Changes: setClass("waiting")}
+
+	_, err := client.Change(limited(t), encode(t, change))
+	assert.NilError(t, err)
+	history, err := client.History(limited(t), &wire.HistoryRequest{Most: 10})
+	assert.NilError(t, err)
+
+	assert.Equal(t, len(history.GetRecords()), 1)
+	assert.Equal(t, history.GetRecords()[0].GetOperator(), "anna")
+	assert.DeepEqual(t, history.GetRecords()[0].GetChanges(), []string{"set class waiting"})
+}
+
+func TestOperatorsCallsNeedAnOperator(t *testing.T) {
+	client := wire.NewOperatorClient(dial(t, serve(t, nil, ""), nil))
+	calls := map[string]func() error{
+		"change": func() error {
+			_, err := client.Change(limited(t), encode(t, applier.Change{Request: "1", Changes: setClass("c")}))
+			return err
+		},
+		"status": func() error {
+			_, err := client.Status(limited(t), &wire.StatusRequest{})
+			return err
+		},
+		"history": func() error {
+			_, err := client.History(limited(t), &wire.HistoryRequest{Most: 1})
+			return err
+		},
+		"member": func() error {
+			_, err := client.ChangeMember(limited(t), &wire.MemberRequest{Action: "add"})
+			return err
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, status.Code(call()), codes.Unauthenticated)
+		})
+	}
+}
+
+func TestAnUnknownMembershipActionIsRefused(t *testing.T) {
+	client := wire.NewOperatorClient(dial(t, serve(t, nil, "anna"), nil))
+
+	reply, err := client.ChangeMember(limited(t), &wire.MemberRequest{Action: "anoint"})
+
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetRefused(), "unknown action anoint")
+}
+
+func TestOnlyProcessesWithACertificateAreEntries(t *testing.T) {
+	folder := t.TempDir()
+	assert.NilError(t, certifier.MakeSet(folder, []string{"c", "e"}, nil, time.Now()))
+	r := serve(t, openCertificate(t, folder, "c").Server(), "anna")
+	cases := map[string]struct {
+		client string
+		want   codes.Code
+	}{
+		"with a certificate": {client: "e", want: codes.OK},
+		"without one":        {client: "", want: codes.Unauthenticated},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			link := dial(t, r, openCertificate(t, folder, test.client).Client())
+			claim := encode(t, applier.Claim{Event: claimer.Expire{}})
+			_, err := wire.NewControlClient(link).Propose(limited(t), claim)
+			assert.Equal(t, status.Code(err), test.want)
+			_, err = wire.NewOperatorClient(link).Status(limited(t), &wire.StatusRequest{})
+			assert.NilError(t, err)
+		})
+	}
+}
+
+func openCertificate(t *testing.T, folder, name string) *certifier.Certifier {
+	t.Helper()
+	files := certifier.Files{Authority: filepath.Join(folder, "authority.pem")}
+	if name != "" {
+		files.Certificate = filepath.Join(folder, name+".pem")
+		files.Key = filepath.Join(folder, name+"-key.pem")
+	}
+	opened, err := certifier.New(files, zap.NewNop())
+	assert.NilError(t, err)
+	return opened
+}
+
+func TestAFollowerGetsSnapshotDeltasAndConfirmations(t *testing.T) {
+	r := serve(t, nil, "anna")
+	link := dial(t, r, nil)
+	stream, err := wire.NewControlClient(link).Follow(limited(t))
+	assert.NilError(t, err)
+	assert.NilError(t, stream.Send(&wire.FollowRequest{Entry: "e-1", Number: 1}))
+	_, err = wire.NewOperatorClient(link).Change(limited(t), encode(t, applier.Change{Request: "1", Changes: setClass("waiting")}))
+	assert.NilError(t, err)
+
+	// The change may arrive as a snapshot or as a delta, whichever came first.
+	changed, confirmed := false, false
+	for !changed || !confirmed {
+		update, err := stream.Recv()
+		assert.NilError(t, err)
+		switch update := update.GetUpdate().(type) {
+		case *wire.FollowReply_Snapshot, *wire.FollowReply_Delta:
+			changed = true
+		case *wire.FollowReply_Heartbeat:
+			confirmed = confirmed || update.Heartbeat.GetEcho() == 1 && update.Heartbeat.GetRevision() == 1
+		}
+	}
+}
+
+func TestListenAtATakenAddressIsATypedError(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, taken.Close()) }()
+	r := responder.New(responder.Settings{Listen: taken.Addr().String(), Group: newGroup(t)})
+
+	assert.ErrorType(t, r.Start(context.Background(), nil), &responder.ListenError{})
+}
