--- a/illustrator/illustrator.go
+++ b/illustrator/illustrator.go
@@ -94,8 +94,8 @@
 <meta charset="utf-8">
 <title>burdocklink experiments</title>
 <style>
-body { font-family: sans-serif; margin: 2em; max-width: 60em; }
-table { border-collapse: collapse; }
+body { font-family: sans-serif; margin: 2em; max-width: 75em; }
+table { border-collapse: collapse; font-size: 0.8em; }
 td, th { border: 1px solid #bbb; padding: 0.2em 0.6em; text-align: right; }
 td:first-child, th:first-child { text-align: left; }
 </style>
