fix(receiver): a claim refused before any dispatch is not-run

Cause: the claim table can refuse a claim (full, overdue, invalid); the entry took each for an unknown outcome, though nothing was dispatched. Also: the largest answer that an entry keeps was above what the table takes. Red before: --- FAIL: TestRefusedClaimsAreNotRunAndSayWhy (all three cases); green after, go test -race ./receiver: ok in 9.0 s.

--- a/receiver/claim.go
+++ b/receiver/claim.go
@@ -111,6 +111,12 @@
 		return &AnswerDroppedError{}
 	case claimer.TooOld:
 		return &TooOldError{Horizon: result.Horizon}
+	case claimer.Full:
+		return &ClaimsFullError{Retry: result.Retry}
+	case claimer.Overdue:
+		return &DeadlinePassedError{}
+	case claimer.Invalid:
+		return &MalformedHeaderError{Name: encoder.HeaderIdempotencyKey, Needs: "another value: " + result.Reason}
 	default:
 		return &OutcomeUnknownError{}
 	}
--- a/receiver/errors.go
+++ b/receiver/errors.go
@@ -197,3 +197,10 @@
 	}
 	return &callerGoneError{Cause: err}
 }
+
+// ClaimsFullError says that no more claims can be kept at present. The request
+// was not dispatched.
+type ClaimsFullError struct{ Retry time.Time }
+
+// Error describes the refusal.
+func (e *ClaimsFullError) Error() string { return "too many requests are remembered at present" }
--- a/receiver/refuse.go
+++ b/receiver/refuse.go
@@ -139,7 +139,15 @@
 // describeClaim maps the failures of requests that must not run twice.
 func describeClaim(err error) (refusal, bool) {
 	var progress *InProgressError
+	var full *ClaimsFullError
 	switch {
+	case errors.As(err, &full):
+		return refusal{
+			status:  http.StatusServiceUnavailable,
+			word:    "claims-full",
+			outcome: encoder.OutcomeNotRun,
+			retry:   full.Retry,
+		}, true
 	case is[*KeyMismatchError](err):
 		return refusal{
 			status:  http.StatusUnprocessableEntity,
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/cataloger"
+	"burdocklink/claimer"
 	"burdocklink/dispatcher"
 	"burdocklink/reporter"
 )
@@ -67,7 +68,7 @@
 	defaultRequestTime = 10 * time.Minute
 	defaultClaimTime   = 60 * time.Second
 	defaultPendingTime = 30 * time.Second
-	defaultStoredBytes = 256 << 10
+	defaultStoredBytes = claimer.MaxAnswerBytes
 
 	defaultCompletionClass = "interactive"
 	defaultLookupClass     = "lookup"
