fix(cmd): keep the operator's key out of the help

Cause: the help shows each flag's initial value, and the key's came from the environment. Found by running a command without its argument by hand. Red before: --- FAIL: TestHelpDoesNotShowTheKey; green after: ok burdocklink/cmd. Conclusion: a secret is read from the environment after the flags.

--- a/assembler/capacity_test.go
+++ b/assembler/capacity_test.go
@@ -24,8 +24,10 @@
 	"burdocklink/classifier"
 	"burdocklink/conductor"
 	"burdocklink/faker"
+	"burdocklink/follower"
 	"burdocklink/linker"
 	"burdocklink/orderer"
+	"burdocklink/placer"
 	"burdocklink/receiver"
 	"burdocklink/registrar"
 )
@@ -205,3 +207,41 @@
 		r.await(b, r.change(b, step))
 	}
 }
+
+// BenchmarkFollowers gives the processor time of streams to entries that only
+// listen and report, with both sides in this process.
+func BenchmarkFollowers(b *testing.B) {
+	for _, streams := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("streams-%d", streams), func(b *testing.B) {
+			r := newRig(b, 1)
+			r.await(b, r.change(b, time.Second))
+			meter := linker.NewMeter(metrics.NewRegistry())
+			var followers []*follower.Follower
+			for number := range streams {
+				links := linker.New(nil, meter)
+				b.Cleanup(links.Close)
+				one := follower.New(follower.Settings{
+					Entry:   fmt.Sprintf("f-%d", number),
+					Control: []string{r.control.Responder.Address()},
+					Links:   links,
+					Notify:  func(*cataloger.Catalog) {},
+					Demand:  func() placer.Demand { return placer.Demand{} },
+					Log:     zap.NewNop(),
+				})
+				start(b, []registrar.Service{one})
+				followers = append(followers, one)
+			}
+			time.Sleep(time.Second)
+			for b.Loop() {
+				bytes, used := meter.Sent()+meter.Received(), processorTime(b)
+				time.Sleep(window)
+				seconds := window.Seconds() * float64(streams)
+				b.ReportMetric(float64(meter.Sent()+meter.Received()-bytes)/seconds, "bytes/s/stream")
+				b.ReportMetric(100*(processorTime(b)-used).Seconds()/seconds, "core-percent/stream")
+			}
+			for _, one := range followers {
+				assert.Assert(b, one.Catalog() != nil)
+			}
+		})
+	}
+}
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -20,6 +20,8 @@
 	Usage string
 	// Switch is true for a flag that takes no value.
 	Switch bool
+	// Secret is true for a value that must not be shown in help.
+	Secret bool
 }
 
 // environmentPrefix begins the name of each environment variable.
--- a/cmd/bind.go
+++ b/cmd/bind.go
@@ -61,7 +61,10 @@
 			b.subcommand.Bool(&on, "", definition.Name, usage)
 			continue
 		}
-		text := definition.Initial()
+		text := ""
+		if !definition.Secret {
+			text = definition.Initial()
+		}
 		b.texts[definition.Name] = &text
 		b.subcommand.String(&text, "", definition.Name, usage)
 	}
@@ -94,6 +97,11 @@
 	for name, text := range b.texts {
 		values[name] = *text
 	}
+	for _, definition := range b.command.settings {
+		if definition.Secret && values[definition.Name] == "" {
+			values[definition.Name] = definition.Initial()
+		}
+	}
 	for name, on := range b.switches {
 		values[name] = strconv.FormatBool(*on)
 	}
--- a/cmd/execute.go
+++ b/cmd/execute.go
@@ -35,19 +35,13 @@
 }
 
 func execute(ctx context.Context, arguments []string, out, errOut io.Writer) int {
-	parser := flaggy.NewParser("burdocklink")
-	parser.Description = "Serves many models and adapters on fewer accelerators."
-	parser.ShowVersionWithVersionFlag = false
-	root := &bound{parser: parser, subcommand: &parser.Subcommand}
-	for _, child := range commands() {
-		root.attach(child)
-	}
-	if err := parser.ParseArgs(arguments); err != nil {
+	root := newRoot()
+	if err := root.parser.ParseArgs(arguments); err != nil {
 		return report(errOut, &UsageError{Cause: err})
 	}
 	chosen := root.used()
 	if chosen == nil || chosen.command.run == nil {
-		parser.ShowHelp()
+		root.parser.ShowHelp()
 		return exitUsage
 	}
 	call, err := chosen.invocation(ctx, out, errOut)
@@ -57,6 +51,18 @@
 	return report(errOut, chosen.command.run(call))
 }
 
+// newRoot returns the program with all commands attached.
+func newRoot() *bound {
+	parser := flaggy.NewParser("burdocklink")
+	parser.Description = "Serves many models and adapters on fewer accelerators."
+	parser.ShowVersionWithVersionFlag = false
+	root := &bound{parser: parser, subcommand: &parser.Subcommand}
+	for _, child := range commands() {
+		root.attach(child)
+	}
+	return root
+}
+
 // UsageError says that the command line can't be read.
 type UsageError struct{ Cause error }
 
--- a/cmd/execute_test.go
+++ b/cmd/execute_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/integrii/flaggy"
 	"gotest.tools/v3/assert"
 )
 
@@ -26,3 +27,29 @@
 	assert.Equal(t, code, exitUsage)
 	assert.Assert(t, strings.Contains(errOut.String(), "--log-level \"loud\""))
 }
+
+func TestHelpDoesNotShowTheKey(t *testing.T) {
+	t.Setenv("BURDOCKLINK_KEY", "bl-secret")
+	root := newRoot()
+
+	var help strings.Builder
+	for _, group := range root.children {
+		for _, child := range append(group.children, group) {
+			for _, flag := range child.subcommand.Flags {
+				help.WriteString(flag.Description)
+				help.WriteString(shownDefault(flag))
+			}
+		}
+	}
+
+	assert.Assert(t, strings.Contains(help.String(), "BURDOCKLINK_KEY"))
+	assert.Assert(t, !strings.Contains(help.String(), "bl-secret"))
+}
+
+// shownDefault is what the help prints as a flag's default.
+func shownDefault(flag *flaggy.Flag) string {
+	if text, ok := flag.AssignmentVar.(*string); ok {
+		return *text
+	}
+	return ""
+}
--- a/cmd/operator.go
+++ b/cmd/operator.go
@@ -23,8 +23,9 @@
 		Usage:   "addresses of the control members, separated by commas",
 	}
 	operatorKey = checker.Definition{
-		Name:  "key",
-		Usage: "the operator's key",
+		Name:   "key",
+		Usage:  "the operator's key; better given in the environment, where other users can't see it",
+		Secret: true,
 	}
 	outputFormat = checker.Definition{
 		Name:    "output",
