test(replicator): rules of the core that histories do not turn red

Own-term commits before old entries, reads, leases and membership changes; removed members; foreign disks and groups; a disk that does not answer.

--- a/conductor/call.go
+++ b/conductor/call.go
@@ -49,7 +49,13 @@
 }
 
 // coreCall asks how the core sees the group.
-type coreCall struct{ answer chan replicator.Status }
+type coreCall struct{ answer chan coreView }
+
+// coreView is how the core sees the group.
+type coreView struct {
+	replicator.Status
+	Peers map[replicator.Identity]replicator.PeerStatus
+}
 
 // foundCall begins a new group.
 type foundCall struct {
--- a/conductor/carry.go
+++ b/conductor/carry.go
@@ -179,8 +179,7 @@
 }
 
 // forgetOldTerms tells proposers of a lead that has ended.
-func (c *Conductor) forgetOldTerms() {
-	status := c.core.Status()
+func (c *Conductor) forgetOldTerms(status replicator.Status) {
 	term := uint64(0)
 	if status.Leading {
 		term = status.Term
@@ -198,8 +197,8 @@
 }
 
 // takeSnapshot replaces a long log by the state.
-func (c *Conductor) takeSnapshot() {
-	kept := c.applied - c.core.Status().SnapshotIndex
+func (c *Conductor) takeSnapshot(status replicator.Status) {
+	kept := c.applied - status.SnapshotIndex
 	if kept == 0 || (kept < c.config.SnapshotEntries && c.unsaved < snapshotBytes) {
 		return
 	}
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -8,8 +8,11 @@
 	"burdocklink/replicator"
 )
 
-// maxBatch is how many proposals go into the log in one step.
-const maxBatch = 1024
+// bounds of what is taken in before what follows from it is done.
+const (
+	maxBatch    = 1024
+	maxReceived = 64
+)
 
 // loop owns the control state.
 func (c *Conductor) loop() {
@@ -29,7 +32,7 @@
 		case done := <-c.synced:
 			c.takeSynced(done)
 		case envelope := <-c.inbox:
-			c.step(replicator.Received{Envelope: envelope})
+			c.receive(envelope)
 		case asked := <-c.calls:
 			c.serve(asked)
 		}
@@ -37,6 +40,19 @@
 	}
 }
 
+// receive takes a message, with some of those that wait behind it.
+func (c *Conductor) receive(envelope replicator.Envelope) {
+	c.step(replicator.Received{Envelope: envelope})
+	for range maxReceived {
+		select {
+		case next := <-c.inbox:
+			c.step(replicator.Received{Envelope: next})
+		default:
+			return
+		}
+	}
+}
+
 // end lets everybody go that waits for the member.
 func (c *Conductor) end() {
 	c.dropFollowers()
@@ -114,7 +130,7 @@
 	case *transferCall:
 		c.transfer(asked)
 	case *coreCall:
-		asked.answer <- c.core.Status()
+		asked.answer <- coreView{Status: c.core.Status(), Peers: c.core.Peers()}
 	case *foundCall:
 		c.found(asked.members)
 		close(asked.answer)
@@ -123,7 +139,8 @@
 
 // settle does what follows from a step.
 func (c *Conductor) settle() {
-	c.forgetOldTerms()
-	c.takeSnapshot()
-	c.publish()
+	status := c.core.Status()
+	c.forgetOldTerms(status)
+	c.takeSnapshot(status)
+	c.publish(status)
 }
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -84,7 +84,7 @@
 		Log:         config.Log,
 		Metrics:     config.Metrics,
 	})
-	c.publish()
+	c.publish(c.core.Status())
 	return c, nil
 }
 
--- a/conductor/membership.go
+++ b/conductor/membership.go
@@ -86,7 +86,7 @@
 }
 
 // awaitCaughtUp waits until a member has all that is committed.
-func (c *Conductor) awaitCaughtUp(ctx context.Context, id replicator.Identity) (replicator.Status, error) {
+func (c *Conductor) awaitCaughtUp(ctx context.Context, id replicator.Identity) (coreView, error) {
 	for {
 		status, err := c.coreStatus(ctx)
 		if err != nil {
@@ -225,18 +225,18 @@
 }
 
 // coreStatus asks the loop how the core sees the group.
-func (c *Conductor) coreStatus(ctx context.Context) (replicator.Status, error) {
-	asked := &coreCall{answer: make(chan replicator.Status, 1)}
+func (c *Conductor) coreStatus(ctx context.Context) (coreView, error) {
+	asked := &coreCall{answer: make(chan coreView, 1)}
 	if err := c.ask(ctx, asked); err != nil {
-		return replicator.Status{}, err
+		return coreView{}, err
 	}
 	select {
 	case status := <-asked.answer:
 		return status, nil
 	case <-ctx.Done():
-		return replicator.Status{}, ctx.Err()
+		return coreView{}, ctx.Err()
 	case <-c.stopped:
-		return replicator.Status{}, &StoppedError{}
+		return coreView{}, &StoppedError{}
 	}
 }
 
--- a/conductor/repair.go
+++ b/conductor/repair.go
@@ -21,7 +21,7 @@
 // repairView is what a repair is decided on.
 type repairView struct {
 	Self   replicator.Identity
-	Status replicator.Status
+	Status coreView
 	// Since is when this member began to lead.
 	Since time.Time
 	Now   time.Time
--- a/conductor/status.go
+++ b/conductor/status.go
@@ -21,8 +21,7 @@
 }
 
 // publish makes the core's status readable for others.
-func (c *Conductor) publish() {
-	core := c.core.Status()
+func (c *Conductor) publish(core replicator.Status) {
 	if core.Group != c.groupName() {
 		c.group.Store(&core.Group)
 	}
--- a/replicator/finish.go
+++ b/replicator/finish.go
@@ -54,10 +54,27 @@
 		c.held = append(c.held, heldMessage{c.writeSequence, envelope})
 	}
 	c.afterSync = nil
-	for len(c.held) > 0 && c.held[0].sequence <= c.syncSequence {
-		c.out.Messages = append(c.out.Messages, c.held[0].envelope)
-		c.held = c.held[1:]
+	released := 0
+	for released < len(c.held) && c.held[released].sequence <= c.syncSequence {
+		released++
 	}
+	for at, held := range c.held[:released] {
+		if at+1 < released && covers(c.held[at+1].envelope, held.envelope) {
+			continue
+		}
+		c.out.Messages = append(c.out.Messages, held.envelope)
+	}
+	c.held = c.held[released:]
+}
+
+// covers says whether a later answer tells all that an earlier one does.
+func covers(later, earlier Envelope) bool {
+	before, ok := earlier.Message.(AppendReply)
+	after, also := later.Message.(AppendReply)
+	if !ok || !also || later.To != earlier.To || later.Term != earlier.Term {
+		return false
+	}
+	return before.Accepted && after.Accepted && after.Match >= before.Match && after.Sent >= before.Sent
 }
 
 // synced notes what the disk has.
--- /dev/null
+++ b/replicator/rules_test.go
@@ -0,0 +1,202 @@
+package replicator_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/replicator"
+)
+
+// bench is one core whose events a test gives by hand.
+type bench struct {
+	core *replicator.Core
+	now  time.Time
+}
+
+var (
+	memberA = replicator.Identity{Name: "a", Disk: "1"}
+	memberB = replicator.Identity{Name: "b", Disk: "2"}
+	memberC = replicator.Identity{Name: "c", Disk: "3"}
+)
+
+func threeVoters() replicator.Configuration {
+	return replicator.Configuration{Members: []replicator.Member{
+		{ID: memberA, Role: replicator.Voter},
+		{ID: memberB, Role: replicator.Voter},
+		{ID: memberC, Role: replicator.Voter},
+	}}
+}
+
+// newBench makes member a of three voters with entries of term 2 in its log,
+// the first of which is committed by the snapshot.
+func newBench(entries ...replicator.Entry) *bench {
+	return &bench{now: epoch, core: replicator.New(replicator.Settings{
+		ID:       memberA,
+		Timing:   timing,
+		Hard:     replicator.HardState{Group: groupID, Term: 2},
+		Snapshot: replicator.Snapshot{Index: 1, Term: 1, Configuration: threeVoters()},
+		Entries:  entries,
+	}, epoch)}
+}
+
+// step passes an event and syncs what it writes.
+func (b *bench) step(event replicator.Event) replicator.Output {
+	b.now = b.now.Add(time.Millisecond)
+	out := b.core.Step(event, b.now)
+	messages := out.Messages
+	for write := out.Write; write != nil; {
+		next := b.core.Step(replicator.Synced{Sequence: write.Sequence}, b.now)
+		messages = append(messages, next.Messages...)
+		out.Apply = append(out.Apply, next.Apply...)
+		out.Reads = append(out.Reads, next.Reads...)
+		write = next.Write
+	}
+	out.Messages = messages
+	return out
+}
+
+// hear passes a message of another member in the core's term.
+func (b *bench) hear(from replicator.Identity, message replicator.Message) replicator.Output {
+	return b.hearAt(from, b.core.Status().Term, message)
+}
+
+func (b *bench) hearAt(from replicator.Identity, term uint64, message replicator.Message) replicator.Output {
+	return b.step(replicator.Received{Envelope: replicator.Envelope{
+		Group: groupID, From: from, To: memberA, Term: term, Message: message,
+	}})
+}
+
+// elect makes the core the leader of a new term.
+func (b *bench) elect(t *testing.T) replicator.Output {
+	t.Helper()
+	b.now = b.now.Add(2 * timing.ElectionMax)
+	b.step(replicator.Tick{})
+	b.hearAt(memberB, b.core.Status().Term+1, replicator.VoteReply{Pre: true, Granted: true})
+	out := b.hear(memberB, replicator.VoteReply{Granted: true})
+	assert.Assert(t, b.core.Status().Leading)
+	return out
+}
+
+// lastSent is the leader's clock in the last message to a member.
+func lastSent(out replicator.Output, to replicator.Identity) time.Duration {
+	sent := time.Duration(0)
+	for _, envelope := range out.Messages {
+		if request, ok := envelope.Message.(replicator.AppendRequest); ok && envelope.To == to {
+			sent = request.Sent
+		}
+	}
+	return sent
+}
+
+func oldEntry(index uint64) replicator.Entry {
+	return replicator.Entry{Index: index, Term: 2, Stamp: epoch, Payload: replicator.Opaque{Data: []byte{1}}}
+}
+
+// An entry of an earlier term on a quorum is not committed before one of the
+// leader's own term is: another leader might still replace it.
+func TestOldTermIsCommittedOnlyWithTheOwn(t *testing.T) {
+	b := newBench(oldEntry(2))
+	out := b.elect(t)
+	sent := lastSent(out, memberB)
+	b.hear(memberB, replicator.AppendReply{Accepted: true, Match: 2, Sent: sent})
+	assert.Equal(t, b.core.Status().Committed, uint64(1))
+	b.hear(memberB, replicator.AppendReply{Accepted: true, Match: 3, Sent: sent})
+	assert.Equal(t, b.core.Status().Committed, uint64(3))
+}
+
+// A new leader may not know of all that is committed, so it answers no read
+// and holds no lease before its own term's first commit.
+func TestReadsWaitForTheOwnTerm(t *testing.T) {
+	b := newBench(oldEntry(2))
+	b.elect(t)
+	assert.Equal(t, len(b.step(replicator.Read{ID: 7}).Reads), 0)
+	b.now = b.now.Add(timing.Heartbeat)
+	sent := lastSent(b.step(replicator.Tick{}), memberB)
+	out := b.hear(memberB, replicator.AppendReply{Previous: 2, Next: 2, Sent: sent})
+	assert.Equal(t, len(out.Reads), 0)
+	assert.Assert(t, b.core.Status().LeaseUntil.IsZero())
+	out = b.hear(memberB, replicator.AppendReply{Accepted: true, Match: 3, Sent: sent})
+	assert.DeepEqual(t, out.Reads, []replicator.ReadResult{{ID: 7, Index: 3}})
+	assert.Assert(t, !b.core.Status().LeaseUntil.IsZero())
+}
+
+// Before the own term's first commit, a configuration that another leader has
+// committed may be missing here, and quorums of two changes need not meet.
+func TestGroupChangesOnlyAfterTheOwnTerm(t *testing.T) {
+	b := newBench(oldEntry(2))
+	out := b.elect(t)
+	remove := replicator.Reconfigure{Change: replicator.Remove{ID: memberC}}
+	assert.ErrorType(t, b.step(remove).Refusal, &replicator.NotReadyError{})
+	b.hear(memberB, replicator.AppendReply{Accepted: true, Match: 3, Sent: lastSent(out, memberB)})
+	assert.Assert(t, b.step(remove).Proposed != nil)
+	assert.ErrorType(t, b.step(remove).Refusal, &replicator.NotReadyError{})
+}
+
+// A member that was removed, or heard nothing for a while, can't depose the
+// leader that the others follow.
+func TestRemovedMemberDoesNotDisturb(t *testing.T) {
+	g := newGroup(3, 3, 0)
+	g.run(3 * time.Second)
+	leader := g.leads()[0]
+	var removed *node
+	for _, n := range g.nodes {
+		if n != leader {
+			removed = n
+		}
+	}
+	g.step(leader, replicator.Reconfigure{Change: replicator.Remove{ID: removed.id}})
+	g.run(30 * time.Second)
+	assert.Equal(t, g.failure, "")
+	assert.Equal(t, leader.status.Configuration.Voters(), 2)
+	assert.Assert(t, leader.status.Leading)
+	assert.Equal(t, removed.status.Term, leader.status.Term)
+	requests := 0
+	for _, pre := range []bool{true, false} {
+		out := g.step(leader, replicator.Received{Envelope: replicator.Envelope{
+			Group: groupID, From: removed.id, To: leader.id, Term: leader.status.Term + 5,
+			Message: replicator.VoteRequest{Pre: pre, LastIndex: 1000, LastTerm: 1000},
+		}})
+		requests += len(out.Messages)
+	}
+	assert.Equal(t, requests, 0)
+	assert.Assert(t, leader.status.Leading)
+}
+
+// A message to the identity of a wiped disk is nothing to the new one, and a
+// vote for another group neither.
+func TestOnlyTheOwnDiskAndGroupAreServed(t *testing.T) {
+	request := replicator.VoteRequest{LastIndex: 9, LastTerm: 9}
+	envelopes := map[string]replicator.Envelope{
+		"old disk":    {Group: groupID, To: replicator.Identity{Name: "a", Disk: "0"}},
+		"other group": {Group: "other", To: memberA},
+	}
+	for name, envelope := range envelopes {
+		t.Run(name, func(t *testing.T) {
+			b := newBench()
+			b.now = b.now.Add(timing.ElectionMin)
+			envelope.From, envelope.Term, envelope.Message = memberB, 9, request
+			out := b.step(replicator.Received{Envelope: envelope})
+			assert.Equal(t, len(out.Messages), 0)
+			assert.Equal(t, b.core.Status().Term, uint64(2))
+		})
+	}
+}
+
+// A leader whose disk does not answer must not keep the lead.
+func TestStalledDiskGivesUpTheLead(t *testing.T) {
+	b := newBench()
+	out := b.elect(t)
+	b.hear(memberB, replicator.AppendReply{Accepted: true, Match: 2, Sent: lastSent(out, memberB)})
+	stuck := b.core.Step(replicator.Propose{Data: [][]byte{{1}}}, b.now)
+	assert.Assert(t, stuck.Write != nil)
+	for end := b.now.Add(2 * timing.ElectionMax); b.now.Before(end); b.now = b.now.Add(timing.Heartbeat) {
+		out := b.core.Step(replicator.Tick{}, b.now)
+		b.core.Step(replicator.Received{Envelope: replicator.Envelope{
+			Group: groupID, From: memberB, To: memberA, Term: b.core.Status().Term,
+			Message: replicator.AppendReply{Accepted: true, Match: 2, Sent: max(1, lastSent(out, memberB))},
+		}}, b.now)
+	}
+	assert.Assert(t, !b.core.Status().Leading)
+}
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -20,8 +20,6 @@
 	Configuration Configuration
 	// ConfigurationCommitted is false while a change of members is under way.
 	ConfigurationCommitted bool
-	// Peers is filled at the leader.
-	Peers map[Identity]PeerStatus
 }
 
 // PeerStatus is what a leader knows of another member.
@@ -33,7 +31,7 @@
 
 // Status describes the member.
 func (c *Core) Status() Status {
-	status := Status{
+	return Status{
 		ID:                     c.id,
 		Group:                  c.hard.Group,
 		Leader:                 c.leader,
@@ -47,13 +45,13 @@
 		Configuration:          c.configuration(),
 		ConfigurationCommitted: c.configurations[len(c.configurations)-1].index <= c.committed,
 	}
-	if c.position == leading {
-		status.Peers = c.peerStatus()
-	}
-	return status
 }
 
-func (c *Core) peerStatus() map[Identity]PeerStatus {
+// Peers tells what a leader knows of the other members; nil elsewhere.
+func (c *Core) Peers() map[Identity]PeerStatus {
+	if c.position != leading {
+		return nil
+	}
 	peers := make(map[Identity]PeerStatus, len(c.lead.peers))
 	for id, p := range c.lead.peers {
 		one := PeerStatus{Match: p.match}
