--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -201,10 +201,11 @@
 	f.t.Helper()
 	arguments := append([]string{"control", "--name", each.name,
 		"--listen", each.link.proxy.Upstream, "--advertise", each.link.listen,
-		"--data", each.folder, "--keys", f.keysFile(),
+		"--health-listen", "127.0.0.1:0", "--data", each.folder, "--keys", f.keysFile(),
 		"--platform", "http://" + f.platform, "--store", "http://" + f.store,
 		"--store-loads-per-second", "100", "--store-loads-at-once", "50"}, flags...)
 	each.process = start(f.t, each.name, arguments...)
+	each.process.serving(f.t)
 }
 
 // control lists the members' addresses.
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -15,7 +15,7 @@
 
 const (
 	// testEnd is the generous end of every wait for a condition.
-	testEnd = 60 * time.Second
+	testEnd = 40 * time.Second
 	// testPause is the time between two looks at a condition.
 	testPause = 20 * time.Millisecond
 )
@@ -144,6 +144,15 @@
 	return found
 }
 
+// serving waits until the process says that it serves.
+func (p *process) serving(t *testing.T) {
+	t.Helper()
+	eventually(t, p.name+" serves", func() bool {
+		return strings.Contains(p.output.String(), `"msg":"serving"`) || p.dead()
+	})
+	assert.Assert(t, !p.dead(), "%s ended", p.name)
+}
+
 // freeAddress returns an address that nothing listens on now.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- /dev/null
+++ b/prover/revision_test.go
@@ -0,0 +1,135 @@
+package prover_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"burdocklink/encoder"
+	"burdocklink/prover"
+)
+
+// revisionPause is the time between two looks at what entries have in force.
+const revisionPause = 100 * time.Millisecond
+
+// setter makes changes one after another and watches whether entries have them
+// in force and keep them.
+type setter struct {
+	fleet *fleet
+	stop  chan struct{}
+	done  sync.WaitGroup
+
+	mu       sync.Mutex
+	accepted []encoder.AcceptedPage
+}
+
+// startSetter begins to make and to watch changes.
+func (f *fleet) startSetter() *setter {
+	begun := &setter{fleet: f, stop: make(chan struct{})}
+	begun.done.Add(2)
+	go begun.runChanges()
+	go begun.runWatch()
+	return begun
+}
+
+func (s *setter) stopped() bool {
+	select {
+	case <-s.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// runChanges sends each change again until it is accepted.
+func (s *setter) runChanges() {
+	defer s.done.Done()
+	for number := 1; !s.stopped(); {
+		request := fmt.Sprintf("set-%d", number)
+		page, code := s.fleet.set(change{class: request, request: request, flags: []string{"--whole", "1h"}})
+		if code != exitDone {
+			time.Sleep(revisionPause)
+			continue
+		}
+		number++
+		s.mu.Lock()
+		s.accepted = append(s.accepted, page)
+		s.mu.Unlock()
+	}
+}
+
+// count is the number of accepted changes.
+func (s *setter) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.accepted)
+}
+
+// runWatch looks at the entries.
+func (s *setter) runWatch() {
+	defer s.done.Done()
+	for !s.stopped() {
+		for _, each := range s.fleet.entries {
+			s.look(each)
+		}
+		time.Sleep(revisionPause)
+	}
+}
+
+// look records how much of what was accepted an entry has in force.
+func (s *setter) look(at *entry) {
+	s.mu.Lock()
+	accepted := s.accepted
+	s.mu.Unlock()
+	const recent = 4
+	seen := prover.Revision{At: time.Now(), Entry: at.name}
+	for _, page := range accepted[max(0, len(accepted)-recent):] {
+		known, ready := s.fleet.knows(at, page.Request)
+		if !ready {
+			return
+		}
+		if !known {
+			seen.Revision = page.Revision - 1
+			break
+		}
+		seen.Revision = page.Revision
+	}
+	if seen.Revision > 0 {
+		s.fleet.see(seen)
+	}
+}
+
+// end stops the changes.
+func (s *setter) end() {
+	close(s.stop)
+	s.done.Wait()
+}
+
+// knows asks an entry for a class with a request whose body is malformed, so
+// that nothing runs. The second result is false where the entry takes no work.
+func (f *fleet) knows(at *entry, class string) (known, ready bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), client.Timeout)
+	defer cancel()
+	request := f.request(ctx, http.MethodPost, at.url(encoder.PathChat), "probe", []byte("{"))
+	request.Header.Set(encoder.HeaderClass, class)
+	response, err := callerClient.Do(request)
+	if err != nil {
+		return false, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var reply encoder.ErrorReply
+	if json.NewDecoder(response.Body).Decode(&reply) != nil {
+		return false, false
+	}
+	switch reply.Error.Type {
+	case "unknown-class":
+		return false, true
+	case "malformed-body":
+		return true, true
+	default:
+		return false, false
+	}
+}
