--- a/cmd/command.go
+++ b/cmd/command.go
@@ -43,7 +43,9 @@
 		historyCommand(),
 		memberCommand(),
 		standInCommand(),
+		loadCommand(),
 		keyCommand(),
+		certificateCommand(),
 		versionCommand(),
 	}
 }
