--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -74,28 +74,30 @@
 // together.
 func (x *exchange) relay(request *encoder.Completion, route router.Request) error {
 	legs := &engines{exchange: x, request: request, route: route}
+	whole := &collector{}
+	var sink relayer.Sink = whole
 	if request.Stream {
-		return x.finishRelay(legs, relayer.Relay(x.ctx, legs, &eventSink{exchange: x}))
-	}
-	sink := &collector{}
-	if err := x.finishRelay(legs, relayer.Relay(x.ctx, legs, sink)); err != nil {
-		return err
-	}
-	x.w.Header().Set(encoder.HeaderUpstream, legs.grant.Choice.Upstream)
-	return x.writeJSON(http.StatusOK, encoder.OutcomeRan, sink.answer(request.Chat))
-}
-
-// finishRelay settles the last leg and tells a caller that left from an answer
-// that broke.
-func (x *exchange) finishRelay(legs *engines, err error) error {
-	if err == nil {
-		legs.settle(router.OutcomeFinished)
-		return nil
+		sink = &eventSink{exchange: x}
 	}
+	err := relayer.Relay(x.ctx, legs, sink)
 	var refused *answeredError
 	if errors.As(err, &refused) {
 		return x.passAnswer(refused.upstream, refused.answer)
 	}
+	if err != nil {
+		return x.breakRelay(legs, err)
+	}
+	legs.settle(router.OutcomeFinished)
+	if request.Stream {
+		return nil
+	}
+	x.w.Header().Set(encoder.HeaderUpstream, legs.grant.Choice.Upstream)
+	return x.writeJSON(http.StatusOK, encoder.OutcomeRan, whole.answer(request.Chat))
+}
+
+// breakRelay settles the last stream and tells a caller that left from an
+// answer that broke.
+func (x *exchange) breakRelay(legs *engines, err error) error {
 	var gone *relayer.CallerError
 	if errors.As(err, &gone) || errors.Is(err, context.Canceled) {
 		x.result = reporter.ResultAbandoned
--- a/receiver/engine_test.go
+++ b/receiver/engine_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"burdocklink/encoder"
 )
@@ -21,6 +22,8 @@
 	cut func(call string, event int) bool
 	// forgets is true where streams cannot be resumed.
 	forgets bool
+	// gone is true once the engine takes no more requests.
+	gone atomic.Bool
 	// hold, where set, is waited for before each event.
 	hold func(r *http.Request, event int)
 }
@@ -28,6 +31,9 @@
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(encoder.HeaderRequestID)
 	e.note(r.Method + " " + r.URL.Path)
+	if e.gone.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	after := 0
 	if r.Method == http.MethodDelete {
 		return
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// openTries is how often an answer is started from its beginning.
+	// openTries is how many engines are tried for one stream.
 	openTries = 4
 	// openPause is the wait before the same engines are tried again.
 	openPause = 200 * time.Millisecond
@@ -51,7 +51,7 @@
 
 // Open starts the answer or continues it after what the caller has.
 func (e *engines) Open(ctx context.Context, from relayer.Prefix) (relayer.Source, error) {
-	for {
+	for tries := 1; ; tries++ {
 		if err := e.place(ctx, from); err != nil {
 			return nil, causeOf(ctx, err)
 		}
@@ -61,7 +61,7 @@
 		}
 		e.settle(outcomeOf(err))
 		var refused *answeredError
-		if ctx.Err() != nil || errors.As(err, &refused) || e.opened >= openTries {
+		if ctx.Err() != nil || errors.As(err, &refused) || tries >= openTries {
 			return nil, causeOf(ctx, err)
 		}
 	}
@@ -70,7 +70,6 @@
 // place finds an engine for the next stream.
 func (e *engines) place(ctx context.Context, from relayer.Prefix) error {
 	e.settle(router.OutcomeFailed)
-	e.opened++
 	before := e.grant
 	grant, err := e.acquire(ctx, before, from)
 	var nowhere *router.NoUpstreamError
@@ -96,7 +95,6 @@
 		return e.Admitter.Acquire(ctx, e.admission(e.route))
 	case from.Events > 0:
 		// what the caller has is kept: this is the rest of a request, not a retry
-		e.opened = 0
 		return e.Admitter.Acquire(ctx, e.admissionNow(from, []string{before.Choice.Upstream}))
 	default:
 		return e.Admitter.Again(ctx, before)
@@ -201,7 +199,7 @@
 		_ = response.Body.Close()
 		return nil, &identityError{got: got}
 	}
-	return &leg{Stream: relayer.NewStream(response.Body), engines: e}, nil
+	return &leg{Stream: relayer.NewStream(response.Body), engines: e, identity: e.attemptID}, nil
 }
 
 // refused tells an engine that cannot work now from a request at fault.
@@ -239,9 +237,13 @@
 // leg notes the events of one stream as they arrive.
 type leg struct {
 	*relayer.Stream
-	engines *engines
+	engines  *engines
+	identity string
 }
 
+// Identity returns the attempt that the stream belongs to.
+func (l *leg) Identity() string { return l.identity }
+
 // Next returns the next event.
 func (l *leg) Next() (relayer.Event, error) {
 	event, err := l.Stream.Next()
--- a/relayer/core.go
+++ b/relayer/core.go
@@ -20,6 +20,10 @@
 // Input is what happened to the present stream. It is one of the types below.
 type Input interface{ input() }
 
+// Opened says that a stream has begun on an engine, under the identity that it
+// was asked for with.
+type Opened struct{ Identity string }
+
 // Arrived is an event of the present stream.
 type Arrived struct{ Event Event }
 
@@ -29,6 +33,7 @@
 // Forgotten says that the engine cannot resume the stream.
 type Forgotten struct{}
 
+func (Opened) input()    {}
 func (Arrived) input()   {}
 func (Broke) input()     {}
 func (Forgotten) input() {}
@@ -83,16 +88,21 @@
 	// next is the ID expected from the present stream.
 	next  uint64
 	ahead map[uint64][]byte
-	// identity is the chunk ID of the present stream, name the one that the
-	// caller sees.
+	// asked is the identity that the present stream was asked for with,
+	// identity its chunk ID, and name the chunk ID that the caller sees.
+	asked    string
 	identity string
 	name     string
-	joined   bool
-	text     strings.Builder
+	// named is true once a chunk ID was seen to carry the identity asked for.
+	named  bool
+	joined bool
+	text   strings.Builder
 	// plain is true while the text alone describes the answer.
 	plain bool
 	// numbered is true while all events of the present stream had IDs.
 	numbered bool
+	// counted is true once an event of the present stream had an ID.
+	counted  bool
 	finished bool
 	barren   int
 	over     bool
@@ -112,6 +122,9 @@
 		return todo
 	}
 	switch input := input.(type) {
+	case Opened:
+		c.asked = input.Identity
+		return todo
 	case Arrived:
 		return c.arrive(input.Event, todo)
 	case Broke:
@@ -126,6 +139,7 @@
 	if event.ID == 0 {
 		return c.arriveUnnumbered(event, todo)
 	}
+	c.counted = true
 	if event.ID < c.next {
 		return todo
 	}
@@ -150,8 +164,7 @@
 		return c.mend(todo)
 	}
 	if !isEnd(event.Data) {
-		c.numbered = false
-		return c.take(event.Data, todo)
+		return c.takeUnnumbered(event.Data, todo)
 	}
 	if !c.finished {
 		// without a number the end proves nothing while the finish reason misses
@@ -160,6 +173,16 @@
 	return c.complete(todo)
 }
 
+// takeUnnumbered takes an event beside those with IDs, or of a stream without
+// any, which cannot be resumed.
+func (c *Core) takeUnnumbered(data []byte, todo []Output) []Output {
+	if !c.counted {
+		c.numbered = false
+		return c.take(data, todo)
+	}
+	return c.takeAt(data, 0, todo)
+}
+
 func (c *Core) hold(event Event, todo []Output) []Output {
 	if len(c.ahead) >= aheadEvents {
 		return c.mend(todo)
@@ -170,6 +193,11 @@
 
 // take handles the event that is next in order.
 func (c *Core) take(data []byte, todo []Output) []Output {
+	return c.takeAt(data, 1, todo)
+}
+
+// takeAt handles an event that takes up a number of places in the order.
+func (c *Core) takeAt(data []byte, places uint64, todo []Output) []Output {
 	if isEnd(data) {
 		return c.complete(todo)
 	}
@@ -177,10 +205,7 @@
 	if err != nil || len(chunk.Error) > 0 {
 		return c.mend(todo)
 	}
-	if c.identity == "" {
-		c.identity = chunk.ID
-	}
-	if chunk.ID != c.identity {
+	if !c.owns(chunk.ID) {
 		// another request's event: the place stays open
 		return todo
 	}
@@ -193,12 +218,28 @@
 		}
 	}
 	c.note(chunk, data)
-	c.next++
+	c.next += places
 	c.sent++
 	c.barren = 0
 	return append(todo, Send{Event: Event{ID: c.sent, Data: data}})
 }
 
+// owns returns true where a chunk belongs to the present stream. The first
+// chunk names the stream, and must carry the identity asked for where the
+// engines were seen to do so.
+func (c *Core) owns(id string) bool {
+	if c.identity != "" {
+		return id == c.identity
+	}
+	carries := c.asked != "" && strings.Contains(id, c.asked)
+	if c.named && !carries {
+		return false
+	}
+	c.named = c.named || carries
+	c.identity = id
+	return true
+}
+
 func (c *Core) note(chunk encoder.StreamChunk, data []byte) {
 	c.text.WriteString(chunk.Text())
 	if chunk.Finished() {
@@ -245,6 +286,7 @@
 	c.next = 1
 	c.identity = ""
 	c.numbered = true
+	c.counted = false
 	c.joined = c.sent > 0
 	from := Prefix{Text: c.text.String(), Events: int(c.sent)}
 	return append(todo, Continue{From: from})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,6 +11,9 @@
 	Next() (Event, error)
 	// Waiting returns true where the next event has arrived in part.
 	Waiting() bool
+	// Identity returns what the stream was asked for with, empty where the
+	// engine was not told.
+	Identity() string
 	Close()
 }
 
@@ -55,11 +58,9 @@
 }
 
 func (r *relay) carry(ctx context.Context) error {
-	source, err := r.engines.Open(ctx, Prefix{})
-	if err != nil {
+	if err := r.open(ctx, Prefix{}); err != nil {
 		return err
 	}
-	r.source = source
 	for {
 		done, err := r.perform(ctx, r.core.Step(r.next(ctx), r.todo[:0]))
 		if done || err != nil {
@@ -68,6 +69,14 @@
 	}
 }
 
+// causeOf returns why a context ended in place of a failure that it caused.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // next waits for the next input.
 func (r *relay) next(ctx context.Context) Input {
 	if r.source == nil || ctx.Err() != nil {
@@ -94,7 +103,7 @@
 		case Continue:
 			return false, r.open(ctx, output.From)
 		case Fail:
-			return false, output.Cause
+			return false, causeOf(ctx, output.Cause)
 		case Complete:
 			done = true
 		}
@@ -140,6 +149,7 @@
 		return err
 	}
 	r.source = source
+	r.core.Step(Opened{Identity: source.Identity()}, nil)
 	return nil
 }
 
