--- /dev/null
+++ b/assembler/control.go
@@ -0,0 +1,141 @@
+// Package assembler puts the services of a process together: the control
+// member's and the entry's. It is the one place that knows which part needs
+// which.
+package assembler
+
+import (
+	"go.uber.org/zap"
+
+	"burdocklink/authenticator"
+	"burdocklink/certifier"
+	"burdocklink/conductor"
+	"burdocklink/encoder"
+	"burdocklink/linker"
+	"burdocklink/orderer"
+	"burdocklink/placer"
+	"burdocklink/prober"
+	"burdocklink/registrar"
+	"burdocklink/reporter"
+	"burdocklink/responder"
+	"burdocklink/supervisor"
+	"burdocklink/watcher"
+)
+
+// ControlSettings are the checked settings of a control member.
+type ControlSettings struct {
+	Member conductor.Member
+	// Listen is the IP address and port of the gRPC service.
+	Listen string
+	// HealthListen is the IP address and port of health and metrics.
+	HealthListen string
+	// Folder is the data folder; empty keeps the state in memory.
+	Folder string
+	// Peers are the first members, this one among them.
+	Peers []conductor.Member
+	// Platform and Store are base URLs.
+	Platform string
+	Store    string
+	Limits   orderer.StoreLimits
+	// Certificates are nil for plain text.
+	Certificates *certifier.Certifier
+	// Keys tells whose key an operator's call carries.
+	Keys *authenticator.Authenticator
+	// Fatal is called once when the member can't go on.
+	Fatal func(error)
+	Log   *zap.Logger
+}
+
+// ControlMember is a control member that has not started.
+type ControlMember struct {
+	Meter     *linker.Meter
+	Conductor *conductor.Conductor
+	Responder *responder.Responder
+	// Services are in start order.
+	Services []registrar.Service
+}
+
+// NewControl puts a control member together.
+func NewControl(settings ControlSettings) (*ControlMember, error) {
+	metrics := reporter.New(reporter.Settings{})
+	meter := linker.NewMeter(metrics.Registry())
+	member, err := conductor.New(conductor.Config{
+		Name:        settings.Member.Name,
+		Address:     settings.Member.Address,
+		Folder:      settings.Folder,
+		Peers:       settings.Peers,
+		Credentials: clientCredentials(settings.Certificates),
+		Codec:       codec(),
+		Metrics:     metrics.Registry(),
+		Log:         settings.Log,
+		Fatal:       settings.Fatal,
+	})
+	if err != nil {
+		return nil, err
+	}
+	answers := responder.New(responder.Settings{
+		Listen:      settings.Listen,
+		Credentials: serverCredentials(settings.Certificates),
+		Operator:    operatorOf(settings.Keys),
+		Group:       member,
+		Meter:       meter,
+		Log:         settings.Log,
+	})
+	lists := watcher.New(watcher.Settings{
+		Platform: settings.Platform,
+		Store:    settings.Store,
+		Group:    member,
+		Log:      settings.Log,
+	})
+	duties := supervisor.New(supervisor.Config{
+		Proposer: member,
+		Planner:  planner{},
+		Demands:  answers.Demands,
+		Reports:  lists.Reports,
+		Limits:   settings.Limits,
+		Log:      settings.Log,
+	})
+	health := prober.New(prober.Settings{
+		Listen:   settings.HealthListen,
+		Ready:    func() error { return hasLeader(member) },
+		Reporter: metrics,
+		Log:      settings.Log,
+	})
+	return &ControlMember{
+		Meter:     meter,
+		Conductor: member,
+		Responder: answers,
+		// The member stops before its server, so that it can hand over the lead
+		// and end its streams.
+		Services: withCertificates(settings.Certificates,
+			settings.Keys, answers, member, lists, duties, health),
+	}, nil
+}
+
+// hasLeader returns nil while the member knows a leader.
+func hasLeader(member *conductor.Conductor) error {
+	if member.Status().Leader == "" {
+		return &NoLeaderError{}
+	}
+	return nil
+}
+
+// NoLeaderError says that the member knows no leader.
+type NoLeaderError struct{}
+
+// Error describes the state.
+func (e *NoLeaderError) Error() string { return "no leader is known" }
+
+// planner is the placement policy in force.
+type planner struct{}
+
+// Plan returns the moves to make now.
+func (planner) Plan(input placer.Input) placer.Output { return placer.Plan(input) }
+
+func codec() conductor.Codec {
+	return conductor.Codec{
+		EncodeCommand: encoder.EncodeCommand,
+		DecodeCommand: encoder.DecodeCommand,
+		EncodeState:   encoder.EncodeState,
+		DecodeState:   encoder.DecodeState,
+	}
+}
--- /dev/null
+++ b/conductor/call.go
@@ -0,0 +1,68 @@
+package conductor
+
+import (
+	"burdocklink/applier"
+	"burdocklink/replicator"
+)
+
+// callQueue is how many calls may wait for the loop before callers wait.
+const callQueue = 1024
+
+// call is one request to the loop. It is one of the types below.
+type call interface{ call() }
+
+type proposeCall struct {
+	data   []byte
+	answer chan proposed
+}
+
+type proposed struct {
+	applied applier.Applied
+	err     error
+}
+
+type confirmCall struct{ answer chan confirmed }
+
+type confirmed struct {
+	revision uint64
+	err      error
+}
+
+type followCall struct{ answer chan *follower }
+
+type cancelCall struct{ follower *follower }
+
+type readCall struct {
+	read   func(*applier.State)
+	answer chan struct{}
+}
+
+// changeCall changes the group by one step.
+type changeCall struct {
+	change replicator.Change
+	answer chan proposed
+}
+
+type transferCall struct {
+	name   string
+	answer chan error
+}
+
+// coreCall asks how the core sees the group.
+type coreCall struct{ answer chan replicator.Status }
+
+// foundCall begins a new group.
+type foundCall struct {
+	members []replicator.Member
+	answer  chan struct{}
+}
+
+func (*proposeCall) call()  {}
+func (*confirmCall) call()  {}
+func (*followCall) call()   {}
+func (*cancelCall) call()   {}
+func (*readCall) call()     {}
+func (*changeCall) call()   {}
+func (*transferCall) call() {}
+func (*coreCall) call()     {}
+func (*foundCall) call()    {}
--- /dev/null
+++ b/conductor/member.go
@@ -0,0 +1,253 @@
+package conductor
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/messenger"
+	"burdocklink/recorder"
+	"burdocklink/registrar"
+	"burdocklink/replicator"
+)
+
+// Conductor is one running control member.
+type Conductor struct {
+	config    Config
+	self      replicator.Identity
+	messenger *messenger.Messenger
+	calls     chan call
+	inbox     chan replicator.Envelope
+	synced    chan syncResult
+	stop      chan struct{}
+	stopOnce  sync.Once
+	started   atomic.Bool
+	stopped   chan struct{}
+	status    atomic.Pointer[Status]
+	group     atomic.Pointer[string]
+	commits   metrics.Counter
+
+	// what follows belongs to loop.
+	recorder  *recorder.Recorder
+	writer    *writer
+	core      *replicator.Core
+	state     *applier.State
+	applied   uint64
+	unsaved   int
+	term      uint64
+	pending   map[uint64]pendingProposal
+	reads     map[uint64]*confirmCall
+	lastRead  uint64
+	waiting   []waitingRead
+	followers map[*follower]struct{}
+	members   []replicator.Member
+	failure   error
+}
+
+// inboxQueue is how many messages may wait for the loop before links wait.
+const inboxQueue = 1024
+
+// New checks a config, opens the data folder and returns a member that is not
+// started. Stop closes the folder again.
+func New(config Config) (*Conductor, error) {
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	c := &Conductor{
+		config:    config,
+		calls:     make(chan call, callQueue),
+		inbox:     make(chan replicator.Envelope, inboxQueue),
+		synced:    make(chan syncResult, 1),
+		stop:      make(chan struct{}),
+		stopped:   make(chan struct{}),
+		commits:   metrics.GetOrRegisterCounter("replication-entries-applied", config.Metrics),
+		pending:   map[uint64]pendingProposal{},
+		reads:     map[uint64]*confirmCall{},
+		followers: map[*follower]struct{}{},
+	}
+	if err := c.open(); err != nil {
+		return nil, err
+	}
+	c.messenger = messenger.New(messenger.Settings{
+		Self:        c.self,
+		Address:     config.Address,
+		Credentials: config.Credentials,
+		Deliver:     c.deliver,
+		Group:       c.groupName,
+		Log:         config.Log,
+		Metrics:     config.Metrics,
+	})
+	c.publish()
+	return c, nil
+}
+
+// String names the service.
+func (c *Conductor) String() string { return "conductor" }
+
+// Start begins the work; kernel may be nil. It does not wait for a leader.
+func (c *Conductor) Start(_ context.Context, _ *registrar.Registrar) error {
+	c.started.Store(true)
+	go c.loop()
+	if len(c.config.others()) > 0 {
+		go c.runFormation()
+		go c.runRepair()
+	}
+	return nil
+}
+
+// Stop ends the work; a leader hands over first where it can.
+func (c *Conductor) Stop(deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if !c.started.Load() {
+		c.stopOnce.Do(c.close)
+		return nil
+	}
+	c.handOver(ctx)
+	c.stopOnce.Do(func() { close(c.stop) })
+	select {
+	case <-c.stopped:
+		return nil
+	case <-ctx.Done():
+		return &DeadlineError{}
+	}
+}
+
+// handOver gives the lead to another voter, if there is one that answers.
+func (c *Conductor) handOver(ctx context.Context) {
+	status := c.Status()
+	voters := slices.DeleteFunc(status.Members, func(m Member) bool { return m.Role != Voter })
+	if !status.Leading || len(voters) < 2 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*c.config.Timing.ElectionMax)
+	defer cancel()
+	_ = c.Transfer(ctx, "")
+}
+
+// DeadlineError says that the member did not stop in time.
+type DeadlineError struct{}
+
+// Error describes the miss.
+func (e *DeadlineError) Error() string { return "member did not stop in time" }
+
+// ServeReplication registers the service through which members talk. It may
+// be called, and the server may serve, before Start.
+func (c *Conductor) ServeReplication(registrar grpc.ServiceRegistrar) {
+	c.messenger.Register(registrar)
+}
+
+// Propose commits a command and returns its result.
+func (c *Conductor) Propose(ctx context.Context, command applier.Command) (applier.Applied, error) {
+	data, err := c.config.Codec.EncodeCommand(command)
+	if err != nil {
+		return applier.Applied{}, err
+	}
+	asked := &proposeCall{data: data, answer: make(chan proposed, 1)}
+	if err := c.ask(ctx, asked); err != nil {
+		return applier.Applied{}, err
+	}
+	return c.await(ctx, asked.answer)
+}
+
+// await waits for the result of a proposal that may be in the log already.
+func (c *Conductor) await(ctx context.Context, answer <-chan proposed) (applier.Applied, error) {
+	select {
+	case got := <-answer:
+		return got.applied, got.err
+	case <-ctx.Done():
+		return applier.Applied{}, &UncertainError{Cause: ctx.Err()}
+	case <-c.stopped:
+	}
+	select {
+	case got := <-answer:
+		return got.applied, got.err
+	default:
+		return applier.Applied{}, &UncertainError{Cause: &StoppedError{}}
+	}
+}
+
+// Confirm returns a revision that no quorum has gone beyond.
+func (c *Conductor) Confirm(ctx context.Context) (uint64, error) {
+	asked := &confirmCall{answer: make(chan confirmed, 1)}
+	if err := c.ask(ctx, asked); err != nil {
+		return 0, err
+	}
+	select {
+	case got := <-asked.answer:
+		return got.revision, got.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-c.stopped:
+		return 0, &StoppedError{}
+	}
+}
+
+// Follow returns the catalog and the deltas after it.
+func (c *Conductor) Follow() (*cataloger.Catalog, <-chan cataloger.Delta, func()) {
+	asked := &followCall{answer: make(chan *follower, 1)}
+	ended := make(chan cataloger.Delta)
+	close(ended)
+	if err := c.ask(context.Background(), asked); err != nil {
+		return cataloger.New(), ended, func() {}
+	}
+	select {
+	case got := <-asked.answer:
+		return got.catalog, got.deltas, got.cancel
+	case <-c.stopped:
+		return cataloger.New(), ended, func() {}
+	}
+}
+
+// Read runs a function on the state between two commands.
+func (c *Conductor) Read(ctx context.Context, read func(*applier.State)) error {
+	asked := &readCall{read: read, answer: make(chan struct{})}
+	if err := c.ask(ctx, asked); err != nil {
+		return err
+	}
+	select {
+	case <-asked.answer:
+		return nil
+	case <-c.stopped:
+		return &StoppedError{}
+	}
+}
+
+// ask puts a call into the loop's queue.
+func (c *Conductor) ask(ctx context.Context, asked call) error {
+	select {
+	case <-c.stopped:
+		return &StoppedError{}
+	default:
+	}
+	select {
+	case <-c.stopped:
+		return &StoppedError{}
+	case <-ctx.Done():
+		return ctx.Err()
+	case c.calls <- asked:
+		return nil
+	}
+}
+
+// deliver hands a message from a link to the loop.
+func (c *Conductor) deliver(envelope replicator.Envelope) {
+	select {
+	case c.inbox <- envelope:
+	case <-c.stopped:
+	}
+}
+
+func (c *Conductor) groupName() string {
+	if name := c.group.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
--- /dev/null
+++ b/faker/complete.go
@@ -0,0 +1,238 @@
+package faker
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"burdocklink/encoder"
+)
+
+const (
+	finishLength  = "length"
+	finishStop    = "stop"
+	roleAssistant = "assistant"
+)
+
+// complete runs a chat or plain completion.
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var request encoder.EngineRequest
+	if !read(w, r, &request) {
+		return
+	}
+	if e.faults.get().RefuseRequests {
+		refuse(w, http.StatusServiceUnavailable, "overloaded", "the engine takes no work")
+		return
+	}
+	if !e.ledger.use(request.Model) {
+		refuse(w, http.StatusNotFound, "model_not_found", "the model "+request.Model+" is not loaded")
+		return
+	}
+	added := e.newStream(r, request)
+	added.attach()
+	e.add(added)
+	e.batch.submit(added)
+	defer added.detach(time.Now().Add(e.settings.ResumeTime))
+	if request.Stream {
+		e.relay(w, r, added, 0)
+		return
+	}
+	e.answerWhole(w, r, added)
+}
+
+// newStream makes the stream of a request, with what the prefix cache saves.
+func (e *Engine) newStream(r *http.Request, request encoder.EngineRequest) *stream {
+	text := prompt(request.ChatRequest)
+	priority, _ := strconv.Atoi(r.Header.Get(encoder.HeaderPriority))
+	added := &stream{
+		id:           r.Header.Get(encoder.HeaderRequestID),
+		path:         r.URL.Path,
+		model:        request.Model,
+		priority:     priority,
+		limit:        request.MaxTokens,
+		natural:      request.MaxTokens <= 0,
+		usage:        request.StreamOptions.IncludeUsage,
+		started:      time.Now(),
+		source:       newGenerator(request.Model, text),
+		promptTokens: countTokens(text),
+		changed:      make(chan struct{}),
+		release:      func() { e.ledger.release(request.Model) },
+	}
+	if added.id == "" {
+		added.id = uuid.NewString()
+	}
+	if added.natural {
+		added.limit = mostTokens
+	}
+	added.cachedTokens = min(e.cache.visit(request.Model, text), added.promptTokens)
+	added.prefillLeft = float64(added.promptTokens - added.cachedTokens)
+	return added
+}
+
+// answerWhole waits for the end and answers at once.
+func (e *Engine) answerWhole(w http.ResponseWriter, r *http.Request, from *stream) {
+	tokens, state, changed := from.after(0)
+	for state < streamDone {
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+		tokens, state, changed = from.after(0)
+	}
+	if state == streamCancelled {
+		drop()
+	}
+	if err := e.faults.wait(r.Context()); err != nil {
+		return
+	}
+	w.Header().Set(encoder.HeaderRequestID, from.id)
+	answer(w, http.StatusOK, whole(from, strings.Join(tokens, "")))
+}
+
+// whole is the body of an answer that is not streamed.
+func whole(from *stream, text string) encoder.EngineChunk {
+	choice := encoder.ChatChoice{FinishReason: from.finish()}
+	object := "text_completion"
+	if from.path == encoder.PathChat {
+		object = "chat.completion"
+		choice.Message = encoder.ChatMessage{Role: roleAssistant, Content: text}
+	} else {
+		choice.Text = text
+	}
+	return encoder.EngineChunk{
+		ChatChunk: encoder.ChatChunk{
+			ID:      from.id,
+			Object:  object,
+			Model:   from.model,
+			Choices: []encoder.ChatChoice{choice},
+		},
+		Usage: from.used(),
+	}
+}
+
+// finish is the reason why the answer ended.
+func (s *stream) finish() string {
+	if s.natural {
+		return finishStop
+	}
+	return finishLength
+}
+
+// used counts the tokens of a request.
+func (s *stream) used() *encoder.Usage {
+	tokens, _, _ := s.after(0)
+	return &encoder.Usage{
+		PromptTokens:     s.promptTokens,
+		CompletionTokens: len(tokens),
+		TotalTokens:      s.promptTokens + len(tokens),
+	}
+}
+
+// tokenEvent is the server-sent event of one token, counted from 1.
+func tokenEvent(from *stream, number int, text string, last bool) []byte {
+	choice := encoder.ChatChoice{}
+	if from.path == encoder.PathChat {
+		choice.Delta = encoder.ChatMessage{Role: roleAssistant, Content: text}
+	} else {
+		choice.Text = text
+	}
+	if last {
+		choice.FinishReason = from.finish()
+	}
+	return event(number, encoder.EngineChunk{ChatChunk: chunk(from, choice)})
+}
+
+// usageEvent is the event after the last token with the tokens used.
+func usageEvent(from *stream, number int) []byte {
+	return event(number, encoder.EngineChunk{ChatChunk: chunk(from), Usage: from.used()})
+}
+
+func chunk(from *stream, choices ...encoder.ChatChoice) encoder.ChatChunk {
+	object := "text_completion"
+	if from.path == encoder.PathChat {
+		object = "chat.completion.chunk"
+	}
+	return encoder.ChatChunk{
+		ID:      from.id,
+		Object:  object,
+		Model:   from.model,
+		Choices: append([]encoder.ChatChoice{}, choices...),
+	}
+}
+
+func event(number int, value encoder.EngineChunk) []byte {
+	data, _ := json.Marshal(value)
+	line := make([]byte, 0, len(data)+24)
+	line = append(line, "id: "...)
+	line = strconv.AppendInt(line, int64(number), 10)
+	line = append(line, "\ndata: "...)
+	line = append(line, data...)
+	return append(line, "\n\n"...)
+}
+
+// resume sends a stream from the event after Last-Event-ID on.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	found := e.find(r.PathValue("id"))
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	if found == nil || e.faults.get().ForgetStreams || last < 0 {
+		refuse(w, http.StatusNotFound, "stream_not_found", "no such stream")
+		return
+	}
+	if _, state, _ := found.after(0); state == streamCancelled {
+		refuse(w, http.StatusNotFound, "stream_cancelled", "the stream was cancelled")
+		return
+	}
+	found.attach()
+	defer found.detach(time.Now().Add(e.settings.ResumeTime))
+	e.relay(w, r, found, last)
+}
+
+// cancel ends a stream.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	found := e.find(r.PathValue("id"))
+	if found == nil {
+		refuse(w, http.StatusNotFound, "stream_not_found", "no such stream")
+		return
+	}
+	found.setState(streamCancelled)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// relay writes the events after the last one the reader has.
+func (e *Engine) relay(w http.ResponseWriter, r *http.Request, from *stream, last int) {
+	out := &eventWriter{
+		faults:     e.faults,
+		connection: e.faults.connect(),
+		ctx:        r.Context(),
+		w:          w,
+		control:    http.NewResponseController(w),
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(encoder.HeaderRequestID, from.id)
+	w.WriteHeader(http.StatusOK)
+	out.flush()
+	for {
+		tokens, state, changed := from.after(last)
+		if !out.write(from, last, tokens, state) {
+			return
+		}
+		last += len(tokens)
+		if state == streamCancelled {
+			drop()
+		}
+		if state == streamDone {
+			out.end(from, last)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/placer/state.go
@@ -0,0 +1,169 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"burdocklink/orderer"
+)
+
+// State is what a plan hands to the next one. Its maps are never changed in
+// place. A new leader starts with an empty one and learns again.
+type State struct {
+	// At is when the plan was made.
+	At time.Time
+	// Began is when the first plan of this state was made.
+	Began time.Time
+	// Readings are the last totals by entry.
+	Readings map[string]Reading
+	// Loads are the smoothed demands by model or adapter.
+	Loads map[string]Load
+	// Held are the models and adapters that had a copy at some time.
+	Held map[string]bool
+	// Rooms are the engines on which memory is being freed for a load.
+	Rooms map[string]Room
+	// Rests are the models and adapters that are not moved again for demand
+	// before a time.
+	Rests map[string]time.Time
+	// Pending are the unsettled orders by ID.
+	Pending map[uint64]Pending
+	// LoadTime is the measured time of a model's load, AdapterTime that of an
+	// adapter's and UnloadTime that of any unload; zero before the first.
+	LoadTime    time.Duration
+	AdapterTime time.Duration
+	UnloadTime  time.Duration
+}
+
+// Reading is one entry's totals at a time.
+type Reading struct {
+	Since  time.Time
+	Totals map[string]Count
+}
+
+// Room is memory being freed on an engine.
+type Room struct {
+	// Name is the model or adapter to be loaded.
+	Name   string
+	Reason Reason
+	// Victims are still to be unloaded, in this order.
+	Victims []string
+	// Until is when the try is given up.
+	Until time.Time
+}
+
+// Pending is an order that has not settled.
+type Pending struct {
+	// Seen is when the order was first seen.
+	Seen time.Time
+	Kind kind
+}
+
+// kind is the part of an order that its time depends on.
+type kind int
+
+const (
+	otherKind kind = iota
+	modelLoad
+	adapterLoad
+	anyUnload
+)
+
+// Times of orders before any was measured, and the weight of a new
+// measurement.
+const (
+	firstLoadTime    = 15 * time.Second
+	firstAdapterTime = 2 * time.Second
+	firstUnloadTime  = 10 * time.Second
+	timeWeight       = 0.3
+)
+
+// loadTime returns the expected time of a load.
+func (s *State) loadTime(adapter bool) time.Duration {
+	if adapter {
+		return known(s.AdapterTime, firstAdapterTime)
+	}
+	return known(s.LoadTime, firstLoadTime)
+}
+
+// unloadTime returns the expected time of an unload.
+func (s *State) unloadTime() time.Duration { return known(s.UnloadTime, firstUnloadTime) }
+
+func known(measured, first time.Duration) time.Duration {
+	if measured == 0 {
+		return first
+	}
+	return measured
+}
+
+// measure learns the times of orders from those that have settled.
+func (s *State) measure(input *Input) {
+	pending := map[uint64]Pending{}
+	for _, order := range input.Unsettled {
+		seen := input.Now
+		if before, known := s.Pending[order.ID]; known {
+			seen = before.Seen
+		}
+		pending[order.ID] = Pending{Seen: seen, Kind: kindOf(order.Work)}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Pending)) {
+		before := s.Pending[id]
+		if _, unsettled := pending[id]; !unsettled {
+			s.learn(before.Kind, input.Now.Sub(before.Seen))
+		}
+	}
+	s.Pending = pending
+}
+
+func (s *State) learn(kind kind, took time.Duration) {
+	switch kind {
+	case modelLoad:
+		s.LoadTime = blend(s.LoadTime, took)
+	case adapterLoad:
+		s.AdapterTime = blend(s.AdapterTime, took)
+	case anyUnload:
+		s.UnloadTime = blend(s.UnloadTime, took)
+	case otherKind:
+	}
+}
+
+func kindOf(work orderer.Work) kind {
+	switch work.(type) {
+	case orderer.LoadModel:
+		return modelLoad
+	case orderer.LoadAdapter:
+		return adapterLoad
+	case orderer.UnloadModel, orderer.UnloadAdapter:
+		return anyUnload
+	default:
+		return otherKind
+	}
+}
+
+func blend(before, took time.Duration) time.Duration {
+	if before == 0 {
+		return took
+	}
+	return before + time.Duration(timeWeight*float64(took-before))
+}
+
+// remember notes which names have copies, and forgets rests that are over.
+func (s *State) remember(input *Input) {
+	held := maps.Clone(s.Held)
+	if held == nil {
+		held = map[string]bool{}
+	}
+	for name, holders := range input.Catalog.Holders {
+		if len(holders) > 0 {
+			held[name] = true
+		}
+	}
+	s.Held = held
+	rests := map[string]time.Time{}
+	for name, until := range s.Rests {
+		if until.After(input.Now) {
+			rests[name] = until
+		}
+	}
+	s.Rests = rests
+}
