--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -15,6 +15,7 @@
 	"burdocklink/follower"
 	"burdocklink/gossiper"
 	"burdocklink/linker"
+	"burdocklink/poller"
 	"burdocklink/proposer"
 	"burdocklink/receiver"
 	"burdocklink/registrar"
@@ -88,6 +89,15 @@
 		Heard:       func(string, map[string]int) {},
 		Log:         settings.Log,
 	})
+	calls := dispatcher.New(dispatcher.Settings{})
+	reports := poller.New(poller.Settings{
+		Seed:    xxhash.Sum64String(settings.Name),
+		Catalog: catalogs.Catalog,
+		Observe: routes.Observe,
+		Wake:    admission.Wake,
+		Calls:   calls,
+		Log:     settings.Log,
+	})
 	claims := proposer.New(proposer.Settings{
 		Control: settings.Control,
 		Links:   links,
@@ -102,7 +112,7 @@
 		Keys:     settings.Keys,
 		Admitter: admission,
 		Claims:   claims,
-		Calls:    dispatcher.New(dispatcher.Settings{}),
+		Calls:    calls,
 		Reporter: metrics,
 	})
 	return &Entry{
@@ -111,6 +121,6 @@
 		Gossiper: peers,
 		Receiver: callers,
 		Services: withCertificates(settings.Certificates,
-			settings.Keys, admission, catalogs, peers, callers),
+			settings.Keys, admission, catalogs, peers, reports, callers),
 	}
 }
