feat(orderer): count moves in the replicated state

Ruled out: a counter of the leader's process, which starts anew with each leader. Orders that were refused or expired do not count.

--- a/encoder/ledger.go
+++ b/encoder/ledger.go
@@ -19,6 +19,7 @@
 		NextLoad:  encodeTime(snapshot.NextLoad),
 		Unsettled: unsettled,
 		Spent:     spent,
+		Moves:     snapshot.Moves,
 	}
 	for _, account := range snapshot.Accounts {
 		message.Accounts = append(message.Accounts, encodeAccount(account))
@@ -40,6 +41,7 @@
 		NextLoad:  decodeTime(message.GetNextLoad()),
 		Unsettled: unsettled,
 		Spent:     spent,
+		Moves:     message.GetMoves(),
 	}
 	for _, account := range message.GetAccounts() {
 		snapshot.Accounts = append(snapshot.Accounts, decodeAccount(account))
--- a/encoder/state_test.go
+++ b/encoder/state_test.go
@@ -32,6 +32,10 @@
 	apply(applier.Order{Event: orderer.Observe{
 		Placement: cataloger.Placement{Upstream: "u", Incarnation: "i"}, Sequence: 1, Taken: noon,
 	}})
+	apply(applier.Order{Event: orderer.Intend{Token: "t0", Order: orderer.Order{
+		Upstream: "u", Incarnation: "i", Work: orderer.SetRole{}, NotAfter: noon.Add(time.Minute),
+	}}})
+	apply(applier.Order{Event: orderer.Settle{ID: index, Outcome: orderer.OutcomeDone}})
 	apply(applier.Order{Event: orderer.Intend{Token: "t", Order: orderer.Order{
 		Upstream: "u", Incarnation: "i", Work: orderer.LoadModel{Model: "m"}, NotAfter: noon.Add(time.Minute),
 	}}})
@@ -49,6 +53,7 @@
 func TestStateSurvivesEncoding(t *testing.T) {
 	state := filled(t, 3)
 	assert.Equal(t, len(state.Orders().Unsettled()), 1)
+	assert.Equal(t, state.Orders().Moves(), uint64(1))
 	data, err := EncodeState(state)
 	assert.NilError(t, err)
 	read, err := DecodeState(data)
--- a/orderer/ledger.go
+++ b/orderer/ledger.go
@@ -38,6 +38,8 @@
 	tokens    map[string]*Pending
 	// spent are settled orders whose tokens are still remembered.
 	spent []*Pending
+	// moves counts the orders that were carried out.
+	moves uint64
 }
 
 // Pending is an order with the token of its intent.
@@ -100,6 +102,7 @@
 	// Unsettled and Spent are in ascending order of ID.
 	Unsettled []Pending
 	Spent     []Pending
+	Moves     uint64
 }
 
 // New returns an empty ledger with the default limits.
@@ -118,6 +121,10 @@
 // NextLoad is when the store's rate allows the next load.
 func (l *Ledger) NextLoad() time.Time { return l.nextLoad }
 
+// Moves is how many orders were carried out since the group's start: loads,
+// unloads and changes of role.
+func (l *Ledger) Moves() uint64 { return l.moves }
+
 // Unsettled returns the unsettled orders in ascending order of ID.
 func (l *Ledger) Unsettled() []Order {
 	orders := make([]Order, 0, len(l.orders))
@@ -156,7 +163,7 @@
 
 // Snapshot returns a copy of the whole content.
 func (l *Ledger) Snapshot() Snapshot {
-	snapshot := Snapshot{Limits: l.limits, NextLoad: l.nextLoad}
+	snapshot := Snapshot{Limits: l.limits, NextLoad: l.nextLoad, Moves: l.moves}
 	for _, name := range slices.Sorted(maps.Keys(l.upstreams)) {
 		snapshot.Accounts = append(snapshot.Accounts, l.upstreams[name].clone())
 	}
@@ -173,7 +180,7 @@
 // Restore returns the ledger with the given content.
 func Restore(snapshot Snapshot) *Ledger {
 	l := New()
-	l.limits, l.nextLoad = snapshot.Limits, snapshot.NextLoad
+	l.limits, l.nextLoad, l.moves = snapshot.Limits, snapshot.NextLoad, snapshot.Moves
 	for _, account := range snapshot.Accounts {
 		l.upstreams[account.Upstream] = &account
 	}
--- a/orderer/settle.go
+++ b/orderer/settle.go
@@ -18,6 +18,7 @@
 	case OutcomeDone:
 		l.close(account, order.ID)
 		account.Settled = now
+		l.moves++
 		return l.done(catalog, account, order)
 	case OutcomeRefused:
 		l.close(account, order.ID)
--- a/responder/status.go
+++ b/responder/status.go
@@ -72,6 +72,7 @@
 func describeState(reply *wire.StatusReply, state *applier.State) {
 	catalog := state.Catalog()
 	reply.Revision = catalog.Revision
+	reply.Moves = state.Orders().Moves()
 	for _, name := range slices.Sorted(maps.Keys(catalog.Upstreams)) {
 		reply.Upstreams = append(reply.Upstreams, upstreamState(catalog, name))
 	}
