--- a/prover/control_test.go
+++ b/prover/control_test.go
@@ -212,13 +212,13 @@
 	assert.Assert(t, code != exitDone)
 
 	ahead.process.begin(t)
-	second := f.mustSet(change{class: "other", request: "other", flags: []string{"--whole", "1h"}})
+	second := f.mustSet(change{class: "third", request: "third", flags: []string{"--whole", "1h"}})
 	assert.Assert(t, second.Revision > first.Revision)
 	for _, each := range f.entries {
 		eventually(t, each.name+" has both", func() bool {
 			kept, _ := f.knows(each, "kept")
-			other, _ := f.knows(each, "other")
-			return kept && other
+			third, _ := f.knows(each, "third")
+			return kept && third
 		})
 	}
 	f.judge()
--- a/prover/operator_test.go
+++ b/prover/operator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os/exec"
 	"strconv"
 	"time"
@@ -68,13 +69,17 @@
 	return page, code
 }
 
-// mustSet sends a change again until it is accepted.
+// mustSet sends a change again until it is accepted, with a new number after a
+// conflict.
 func (f *fleet) mustSet(wanted change) encoder.AcceptedPage {
 	f.t.Helper()
 	var page encoder.AcceptedPage
 	eventually(f.t, "class "+wanted.class+" is accepted", func() bool {
 		accepted, code := f.set(wanted)
 		page = accepted
+		if code == exitConflict {
+			wanted.request = fmt.Sprintf("%s-%d", wanted.request, f.number())
+		}
 		return code == exitDone
 	})
 	return page
--- a/prover/revision_test.go
+++ b/prover/revision_test.go
@@ -47,20 +47,30 @@
 // runChanges sends each change again until it is accepted.
 func (s *setter) runChanges() {
 	defer s.done.Done()
-	for number := 1; !s.stopped(); {
+	for number := 1; !s.stopped(); number++ {
 		request := fmt.Sprintf("set-%d", number)
-		page, code := s.fleet.set(change{class: request, request: request, flags: []string{"--whole", "1h"}})
+		page, code := s.setOne(change{class: request, request: request, flags: []string{"--whole", "1h"}})
 		if code != exitDone {
-			time.Sleep(revisionPause)
 			continue
 		}
-		number++
 		s.mu.Lock()
 		s.accepted = append(s.accepted, page)
 		s.mu.Unlock()
 	}
 }
 
+// setOne sends a change again until its fate is known. One that conflicted is
+// over: the next one has another number.
+func (s *setter) setOne(wanted change) (encoder.AcceptedPage, int) {
+	for {
+		page, code := s.fleet.set(wanted)
+		if code == exitDone || code == exitConflict || s.stopped() {
+			return page, code
+		}
+		time.Sleep(revisionPause)
+	}
+}
+
 // count is the number of accepted changes.
 func (s *setter) count() int {
 	s.mu.Lock()
