test(applier): bad changes, bounds and leaving by name

Cause: the histories touch validation only in passing. One round records at most 64 reports; orders are asked for at least four times a second. Conclusion: go test -race ./applier ./supervisor ./sender: ok.

--- /dev/null
+++ b/applier/check_test.go
@@ -0,0 +1,125 @@
+package applier_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+)
+
+func model(name string) cataloger.Model {
+	return cataloger.Model{Name: name, Service: "s", MemoryBytes: 1}
+}
+
+func adapter(name, base string) cataloger.Adapter {
+	return cataloger.Adapter{Name: name, Model: base, MemoryBytes: 1}
+}
+
+func upstream(incarnation string, state cataloger.UpstreamState) cataloger.Upstream {
+	return cataloger.Upstream{
+		Name: "u", Incarnation: incarnation, Address: "127.0.0.1:1", Service: "s",
+		Kind: cataloger.EngineUpstream, State: state, MemoryBytes: 1,
+	}
+}
+
+// TestBadChangesAreRefused tries each change on a catalog with a class, a model
+// and an adapter, and expects nothing of it to come into force.
+func TestBadChangesAreRefused(t *testing.T) {
+	long := strings.Repeat("x", applier.MaxNameBytes+1)
+	early := classifier.Class{Name: "c", Target: classifier.Target{FirstToken: time.Minute, Whole: time.Second}}
+	tests := map[string]struct {
+		step   cataloger.Change
+		reason string
+	}{
+		"unknown class":           {cataloger.RemoveClass{Name: "x"}, "unknown class x"},
+		"negative target":         {putClass("c", -1), "negative target of class c"},
+		"first after whole":       {cataloger.PutClass{Class: early}, "first token promised after the whole answer in class c"},
+		"empty name":              {putClass("", 1), "empty name of a class"},
+		"long name":               {putClass(long, 1), "name of a class too long"},
+		"model in use":            {cataloger.RemoveModel{Name: "m"}, "an adapter needs the model m"},
+		"unknown model":           {cataloger.RemoveModel{Name: "x"}, "unknown model x"},
+		"model without size":      {cataloger.PutModel{Model: cataloger.Model{Name: "x", Service: "s"}}, "no memory size of model x"},
+		"adapter without base":    {cataloger.PutAdapter{Adapter: adapter("x", "y")}, "unknown base model of adapter x"},
+		"adapter named as model":  {cataloger.PutAdapter{Adapter: adapter("m", "m")}, "a model has the name m"},
+		"model named as adapter":  {cataloger.PutModel{Model: model("a")}, "an adapter has the name a"},
+		"unknown adapter":         {cataloger.RemoveAdapter{Name: "x"}, "unknown adapter x"},
+		"operator names upstream": {cataloger.RemoveUpstream{Name: "u"}, "operators change classes, models and adapters only"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine()
+			m.apply(applier.Watch{Changes: []cataloger.Change{
+				cataloger.PutModel{Model: model("m")}, cataloger.PutAdapter{Adapter: adapter("a", "m")},
+			}})
+			before := m.Catalog().Revision
+			first := putClass("d", time.Second)
+			applied := m.apply(change("anna", "1", before, first, test.step))
+			assert.DeepEqual(t, applied.Result, applier.Invalid{Reason: test.reason})
+			assert.Equal(t, m.Catalog().Revision, before)
+			assert.Equal(t, len(m.Catalog().Classes), 0)
+		})
+	}
+}
+
+func TestBadCommandsAreRefused(t *testing.T) {
+	many := make([]cataloger.Change, applier.MaxSteps+1)
+	tests := map[string]struct {
+		command applier.Command
+		reason  string
+	}{
+		"no operator":      {change("", "1", 0, putClass("c", 1)), "empty operator"},
+		"no number":        {change("anna", "", 0, putClass("c", 1)), "empty request number"},
+		"no changes":       {change("anna", "1", 0), "no changes"},
+		"too many":         {change("anna", "1", 0, many...), "too many changes at once"},
+		"future revision":  {change("anna", "1", 9, putClass("c", 1)), "based on a revision that does not exist"},
+		"watcher's class":  {applier.Watch{Changes: []cataloger.Change{putClass("c", 1)}}, "watchers change upstreams, models and adapters only"},
+		"same thing twice": {applier.Watch{Changes: []cataloger.Change{cataloger.RemoveModel{Name: "m"}, cataloger.PutModel{Model: model("m")}}}, "two steps are about the same thing"},
+		"no address":       {applier.Watch{Changes: []cataloger.Change{cataloger.PutUpstream{Upstream: cataloger.Upstream{Name: "u", Incarnation: "i"}}}}, "no address of upstream u"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMachine()
+			assert.DeepEqual(t, m.apply(test.command).Result, applier.Invalid{Reason: test.reason})
+			assert.Equal(t, m.Catalog().Revision, uint64(0))
+		})
+	}
+}
+
+func TestLeavingIsFinalForAnIncarnation(t *testing.T) {
+	m := newMachine()
+	list := func(incarnation string, state cataloger.UpstreamState) applier.Result {
+		return m.apply(applier.Watch{Changes: []cataloger.Change{
+			cataloger.PutUpstream{Upstream: upstream(incarnation, state)},
+		}}).Result
+	}
+	list("one", cataloger.UpstreamLeaving)
+	assert.DeepEqual(t, list("one", cataloger.UpstreamLive), applier.Nothing{})
+	m.apply(applier.Watch{Changes: []cataloger.Change{cataloger.RemoveUpstream{Name: "u"}}})
+	m.restart(t)
+	list("one", cataloger.UpstreamLive)
+	assert.Equal(t, m.Catalog().Upstreams["u"].State, cataloger.UpstreamLeaving)
+	list("two", cataloger.UpstreamLive)
+	assert.Equal(t, m.Catalog().Upstreams["u"].State, cataloger.UpstreamLive)
+	m.restart(t)
+	assert.DeepEqual(t, list("one", cataloger.UpstreamLive), applier.Nothing{})
+}
+
+// TestJournalIsBounded makes more changes than are remembered. A change that is
+// no longer remembered conflicts, since it is based on an early revision.
+func TestJournalIsBounded(t *testing.T) {
+	m := newMachine()
+	for n := range applier.MaxJournal + 1 {
+		m.apply(change("anna", fmt.Sprint(n), uint64(n), putClass("chat", time.Duration(n))))
+	}
+	assert.Equal(t, len(m.Records()), applier.MaxJournal)
+	m.restart(t)
+	assert.Equal(t, len(m.Records()), applier.MaxJournal)
+	again := m.apply(change("anna", "0", 0, putClass("chat", 0)))
+	assert.DeepEqual(t, again.Result, applier.Conflict{Current: applier.MaxJournal + 1})
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -30,7 +30,7 @@
 const (
 	StandardSilence   = 2 * time.Second
 	StandardAskEvery  = 50 * time.Millisecond
-	StandardAskAtMost = time.Second
+	StandardAskAtMost = 250 * time.Millisecond
 	StandardUpstreams = 256
 )
 
--- a/supervisor/round.go
+++ b/supervisor/round.go
@@ -178,6 +178,7 @@
 // observe records what upstreams report where it differs from the placement.
 // Upstreams with unsettled orders are left until those are settled.
 func (s *Supervisor) observe(seen *view, reports map[string]estimator.Report) {
+	recorded := 0
 	for name, report := range reports {
 		upstream, listed := seen.catalog.Upstreams[name]
 		if !listed || upstream.Incarnation != report.Incarnation || upstream.Kind != cataloger.EngineUpstream {
@@ -187,7 +188,8 @@
 		if !news {
 			continue
 		}
-		if _, committed := s.propose(applier.Order{Event: event}); !committed {
+		_, committed := s.propose(applier.Order{Event: event})
+		if recorded++; !committed || recorded >= observeAtOnce {
 			return
 		}
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -52,6 +52,10 @@
 // expireEvery is the shortest time between two commands that let claims expire.
 const expireEvery = time.Second
 
+// observeAtOnce is how many reports one round records, so that a large fleet
+// does not hold up the other duties.
+const observeAtOnce = 64
+
 // Config is what a supervisor needs.
 type Config struct {
 	Proposer conductor.Proposer
