--- a/cmd/load.go
+++ b/cmd/load.go
@@ -50,13 +50,16 @@
 func loadCommand() command {
 	return command{
 		name:     "load",
-		usage:    "run experiments on the policy over emulated engines",
-		settings: []checker.Definition{loadDeployment, loadCase, loadCompare, loadSeed, loadPage, outputFormat},
+		usage:    "run experiments over emulated engines, or send requests to running entries",
+		settings: append(loadRunSettings(), loadDeployment, loadCase, loadCompare, loadSeed, loadPage, outputFormat),
 		run:      runLoad,
 	}
 }
 
 func runLoad(call *invocation) error {
+	if call.settings.Text(loadEntries.Name) != "" {
+		return runAgainstEntries(call)
+	}
 	seed := uint64(call.settings.Count(loadSeed.Name, 0, mostSeed))
 	cases := chosenCases(call.settings, seed)
 	page := call.settings.Text(loadPage.Name)
--- /dev/null
+++ b/loader/call.go
@@ -0,0 +1,111 @@
+package loader
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"burdocklink/encoder"
+)
+
+// call is one request to send.
+type call struct {
+	entry string
+	body  []byte
+	id    string
+}
+
+// newCall draws the model: the first of the list most often.
+func (l *Loader) newCall(number int) call {
+	models := l.settings.Models
+	draw := math.Pow(l.random.Float64(), 2)
+	request := encoder.ChatRequest{
+		Model:     models[int(draw*float64(len(models)))],
+		Prompt:    l.prompt(),
+		Stream:    true,
+		MaxTokens: l.settings.AnswerTokens,
+	}
+	// The request holds nothing that can't be written as JSON.
+	body, _ := json.Marshal(request)
+	return call{
+		entry: l.settings.Entries[number%len(l.settings.Entries)],
+		body:  body,
+		id:    "load-" + strconv.FormatUint(l.settings.Seed, 10) + "-" + strconv.Itoa(number),
+	}
+}
+
+func (l *Loader) prompt() string {
+	words := make([]string, l.settings.PromptWords)
+	for at := range words {
+		words[at] = "word" + strconv.Itoa(l.random.IntN(1000))
+	}
+	return strings.Join(words, " ")
+}
+
+// send makes a call and measures it from its start.
+func (l *Loader) send(ctx context.Context, asked call) Sample {
+	began := time.Now()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, asked.entry+encoder.PathCompletions, bytes.NewReader(asked.body))
+	if err != nil {
+		return Sample{Outcome: Failed}
+	}
+	request.Header.Set("Authorization", "Bearer "+l.settings.Key)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(encoder.HeaderRequestID, asked.id)
+	if l.settings.Class != "" {
+		request.Header.Set(encoder.HeaderClass, l.settings.Class)
+	}
+	response, err := l.client.Do(request)
+	if err != nil {
+		return Sample{Outcome: Failed}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return refused(response)
+	}
+	return read(response.Body, began)
+}
+
+func refused(response *http.Response) Sample {
+	// What is left of a refusal's body says nothing to a measurement.
+	_, _ = io.Copy(io.Discard, response.Body)
+	if response.Header.Get("Retry-After") != "" {
+		return Sample{Outcome: Refused}
+	}
+	return Sample{Outcome: Failed}
+}
+
+// read follows a streamed answer to its end.
+func read(body io.Reader, began time.Time) Sample {
+	var sample Sample
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, found := strings.CutPrefix(lines.Text(), "data: ")
+		if !found {
+			continue
+		}
+		if data == encoder.StreamEnd {
+			sample.Outcome = Whole
+			break
+		}
+		sample.Tokens++
+		sample.Whole = time.Since(began)
+		if sample.Tokens == 1 {
+			sample.FirstToken = sample.Whole
+		}
+	}
+	switch {
+	case lines.Err() != nil:
+		sample.Outcome = Failed
+	case sample.Outcome == 0:
+		sample.Outcome = Cut
+	}
+	return sample
+}
