perf(supervisor): don't write moves to the log that the state refuses anyway

Cause: a move that has to wait (no memory, busy, last copy) was proposed at every plan, and so synced by every member once a second.

Done: Ledger.Refusal answers without changing anything; what it refuses is not proposed. The committed decision stays the ledger's own.

Red with the look disabled: TestRefusedMovesAreNotWritten, the index went on. Green with it: go test -race -count=20 ./supervisor, ok.

--- a/orderer/intend.go
+++ b/orderer/intend.go
@@ -20,21 +20,39 @@
 	if first, repeated := l.tokens[event.Token]; repeated {
 		return Committed{Order: first.Order}
 	}
+	i, refusal := l.examine(now, catalog, event)
+	if refusal != nil {
+		return refusal
+	}
+	i.order.ID, i.order.Fence = index, index
+	l.commit(i.account, Pending{Order: i.order, Token: event.Token}, now)
+	return Committed{Order: i.order}
+}
+
+// Refusal returns what would be answered to a new intent now, or nil where it
+// would be committed. It changes nothing, so that an intent without a chance
+// need not be proposed.
+func (l *Ledger) Refusal(now time.Time, catalog *cataloger.Catalog, event Intend) Result {
+	_, refusal := l.examine(now, catalog, event)
+	return refusal
+}
+
+// examine gives the refusal of an intent, or nil and the intent with its work
+// filled in.
+func (l *Ledger) examine(now time.Time, catalog *cataloger.Catalog, event Intend) (*intent, Result) {
 	if reason := event.fault(now); reason != "" {
-		return Unsuitable{Reason: reason}
+		return nil, Unsuitable{Reason: reason}
 	}
 	upstream, listed := catalog.Upstreams[event.Order.Upstream]
 	if !listed || upstream.Incarnation != event.Order.Incarnation {
-		return UnknownUpstream{Upstream: event.Order.Upstream}
+		return nil, UnknownUpstream{Upstream: event.Order.Upstream}
 	}
-	i := &intent{ledger: l, now: now, catalog: catalog, upstream: upstream, order: event.Order}
-	i.account = l.account(upstream)
-	if refusal := i.check(); refusal != nil {
-		return refusal
+	account, known := l.upstreams[upstream.Name]
+	if !known || account.Incarnation != upstream.Incarnation {
+		account = &Account{Upstream: upstream.Name, Incarnation: upstream.Incarnation}
 	}
-	i.order.ID, i.order.Fence = index, index
-	l.commit(i.account, Pending{Order: i.order, Token: event.Token}, now)
-	return Committed{Order: i.order}
+	i := &intent{ledger: l, now: now, catalog: catalog, upstream: upstream, account: account, order: event.Order}
+	return i, i.check()
 }
 
 // fault says what is wrong with the event itself.
--- a/supervisor/plan.go
+++ b/supervisor/plan.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"context"
 	"time"
 
 	"github.com/google/uuid"
@@ -54,7 +55,7 @@
 // anew. Loads that the store has no room for wait, and so does all that comes
 // after them.
 func (s *Supervisor) intendOne(move placer.Move) (committed, next bool) {
-	result, known := s.propose(applier.Order{Event: orderer.Intend{
+	event := orderer.Intend{
 		Token: uuid.NewString(),
 		Order: orderer.Order{
 			Upstream:    move.Upstream,
@@ -62,21 +63,38 @@
 			Work:        move.Work,
 			NotAfter:    time.Now().Add(s.config.Settings.OrderLife),
 		},
-	}})
+	}
+	result, known := s.tryIntend(event)
 	if !known {
 		return false, false
 	}
-	switch refusal := orderResult(result).(type) {
+	switch result := result.(type) {
 	case orderer.Committed:
 		s.log.Info("order committed",
-			zap.Uint64("order", refusal.Order.ID), zap.String("upstream", move.Upstream),
+			zap.Uint64("order", result.Order.ID), zap.String("upstream", move.Upstream),
 			zap.Any("work", move.Work), zap.Int("reason", int(move.Reason)))
 		return true, true
 	case orderer.StoreFull:
-		s.planAt(refusal.Retry)
+		s.planAt(result.Retry)
 		return false, false
 	default:
-		s.log.Debug("move refused", zap.String("upstream", move.Upstream), zap.Any("refusal", refusal))
+		s.log.Debug("move refused", zap.String("upstream", move.Upstream), zap.Any("refusal", result))
 		return false, true
 	}
 }
+
+// tryIntend proposes an intent unless the state at hand refuses it already: a
+// move that has to wait would otherwise be written to the log at every plan.
+func (s *Supervisor) tryIntend(event orderer.Intend) (orderer.Result, bool) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.config.Settings.Propose)
+	defer cancel()
+	var refusal orderer.Result
+	err := s.config.Proposer.Read(ctx, func(state *applier.State) {
+		refusal = state.Orders().Refusal(time.Now(), state.Catalog(), event)
+	})
+	if err != nil || refusal != nil {
+		return refusal, err == nil
+	}
+	result, known := s.propose(applier.Order{Event: event})
+	return orderResult(result), known
+}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -123,6 +123,13 @@
 	return applied.Result
 }
 
+// index is that of the last command.
+func (s *scene) index() uint64 {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return s.group.index
+}
+
 // reports reads the engine's load report.
 func (s *scene) reports() map[string]estimator.Report {
 	response, err := http.Get("http://" + s.engine.Address() + encoder.PathLoad)
@@ -194,6 +201,21 @@
 	}
 }
 
+// TestRefusedMovesAreNotWritten plans a load that never fits.
+func TestRefusedMovesAreNotWritten(t *testing.T) {
+	s := newScene(t, true)
+	s.propose(applier.Watch{Changes: []cataloger.Change{cataloger.PutModel{Model: cataloger.Model{
+		Name: "m3", Service: "s", MemoryBytes: 1000, Version: "1",
+	}}}})
+	s.join(wanted{models: []string{"m3", "m1"}}).lead(true)
+	s.await("m1 is loaded", holds("m1"))
+	before := s.propose(applier.Noop{})
+	assert.DeepEqual(t, before, applier.Nothing{})
+	index := s.index()
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, s.index(), index)
+}
+
 // TestNewLeaderInheritsOrders has a leader that commits an order which never
 // arrives, and then no longer leads.
 func TestNewLeaderInheritsOrders(t *testing.T) {
