--- /dev/null
+++ b/prover/entry_test.go
@@ -0,0 +1,165 @@
+package prover_test
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+	"burdocklink/prover"
+)
+
+// shutDown asks an entry to stop and records when.
+func (f *fleet) shutDown(at *entry) {
+	f.see(prover.Shutdown{At: time.Now(), Entry: at.name})
+	at.process.signal(syscall.SIGTERM)
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	for _, service := range f.services {
+		f.fault(service, encoder.ServiceFaults{DelayMilliseconds: 1500})
+	}
+	traffic := f.startTraffic(12, 400, "torta", "krem")
+	eventually(t, "streams are in flight", func() bool { return f.running() >= 6 })
+
+	stopping := f.entries[0]
+	f.shutDown(stopping)
+	eventually(t, "readiness fails", func() bool { return !stopping.ready() })
+	f.shutDown(stopping)
+
+	assert.Equal(t, stopping.process.stopped(t), exitDone)
+	traffic.end()
+	f.judge()
+}
+
+// running counts the requests under way at all engines.
+func (f *fleet) running() int {
+	running := 0
+	for _, engine := range f.engines {
+		var report encoder.LoadReport
+		if get(engine.address, encoder.PathLoad, &report) == nil {
+			running += report.Running
+		}
+	}
+	return running
+}
+
+func TestRestartedEntryDoesNotRevert(t *testing.T) {
+	f := newSmallFleet(t, 3)
+	changes := f.startSetter()
+	for range 3 {
+		accepted := changes.count()
+		eventually(t, "changes are accepted", func() bool { return changes.count() >= accepted+3 })
+		f.entries[0].process.kill()
+		f.entries[0].process.begin(t)
+		eventually(t, "the entry is ready", f.entries[0].ready)
+	}
+	changes.end()
+	f.judge()
+}
+
+func TestEntryStartsWhileTheQuorumIsLost(t *testing.T) {
+	f := newSmallFleet(t, 3)
+	f.mustSet(change{class: "kept", request: "kept", flags: []string{"--whole", "1h"}})
+	for _, each := range f.entries {
+		eventually(t, each.name+" knows it", func() bool { known, _ := f.knows(each, "kept"); return known })
+	}
+	for _, each := range f.members[:2] {
+		each.process.kill()
+	}
+	traffic := f.startTraffic(4, 10, "torta")
+	f.answered(20)
+	f.entries[0].process.kill()
+	f.entries[0].process.begin(t)
+	f.answered(20)
+	traffic.end()
+
+	known, ready := f.knows(f.entries[0], "kept")
+	assert.Assert(t, known || !ready)
+	f.judge()
+}
+
+func TestLeavingUpstreamsGetNothingNew(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	traffic := f.startTraffic(6, 20, "torta", "krem")
+	f.answered(10)
+
+	f.leave(f.engines[0])
+	f.leave(f.services[0])
+	time.Sleep(promised.Leave + time.Second)
+	f.answered(30)
+
+	traffic.end()
+	assert.Equal(t, f.count().broken, 0)
+	f.judge()
+}
+
+func TestEngineSaysItselfThatItLeaves(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	traffic := f.startTraffic(4, 20, "torta")
+	f.answered(10)
+
+	post(t, f.engines[0].address, encoder.PathLeave, nil)
+	f.see(prover.Leaving{
+		At:          time.Now(),
+		Upstream:    f.engines[0].vm.Name,
+		Incarnation: f.engines[0].vm.Incarnation,
+	})
+	time.Sleep(promised.Leave + time.Second)
+	f.answered(20)
+
+	traffic.end()
+	f.judge()
+}
+
+func TestCutOffEntryFailsReadiness(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	alone := f.addCutOffEntry()
+	eventually(t, "it is ready", alone.entry.ready)
+
+	alone.control.silence(t, toClient)
+
+	eventually(t, "it is not ready", func() bool { return !alone.entry.ready() })
+	for range 3 {
+		f.book(alone.entry, f.newKey())
+	}
+	f.judge()
+}
+
+// cutOffEntry is an entry with links of its own.
+type cutOffEntry struct {
+	entry   *entry
+	control *link
+}
+
+// addCutOffEntry starts an entry that reaches the first member over a link of
+// its own and no other entry.
+func (f *fleet) addCutOffEntry() cutOffEntry {
+	f.t.Helper()
+	control := newLink(f.t, f.members[0].link.proxy.Upstream)
+	added := &entry{name: "entry-alone", address: freeAddress(f.t)}
+	added.process = start(f.t, added.name, "entry", "--name", added.name, "--availability-zone", "bp-a",
+		"--listen", added.address, "--peer-listen", freeAddress(f.t), "--peers", freeAddress(f.t),
+		"--control", control.listen, "--keys", f.keysFile())
+	return cutOffEntry{entry: added, control: control}
+}
+
+func TestCallerThatLeavesFreesTheEngine(t *testing.T) {
+	f := newSmallFleet(t, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	body := []byte(`{"model":"torta","stream":true,"max_tokens":100000,"messages":[{"role":"user","content":"x"}]}`)
+	request := f.request(ctx, http.MethodPost, f.entries[0].url(encoder.PathChat), "leaver", body)
+	response, err := callerClient.Do(request)
+	assert.NilError(t, err)
+	eventually(t, "the engine works", func() bool { return f.running() > 0 })
+
+	cancel()
+	_ = response.Body.Close()
+
+	eventually(t, "the engine is free", func() bool { return f.running() == 0 })
+}
