--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -123,6 +123,8 @@
 		ChecksFence:  strings.Contains(strings.Join(flags, " "), "--checks-fence"),
 	}}
 	f.list(added, arguments)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.engines = append(f.engines, added)
 	return added
 }
--- /dev/null
+++ b/prover/order_test.go
@@ -0,0 +1,123 @@
+package prover_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+)
+
+// newEmptyFleet starts engines that hold nothing and little more memory than
+// the models need, so that each wrong order would show.
+func newEmptyFleet(t *testing.T, members int) *fleet {
+	t.Helper()
+	f := newFleet(t, manyModels(8, 30)...)
+	f.addEngine("engine-1", 100, "--load-time", "200ms")
+	f.addEngine("engine-2", 100, "--load-time", "200ms", "--checks-fence")
+	f.addEngine("engine-3", 100, "--load-time", "200ms", "--report-lag", "300ms")
+	f.addMembers([]string{"control-1", "control-2", "control-3"}[:members]...)
+	return f
+}
+
+func TestOrdersGoWrong(t *testing.T) {
+	tests := map[string]encoder.EngineFaults{
+		"lost":         {LoseOrders: 3},
+		"replies lost": {LoseOrderReplies: 3},
+		"late":         {LateOrders: 3, LateOrderMilliseconds: 2500},
+		"all at once":  {LoseOrders: 1, LoseOrderReplies: 2, LateOrders: 2, LateOrderMilliseconds: 1500},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newEmptyFleet(t, 1)
+			for _, engine := range f.engines {
+				f.fault(engine, faults)
+			}
+			f.allHeld(t)
+			time.Sleep(time.Duration(faults.LateOrderMilliseconds) * time.Millisecond)
+			f.judge()
+		})
+	}
+}
+
+func TestLeaderIsLostBetweenIntentAndOrder(t *testing.T) {
+	f := newEmptyFleet(t, 3)
+	for range 2 {
+		leader := f.leader()
+		eventually(t, "an order is under way", func() bool {
+			page, ok := f.status()
+			return ok && len(page.Orders) > 0 || f.heldAll()
+		})
+		leader.process.kill()
+		f.leader()
+		leader.process.begin(t)
+	}
+	f.allHeld(t)
+	f.judge()
+}
+
+// heldAll says whether the engines hold a copy of everything.
+func (f *fleet) heldAll() bool {
+	held := f.copies()
+	for _, each := range f.weights {
+		if held[each.Name] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func TestFrozenLeaderGivesOrdersLate(t *testing.T) {
+	f := newEmptyFleet(t, 3)
+	for range 2 {
+		frozen := f.leader()
+		frozen.process.freeze()
+		f.leader()
+		time.Sleep(500 * time.Millisecond)
+		frozen.process.thaw()
+	}
+	f.allHeld(t)
+	f.judge()
+}
+
+func TestCopiesOfALostEngineComeBack(t *testing.T) {
+	f := newFleet(t, manyModels(4, 30)...)
+	f.addEngine("engine-1", 100)
+	f.addEngine("engine-2", 100)
+	f.addEngine("engine-3", 100)
+	f.addMembers("control-1")
+	f.addEntries("entry-1")
+	f.allHeld(t)
+	watch := f.startCounter()
+
+	f.lose(f.engines[0])
+	f.allHeld(t)
+	f.lose(f.engines[1])
+	f.addEngine("engine-4", 100)
+	f.allHeld(t)
+
+	for _, each := range f.weights {
+		eventually(t, each.Name+" answers", func() bool { return f.chat(f.entries[0], each.Name, 5).Complete })
+	}
+	watch.end()
+	f.judge()
+}
+
+func TestLeavingEngineKeepsTheLastCopyUntilAnotherHasIt(t *testing.T) {
+	f := newFleet(t, manyModels(3, 30)...)
+	f.addEngine("engine-1", 100)
+	f.addMembers("control-1")
+	f.addEntries("entry-1")
+	f.allHeld(t)
+	watch := f.startCounter()
+	f.addEngine("engine-2", 100)
+
+	f.leave(f.engines[0])
+
+	eventually(t, "the other engine holds everything", func() bool { return len(f.engines[1].holds()) == 3 })
+	answer := f.chat(f.entries[0], "model-0", 5)
+	assert.Equal(t, answer.Complete, true)
+	watch.end()
+	f.judge()
+}
