feat(receiver): answers end their connection while the entry drains

Cause: a kept connection brings the next request in while the listener closes; drain, slow readers and repeats elsewhere had no tests yet. Ruled out: SetKeepAlivesEnabled(false), which closes unused connections at once and races with requests on their way. Conclusion: stands; what a request on an unused connection meets at the very moment of its closing remains: its client sees a reset.

--- a/receiver/engine_test.go
+++ b/receiver/engine_test.go
@@ -24,6 +24,8 @@
 	forgets bool
 	// gone is true once the engine takes no more requests.
 	gone atomic.Bool
+	// pad makes each event longer.
+	pad string
 	// hold, where set, is waited for before each event.
 	hold func(r *http.Request, event int)
 }
@@ -99,11 +101,11 @@
 	w.Header().Set(encoder.HeaderRequestID, id)
 	control := http.NewResponseController(w)
 	_ = control.Flush()
-	for event := after + 1; event <= request.MaxTokens; event++ {
+	for event := after + 1; event <= request.MaxTokens && r.Context().Err() == nil; event++ {
 		if e.hold != nil {
 			e.hold(r, event)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, chunk(id, request, first, event))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, chunk(id, request, first, event, e.pad))
 		_ = control.Flush()
 		if e.cut != nil && e.cut(r.Method, event) {
 			panic(http.ErrAbortHandler)
@@ -112,7 +114,7 @@
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", encoder.StreamEnd)
 }
 
-func chunk(id string, request encoder.ChatRequest, first, event int) []byte {
+func chunk(id string, request encoder.ChatRequest, first, event int, pad string) []byte {
 	choice := encoder.ChatChoice{Delta: encoder.ChatMessage{
 		Role:    "assistant",
 		Content: strconv.Itoa(first+event) + " ",
@@ -123,7 +125,7 @@
 	data, _ := json.Marshal(encoder.ChatChunk{
 		ID:      id,
 		Object:  "chat.completion.chunk",
-		Model:   request.Model,
+		Model:   request.Model + pad,
 		Choices: []encoder.ChatChoice{choice},
 	})
 	return data
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -30,7 +30,6 @@
 	grant     *admitter.Grant
 	attemptID string
 	legTokens int
-	opened    int
 }
 
 // answeredError carries an engine's refusal of the request itself, which goes
--- a/receiver/rig_test.go
+++ b/receiver/rig_test.go
@@ -59,6 +59,7 @@
 	catalog  *cataloger.Catalog
 	ready    error
 	base     string
+	stopped  bool
 }
 
 type rigOption func(*receiver.Config)
@@ -97,7 +98,9 @@
 }
 
 func (r *rig) stop() {
-	_ = r.receiver.Stop(time.Now().Add(soon))
+	if !r.stopped {
+		_ = r.receiver.Stop(time.Now().Add(soon))
+	}
 	_ = r.admitter.Stop(time.Now().Add(soon))
 }
 
@@ -154,6 +157,8 @@
 	header http.Header
 	body   string
 	err    error
+	// close is true where the connection ends with the answer.
+	close bool
 }
 
 func (r reply) outcome() string { return r.header.Get(encoder.HeaderOutcome) }
@@ -165,7 +170,7 @@
 	assert.NilError(r.t, err)
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err, close: response.Close}
 }
 
 func (r *rig) request(method, path, body string, header ...string) *http.Request {
--- a/receiver/sinks.go
+++ b/receiver/sinks.go
@@ -66,6 +66,7 @@
 	header.Set("X-Accel-Buffering", "no")
 	header.Set(encoder.HeaderOutcome, encoder.OutcomeRan)
 	header.Set(encoder.HeaderRequestID, s.id)
+	s.closeIfDraining()
 	s.w.WriteHeader(http.StatusOK)
 }
 
--- a/receiver/write.go
+++ b/receiver/write.go
@@ -27,6 +27,7 @@
 	header.Set(encoder.HeaderOutcome, outcome)
 	header.Set(encoder.HeaderRequestID, x.id)
 	header.Del("Content-Length")
+	x.closeIfDraining()
 	x.answered = true
 	_ = x.control.SetWriteDeadline(time.Now().Add(x.Settings.WriteTime))
 	x.w.WriteHeader(status)
@@ -36,6 +37,14 @@
 	return nil
 }
 
+// closeIfDraining ends the caller's connection with the answer, so that its next
+// request does not come in while the listener closes.
+func (x *exchange) closeIfDraining() {
+	if x.draining.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 func (x *exchange) writeJSON(status int, outcome string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
