perf(cataloger): copy only the maps that a delta touches

Cause: every revision copied all maps, 2.1 ms at 7,400 upstreams; a restart with 8,700 pending changes of classes would spend 18 s on it. Ruled out: one map for all kinds, which traffic would have to sort out. Conclusion: changes of upstreams at that size still cost their map's copy.

--- a/cataloger/with.go
+++ b/cataloger/with.go
@@ -26,7 +26,7 @@
 	if delta.From != c.Revision {
 		return nil, &RevisionGapError{Have: c.Revision, From: delta.From}
 	}
-	next := c.clone()
+	next := c.clone(touchedBy(delta.Changes))
 	next.Revision = delta.To
 	for _, change := range delta.Changes {
 		next.apply(change)
@@ -55,17 +55,52 @@
 	return changes
 }
 
-func (c *Catalog) clone() *Catalog {
-	return &Catalog{
-		Revision:   c.Revision,
-		Classes:    maps.Clone(c.Classes),
-		Models:     maps.Clone(c.Models),
-		Adapters:   maps.Clone(c.Adapters),
-		Upstreams:  maps.Clone(c.Upstreams),
-		Placements: maps.Clone(c.Placements),
-		Holders:    maps.Clone(c.Holders),
-		Services:   maps.Clone(c.Services),
+// touched says which maps a delta changes.
+type touched struct{ classes, models, adapters, upstreams, placements bool }
+
+func touchedBy(changes []Change) touched {
+	var t touched
+	for _, change := range changes {
+		switch change.(type) {
+		case PutClass, RemoveClass:
+			t.classes = true
+		case PutModel, RemoveModel:
+			t.models = true
+		case PutAdapter, RemoveAdapter:
+			t.adapters = true
+		case PutUpstream:
+			t.upstreams = true
+		case RemoveUpstream:
+			t.upstreams = true
+			t.placements = true
+		case PutPlacement:
+			t.placements = true
+		}
+	}
+	return t
+}
+
+// clone returns a catalog that shares the maps which are not touched.
+func (c *Catalog) clone(t touched) *Catalog {
+	next := *c
+	if t.classes {
+		next.Classes = maps.Clone(c.Classes)
+	}
+	if t.models {
+		next.Models = maps.Clone(c.Models)
+	}
+	if t.adapters {
+		next.Adapters = maps.Clone(c.Adapters)
+	}
+	if t.upstreams {
+		next.Upstreams = maps.Clone(c.Upstreams)
+		next.Services = maps.Clone(c.Services)
+	}
+	if t.placements {
+		next.Placements = maps.Clone(c.Placements)
+		next.Holders = maps.Clone(c.Holders)
 	}
+	return &next
 }
 
 func (c *Catalog) apply(change Change) {
--- /dev/null
+++ b/cataloger/with_test.go
@@ -0,0 +1,121 @@
+package cataloger_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
+)
+
+func upstream(number int) cataloger.Upstream {
+	return cataloger.Upstream{
+		Name:    fmt.Sprintf("u-%04d", number),
+		Service: fmt.Sprintf("s-%d", number%3),
+		State:   cataloger.UpstreamLive,
+	}
+}
+
+// randomChange draws any kind of change over few names, so that changes meet.
+func randomChange(random *rand.Rand) cataloger.Change {
+	number := random.IntN(4)
+	name := fmt.Sprintf("n-%d", number)
+	switch random.IntN(9) {
+	case 0:
+		return cataloger.PutClass{Class: classifier.Class{Name: name, RepeatForbidden: random.IntN(2) == 0}}
+	case 1:
+		return cataloger.RemoveClass{Name: name}
+	case 2:
+		return cataloger.PutModel{Model: cataloger.Model{Name: name, MemoryBytes: random.Int64N(9)}}
+	case 3:
+		return cataloger.RemoveModel{Name: name}
+	case 4:
+		return cataloger.PutAdapter{Adapter: cataloger.Adapter{Name: name, MemoryBytes: random.Int64N(9)}}
+	case 5:
+		return cataloger.RemoveAdapter{Name: name}
+	case 6:
+		moved := upstream(number)
+		moved.Service = fmt.Sprintf("s-%d", random.IntN(3))
+		return cataloger.PutUpstream{Upstream: moved}
+	case 7:
+		return cataloger.RemoveUpstream{Name: upstream(number).Name}
+	default:
+		return cataloger.PutPlacement{Placement: cataloger.Placement{
+			Upstream: upstream(number).Name,
+			Models:   []string{fmt.Sprintf("n-%d", random.IntN(4))},
+		}}
+	}
+}
+
+func TestWithNeverChangesAnEarlierCatalog(t *testing.T) {
+	const histories, steps = 200, 30
+	for seed := range uint64(histories) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		catalog := cataloger.New()
+		for range steps {
+			before := rebuild(t, catalog)
+			next, err := catalog.With(cataloger.Delta{
+				From:    catalog.Revision,
+				To:      catalog.Revision + 1,
+				Changes: []cataloger.Change{randomChange(random), randomChange(random)},
+			})
+			assert.NilError(t, err)
+			assert.Assert(t, reflect.DeepEqual(catalog, before), "seed %d", seed)
+			catalog = next
+		}
+	}
+}
+
+// rebuild makes the same catalog from its changes, sharing nothing.
+func rebuild(t *testing.T, catalog *cataloger.Catalog) *cataloger.Catalog {
+	t.Helper()
+	made, err := cataloger.New().With(cataloger.Delta{To: catalog.Revision, Changes: catalog.Changes()})
+	assert.NilError(t, err)
+	// Empty lists of names that no longer have holders are no difference.
+	for name, holders := range catalog.Holders {
+		if len(holders) == 0 {
+			made.Holders[name] = holders
+		}
+	}
+	for name, members := range catalog.Services {
+		if len(members) == 0 {
+			made.Services[name] = members
+		}
+	}
+	return made
+}
+
+func TestWithRefusesADeltaOfAnotherRevision(t *testing.T) {
+	_, err := cataloger.New().With(cataloger.Delta{From: 3, To: 4})
+
+	assert.ErrorType(t, err, &cataloger.RevisionGapError{})
+}
+
+// BenchmarkWith gives the cost of one change at the given number of upstreams.
+func BenchmarkWith(b *testing.B) {
+	changes := map[string]cataloger.Change{
+		"class":    cataloger.PutClass{Class: classifier.Class{Name: "c"}},
+		"upstream": cataloger.PutUpstream{Upstream: upstream(1)},
+	}
+	for _, upstreams := range []int{15, 7400} {
+		catalog := cataloger.New()
+		var all []cataloger.Change
+		for number := range upstreams {
+			all = append(all, cataloger.PutUpstream{Upstream: upstream(number)})
+		}
+		catalog, err := catalog.With(cataloger.Delta{To: 1, Changes: all})
+		assert.NilError(b, err)
+		for name, change := range changes {
+			b.Run(fmt.Sprintf("%s/upstreams-%d", name, upstreams), func(b *testing.B) {
+				for b.Loop() {
+					_, err := catalog.With(cataloger.Delta{From: 1, To: 2, Changes: []cataloger.Change{change}})
+					assert.NilError(b, err)
+				}
+			})
+		}
+	}
+}
