fix(administrator): base a change on the leader's revision

Ruled out: not remembering conflicts as first answers; a resend must get the answer that its first sending got. Red with the leader not demanded: --- FAIL: TestRevisionIsTheLeadersAndNotALaggingMembers and TestWithoutALeaderThereIsNoRevision; green: ok burdocklink/administrator.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -100,6 +100,22 @@
 	return nil, err
 }
 
+// Revision returns the catalog's revision at the leader, which no other member
+// is ahead of. A change that is based on what a lagging member says would lose
+// against changes that its operator never saw.
+func (a *Administrator) Revision(ctx context.Context) (uint64, error) {
+	var reply *wire.StatusReply
+	err := a.ask(ctx, func(ctx context.Context, client wire.OperatorClient) (*wire.NotLeader, error) {
+		var err error
+		reply, err = client.Status(ctx, &wire.StatusRequest{})
+		if err == nil && !reply.GetLeading() {
+			return &wire.NotLeader{}, nil
+		}
+		return nil, err
+	})
+	return reply.GetRevision(), err
+}
+
 // History returns up to most accepted changes, newest first.
 func (a *Administrator) History(ctx context.Context, most uint32) (*wire.HistoryReply, error) {
 	var reply *wire.HistoryReply
--- /dev/null
+++ b/administrator/administrator_test.go
@@ -0,0 +1,96 @@
+package administrator_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/administrator"
+	"burdocklink/cataloger"
+	"burdocklink/encoder/wire"
+	"burdocklink/linker"
+)
+
+// member answers as a control member would.
+type member struct {
+	wire.UnimplementedOperatorServer
+	status  *wire.StatusReply
+	refusal error
+}
+
+func (m *member) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
+	return m.status, m.refusal
+}
+
+func (m *member) Change(context.Context, *wire.ProposeRequest) (*wire.ProposeReply, error) {
+	return &wire.ProposeReply{Outcome: &wire.ProposeReply_NotLeader{NotLeader: &wire.NotLeader{}}}, m.refusal
+}
+
+type serving struct {
+	server   *grpc.Server
+	listener net.Listener
+}
+
+func (s serving) run() { _ = s.server.Serve(s.listener) }
+
+func serve(t *testing.T, answering *member) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := grpc.NewServer()
+	wire.RegisterOperatorServer(server, answering)
+	go serving{server: server, listener: listener}.run()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func newClient(t *testing.T, members ...*member) *administrator.Administrator {
+	t.Helper()
+	var addresses []string
+	for _, each := range members {
+		addresses = append(addresses, serve(t, each))
+	}
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
+	t.Cleanup(links.Close)
+	return administrator.New(administrator.Settings{Control: addresses, Links: links, Key: "key"})
+}
+
+func within(t *testing.T, wait time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestRevisionIsTheLeadersAndNotALaggingMembers(t *testing.T) {
+	lagging := &member{status: &wire.StatusReply{Revision: 4}}
+	leader := &member{status: &wire.StatusReply{Revision: 7, Leading: true}}
+
+	revision, err := newClient(t, lagging, leader).Revision(within(t, 30*time.Second))
+
+	assert.NilError(t, err)
+	assert.Equal(t, revision, uint64(7))
+}
+
+func TestWithoutALeaderThereIsNoRevision(t *testing.T) {
+	lagging := &member{status: &wire.StatusReply{Revision: 4}}
+
+	_, err := newClient(t, lagging).Revision(within(t, time.Second))
+
+	assert.ErrorType(t, err, &administrator.NoAnswerError{})
+}
+
+func TestARefusedKeyIsNotTriedElsewhere(t *testing.T) {
+	refusing := &member{refusal: status.Error(codes.Unauthenticated, "unknown key")}
+
+	_, err := newClient(t, refusing).Change(within(t, 30*time.Second), "1", 0, []cataloger.Change{})
+
+	assert.ErrorType(t, err, &administrator.RefusedError{})
+}
--- a/cmd/class.go
+++ b/cmd/class.go
@@ -178,9 +178,5 @@
 	}
 	ctx, cancel := operator.context()
 	defer cancel()
-	reply, err := operator.client.Status(ctx)
-	if err != nil {
-		return 0, err
-	}
-	return reply.GetRevision(), nil
+	return operator.client.Revision(ctx)
 }
