--- a/conductor/bench_test.go
+++ b/conductor/bench_test.go
@@ -149,6 +149,28 @@
 	b.ReportMetric(worst.Seconds(), "worst-s")
 }
 
+// BenchmarkSilentPartition reports the time from the silence of the leader's
+// connections until another member leads.
+func BenchmarkSilentPartition(b *testing.B) {
+	g := newCluster(b, nil, "a", "b", "c")
+	g.commit()
+	worst := time.Duration(0)
+	for b.Loop() {
+		b.StopTimer()
+		old := g.leader()
+		time.Sleep(2 * time.Second)
+		b.StartTimer()
+		begin := time.Now()
+		old.gate.shut.Store(true)
+		g.successor(old)
+		worst = max(worst, time.Since(begin))
+		b.StopTimer()
+		old.gate.shut.Store(false)
+		b.StartTimer()
+	}
+	b.ReportMetric(worst.Seconds(), "worst-s")
+}
+
 // BenchmarkIdle reports what an idle group of three costs each member: bytes
 // on its connections and the share of one core. All three run in this process.
 func BenchmarkIdle(b *testing.B) {
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"burdocklink/applier"
+	"burdocklink/recorder"
 )
 
 // Config is what a member needs to run.
@@ -19,6 +20,9 @@
 	// Folder is the data folder. Where it is empty, the member keeps
 	// everything in memory and must be alone.
 	Folder string
+	// Files is the file system of the data folder; nil is the operating
+	// system's.
+	Files recorder.FileSystem
 	// Peers are the control members that are known from the settings, this one
 	// among them or not. Only Name and Address are read. Members with empty
 	// disks form a group once all of them answer; a member without a group
--- a/conductor/formation.go
+++ b/conductor/formation.go
@@ -26,7 +26,7 @@
 func (c *Conductor) open() error {
 	loaded := recorder.Loaded{Disk: randomName()}
 	if c.config.Folder != "" {
-		disk, found, err := recorder.Open(recorder.Settings{Folder: c.config.Folder})
+		disk, found, err := recorder.Open(recorder.Settings{Folder: c.config.Folder, Files: c.config.Files})
 		if err != nil {
 			return err
 		}
--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -42,6 +42,7 @@
 	listener net.Listener
 	server   *grpc.Server
 	down     bool
+	gate     gate
 }
 
 func (p *process) runServer(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
@@ -76,6 +77,7 @@
 	}
 	for _, p := range g.processes {
 		p.config.Peers = peers
+		p.config.Credentials = newGateCredentials(&p.gate)
 		if change != nil {
 			change(&p.config)
 		}
@@ -95,7 +97,7 @@
 	}
 	p.Conductor, p.server, p.down = member, grpc.NewServer(), false
 	member.ServeReplication(p.server)
-	go p.runServer(p.server, p.listener)
+	go p.runServer(p.server, gateListener{Listener: p.listener, gate: &p.gate})
 	assert.NilError(g.t, member.Start(context.Background(), nil))
 }
 
@@ -220,6 +222,58 @@
 	assert.NilError(t, err)
 }
 
+// successor waits until another member than the old leader leads, and holds
+// that the old one does not lead after that.
+func (g *cluster) successor(old *process) *process {
+	g.t.Helper()
+	var found *process
+	g.eventually("a successor", func() bool {
+		for _, p := range g.processes {
+			if p == old || p.down || !p.Status().Leading {
+				continue
+			}
+			assert.Assert(g.t, !old.Status().Leading, "two leases")
+			found = p
+			return true
+		}
+		return false
+	})
+	return found
+}
+
+func TestSilentPartitionOfTheLeader(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	names := []string{g.commit()}
+	old := g.leader()
+	old.gate.shut.Store(true)
+	isolated := make(chan error, 1)
+	lost := &lostProposal{group: g, leader: old, answer: isolated}
+	go lost.run()
+	next := g.successor(old)
+	_, err := next.Propose(context.Background(), g.model())
+	assert.NilError(t, err)
+	var uncertain *conductor.UncertainError
+	var elsewhere *conductor.NotLeaderError
+	err = <-isolated
+	assert.Assert(t, errors.As(err, &uncertain) || errors.As(err, &elsewhere), "%v", err)
+	old.gate.shut.Store(false)
+	g.eventually("the old leader has all", func() bool { return len(g.models(old)) == len(names)+1 })
+	_, err = g.leader().Confirm(context.Background())
+	assert.NilError(t, err)
+}
+
+// lostProposal is a proposal at a leader that hears nobody.
+type lostProposal struct {
+	group  *cluster
+	leader *process
+	answer chan error
+}
+
+func (l *lostProposal) run() {
+	_, err := l.leader.Propose(context.Background(), l.group.model())
+	l.answer <- err
+}
+
 func TestStopHandsOver(t *testing.T) {
 	g := newCluster(t, nil, "a", "b", "c")
 	g.commit()
--- a/recorder/files.go
+++ b/recorder/files.go
@@ -37,6 +37,9 @@
 	fileMode   = 0o600
 )
 
+// System returns the operating system's file system.
+func System() FileSystem { return systemFiles{} }
+
 // systemFiles is the operating system's file system.
 type systemFiles struct{}
 
