--- a/prover/caller_test.go
+++ b/prover/caller_test.go
@@ -262,3 +262,13 @@
 	defer b.Done()
 	b.fleet.book(at, key)
 }
+
+// alive asks the entry's health probe.
+func (e *entry) alive() bool {
+	response, err := client.Get(e.url("/healthz"))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/prover/entry_test.go
+++ b/prover/entry_test.go
@@ -163,3 +163,32 @@
 
 	eventually(t, "the engine is free", func() bool { return f.running() == 0 })
 }
+
+// TestEntryDoesNotServeWhatAStaleMemberSays leaves one member that missed a
+// change, and an entry that starts anew without any other to ask.
+func TestEntryDoesNotServeWhatAStaleMemberSays(t *testing.T) {
+	f := newSmallFleet(t, 3)
+	stale := f.members[2]
+	stale.process.kill()
+	f.mustSet(change{class: "kept", request: "kept", flags: []string{"--whole", "1h"}})
+	for _, each := range f.entries {
+		eventually(t, each.name+" knows it", func() bool { known, _ := f.knows(each, "kept"); return known })
+		each.process.kill()
+	}
+	for _, each := range f.members[:2] {
+		each.process.kill()
+	}
+	stale.process.begin(t)
+	restarted := f.entries[0]
+	restarted.process.begin(t)
+	eventually(t, "the entry answers", func() bool { return restarted.alive() })
+
+	for range 20 {
+		known, ready := f.knows(restarted, "kept")
+		assert.Assert(t, known || !ready)
+		time.Sleep(10 * testPause)
+	}
+	f.members[0].process.begin(t)
+	eventually(t, "the entry knows it again", func() bool { known, _ := f.knows(restarted, "kept"); return known })
+	f.judge()
+}
