--- a/orderer/intend.go
+++ b/orderer/intend.go
@@ -20,21 +20,39 @@
 	if first, repeated := l.tokens[event.Token]; repeated {
 		return Committed{Order: first.Order}
 	}
+	i, refusal := l.examine(now, catalog, event)
+	if refusal != nil {
+		return refusal
+	}
+	i.order.ID, i.order.Fence = index, index
+	l.commit(i.account, Pending{Order: i.order, Token: event.Token}, now)
+	return Committed{Order: i.order}
+}
+
+// Refusal returns what would be answered to a new intent now, or nil where it
+// would be committed. It changes nothing, so that an intent without a chance
+// need not be proposed.
+func (l *Ledger) Refusal(now time.Time, catalog *cataloger.Catalog, event Intend) Result {
+	_, refusal := l.examine(now, catalog, event)
+	return refusal
+}
+
+// examine gives the refusal of an intent, or nil and the intent with its work
+// filled in.
+func (l *Ledger) examine(now time.Time, catalog *cataloger.Catalog, event Intend) (*intent, Result) {
 	if reason := event.fault(now); reason != "" {
-		return Unsuitable{Reason: reason}
+		return nil, Unsuitable{Reason: reason}
 	}
 	upstream, listed := catalog.Upstreams[event.Order.Upstream]
 	if !listed || upstream.Incarnation != event.Order.Incarnation {
-		return UnknownUpstream{Upstream: event.Order.Upstream}
+		return nil, UnknownUpstream{Upstream: event.Order.Upstream}
 	}
-	i := &intent{ledger: l, now: now, catalog: catalog, upstream: upstream, order: event.Order}
-	i.account = l.account(upstream)
-	if refusal := i.check(); refusal != nil {
-		return refusal
+	account, known := l.upstreams[upstream.Name]
+	if !known || account.Incarnation != upstream.Incarnation {
+		account = &Account{Upstream: upstream.Name, Incarnation: upstream.Incarnation}
 	}
-	i.order.ID, i.order.Fence = index, index
-	l.commit(i.account, Pending{Order: i.order, Token: event.Token}, now)
-	return Committed{Order: i.order}
+	i := &intent{ledger: l, now: now, catalog: catalog, upstream: upstream, account: account, order: event.Order}
+	return i, i.check()
 }
 
 // fault says what is wrong with the event itself.
@@ -240,7 +258,7 @@
 	if now.Before(l.nextLoad) {
 		return StoreFull{Retry: l.nextLoad}
 	}
-	loads, adapters := l.inTransit(catalog)
+	loads, adapters := l.inTransit(now, catalog)
 	if loads >= l.limits.LoadsAtOnce {
 		return StoreFull{Retry: now.Add(l.limits.interval())}
 	}
@@ -251,12 +269,15 @@
 }
 
 // inTransit counts the unsettled loads of upstreams that are still listed.
-func (l *Ledger) inTransit(catalog *cataloger.Catalog) (loads, adapters int) {
+func (l *Ledger) inTransit(now time.Time, catalog *cataloger.Catalog) (loads, adapters int) {
 	for _, pending := range l.orders {
 		order := pending.Order
 		if catalog.Upstreams[order.Upstream].Incarnation != order.Incarnation {
 			continue
 		}
+		if now.After(order.NotAfter.Add(LongestLoad)) {
+			continue
+		}
 		switch order.Work.(type) {
 		case LoadModel:
 			loads++
