refactor(linker): one home for listening, pausing and final failures

Cause: the error of a listener stood three times, the pause between members and the list of final failures twice, the reading of a status three times. Ruled out: nothing of the behaviour changes; tests keep their assertions.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -166,7 +166,7 @@
 			last = err
 		}
 		address = elsewhere.GetLeader()
-		if !wait(ctx) {
+		if !linker.Pause(ctx, retryPause) {
 			return &NoAnswerError{Cause: last}
 		}
 	}
@@ -209,15 +209,3 @@
 	}
 	return elsewhere, err
 }
-
-// wait pauses between two members. It returns false once the context ends.
-func wait(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/administrator/errors.go
+++ b/administrator/errors.go
@@ -3,8 +3,7 @@
 import (
 	"strconv"
 
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
+	"burdocklink/linker"
 )
 
 // ConflictError says that another change came first.
@@ -54,10 +53,8 @@
 // refusal returns a *RefusedError for failures that another member or a repeat
 // can't mend, else nil.
 func refusal(err error) error {
-	switch status.Code(err) {
-	case codes.InvalidArgument, codes.PermissionDenied, codes.Unauthenticated, codes.Unimplemented:
+	if linker.IsFinal(err) {
 		return &RefusedError{Cause: err}
-	default:
-		return nil
 	}
+	return nil
 }
--- a/cmd/class.go
+++ b/cmd/class.go
@@ -66,19 +66,12 @@
 }
 
 func listClasses(call *invocation) error {
-	operator, err := newOperatorCall(call)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := operator.context()
-	defer cancel()
-	reply, err := operator.client.Status(ctx)
+	operator, page, err := newStatusCall(call)
 	if err != nil {
 		return err
 	}
-	classes := encoder.DecodeStatus(reply).Classes
-	return operator.print(classes, func(table *tabwriter.Writer) error {
-		return writeClasses(table, classes)
+	return operator.print(page.Classes, func(table *tabwriter.Writer) error {
+		return writeClasses(table, page.Classes)
 	})
 }
 
--- a/cmd/member.go
+++ b/cmd/member.go
@@ -5,7 +5,6 @@
 	"text/tabwriter"
 
 	"burdocklink/checker"
-	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
 )
 
@@ -44,17 +43,10 @@
 }
 
 func listMembers(call *invocation) error {
-	operator, err := newOperatorCall(call)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := operator.context()
-	defer cancel()
-	reply, err := operator.client.Status(ctx)
+	operator, page, err := newStatusCall(call)
 	if err != nil {
 		return err
 	}
-	page := encoder.DecodeStatus(reply)
 	return operator.print(page.Members, func(table *tabwriter.Writer) error {
 		return writeMembers(table, page)
 	})
--- a/cmd/operator.go
+++ b/cmd/operator.go
@@ -95,6 +95,21 @@
 	return context.WithTimeout(c.ctx, c.wait)
 }
 
+// newStatusCall reads the common settings and asks for the status.
+func newStatusCall(call *invocation) (*operatorCall, encoder.StatusPage, error) {
+	operator, err := newOperatorCall(call)
+	if err != nil {
+		return nil, encoder.StatusPage{}, err
+	}
+	ctx, cancel := operator.context()
+	defer cancel()
+	reply, err := operator.client.Status(ctx)
+	if err != nil {
+		return nil, encoder.StatusPage{}, err
+	}
+	return operator, encoder.DecodeStatus(reply), nil
+}
+
 // print writes a page as JSON or as the table that fill writes.
 func (c *operatorCall) print(page any, fill func(table *tabwriter.Writer) error) error {
 	if c.output == outputJSON {
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -18,17 +18,10 @@
 }
 
 func printStatus(call *invocation) error {
-	operator, err := newOperatorCall(call)
+	operator, page, err := newStatusCall(call)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := operator.context()
-	defer cancel()
-	reply, err := operator.client.Status(ctx)
-	if err != nil {
-		return err
-	}
-	page := encoder.DecodeStatus(reply)
 	return operator.print(page, func(table *tabwriter.Writer) error {
 		return writeStatus(table, page)
 	})
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -79,9 +79,9 @@
 
 // Start listens and begins to exchange digests.
 func (g *Gossiper) Start(context.Context, *registrar.Registrar) error {
-	listener, err := net.Listen("tcp", g.settings.Listen)
+	listener, err := linker.Listen(g.settings.Listen)
 	if err != nil {
-		return &ListenError{Address: g.settings.Listen, Cause: err}
+		return err
 	}
 	g.listener = listener
 	options := []grpc.ServerOption{grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
@@ -145,15 +145,3 @@
 		g.settings.Log.Debug("no digest", zap.String("peer", peer), zap.Error(err))
 	}
 }
-
-// ListenError says that an address can't be listened at.
-type ListenError struct {
-	Address string
-	Cause   error
-}
-
-// Error describes the address.
-func (e *ListenError) Error() string { return "listen at " + e.Address + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"burdocklink/linker"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
 )
@@ -59,9 +60,9 @@
 
 // Start listens and serves.
 func (p *Prober) Start(context.Context, *registrar.Registrar) error {
-	listener, err := net.Listen("tcp", p.settings.Listen)
+	listener, err := linker.Listen(p.settings.Listen)
 	if err != nil {
-		return &ListenError{Address: p.settings.Listen, Cause: err}
+		return err
 	}
 	p.listener = listener
 	go p.run()
@@ -107,15 +108,3 @@
 		p.settings.Log.Debug("answer not read", zap.Error(err))
 	}
 }
-
-// ListenError says that an address can't be listened at.
-type ListenError struct {
-	Address string
-	Cause   error
-}
-
-// Error describes the address.
-func (e *ListenError) Error() string { return "listen at " + e.Address + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
--- a/proposer/errors.go
+++ b/proposer/errors.go
@@ -1,10 +1,5 @@
 package proposer
 
-import (
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
-)
-
 // UnconfirmedError says that the outcome of a proposal was not learned.
 type UnconfirmedError struct{ Cause error }
 
@@ -28,13 +23,3 @@
 
 // Error describes the answer.
 func (e *AnswerError) Error() string { return "the answer belongs to another command" }
-
-// isRefusal is true for failures that a repeat can't mend.
-func isRefusal(err error) bool {
-	switch status.Code(err) {
-	case codes.InvalidArgument, codes.PermissionDenied, codes.Unauthenticated, codes.Unimplemented:
-		return true
-	default:
-		return false
-	}
-}
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -67,11 +67,11 @@
 		if applied := reply.GetApplied(); err == nil && applied != nil {
 			return encoder.DecodeApplied(applied)
 		}
-		if isRefusal(err) {
+		if linker.IsFinal(err) {
 			return applier.Applied{}, &RefusedError{Cause: err}
 		}
 		address = reply.GetNotLeader().GetLeader()
-		if !wait(ctx) {
+		if !linker.Pause(ctx, retryPause) {
 			return applier.Applied{}, &UnconfirmedError{Cause: err}
 		}
 	}
@@ -92,15 +92,3 @@
 	}
 	return reply, err
 }
-
-// wait pauses between two members. It returns false once the context ends.
-func wait(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -86,9 +86,9 @@
 
 // Start listens and serves.
 func (r *Responder) Start(context.Context, *registrar.Registrar) error {
-	listener, err := net.Listen("tcp", r.settings.Listen)
+	listener, err := linker.Listen(r.settings.Listen)
 	if err != nil {
-		return &ListenError{Address: r.settings.Listen, Cause: err}
+		return err
 	}
 	r.listener = listener
 	r.server = grpc.NewServer(r.options()...)
@@ -137,15 +137,3 @@
 	r.server.GracefulStop()
 	close(r.stopped)
 }
-
-// ListenError says that an address can't be listened at.
-type ListenError struct {
-	Address string
-	Cause   error
-}
-
-// Error describes the address.
-func (e *ListenError) Error() string { return "listen at " + e.Address + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
--- a/responder/responder_test.go
+++ b/responder/responder_test.go
@@ -242,5 +242,5 @@
 	defer func() { assert.NilError(t, taken.Close()) }()
 	r := responder.New(responder.Settings{Listen: taken.Addr().String(), Group: newGroup(t)})
 
-	assert.ErrorType(t, r.Start(context.Background(), nil), &responder.ListenError{})
+	assert.ErrorType(t, r.Start(context.Background(), nil), &linker.ListenError{})
 }
