fix(conductor): refuse commands that don't fit through the links

A gRPC server takes 4 MB a message by default; a larger entry would have been sent again for ever and nothing after it committed. Propose refuses more than 3 MB with *TooLargeError, and frames end at 2 MB or one message. At most 4 MB are under way to a member, so that heartbeats don't wait behind them: before that, eight callers with 3 MB commands cost a leader its lead ('this member does not lead' in the first run with -race). The test's callers follow the lead now, since losing it under such load is no fault of the log.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -45,6 +45,19 @@
 	assert.Assert(t, !open)
 }
 
+func TestTooLargeCommandIsRefused(t *testing.T) {
+	codec := tinyCodec()
+	codec.EncodeCommand = func(applier.Command) ([]byte, error) {
+		return make([]byte, conductor.MaxCommandBytes+1), nil
+	}
+	member, err := conductor.New(conductor.Config{Name: "a", Codec: codec})
+	assert.NilError(t, err)
+	assert.NilError(t, member.Start(context.Background(), nil))
+	defer func() { assert.NilError(t, member.Stop(time.Now().Add(stopTime))) }()
+	_, err = member.Propose(context.Background(), applier.Noop{})
+	assert.ErrorType(t, err, &conductor.TooLargeError{})
+}
+
 func TestBadConfigIsNamed(t *testing.T) {
 	_, err := conductor.New(conductor.Config{Name: "a"})
 	assert.ErrorType(t, err, &conductor.InvalidConfigError{})
--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -340,6 +340,23 @@
 	delete(g.processes, "z")
 }
 
+// TestLargestCommandsAreReplicated holds that what Propose takes in fits
+// through the links, many at once as well.
+func TestLargestCommandsAreReplicated(t *testing.T) {
+	g := newCluster(t, func(c *conductor.Config) {
+		c.Codec = tinyCodec()
+		c.Codec.EncodeCommand = func(applier.Command) ([]byte, error) {
+			return make([]byte, conductor.MaxCommandBytes), nil
+		}
+	}, "a", "b", "c")
+	p := &proposers{group: g, leader: g.leader(), command: noopOf, patient: true}
+	p.commit(40, 8)
+	applied := g.leader().Status().Applied
+	for _, other := range g.processes {
+		g.eventually("all commands", func() bool { return other.Status().Applied >= applied })
+	}
+}
+
 func TestFollowersSeeEachRevisionOnce(t *testing.T) {
 	g := newCluster(t, nil, "a", "b", "c")
 	g.commit()
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -144,12 +144,27 @@
 	c.messenger.Register(registrar)
 }
 
-// Propose commits a command and returns its result.
+// MaxCommandBytes is the most a command may take in the log, so that it fits
+// into one message between members.
+const MaxCommandBytes = 3 << 20
+
+// TooLargeError refuses a command that does not fit into the log. Nothing of
+// it was kept.
+type TooLargeError struct{ Bytes int }
+
+// Error describes the refusal.
+func (e *TooLargeError) Error() string { return "command is too large for the log" }
+
+// Propose commits a command and returns its result. Besides what Proposer
+// names, it returns *TooLargeError and what the codec says.
 func (c *Conductor) Propose(ctx context.Context, command applier.Command) (applier.Applied, error) {
 	data, err := c.config.Codec.EncodeCommand(command)
 	if err != nil {
 		return applier.Applied{}, err
 	}
+	if len(data) > MaxCommandBytes {
+		return applier.Applied{}, &TooLargeError{Bytes: len(data)}
+	}
 	asked := &proposeCall{data: data, answer: make(chan proposed, 1)}
 	if err := c.ask(ctx, asked); err != nil {
 		return applier.Applied{}, err
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -195,9 +195,10 @@
 	maxRedialWait = 500 * time.Millisecond
 )
 
-// bounds of a link's queue and frames.
+// bounds of a link's queue and frames. A frame stays below what a gRPC server
+// takes by default.
 const (
 	maxQueued     = 256
-	maxFrameBytes = 4 << 20
+	maxFrameBytes = 2 << 20
 	maxGRPCBytes  = 16 << 20
 )
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -37,6 +37,33 @@
 	// the peer answered.
 	contact  time.Duration
 	outgoing outgoing
+	// flight lists what was sent and not answered, flightBytes its size.
+	flight      []sentBatch
+	flightBytes int
+}
+
+// sentBatch is the entries of one message.
+type sentBatch struct {
+	last  uint64
+	bytes int
+}
+
+// launch notes entries on their way.
+func (p *peer) launch(entries []Entry) {
+	batch := sentBatch{last: entries[len(entries)-1].Index}
+	for _, entry := range entries {
+		batch.bytes += entryBytes(entry)
+	}
+	p.flight = append(p.flight, batch)
+	p.flightBytes += batch.bytes
+}
+
+// land forgets entries that have arrived.
+func (p *peer) land() {
+	for len(p.flight) > 0 && p.flight[0].last <= p.match {
+		p.flightBytes -= p.flight[0].bytes
+		p.flight = p.flight[1:]
+	}
 }
 
 // beginLead starts a term of leadership with a blank entry.
@@ -153,7 +180,7 @@
 
 // batchFor is what may be sent to a peer now.
 func (c *Core) batchFor(p *peer) []Entry {
-	if p.next > p.match+maxWindowEntries {
+	if p.next > p.match+maxWindowEntries || p.flightBytes >= maxWindowBytes {
 		return nil
 	}
 	return c.log.batch(p.next)
@@ -173,7 +200,10 @@
 		p.waitUntil = c.now.Add(c.timing.Heartbeat)
 		return
 	}
-	p.next += uint64(len(entries))
+	if len(entries) > 0 {
+		p.next += uint64(len(entries))
+		p.launch(entries)
+	}
 }
 
 func (c *Core) takeAppendReply(from Identity, reply AppendReply) {
@@ -191,6 +221,7 @@
 	}
 	p.match = max(p.match, reply.Match)
 	p.next = max(p.next, p.match+1)
+	p.land()
 	if p.probing {
 		p.probing = false
 		p.waitUntil = time.Time{}
@@ -209,6 +240,7 @@
 	p.next = max(p.match+1, min(reply.Next, reply.Previous))
 	p.probing = true
 	p.waitUntil = time.Time{}
+	p.flight, p.flightBytes = nil, 0
 }
 
 // advanceCommitted commits what a quorum has on the disk, once that reaches
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -7,6 +7,7 @@
 	maxAppendBytes   = 1 << 20
 	maxAppendEntries = 1024
 	maxWindowEntries = 8192
+	maxWindowBytes   = 4 << 20
 	// keptEntries stay in memory after a snapshot, for members that are
 	// only a little behind.
 	keptEntries = 1024
