test(prover): watch old changes too, and wait until all are in force

Now a sample over all changes is asked for, and at the end every entry must have them.

A stale member is frozen, not restarted, in StaleMember: a restarted one has applied nothing and shows nothing.

--- a/prover/entry_test.go
+++ b/prover/entry_test.go
@@ -169,7 +169,7 @@
 func TestEntryDoesNotServeWhatAStaleMemberSays(t *testing.T) {
 	f := newSmallFleet(t, 3)
 	stale := f.members[2]
-	stale.process.kill()
+	stale.process.freeze()
 	f.mustSet(change{class: "kept", request: "kept", flags: []string{"--whole", "1h"}})
 	for _, each := range f.entries {
 		eventually(t, each.name+" knows it", func() bool { known, _ := f.knows(each, "kept"); return known })
@@ -178,7 +178,7 @@
 	for _, each := range f.members[:2] {
 		each.process.kill()
 	}
-	stale.process.begin(t)
+	stale.process.thaw()
 	restarted := f.entries[0]
 	restarted.process.begin(t)
 	eventually(t, "the entry answers", func() bool { return restarted.alive() })
@@ -188,7 +188,9 @@
 		assert.Assert(t, known || !ready)
 		time.Sleep(10 * testPause)
 	}
-	f.members[0].process.begin(t)
+	for _, each := range f.members[:2] {
+		each.process.begin(t)
+	}
 	eventually(t, "the entry knows it again", func() bool { known, _ := f.knows(restarted, "kept"); return known })
 	f.judge()
 }
--- a/prover/revision_test.go
+++ b/prover/revision_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,12 +92,8 @@
 
 // look records how much of what was accepted an entry has in force.
 func (s *setter) look(at *entry) {
-	s.mu.Lock()
-	accepted := s.accepted
-	s.mu.Unlock()
-	const recent = 4
 	seen := prover.Revision{At: time.Now(), Entry: at.name}
-	for _, page := range accepted[max(0, len(accepted)-recent):] {
+	for _, page := range s.sample() {
 		known, ready := s.fleet.knows(at, page.Request)
 		if !ready {
 			return
@@ -112,10 +109,35 @@
 	}
 }
 
-// end stops the changes.
+// sample returns some accepted changes from the first to the latest, the later
+// ones closer together.
+func (s *setter) sample() []encoder.AcceptedPage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var pages []encoder.AcceptedPage
+	for back := 1; back <= len(s.accepted); back *= 2 {
+		pages = append(pages, s.accepted[len(s.accepted)-back])
+	}
+	if len(s.accepted) > 0 {
+		pages = append(pages, s.accepted[0])
+	}
+	slices.Reverse(pages)
+	return pages
+}
+
+// end stops the changes and waits until all entries have them in force.
 func (s *setter) end() {
+	s.fleet.t.Helper()
 	close(s.stop)
 	s.done.Wait()
+	for _, each := range s.fleet.entries {
+		for _, page := range s.sample() {
+			eventually(s.fleet.t, page.Request+" is in force at "+each.name, func() bool {
+				known, _ := s.fleet.knows(each, page.Request)
+				return known
+			})
+		}
+	}
 }
 
 // knows asks an entry for a class with a request whose body is malformed, so
