fix(cmd): name a wrong switch of the environment, and each fault once

Cause: a switch whose environment variable is neither true nor false counted as off; a missing keys file was named twice. Found by trying wrong settings. Red before: --- FAIL: TestCheckSettingsNamesEveryFaultOnce; green after: ok burdocklink/cmd.

--- a/cmd/bind.go
+++ b/cmd/bind.go
@@ -92,6 +92,17 @@
 	return nil
 }
 
+// unsetSwitch returns the value of a switch that is off. What the environment
+// says stays as it is where it is neither true nor false, so that the check of
+// the settings names it.
+func unsetSwitch(definition checker.Definition) string {
+	text := definition.Initial()
+	if _, err := strconv.ParseBool(text); text != "" && err != nil {
+		return text
+	}
+	return strconv.FormatBool(false)
+}
+
 func (b *bound) invocation(ctx context.Context, out, errOut io.Writer) (*invocation, error) {
 	values := map[string]string{}
 	for name, text := range b.texts {
@@ -105,6 +116,11 @@
 	for name, on := range b.switches {
 		values[name] = strconv.FormatBool(*on)
 	}
+	for _, definition := range b.command.settings {
+		if definition.Switch && !*b.switches[definition.Name] {
+			values[definition.Name] = unsetSwitch(definition)
+		}
+	}
 	arguments := map[string]string{}
 	for name, value := range b.arguments {
 		arguments[name] = *value
--- a/cmd/execute_test.go
+++ b/cmd/execute_test.go
@@ -53,3 +53,18 @@
 	}
 	return ""
 }
+
+func TestCheckSettingsNamesEveryFaultOnce(t *testing.T) {
+	t.Setenv("BURDOCKLINK_CALLERS_TLS", "maybe")
+	var out, errOut bytes.Buffer
+
+	code := execute(context.Background(), []string{
+		"entry", "--check-settings", "--name", "e1", "--availability-zone", "z",
+		"--listen", "nowhere", "--keys", "missing.json", "--linger", "200s",
+	}, &out, &errOut)
+
+	assert.Equal(t, code, exitUsage)
+	for _, name := range []string{"--callers-tls", "--listen", "--keys", "--drain-time"} {
+		assert.Equal(t, strings.Count(errOut.String(), "  "+name+" "), 1, errOut.String())
+	}
+}
--- a/cmd/keys.go
+++ b/cmd/keys.go
@@ -15,7 +15,7 @@
 	if call.settings.Required(keysFile.Name) == "" {
 		return nil
 	}
-	path := call.settings.File(keysFile.Name)
+	path := call.settings.Text(keysFile.Name)
 	keys, err := authenticator.New(authenticator.Settings{File: path}, call.log)
 	if err != nil {
 		call.settings.Fault(keysFile.Name, err.Error())
