perf(messenger): no measuring pings on links, fewer acknowledgements

gRPC pings to measure a connection at each message that arrives; a fixed flow control window, at both ends, saves that (conductor.ServerOptions gives the server's part). Acknowledgements go every 400 ms.

--- /dev/null
+++ b/conductor/chaos_test.go
@@ -0,0 +1,142 @@
+package conductor_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+)
+
+const (
+	chaosRounds = 8
+	chaosPause  = 700 * time.Millisecond
+	// roundsVariable asks for a longer run.
+	roundsVariable = "CONDUCTOR_ROUNDS"
+)
+
+// recordingProposer commits changes at whoever leads and notes which of them
+// were accepted, at which revision.
+type recordingProposer struct {
+	group    *cluster
+	targets  []*process
+	ended    chan struct{}
+	accepted map[string]uint64
+	done     *sync.WaitGroup
+}
+
+func (r *recordingProposer) run() {
+	defer r.done.Done()
+	for {
+		select {
+		case <-r.ended:
+			return
+		default:
+		}
+		r.propose()
+	}
+}
+
+// propose sends one change to each member in turn until one accepts it. A
+// change whose outcome is unknown is sent again, as operators do.
+func (r *recordingProposer) propose() {
+	command := r.group.model()
+	for at := 0; ; at++ {
+		select {
+		case <-r.ended:
+			return
+		default:
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		applied, err := r.targets[at%len(r.targets)].propose(ctx, command)
+		cancel()
+		if accepted, ok := applied.Result.(applier.Accepted); err == nil && ok {
+			r.accepted[command.Request] = accepted.Revision
+			return
+		}
+	}
+}
+
+// propose proposes at whatever runs as the process now.
+func (p *process) propose(ctx context.Context, command applier.Command) (applier.Applied, error) {
+	p.mutex.Lock()
+	member := p.Conductor
+	p.mutex.Unlock()
+	return member.Propose(ctx, command)
+}
+
+// TestAcceptedChangesSurviveFaults kills, isolates and wipes members while
+// changes are made, and holds that each accepted change is in force everywhere
+// at the end, each at its own revision. A longer run is
+//
+//	CONDUCTOR_ROUNDS=500 go test -run TestAcceptedChangesSurviveFaults -timeout 2h ./conductor/
+func TestAcceptedChangesSurviveFaults(t *testing.T) {
+	rounds := chaosRounds
+	if wanted, err := strconv.Atoi(os.Getenv(roundsVariable)); err == nil {
+		rounds = wanted
+	}
+	g := newCluster(t, nil, "a", "b", "c")
+	g.commit()
+	random := rand.New(rand.NewPCG(1, 1))
+	targets := []*process{g.processes["a"], g.processes["b"], g.processes["c"]}
+	ended, done := make(chan struct{}), &sync.WaitGroup{}
+	var proposers []*recordingProposer
+	for range 3 {
+		one := &recordingProposer{group: g, targets: targets, ended: ended, accepted: map[string]uint64{}, done: done}
+		proposers = append(proposers, one)
+		done.Add(1)
+		go one.run()
+	}
+	for range rounds {
+		g.harm(random, targets[random.IntN(len(targets))])
+	}
+	close(ended)
+	done.Wait()
+	g.commit()
+	g.holdAccepted(proposers)
+}
+
+// harm brings about one fault and heals it.
+func (g *cluster) harm(random *rand.Rand, p *process) {
+	switch random.IntN(4) {
+	case 0:
+		p.gate.shut.Store(true)
+		time.Sleep(2 * chaosPause)
+		p.gate.shut.Store(false)
+	case 1:
+		g.wipe(p)
+		g.voters(3)
+	default:
+		g.kill(p)
+		time.Sleep(chaosPause)
+		g.start(p)
+	}
+	time.Sleep(chaosPause)
+}
+
+// holdAccepted compares what was accepted with every member's catalog.
+func (g *cluster) holdAccepted(proposers []*recordingProposer) {
+	g.t.Helper()
+	revisions := map[uint64]string{}
+	for _, one := range proposers {
+		for name, revision := range one.accepted {
+			assert.Equal(g.t, revisions[revision], "", "two changes at revision %d", revision)
+			revisions[revision] = name
+		}
+	}
+	assert.Assert(g.t, len(revisions) > 0)
+	want := g.leader().Status().Applied
+	for _, p := range g.processes {
+		g.eventually("the last change", func() bool { return p.Status().Applied >= want })
+		models := g.models(p)
+		for _, name := range revisions {
+			assert.Equal(g.t, models[name].Name, name, "member %s has lost it", p.config.Name)
+		}
+	}
+}
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -25,8 +25,9 @@
 	Files recorder.FileSystem
 	// Peers are the control members that are known from the settings, this one
 	// among them or not. Only Name and Address are read. Members with empty
-	// disks form a group once all of them answer; a member without a group
-	// waits to be added to the one that its peers have.
+	// disks form a group once all of them answer and none has a group; a
+	// member without a group waits to be taken into the one that its peers
+	// have. A member without other peers forms a group of its own.
 	Peers []Member
 	// Voters is how many voters the group founds and repairs itself with; zero
 	// means the number of peers. Further members are learners and stand by.
--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,6 +44,8 @@
 	server   *grpc.Server
 	down     bool
 	gate     gate
+	// mutex guards the member against proposers while it is replaced.
+	mutex sync.Mutex
 }
 
 func (p *process) runServer(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
@@ -95,7 +98,10 @@
 		p.listener, err = net.Listen("tcp", p.config.Address)
 		assert.NilError(g.t, err)
 	}
-	p.Conductor, p.server, p.down = member, grpc.NewServer(), false
+	p.mutex.Lock()
+	p.Conductor = member
+	p.mutex.Unlock()
+	p.server, p.down = grpc.NewServer(conductor.ServerOptions()...), false
 	member.ServeReplication(p.server)
 	go p.runServer(p.server, gateListener{Listener: p.listener, gate: &p.gate})
 	assert.NilError(g.t, member.Start(context.Background(), nil))
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -138,6 +138,9 @@
 // Error describes the miss.
 func (e *DeadlineError) Error() string { return "member did not stop in time" }
 
+// ServerOptions are what a server with the replication service should have.
+func ServerOptions() []grpc.ServerOption { return messenger.ServerOptions() }
+
 // ServeReplication registers the service through which members talk. It may
 // be called, and the server may serve, before Start.
 func (c *Conductor) ServeReplication(registrar grpc.ServiceRegistrar) {
--- a/conductor/membership.go
+++ b/conductor/membership.go
@@ -106,7 +106,8 @@
 
 // RemoveMember removes the member with the name, and the disk where one is
 // given. A leader that is to go hands over and answers *NotLeaderError: its
-// successor removes it.
+// successor removes it. A peer of the settings that still answers is taken in
+// again as a learner, which votes only where voters are missing.
 func (c *Conductor) RemoveMember(ctx context.Context, name, disk string) error {
 	status, err := c.coreStatus(ctx)
 	if err != nil {
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -9,6 +9,18 @@
 	"google.golang.org/grpc/credentials/insecure"
 )
 
+// windowBytes is the flow control window. A fixed one saves the pings by which
+// gRPC would measure the connection at each message.
+const windowBytes = 4 << 20
+
+// ServerOptions are what a server of the members' service should have.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
+	}
+}
+
 // dial makes a connection of its own to an address, without a resolver.
 func (m *Messenger) dial(address string) (*grpc.ClientConn, error) {
 	secure := m.settings.Credentials
@@ -18,6 +30,8 @@
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(secure),
 		grpc.WithContextDialer(m.connect),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDefaultCallOptions(
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -186,7 +186,7 @@
 	// pingInterval is when an idle link asks for an acknowledgement.
 	pingInterval = time.Second
 	// ackInterval is how often the receiver acknowledges.
-	ackInterval = 250 * time.Millisecond
+	ackInterval = 400 * time.Millisecond
 	// silenceTime is after how long without frames the receiver ends a link.
 	silenceTime = 5 * time.Second
 	// redialWait is the first pause before another connection; it doubles up
