perf(linker): fixed windows, and addresses for tests that stay free

Cause: gRPC pings to measure a connection at each message that arrives. Ports for processes that must know their address come from a range that is not given to connections. A catalog of 7,400 upstreams is beyond gRPC's 4 MB bound of a message; entries take up to 64 MB.

--- a/assembler/capacity_test.go
+++ b/assembler/capacity_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -48,10 +47,9 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := faker.FreeAddress()
 	assert.NilError(t, err)
-	defer func() { assert.NilError(t, listener.Close()) }()
-	return listener.Addr().String()
+	return address
 }
 
 func start(t testing.TB, services []registrar.Service) {
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"path/filepath"
 	"time"
@@ -16,6 +15,7 @@
 	"burdocklink/cataloger"
 	"burdocklink/classifier"
 	"burdocklink/conductor"
+	"burdocklink/faker"
 	"burdocklink/linker"
 	"burdocklink/orderer"
 	"burdocklink/receiver"
@@ -60,7 +60,7 @@
 func newMembers() ([]conductor.Member, error) {
 	var members []conductor.Member
 	for number := range memberCount {
-		address, err := freeAddress()
+		address, err := faker.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -106,16 +106,6 @@
 	return ctx.kernel(control.Services)
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 type startEntries struct{}
 
 // String says what the step does.
@@ -125,7 +115,7 @@
 func (startEntries) Run(ctx *Context) error {
 	var addresses []string
 	for range entryCount {
-		address, err := freeAddress()
+		address, err := faker.FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -84,10 +84,12 @@
 		return err
 	}
 	g.listener = listener
-	options := []grpc.ServerOption{grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
-		MinTime:             pingInterval,
-		PermitWithoutStream: true,
-	})}
+	options := append(linker.ServerOptions(),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             pingInterval,
+			PermitWithoutStream: true,
+		}),
+	)
 	if g.settings.Credentials != nil {
 		options = append(options, grpc.Creds(g.settings.Credentials))
 	}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -12,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"burdocklink/cataloger"
+	"burdocklink/faker"
 	"burdocklink/follower"
 	"burdocklink/linker"
 	"burdocklink/placer"
@@ -27,10 +27,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := faker.FreeAddress()
 	assert.NilError(t, err)
-	defer func() { assert.NilError(t, listener.Close()) }()
-	return listener.Addr().String()
+	return address
 }
 
 // startEntry starts an entry without control members.
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -11,6 +11,23 @@
 	"google.golang.org/grpc/credentials/insecure"
 )
 
+// Sizes of a connection.
+const (
+	// windowBytes is the flow control window. A fixed one saves the pings by
+	// which gRPC would measure the connection at each message.
+	windowBytes = 4 << 20
+	// messageBytes is the largest message taken, a whole catalog.
+	messageBytes = 64 << 20
+)
+
+// ServerOptions are what a server of linked processes should have.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
+	}
+}
+
 // Linker holds connections by address. It is safe for concurrent use.
 type Linker struct {
 	credentials credentials.TransportCredentials
@@ -43,6 +60,9 @@
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(0),
 		grpc.WithContextDialer(l.meter.dial),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageBytes)),
 	)
 	if err != nil {
 		return nil, &AddressError{Address: address, Cause: err}
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -113,14 +113,14 @@
 }
 
 func (r *Responder) options() []grpc.ServerOption {
-	options := []grpc.ServerOption{
+	options := append(conductor.ServerOptions(),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime:             pingInterval,
 			PermitWithoutStream: true,
 		}),
 		grpc.UnaryInterceptor(r.checkCall),
 		grpc.StreamInterceptor(r.checkStream),
-	}
+	)
 	if r.settings.Credentials != nil {
 		options = append(options, grpc.Creds(r.settings.Credentials))
 	}
