test(prover): engines too small for all models, so that wrong orders show

Cause: with the ledger check and the planner check of memory both switched off, OrdersGoWrong stayed green (31.7 s): eight models of 30 bytes spread over three engines of 100 never meet the limit.

--- a/prover/copies_test.go
+++ b/prover/copies_test.go
@@ -92,3 +92,14 @@
 	t.Helper()
 	eventually(t, "everything is held", f.heldAll)
 }
+
+// heldAll says whether the engines hold a copy of everything.
+func (f *fleet) heldAll() bool {
+	held := f.copies()
+	for _, each := range f.weights {
+		if held[each.Name] == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/prover/order_test.go
+++ b/prover/order_test.go
@@ -9,11 +9,20 @@
 	"burdocklink/encoder"
 )
 
-// newEmptyFleet starts engines that hold nothing and little more memory than
-// the models need, so that each wrong order would show.
+const (
+	// crowdedModels do not all fit into the engines' memory.
+	crowdedModels = 12
+	// fittingModels do.
+	fittingModels = 9
+	// settleTime lets wrong orders arrive after the right ones.
+	settleTime = 2 * time.Second
+)
+
+// newEmptyFleet starts engines that hold nothing and have less memory than the
+// models need, so that each wrong order would show.
 func newEmptyFleet(t *testing.T, members int) *fleet {
 	t.Helper()
-	f := newFleet(t, manyModels(8, 30)...)
+	f := newFleet(t, manyModels(crowdedModels, 30)...)
 	f.addEngine("engine-1", 100, "--load-time", "200ms")
 	f.addEngine("engine-2", 100, "--load-time", "200ms", "--checks-fence")
 	f.addEngine("engine-3", 100, "--load-time", "200ms", "--report-lag", "300ms")
@@ -34,8 +43,8 @@
 			for _, engine := range f.engines {
 				f.fault(engine, faults)
 			}
-			f.allHeld(t)
-			time.Sleep(time.Duration(faults.LateOrderMilliseconds) * time.Millisecond)
+			eventually(t, "the engines are full", f.full)
+			time.Sleep(time.Duration(faults.LateOrderMilliseconds)*time.Millisecond + settleTime)
 			f.judge()
 		})
 	}
@@ -47,25 +56,24 @@
 		leader := f.leader()
 		eventually(t, "an order is under way", func() bool {
 			page, ok := f.status()
-			return ok && len(page.Orders) > 0 || f.heldAll()
+			return ok && len(page.Orders) > 0 || f.full()
 		})
 		leader.process.kill()
 		f.leader()
 		leader.process.begin(t)
 	}
-	f.allHeld(t)
+	eventually(t, "the engines are full", f.full)
+	time.Sleep(settleTime)
 	f.judge()
 }
 
-// heldAll says whether the engines hold a copy of everything.
-func (f *fleet) heldAll() bool {
-	held := f.copies()
-	for _, each := range f.weights {
-		if held[each.Name] == 0 {
-			return false
-		}
+// full says whether the engines hold as many models as fit.
+func (f *fleet) full() bool {
+	count := 0
+	for _, copies := range f.copies() {
+		count += copies
 	}
-	return true
+	return count >= fittingModels
 }
 
 func TestFrozenLeaderGivesOrdersLate(t *testing.T) {
@@ -77,7 +85,8 @@
 		time.Sleep(500 * time.Millisecond)
 		frozen.process.thaw()
 	}
-	f.allHeld(t)
+	eventually(t, "the engines are full", f.full)
+	time.Sleep(settleTime)
 	f.judge()
 }
 
