--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -100,6 +100,22 @@
 	return nil, err
 }
 
+// Revision returns the catalog's revision at the leader, which no other member
+// is ahead of. A change that is based on what a lagging member says would lose
+// against changes that its operator never saw.
+func (a *Administrator) Revision(ctx context.Context) (uint64, error) {
+	var reply *wire.StatusReply
+	err := a.ask(ctx, func(ctx context.Context, client wire.OperatorClient) (*wire.NotLeader, error) {
+		var err error
+		reply, err = client.Status(ctx, &wire.StatusRequest{})
+		if err == nil && !reply.GetLeading() {
+			return &wire.NotLeader{}, nil
+		}
+		return nil, err
+	})
+	return reply.GetRevision(), err
+}
+
 // History returns up to most accepted changes, newest first.
 func (a *Administrator) History(ctx context.Context, most uint32) (*wire.HistoryReply, error) {
 	var reply *wire.HistoryReply
@@ -150,7 +166,7 @@
 			last = err
 		}
 		address = elsewhere.GetLeader()
-		if !wait(ctx) {
+		if !linker.Pause(ctx, retryPause) {
 			return &NoAnswerError{Cause: last}
 		}
 	}
@@ -193,15 +209,3 @@
 	}
 	return elsewhere, err
 }
-
-// wait pauses between two members. It returns false once the context ends.
-func wait(ctx context.Context) bool {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -42,6 +43,9 @@
 	listener net.Listener
 	server   *grpc.Server
 	down     bool
+	gate     gate
+	// mutex guards the member against proposers while it is replaced.
+	mutex sync.Mutex
 }
 
 func (p *process) runServer(server *grpc.Server, listener net.Listener) { _ = server.Serve(listener) }
@@ -76,6 +80,7 @@
 	}
 	for _, p := range g.processes {
 		p.config.Peers = peers
+		p.config.Credentials = newGateCredentials(&p.gate)
 		if change != nil {
 			change(&p.config)
 		}
@@ -93,9 +98,12 @@
 		p.listener, err = net.Listen("tcp", p.config.Address)
 		assert.NilError(g.t, err)
 	}
-	p.Conductor, p.server, p.down = member, grpc.NewServer(), false
+	p.mutex.Lock()
+	p.Conductor = member
+	p.mutex.Unlock()
+	p.server, p.down = grpc.NewServer(conductor.ServerOptions()...), false
 	member.ServeReplication(p.server)
-	go p.runServer(p.server, p.listener)
+	go p.runServer(p.server, gateListener{Listener: p.listener, gate: &p.gate})
 	assert.NilError(g.t, member.Start(context.Background(), nil))
 }
 
@@ -220,6 +228,58 @@
 	assert.NilError(t, err)
 }
 
+// successor waits until another member than the old leader leads, and holds
+// that the old one does not lead after that.
+func (g *cluster) successor(old *process) *process {
+	g.t.Helper()
+	var found *process
+	g.eventually("a successor", func() bool {
+		for _, p := range g.processes {
+			if p == old || p.down || !p.Status().Leading {
+				continue
+			}
+			assert.Assert(g.t, !old.Status().Leading, "two leases")
+			found = p
+			return true
+		}
+		return false
+	})
+	return found
+}
+
+func TestSilentPartitionOfTheLeader(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	names := []string{g.commit()}
+	old := g.leader()
+	old.gate.shut.Store(true)
+	isolated := make(chan error, 1)
+	lost := &lostProposal{group: g, leader: old, answer: isolated}
+	go lost.run()
+	next := g.successor(old)
+	_, err := next.Propose(context.Background(), g.model())
+	assert.NilError(t, err)
+	var uncertain *conductor.UncertainError
+	var elsewhere *conductor.NotLeaderError
+	err = <-isolated
+	assert.Assert(t, errors.As(err, &uncertain) || errors.As(err, &elsewhere), "%v", err)
+	old.gate.shut.Store(false)
+	g.eventually("the old leader has all", func() bool { return len(g.models(old)) == len(names)+1 })
+	_, err = g.leader().Confirm(context.Background())
+	assert.NilError(t, err)
+}
+
+// lostProposal is a proposal at a leader that hears nobody.
+type lostProposal struct {
+	group  *cluster
+	leader *process
+	answer chan error
+}
+
+func (l *lostProposal) run() {
+	_, err := l.leader.Propose(context.Background(), l.group.model())
+	l.answer <- err
+}
+
 func TestStopHandsOver(t *testing.T) {
 	g := newCluster(t, nil, "a", "b", "c")
 	g.commit()
@@ -286,6 +346,23 @@
 	delete(g.processes, "z")
 }
 
+// TestLargestCommandsAreReplicated holds that what Propose takes in fits
+// through the links, many at once as well.
+func TestLargestCommandsAreReplicated(t *testing.T) {
+	g := newCluster(t, func(c *conductor.Config) {
+		c.Codec = tinyCodec()
+		c.Codec.EncodeCommand = func(applier.Command) ([]byte, error) {
+			return make([]byte, conductor.MaxCommandBytes), nil
+		}
+	}, "a", "b", "c")
+	p := &proposers{group: g, leader: g.leader(), command: noopOf, patient: true}
+	p.commit(40, 8)
+	applied := g.leader().Status().Applied
+	for _, other := range g.processes {
+		g.eventually("all commands", func() bool { return other.Status().Applied >= applied })
+	}
+}
+
 func TestFollowersSeeEachRevisionOnce(t *testing.T) {
 	g := newCluster(t, nil, "a", "b", "c")
 	g.commit()
