feat(receiver): silence follows the targets of a class

Cause: a frozen engine held each answer for the silence of the stream and then again for that of the resume, 20 s each, whatever the class promises. Ruled out: leaving an engine at the first silence: the connection may be dead and the engine not. One short try over a new connection tells; an engine that answers it has the time of a new stream, one that does not is left. Red, one mechanism off at a time: - asked again and again: stream_test.go:208: 2 != 1 - first token's silence without targets: stream_test.go:206: deadline-passed - next token's silence without targets: stream_test.go:206: '1 2 3 ' != '1 2 3 4 5 6 7 8 ' Green: go test -race ./receiver ./relayer ./dispatcher ok. In classes without targets the first token may take 20 s, since drafts may wait in an engine's queue, and the next ones 5 s.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -50,6 +50,8 @@
 	Body   []byte
 	// Fresh asks for a connection that nothing used before.
 	Fresh bool
+	// Silence is the longest wait for progress; zero takes that of Settings.
+	Silence time.Duration
 }
 
 // Answer is a whole answer.
@@ -81,11 +83,22 @@
 // Close drops the unused connections.
 func (d *Dispatcher) Close() { d.shared.CloseIdleConnections() }
 
+// Patience is what the body of a response of Stream can do besides.
+type Patience interface {
+	// SetSilence changes the longest wait for progress. It is called between
+	// two reads.
+	SetSilence(longest time.Duration)
+}
+
 // Stream makes the call and returns the response as soon as its header is
 // there. Silence, before the header or in the body, ends the call with a
-// *SilentError.
+// *SilentError. The body is a Patience.
 func (d *Dispatcher) Stream(ctx context.Context, call Call) (*http.Response, error) {
-	watch := newWatch(ctx, d.settings.Silence)
+	silence := call.Silence
+	if silence <= 0 {
+		silence = d.settings.Silence
+	}
+	watch := newWatch(ctx, silence)
 	request, err := call.request(watch.ctx)
 	if err != nil {
 		watch.close()
--- a/dispatcher/watch.go
+++ b/dispatcher/watch.go
@@ -62,6 +62,9 @@
 	return n, err
 }
 
+// SetSilence changes the longest wait for progress.
+func (b *watchedBody) SetSilence(longest time.Duration) { b.watch.silence = longest }
+
 func (b *watchedBody) Close() error {
 	b.watch.close()
 	return b.ReadCloser.Close()
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -65,6 +65,8 @@
 		path:   x.r.URL.Path,
 		header: http.Header{"Content-Type": {"application/json"}},
 		body:   request.Whole(),
+		// without a stream nothing shows that the engine is at work
+		silence: wholeSilence(x.class.Target, x.Settings.RequestTime),
 	}
 }
 
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -124,6 +125,7 @@
 		Path:    e.r.URL.Path,
 		Header:  e.header(),
 		Body:    body,
+		Silence: e.firstSilence(),
 	}
 	source, err := e.stream(ctx, call)
 	var interrupted *dispatcher.InterruptedError
@@ -175,7 +177,12 @@
 		Path:    encoder.PathStreams + e.attemptID,
 		Header:  header,
 		Fresh:   true,
+		Silence: resumeSilence,
 	})
+	if err == nil {
+		// an engine that knows the stream gets the time of a new one
+		source.(*leg).setSilence(e.firstSilence())
+	}
 	var status *UpstreamStatusError
 	if errors.As(err, &status) || is[*answeredError](err) {
 		return nil, &relayer.ForgottenError{}
@@ -198,7 +205,12 @@
 		_ = response.Body.Close()
 		return nil, &identityError{got: got}
 	}
-	return &leg{Stream: relayer.NewStream(response.Body), engines: e, identity: e.attemptID}, nil
+	return &leg{
+		Stream:   relayer.NewStream(response.Body),
+		engines:  e,
+		identity: e.attemptID,
+		body:     response.Body,
+	}, nil
 }
 
 // refused tells an engine that cannot work now from a request at fault.
@@ -238,6 +250,8 @@
 	*relayer.Stream
 	engines  *engines
 	identity string
+	body     io.ReadCloser
+	begun    bool
 }
 
 // Identity returns the attempt that the stream belongs to.
@@ -250,9 +264,19 @@
 		return event, err
 	}
 	l.engines.note()
+	if !l.begun {
+		l.begun = true
+		l.setSilence(l.engines.nextSilence())
+	}
 	return event, nil
 }
 
+func (l *leg) setSilence(longest time.Duration) {
+	if body, ok := l.body.(dispatcher.Patience); ok {
+		body.SetSilence(longest)
+	}
+}
+
 func (e *engines) note() {
 	e.legTokens++
 	e.tokens++
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -24,6 +24,8 @@
 	path   string
 	header http.Header
 	body   []byte
+	// silence is the longest wait for an answer, zero for the usual one.
+	silence time.Duration
 }
 
 func (r *Receiver) answerService(x *exchange) error {
@@ -44,6 +46,8 @@
 		path:   path,
 		header: x.serviceHeader(),
 		body:   body,
+
+		silence: wholeSilence(x.class.Target, 0),
 	}
 	if x.class.RepeatForbidden {
 		return x.once(asked)
@@ -103,6 +107,7 @@
 		Path:    asked.path,
 		Header:  header,
 		Body:    asked.body,
+		Silence: asked.silence,
 	}
 }
 
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -38,6 +38,10 @@
 	ClaimTime time.Duration
 	// PendingTime is how long a resend waits for the first attempt.
 	PendingTime time.Duration
+	// FirstSilence is the longest wait for the first event of a stream, and
+	// NextSilence that between two, in classes without such targets.
+	FirstSilence time.Duration
+	NextSilence  time.Duration
 	// Linger is how long the listener stays open after readiness failed, so
 	// that the balancer notices.
 	Linger time.Duration
@@ -68,6 +72,10 @@
 	defaultRequestTime = 10 * time.Minute
 	defaultClaimTime   = 60 * time.Second
 	defaultPendingTime = 30 * time.Second
+
+	defaultFirstSilence = 20 * time.Second
+	defaultNextSilence  = 5 * time.Second
+
 	defaultStoredBytes = claimer.MaxAnswerBytes
 
 	defaultCompletionClass = "interactive"
@@ -102,6 +110,8 @@
 	orDefault(&s.RequestTime, defaultRequestTime)
 	orDefault(&s.ClaimTime, defaultClaimTime)
 	orDefault(&s.PendingTime, defaultPendingTime)
+	orDefault(&s.FirstSilence, defaultFirstSilence)
+	orDefault(&s.NextSilence, defaultNextSilence)
 	orDefault(&s.StoredBytes, defaultStoredBytes)
 	orDefault(&s.Classes.Completion, defaultCompletionClass)
 	orDefault(&s.Classes.Lookup, defaultLookupClass)
--- a/receiver/stream_test.go
+++ b/receiver/stream_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"burdocklink/admitter"
-	"burdocklink/dispatcher"
+	"burdocklink/classifier"
 	"burdocklink/encoder"
 	"burdocklink/receiver"
 )
@@ -142,7 +142,8 @@
 				}
 			}}
 			r := newRig(t, map[string]http.Handler{"engine-1": one}, func(c *receiver.Config) {
-				c.Calls = dispatcher.New(dispatcher.Settings{Silence: 100 * time.Millisecond})
+				c.Settings.FirstSilence = 100 * time.Millisecond
+				c.Settings.NextSilence = 100 * time.Millisecond
 			})
 
 			got := r.send("POST", encoder.PathChat, chat(true, 8))
@@ -156,10 +157,63 @@
 	}
 }
 
+// freezing takes connections and answers nothing any more after a number of
+// events. Of several that share a flag only the first that is asked freezes.
+type freezing struct {
+	engine
+	after  int
+	chosen *atomic.Bool
+	frozen atomic.Bool
+}
+
+func (f *freezing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.frozen.Load() {
+		f.note(r.Method + " while frozen")
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
+	if f.chosen.CompareAndSwap(false, true) {
+		f.hold = func(r *http.Request, event int) {
+			if event > f.after {
+				f.frozen.Store(true)
+				<-r.Context().Done()
+			}
+		}
+	}
+	f.engine.ServeHTTP(w, r)
+}
+
+func TestAFrozenEngineIsAskedOnceMoreAndThenLeft(t *testing.T) {
+	for name, after := range map[string]int{"before the first token": 0, "between tokens": 3} {
+		t.Run(name, func(t *testing.T) {
+			var chosen atomic.Bool
+			one := &freezing{after: after, chosen: &chosen}
+			two := &freezing{after: after, chosen: &chosen}
+			r := newRig(t, map[string]http.Handler{"engine-1": one, "engine-2": two}, func(c *receiver.Config) {
+				c.Settings.FirstSilence = time.Hour
+				c.Settings.NextSilence = time.Hour
+			})
+			r.catalog.Classes["interactive"] = classifier.Class{
+				Name:   "interactive",
+				Target: classifier.Target{FirstToken: time.Second, BetweenTokens: 20 * time.Millisecond},
+			}
+
+			got := r.send("POST", encoder.PathChat, chat(true, 8),
+				encoder.HeaderDeadline, time.Now().Add(soon).Format(time.RFC3339Nano))
+
+			body, _, ended := readStream(got.body)
+			assert.Equal(t, body, text(8), got.body)
+			assert.Assert(t, ended)
+			assert.Equal(t, one.count("GET while frozen")+two.count("GET while frozen"), 1)
+		})
+	}
+}
+
 func TestDeadConnectionsOfThePoolDoNotReachTheCaller(t *testing.T) {
 	one := &engine{}
 	r := newRig(t, map[string]http.Handler{"engine-1": one}, func(c *receiver.Config) {
-		c.Calls = dispatcher.New(dispatcher.Settings{Silence: 200 * time.Millisecond})
+		c.Settings.FirstSilence = 200 * time.Millisecond
 	})
 	address := r.catalog.Upstreams["engine-1"].Address
 	box := newForgetfulBox(t, address)
--- a/relayer/core.go
+++ b/relayer/core.go
@@ -33,10 +33,14 @@
 // Forgotten says that the engine cannot resume the stream.
 type Forgotten struct{}
 
+// Missed says that the engine did not answer when it was asked to resume.
+type Missed struct{}
+
 func (Opened) input()    {}
 func (Arrived) input()   {}
 func (Broke) input()     {}
 func (Forgotten) input() {}
+func (Missed) input()    {}
 
 // Output is what is to be done next. It is one of the types below.
 type Output interface{ output() }
@@ -131,6 +135,8 @@
 		return c.mend(todo)
 	case Forgotten:
 		return c.proceed(todo)
+	case Missed:
+		return c.miss(todo)
 	}
 	return todo
 }
@@ -273,6 +279,15 @@
 	return c.proceed(todo)
 }
 
+// miss leaves an engine that a new connection did not reach either, unless it
+// alone can complete the answer.
+func (c *Core) miss(todo []Output) []Output {
+	if c.sent > 0 && !c.plain {
+		return c.mend(todo)
+	}
+	return c.proceed(todo)
+}
+
 // proceed goes on elsewhere from what the caller has.
 func (c *Core) proceed(todo []Output) []Output {
 	if c.finished {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -133,7 +133,10 @@
 		return r.perform(ctx, r.core.Step(Forgotten{}, nil))
 	}
 	if err != nil {
-		return false, r.pause(ctx)
+		if err := r.pause(ctx); err != nil {
+			return false, err
+		}
+		return r.perform(ctx, r.core.Step(Missed{}, nil))
 	}
 	r.source = source
 	return false, nil
