--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"os/exec"
 	"strings"
 	"sync"
@@ -11,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"burdocklink/faker"
 )
 
 const (
@@ -156,10 +157,9 @@
 // freeAddress returns an address that nothing listens on now.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := faker.FreeAddress()
 	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // freeze stops the process where it is; thaw lets it go on.
