--- a/conductor/carry.go
+++ b/conductor/carry.go
@@ -8,7 +8,8 @@
 )
 
 // snapshotBytes is how many bytes of applied entries the log keeps before a
-// snapshot replaces them.
+// snapshot replaces them; it is more where the last snapshot was larger, so
+// that snapshots never cost more than the log itself.
 const snapshotBytes = 16 << 20
 
 // pendingProposal waits for its entry to be applied.
@@ -143,7 +144,7 @@
 	}
 	c.state = state
 	c.applied = snapshot.Index
-	c.unsaved = 0
+	c.unsaved, c.saved = 0, len(snapshot.Data)
 	c.dropFollowers()
 }
 
@@ -199,7 +200,8 @@
 // takeSnapshot replaces a long log by the state.
 func (c *Conductor) takeSnapshot(status replicator.Status) {
 	kept := c.applied - status.SnapshotIndex
-	if kept == 0 || (kept < c.config.SnapshotEntries && c.unsaved < snapshotBytes) {
+	full := c.unsaved >= max(snapshotBytes, c.saved)
+	if kept == 0 || (kept < c.config.SnapshotEntries && !full) {
 		return
 	}
 	data, err := c.config.Codec.EncodeState(c.state)
@@ -207,6 +209,6 @@
 		c.fail(err)
 		return
 	}
-	c.unsaved = 0
+	c.unsaved, c.saved = 0, len(data)
 	c.step(replicator.Compact{Index: c.applied, Data: data})
 }
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -35,12 +35,14 @@
 	commits   metrics.Counter
 
 	// what follows belongs to loop.
-	recorder  *recorder.Recorder
-	writer    *writer
-	core      *replicator.Core
-	state     *applier.State
-	applied   uint64
+	recorder *recorder.Recorder
+	writer   *writer
+	core     *replicator.Core
+	state    *applier.State
+	applied  uint64
+	// unsaved counts bytes applied since the last snapshot, saved its size.
 	unsaved   int
+	saved     int
 	term      uint64
 	pending   map[uint64]pendingProposal
 	reads     map[uint64]*confirmCall
