test(prover): three fleets at a time, exact bounds of what is in force

Fleets now run three at a time, with ports below those of outgoing connections, each given out once.

Records now hold what is in force at least and a change that is lacking; the oracle tests have both.

--- a/prover/booking_test.go
+++ b/prover/booking_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestBookingIsSentAgain(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	tests := map[string]struct {
 		faults encoder.ServiceFaults
@@ -58,6 +59,7 @@
 }
 
 func TestBookingsWhileConnectionsGoSilent(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	traffic := f.startTraffic(4, 5, "torta")
 	f.answered(10)
@@ -75,6 +77,7 @@
 }
 
 func TestEntryKilledWhileItBooks(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	for _, service := range f.services {
 		f.fault(service, encoder.ServiceFaults{DelayMilliseconds: 300})
@@ -89,8 +92,8 @@
 	f.entries[0].process.kill()
 	senders.Wait()
 
+	f.startBookings(f.entries[1], keys).Wait()
 	for _, key := range keys {
-		f.book(f.entries[1], key)
 		assert.Assert(t, f.runsOf(key) <= 1)
 	}
 	f.judge()
--- a/prover/check_operator.go
+++ b/prover/check_operator.go
@@ -6,7 +6,8 @@
 	var found []Violation
 	for _, accepted := range h.accepted {
 		for _, seen := range h.revisions {
-			if seen.At.Sub(accepted.At) > limits.InForce && seen.Revision < accepted.Revision {
+			late := seen.At.Sub(accepted.At) > limits.InForce
+			if late && seen.Lacks > 0 && seen.Lacks <= accepted.Revision {
 				found = append(found, NotInForce{Accepted: accepted, Seen: seen})
 			}
 		}
@@ -14,16 +15,19 @@
 	return found
 }
 
-// checkReverts finds entries whose revision went back, also over restarts.
+// checkReverts finds entries that lack a change which they had in force before,
+// also over restarts.
 func (h *history) checkReverts() []Violation {
 	var found []Violation
-	last := map[string]Revision{}
+	highest := map[string]Revision{}
 	for _, seen := range h.revisions {
-		before, known := last[seen.Entry]
-		if known && seen.Revision < before.Revision {
+		before := highest[seen.Entry]
+		if seen.Lacks > 0 && seen.Lacks <= before.Revision {
 			found = append(found, Reverted{Before: before, After: seen})
 		}
-		last[seen.Entry] = seen
+		if seen.Revision > before.Revision {
+			highest[seen.Entry] = seen
+		}
 	}
 	return found
 }
--- a/prover/check_test.go
+++ b/prover/check_test.go
@@ -137,17 +137,21 @@
 
 		"not in force in time": {[]prover.Record{
 			prover.Accepted{At: at(1), Request: "1", Revision: 7, Based: 6},
-			prover.Revision{At: at(7), Entry: "entry-1", Revision: 6},
+			prover.Revision{At: at(7), Entry: "entry-1", Revision: 6, Lacks: 7},
 		}, []string{"NotInForce"}},
 		"in force in time": {[]prover.Record{
 			prover.Accepted{At: at(1), Request: "1", Revision: 7, Based: 6},
-			prover.Revision{At: at(5), Entry: "entry-1", Revision: 6},
+			prover.Revision{At: at(5), Entry: "entry-1", Revision: 6, Lacks: 7},
 			prover.Revision{At: at(7), Entry: "entry-1", Revision: 7},
 		}, nil},
 		"reverted over a restart": {[]prover.Record{
 			prover.Revision{At: at(2), Entry: "entry-1", Revision: 7},
-			prover.Revision{At: at(3), Entry: "entry-1", Revision: 6},
+			prover.Revision{At: at(3), Entry: "entry-1", Revision: 6, Lacks: 7},
 		}, []string{"Reverted"}},
+		"lower bound sank": {[]prover.Record{
+			prover.Revision{At: at(2), Entry: "entry-1", Revision: 7},
+			prover.Revision{At: at(3), Entry: "entry-1", Revision: 6, Lacks: 8},
+		}, nil},
 
 		"two winners on one revision": {[]prover.Record{
 			prover.Accepted{At: at(1), Operator: "a", Request: "1", Based: 6, Revision: 7},
--- a/prover/control_test.go
+++ b/prover/control_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestOneMemberAcceptsAChange(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.addMembers("control-1")
 	wanted := change{class: "interactive", request: "1", flags: []string{"--first-token", "2s"}}
@@ -51,6 +52,7 @@
 }
 
 func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.addMembers("control-1", "control-2", "control-3")
 	based := f.mustSet(change{class: "first", request: "0", flags: []string{"--whole", "1h"}}).Revision
@@ -77,6 +79,7 @@
 }
 
 func TestLeaderIsKilledTwice(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	traffic := f.startTraffic(6, 20, "torta", "krem")
 	changes := f.startSetter()
@@ -96,6 +99,7 @@
 }
 
 func TestLeaderIsFrozenAndThawed(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	traffic := f.startTraffic(6, 20, "torta", "krem")
 	changes := f.startSetter()
@@ -117,8 +121,10 @@
 }
 
 func TestLeaderIsCutOff(t *testing.T) {
+	t.Parallel()
 	for name, direction := range map[string]string{"to it": toServer, "from it": toClient} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newSmallFleet(t, 3)
 			traffic := f.startTraffic(4, 20, "torta")
 			changes := f.startSetter()
@@ -141,6 +147,7 @@
 }
 
 func TestAllMembersRestart(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	changes := f.startSetter()
 	eventually(t, "changes are accepted", func() bool { return changes.count() >= 5 })
@@ -161,6 +168,7 @@
 }
 
 func TestLostDiskIsRepaired(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	changes := f.startSetter()
 	eventually(t, "changes are accepted", func() bool { return changes.count() >= 3 })
@@ -198,6 +206,7 @@
 // TestEmptyDiskDoesNotVote loses the only other copy of accepted changes: the
 // group must stand still and not forget them.
 func TestEmptyDiskDoesNotVote(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	behind, emptied, ahead := f.members[0], f.members[1], f.members[2]
 	behind.process.kill()
--- a/prover/entry_test.go
+++ b/prover/entry_test.go
@@ -20,6 +20,7 @@
 }
 
 func TestShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	for _, service := range f.services {
 		f.fault(service, encoder.ServiceFaults{DelayMilliseconds: 1500})
@@ -50,6 +51,7 @@
 }
 
 func TestRestartedEntryDoesNotRevert(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	changes := f.startSetter()
 	for range 3 {
@@ -64,6 +66,7 @@
 }
 
 func TestEntryStartsWhileTheQuorumIsLost(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	f.mustSet(change{class: "kept", request: "kept", flags: []string{"--whole", "1h"}})
 	for _, each := range f.entries {
@@ -85,6 +88,7 @@
 }
 
 func TestLeavingUpstreamsGetNothingNew(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	traffic := f.startTraffic(6, 20, "torta", "krem")
 	f.answered(10)
@@ -100,6 +104,7 @@
 }
 
 func TestEngineSaysItselfThatItLeaves(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	traffic := f.startTraffic(4, 20, "torta")
 	f.answered(10)
@@ -118,6 +123,7 @@
 }
 
 func TestCutOffEntryFailsReadiness(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	alone := f.addCutOffEntry()
 	eventually(t, "it is ready", alone.entry.ready)
@@ -150,6 +156,7 @@
 }
 
 func TestCallerThatLeavesFreesTheEngine(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	body := []byte(`{"model":"torta","stream":true,"max_tokens":100000,"messages":[{"role":"user","content":"x"}]}`)
@@ -167,6 +174,7 @@
 // TestEntryDoesNotServeWhatAStaleMemberSays leaves one member that missed a
 // change, and an entry that starts anew without any other to ask.
 func TestEntryDoesNotServeWhatAStaleMemberSays(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 3)
 	stale := f.members[2]
 	stale.process.freeze()
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -21,7 +21,7 @@
 
 // promised are the times that the fleet is judged by.
 var promised = prover.Limits{
-	Leave:   10 * time.Second,
+	Leave:   6 * time.Second,
 	InForce: 10 * time.Second,
 	Restore: testEnd,
 }
@@ -68,9 +68,17 @@
 	folder  string
 }
 
-// newFleet starts the platform and the store.
+// fleetsAtOnce bounds the fleets that run at the same time.
+const fleetsAtOnce = 3
+
+// fleets holds a place for each running fleet.
+var fleets = make(chan struct{}, fleetsAtOnce)
+
+// newFleet waits for a place and starts the platform and the store.
 func newFleet(t *testing.T, weights ...encoder.Weights) *fleet {
 	t.Helper()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	f := &fleet{t: t, folder: t.TempDir(), weights: weights}
 	f.weightsFile = f.write("weights.json", weights)
 	f.subscriberKey = f.key("subscriber", subscriberName)
--- a/prover/mix_test.go
+++ b/prover/mix_test.go
@@ -46,9 +46,11 @@
 // TestFaultsAtOnce brings about one or two faults at a time, some of them
 // twice, and judges all that was seen.
 func TestFaultsAtOnce(t *testing.T) {
+	t.Parallel()
 	first, last := seeds(t)
 	for seed := first; seed <= last; seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			f := newSmallFleet(t, 3)
 			traffic := f.startTraffic(8, 20, "torta", "krem", "torta-eskuvo")
 			changes := f.startSetter()
--- a/prover/order_test.go
+++ b/prover/order_test.go
@@ -31,6 +31,7 @@
 }
 
 func TestOrdersGoWrong(t *testing.T) {
+	t.Parallel()
 	tests := map[string]encoder.EngineFaults{
 		"lost":         {LoseOrders: 3},
 		"replies lost": {LoseOrderReplies: 3},
@@ -39,6 +40,7 @@
 	}
 	for name, faults := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newEmptyFleet(t, 1)
 			for _, engine := range f.engines {
 				f.fault(engine, faults)
@@ -51,6 +53,7 @@
 }
 
 func TestLeaderIsLostBetweenIntentAndOrder(t *testing.T) {
+	t.Parallel()
 	f := newEmptyFleet(t, 3)
 	for range 2 {
 		leader := f.leader()
@@ -77,6 +80,7 @@
 }
 
 func TestFrozenLeaderGivesOrdersLate(t *testing.T) {
+	t.Parallel()
 	f := newEmptyFleet(t, 3)
 	for range 2 {
 		frozen := f.leader()
@@ -91,6 +95,7 @@
 }
 
 func TestCopiesOfALostEngineComeBack(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, manyModels(4, 30)...)
 	f.addEngine("engine-1", 100)
 	f.addEngine("engine-2", 100)
@@ -114,6 +119,7 @@
 }
 
 func TestLeavingEngineKeepsTheLastCopyUntilAnotherHasIt(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, manyModels(3, 30)...)
 	f.addEngine("engine-1", 100)
 	f.addMembers("control-1")
--- a/prover/path_test.go
+++ b/prover/path_test.go
@@ -18,6 +18,7 @@
 }
 
 func TestWholePathUnderTraffic(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, models()...)
 	f.addEngine("engine-1", 100, "--holds", "torta,krem,torta-eskuvo")
 	f.addEngine("engine-2", 100, "--holds", "torta,krem,torta-eskuvo")
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"net"
+	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -153,13 +156,33 @@
 	assert.Assert(t, !p.dead(), "%s ended", p.name)
 }
 
-// freeAddress returns an address that nothing listens on now.
+// The ports that tests give out lie below those that the system takes for
+// outgoing connections.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// nextPort begins at another place in each test process.
+var nextPort atomic.Int64
+
+// freeAddress returns an address that nothing listens on and that is given out
+// once.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	nextPort.CompareAndSwap(0, int64(os.Getpid())*97)
+	for range portCount {
+		port := firstPort + nextPort.Add(1)%portCount
+		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, listener.Close())
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // freeze stops the process where it is; thaw lets it go on.
--- a/prover/record.go
+++ b/prover/record.go
@@ -91,11 +91,14 @@
 // Unbased is the value of Accepted.Based that conflicts with nothing.
 const Unbased = ^uint64(0)
 
-// Revision is what a ready entry said to have in force.
+// Revision is what a ready entry was seen to have in force: at least one
+// revision, and not yet another.
 type Revision struct {
 	At       time.Time
 	Entry    string
 	Revision uint64
+	// Lacks is the revision of a change that was not in force, zero for none.
+	Lacks uint64
 }
 
 func (Answer) record()   {}
--- a/prover/revision_test.go
+++ b/prover/revision_test.go
@@ -99,14 +99,12 @@
 			return
 		}
 		if !known {
-			seen.Revision = page.Revision - 1
+			seen.Lacks = page.Revision
 			break
 		}
 		seen.Revision = page.Revision
 	}
-	if seen.Revision > 0 {
-		s.fleet.see(seen)
-	}
+	s.fleet.see(seen)
 }
 
 // sample returns some accepted changes from the first to the latest, the later
--- a/prover/stream_test.go
+++ b/prover/stream_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestFaultyStreamsStayWhole(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	tests := map[string]encoder.EngineFaults{
 		"cut once":              {CutAfterTokens: 7, CutTimes: 1},
@@ -36,6 +37,7 @@
 }
 
 func TestEveryEngineFaultyAtOnce(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	for _, engine := range f.engines {
 		f.fault(engine, encoder.EngineFaults{CutAfterTokens: 9, ForgetStreams: true})
@@ -47,6 +49,7 @@
 }
 
 func TestKilledEngineIsContinuedElsewhere(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	traffic := f.startTraffic(6, 100, "torta", "krem")
 	f.answered(6)
@@ -60,6 +63,7 @@
 }
 
 func TestFrozenEngineIsContinuedElsewhere(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	traffic := f.startTraffic(6, 100, "torta")
 	f.answered(6)
@@ -74,6 +78,7 @@
 }
 
 func TestSilentConnectionsAreLeft(t *testing.T) {
+	t.Parallel()
 	f := newSmallFleet(t, 1)
 	traffic := f.startTraffic(6, 60, "torta")
 	f.answered(12)
@@ -89,8 +94,10 @@
 }
 
 func TestOneWaySilenceOfAnEngine(t *testing.T) {
+	t.Parallel()
 	for name, direction := range map[string]string{"to the engine": toServer, "from the engine": toClient} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newSmallFleet(t, 1)
 			traffic := f.startTraffic(4, 40, "torta")
 			f.answered(8)
