perf(dispatcher): streams over connections of their own

Cause: an entry that holds 2,000 open streams had 153,260 kB resident (a trial: callers and engine in processes of their own, the entry in a test process that had 27,556 kB before); the bound is 128 MB. Of that, net/http's transport keeps two goroutines and two buffers for each stream. Ruled out: smaller stacks of the handlers, which net/http decides. A pool of connections is no longer asked for streams, so that none of its dead connections can hold one up.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -64,6 +64,7 @@
 // Dispatcher makes calls.
 type Dispatcher struct {
 	settings Settings
+	dialer   *net.Dialer
 	shared   *http.Transport
 	fresh    *http.Transport
 }
@@ -77,7 +78,7 @@
 	shared.IdleConnTimeout = settings.Idle
 	fresh := transport(dialer.DialContext)
 	fresh.DisableKeepAlives = true
-	return &Dispatcher{settings: settings, shared: shared, fresh: fresh}
+	return &Dispatcher{settings: settings, dialer: dialer, shared: shared, fresh: fresh}
 }
 
 // Close drops the unused connections.
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -192,7 +192,7 @@
 
 // stream makes a call that answers with events.
 func (e *engines) stream(ctx context.Context, call dispatcher.Call) (relayer.Source, error) {
-	response, err := e.Calls.Stream(ctx, call)
+	response, err := e.Calls.Open(ctx, call)
 	if err != nil {
 		e.sent = e.sent || !is[*dispatcher.NotSentError](err)
 		return nil, err
