feat(receiver): streams name the upstream that answers

Cause: only whole answers carried the header. Conclusion: stands; a continued answer names the engine that began it.

--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -91,7 +91,6 @@
 	if request.Stream {
 		return nil
 	}
-	x.w.Header().Set(encoder.HeaderUpstream, legs.grant.Choice.Upstream)
 	return x.writeJSON(http.StatusOK, encoder.OutcomeRan, whole.answer(request.Chat))
 }
 
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -205,6 +205,9 @@
 		_ = response.Body.Close()
 		return nil, &identityError{got: got}
 	}
+	if !e.answered {
+		e.w.Header().Set(encoder.HeaderUpstream, e.grant.Choice.Upstream)
+	}
 	return &leg{
 		Stream:   relayer.NewStream(response.Body),
 		engines:  e,
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -20,6 +20,8 @@
 
 	assert.Equal(t, streamed.status, http.StatusOK)
 	assert.Equal(t, streamed.outcome(), encoder.OutcomeRan)
+	assert.Equal(t, streamed.header.Get(encoder.HeaderUpstream), "engine-1")
+	assert.Equal(t, whole.header.Get(encoder.HeaderUpstream), "engine-1")
 	got, _, ended := readStream(streamed.body)
 	assert.Equal(t, got, text(5))
 	assert.Assert(t, ended)
