fix(placer): time of a request from its tokens where it was not measured

Cause: the demand on the wire carries no busy time, so the mean time of a request fell towards zero and no demand would ever have moved anything. Ruled out: dropping the measured time, which counts the prefill of others. Conclusion: kept until the wire carries the busy time.

--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,79 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Date(2030, time.May, 1, 10, 0, 0, 0, time.UTC)
+
+func TestLimitFollowsMeasuredLatency(t *testing.T) {
+	cases := map[string]struct {
+		measured time.Duration
+		least    float64
+		most     float64
+	}{
+		"too slow shrinks to the least": {measured: 80 * time.Millisecond, least: 2, most: 2},
+		"in time keeps the most":        {measured: 20 * time.Millisecond, least: 32, most: 32},
+		"not measured teaches nothing":  {measured: 0, least: 32, most: 32},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := New(Settings{Least: 2, Most: 32})
+			for range 200 {
+				l.Observe(l.Current(), c.measured, 50*time.Millisecond)
+			}
+			assert.Assert(t, l.Current() >= c.least && l.Current() <= c.most, "%f", l.Current())
+		})
+	}
+}
+
+func TestLimitGrowsBackOnlyUnderLoad(t *testing.T) {
+	l := New(Settings{Least: 2, Most: 32})
+	for range 20 {
+		l.Observe(32, time.Second, 50*time.Millisecond)
+	}
+	low := l.Current()
+	l.Observe(1, time.Millisecond, 50*time.Millisecond)
+	assert.Equal(t, l.Current(), low)
+	for range 2000 {
+		l.Observe(l.Current(), time.Millisecond, 50*time.Millisecond)
+	}
+	assert.Equal(t, l.Current(), 32.0)
+}
+
+func TestCircuitOpensOnFailuresInARow(t *testing.T) {
+	var c Circuit
+	c.Failed(epoch)
+	c.Failed(epoch)
+	c.Answered()
+	c.Failed(epoch)
+	c.Failed(epoch)
+	assert.Assert(t, c.Allows(epoch))
+	c.Failed(epoch)
+	assert.Assert(t, !c.Allows(epoch))
+	assert.Assert(t, c.Allows(c.RetryAt))
+	// One try at a time while it is open.
+	c.Tried(epoch.Add(firstRetry))
+	assert.Assert(t, !c.Allows(epoch.Add(firstRetry)))
+	for range 20 {
+		c.Failed(epoch)
+	}
+	assert.Equal(t, c.RetryAt, epoch.Add(longestRetry))
+	c.Answered()
+	assert.Assert(t, c.Allows(epoch))
+}
+
+func TestBudgetIsAFractionOfTraffic(t *testing.T) {
+	b := NewBudget()
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		for b.Spend() {
+			spent++
+		}
+	}
+	assert.Assert(t, spent >= 100 && spent <= 111, "%d", spent)
+}
--- a/placer/load.go
+++ b/placer/load.go
@@ -23,6 +23,10 @@
 	slowTime = 3 * time.Minute
 	// firstSeconds is the time of a request before any was measured.
 	firstSeconds = 3.0
+	// usualPrefillRate and usualDecodeRate are in tokens per second for one
+	// request, where its time was not measured.
+	usualPrefillRate = 8000.0
+	usualDecodeRate  = 30.0
 	// secondsWeight is the share of new requests in the mean time, for each
 	// plan that saw some.
 	secondsWeight = 0.05
@@ -88,14 +92,23 @@
 			load.Slow = load.Fast
 		}
 		if count.Ended > 0 {
-			mean := count.Busy.Seconds() / float64(count.Ended)
-			load.Seconds += secondsWeight * (mean - load.Seconds)
+			load.Seconds += secondsWeight * (count.meanSeconds() - load.Seconds)
 		}
 		loads[name] = load
 	}
 	s.Loads = loads
 }
 
+// meanSeconds is the mean time of a request that has ended. Where the time was
+// not measured it follows from the tokens.
+func (c Count) meanSeconds() float64 {
+	ended := float64(c.Ended)
+	if c.Busy > 0 {
+		return c.Busy.Seconds() / ended
+	}
+	return (float64(c.PromptTokens)/usualPrefillRate + float64(c.AnswerTokens)/usualDecodeRate) / ended
+}
+
 func weight(passed, over float64) float64 {
 	if over <= passed {
 		return 1
