feat(estimator): prompts ahead drain, and predictions learn from measurements

Cause: without a new report the prompts dispatched stayed ahead for ever, and a first token that came late taught nothing. Rules: the backlog of prompts drains at the prefill rate; each measured first token corrects a bias by upstream. Ruled out: a map of prefixes to the upstream that last got them. In this load a prefix is rarely asked for twice; it needs a load of conversations to be judged, and the cache events another hash.

--- a/estimator/engine.go
+++ b/estimator/engine.go
@@ -16,6 +16,9 @@
 // the last report was taken.
 const recentCalls = 64
 
+// biasWeight is the share of a new measurement in the bias of the prediction.
+const biasWeight = 0.1
+
 // answerWeight is the share of a new answer in the mean answer length.
 const answerWeight = 0.05
 
@@ -48,20 +51,30 @@
 	report   Report
 	reported bool
 	slots    int
+	// entries is how many entries dispatch to the upstream; the others are
+	// believed to do what this one does.
+	entries  float64
 	starts   []call
 	ends     []call
 	inFlight int
 	answer   float64
+	// backlog is the prompt tokens that wait for prefill at a time.
+	backlog   float64
+	backlogAt time.Time
+	// bias is how much longer than predicted the first token takes, in
+	// seconds.
+	bias float64
 }
 
 // New returns an estimate for an upstream that batches the given number of
-// requests at once.
-func New(slots int) *Engine {
+// requests at once, and to which a number of entries dispatch.
+func New(slots, entries int) *Engine {
 	return &Engine{
-		slots:  slots,
-		starts: make([]call, 0, recentCalls),
-		ends:   make([]call, 0, recentCalls),
-		answer: defaultAnswerTokens,
+		slots:   slots,
+		entries: float64(max(1, entries)),
+		starts:  make([]call, 0, recentCalls),
+		ends:    make([]call, 0, recentCalls),
+		answer:  defaultAnswerTokens,
 	}
 }
 
@@ -79,6 +92,10 @@
 	}
 	e.starts = after(e.starts, report.Taken)
 	e.ends = after(e.ends, report.Taken)
+	e.backlog, e.backlogAt = float64(report.WaitingTokens), report.Taken
+	for _, start := range e.starts {
+		e.addBacklog(start)
+	}
 	return true
 }
 
@@ -88,7 +105,9 @@
 // Started counts an own dispatch.
 func (e *Engine) Started(now time.Time, work Work) {
 	e.inFlight++
-	e.starts = appendCall(e.starts, call{at: now, tokens: work.PromptTokens - work.CachedTokens})
+	start := call{at: now, tokens: work.PromptTokens - work.CachedTokens}
+	e.starts = appendCall(e.starts, start)
+	e.addBacklog(start)
 }
 
 // Finished counts the end of an own dispatch. Tokens is the length of the
@@ -103,44 +122,53 @@
 	}
 }
 
+// Measured takes in by how much a first token came later than predicted; less
+// than zero where it came earlier.
+func (e *Engine) Measured(late time.Duration) {
+	e.bias = max(0, e.bias+biasWeight*late.Seconds())
+}
+
 // InFlight returns the number of own dispatches that have not ended.
 func (e *Engine) InFlight() int { return e.inFlight }
 
-// Slots returns how many requests the upstream batches at once, zero where
-// that is not known.
-func (e *Engine) Slots() int { return e.slots }
-
-// Load estimates how many requests run and wait on the upstream. Entries is
-// the number of entries that dispatch to it, this one included.
-func (e *Engine) Load(entries float64) float64 {
+// Load estimates how many requests run and wait on the upstream.
+func (e *Engine) Load() float64 {
 	if !e.reported {
-		return float64(e.inFlight) * entries
+		return float64(e.inFlight) * e.entries
 	}
-	since := float64(len(e.starts)-len(e.ends)) * entries
+	since := float64(len(e.starts)-len(e.ends)) * e.entries
 	load := float64(e.report.Running+e.report.Waiting) + since
 	return max(load, float64(e.inFlight))
 }
 
 // Predict estimates the times of a request that is dispatched now.
-func (e *Engine) Predict(work Work, entries float64) Prediction {
-	load := e.Load(entries)
+func (e *Engine) Predict(now time.Time, work Work) Prediction {
+	load := e.Load()
 	prefill, decode := e.rates()
-	ahead := float64(e.report.WaitingTokens)
-	for _, start := range e.starts {
-		ahead += float64(start.tokens) * entries
-	}
 	own := float64(work.PromptTokens - work.CachedTokens)
-	seconds := (ahead + own) / prefill
+	seconds := (e.backlogLeft(now) + own) / prefill
 	if queued := load + 1 - float64(e.slots); e.slots > 0 && queued > 0 {
 		seconds += queued * e.answer / (decode * float64(e.slots))
 	}
 	return Prediction{
-		FirstToken:    inSeconds(seconds),
+		FirstToken:    inSeconds(seconds + e.bias),
 		BetweenTokens: inSeconds(1 / decode),
 		Load:          load,
 	}
 }
 
+// addBacklog counts the prompt of a dispatch, for the other entries too.
+func (e *Engine) addBacklog(start call) {
+	e.backlog = e.backlogLeft(start.at) + float64(start.tokens)*e.entries
+	e.backlogAt = start.at
+}
+
+// backlogLeft is what the prefill has not worked off by a time.
+func (e *Engine) backlogLeft(now time.Time) float64 {
+	prefill, _ := e.rates()
+	return max(0, e.backlog-prefill*max(0, now.Sub(e.backlogAt).Seconds()))
+}
+
 func (e *Engine) rates() (prefill, decode float64) {
 	prefill, decode = defaultPrefillRate, defaultDecodeRate
 	if e.report.PrefillTokensPerSecond > 0 {
--- a/router/choice.go
+++ b/router/choice.go
@@ -23,6 +23,9 @@
 	AvailabilityZone string
 	// Avoid lists upstreams already tried.
 	Avoid []string
+	// Yields is true where the subscriber has used more than its fair share:
+	// the request leaves room on upstreams that others had to wait for.
+	Yields bool
 	// Seed varies the sampled candidates from request to request.
 	Seed uint64
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -84,8 +84,7 @@
 	if slices.Contains(s.request.Avoid, u.about.Name) {
 		return
 	}
-	work := estimator.Work{PromptTokens: s.request.PromptTokens}
-	prediction, verdict := u.judge(s.now, work, r.entries, s.patient)
+	prediction, verdict := u.judge(s, s.request.work())
 	if verdict == unusable {
 		return
 	}
@@ -132,3 +131,13 @@
 func (r *Request) patient(now time.Time) bool {
 	return r.FirstTokenBy.IsZero() || r.FirstTokenBy.After(now.Add(patience))
 }
+
+// pressed says whether the request is short of time and may make others yield.
+func (s *search) pressed() bool {
+	return !s.patient && !s.request.Yields && s.request.FirstTokenBy.Before(s.now.Add(pressedTime))
+}
+
+// work is what the request asks of an upstream.
+func (r *Request) work() estimator.Work {
+	return estimator.Work{PromptTokens: r.PromptTokens}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -13,7 +13,6 @@
 // a choice are safe for many goroutines.
 type Router struct {
 	settings Settings
-	entries  float64
 	current  atomic.Pointer[table]
 	// control orders the writers of the table.
 	control sync.Mutex
@@ -21,7 +20,7 @@
 
 // New returns a router that knows no upstream.
 func New(settings Settings) *Router {
-	r := &Router{settings: settings, entries: float64(max(1, settings.Entries))}
+	r := &Router{settings: settings}
 	r.current.Store(&table{})
 	return r
 }
@@ -31,7 +30,7 @@
 func (r *Router) Update(catalog *cataloger.Catalog) {
 	r.control.Lock()
 	defer r.control.Unlock()
-	r.current.Store(newTable(r.current.Load(), catalog))
+	r.current.Store(newTable(r.current.Load(), catalog, r.settings.Entries))
 }
 
 // Observe takes in a load report that has arrived. A report of another
@@ -45,14 +44,14 @@
 // Started counts an own dispatch.
 func (r *Router) Started(choice Choice, request *Request, now time.Time) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
-		u.started(now, estimator.Work{PromptTokens: request.PromptTokens}, request.patient(now))
+		u.started(now, request.work(), request.patient(now))
 	}
 }
 
 // Finished takes in what was measured of an own dispatch.
 func (r *Router) Finished(choice Choice, sample Sample) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
-		u.finished(&sample, r.entries)
+		u.finished(&sample, choice.Predicted)
 	}
 }
 
--- a/router/settings.go
+++ b/router/settings.go
@@ -32,6 +32,12 @@
 	patience     = time.Minute
 	patientShare = 0.5
 	hurryTime    = 10 * time.Second
+	// yieldShare of an upstream's limit is open to requests that yield, for
+	// contendedTime after another one with less than pressedTime left found it
+	// full.
+	pressedTime   = 1400 * time.Millisecond
+	yieldShare    = 0.6
+	contendedTime = 10 * time.Second
 	// waitingShare is how many requests may wait on an engine for each slot,
 	// so that its batch does not run dry between two reports.
 	waitingShare = 0.1
--- a/router/table.go
+++ b/router/table.go
@@ -14,14 +14,14 @@
 
 // newTable indexes the live upstreams of a catalog and keeps the state of the
 // incarnations that the table before it knew.
-func newTable(before *table, catalog *cataloger.Catalog) *table {
+func newTable(before *table, catalog *cataloger.Catalog, entries int) *table {
 	t := &table{
 		upstreams: make(map[string]*upstream, len(catalog.Upstreams)),
 		holders:   make(map[string][]*upstream, len(catalog.Holders)),
 		services:  make(map[string][]*upstream, len(catalog.Services)),
 	}
 	for name, about := range catalog.Upstreams {
-		t.upstreams[name] = before.keep(about)
+		t.upstreams[name] = before.keep(about, entries)
 	}
 	for name, holders := range catalog.Holders {
 		t.holders[name] = t.live(catalog, holders)
@@ -32,13 +32,13 @@
 	return t
 }
 
-func (t *table) keep(about cataloger.Upstream) *upstream {
+func (t *table) keep(about cataloger.Upstream, entries int) *upstream {
 	known, ok := t.upstreams[about.Name]
 	if ok && known.about == about {
 		return known
 	}
 	if !ok || known.about.Incarnation != about.Incarnation || known.about.Address != about.Address {
-		return newUpstream(about)
+		return newUpstream(about, entries)
 	}
 	return &upstream{about: about, measured: known.measured}
 }
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -24,6 +24,8 @@
 	circuit limiter.Circuit
 	// hurryUntil is how long patient requests leave room for urgent ones.
 	hurryUntil time.Time
+	// contendedUntil is how long yielding requests leave room for others.
+	contendedUntil time.Time
 	// leaving is final for an incarnation.
 	leaving bool
 	// models and adapters are what the last report lists.
@@ -31,13 +33,13 @@
 	adapters []string
 }
 
-func newUpstream(about cataloger.Upstream) *upstream {
+func newUpstream(about cataloger.Upstream, entries int) *upstream {
 	most := plainLimit
 	if about.Slots > 0 {
 		most = about.Slots + max(0, int(float64(about.Slots)*waitingShare))
 	}
 	return &upstream{about: about, measured: &measured{
-		engine: estimator.New(about.Slots),
+		engine: estimator.New(about.Slots, entries),
 		limit:  limiter.New(limiter.Settings{Least: leastLimit, Most: most}),
 	}}
 }
@@ -63,21 +65,31 @@
 )
 
 // judge predicts a request on the upstream.
-func (m *measured) judge(now time.Time, work estimator.Work, entries float64, patient bool) (estimator.Prediction, verdict) {
+func (m *measured) judge(s *search, work estimator.Work) (estimator.Prediction, verdict) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.leaving || !m.circuit.Allows(now) {
+	if m.leaving || !m.circuit.Allows(s.now) {
 		return estimator.Prediction{}, unusable
 	}
-	prediction := m.engine.Predict(work, entries)
-	share := 1.0
-	if patient && now.Before(m.hurryUntil) {
-		share = patientShare
+	prediction := m.engine.Predict(s.now, work)
+	if m.limit.Allows(prediction.Load / m.share(s)) {
+		return prediction, fits
 	}
-	if !m.limit.Allows(prediction.Load / share) {
-		return prediction, full
+	if s.pressed() {
+		m.contendedUntil = s.now.Add(contendedTime)
 	}
-	return prediction, fits
+	return prediction, full
+}
+
+// share returns the part of the limit that is open to a request.
+func (m *measured) share(s *search) float64 {
+	if s.patient && s.now.Before(m.hurryUntil) {
+		return patientShare
+	}
+	if s.request.Yields && s.now.Before(m.contendedUntil) {
+		return yieldShare
+	}
+	return 1
 }
 
 // misses says whether the last report contradicts the catalog's placement.
@@ -100,10 +112,13 @@
 	m.circuit.Tried(now)
 }
 
-func (m *measured) finished(sample *Sample, entries float64) {
+func (m *measured) finished(sample *Sample, predicted time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	load := m.engine.Load(entries)
+	if !sample.FirstToken.IsZero() && !predicted.IsZero() {
+		m.engine.Measured(sample.FirstToken.Sub(predicted))
+	}
+	load := m.engine.Load()
 	m.engine.Finished(sample.Ended, sample.Tokens)
 	if sample.Outcome == OutcomeUnreachable {
 		m.circuit.Failed(sample.Ended)
