feat(admitter): fair shares under contention, patient waits, quick rounds

Cause: subscribers who send half the load took half the slots; a draft was refused while its model was being restored; a round over a long queue asked the router for each request. A request promised minutes off waits up to two minutes for a holder. Once one request found no room, those that need the same room are not tried. A refusal says when the backlog will have drained. Failure found: the wait for a holder left its deadline behind once a holder came and was full, so that the queue was looked at without pause. Test TestWaitForAHolderEndsWhenOneComes before: "q.Next().IsZero(): 2030-05-01 10:02:00"; after: ok. The loop now also pauses a millisecond at least.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -19,9 +19,8 @@
 	return classifier.Class{Name: "couple", Target: classifier.Target{FirstToken: 2 * time.Second}}
 }
 
-// catalog has one engine of the given slots that holds model m.
-func catalog(t *testing.T, slots int) *cataloger.Catalog {
-	t.Helper()
+// newCatalog has one engine of the given slots that holds model m.
+func newCatalog(slots int) *cataloger.Catalog {
 	next, err := cataloger.New().With(cataloger.Delta{To: 1, Changes: []cataloger.Change{
 		cataloger.PutModel{Model: cataloger.Model{Name: "m", Service: "asszisztens"}},
 		cataloger.PutUpstream{Upstream: cataloger.Upstream{
@@ -32,14 +31,16 @@
 			Upstream: "e1", Incarnation: "i1", Models: []string{"m"},
 		}},
 	}})
-	assert.NilError(t, err)
+	if err != nil {
+		panic(err)
+	}
 	return next
 }
 
 func started(t *testing.T, slots int) *Admitter {
 	t.Helper()
 	r := router.New(router.Settings{})
-	r.Update(catalog(t, slots))
+	r.Update(newCatalog(slots))
 	a := New(r, Settings{})
 	assert.NilError(t, a.Start(t.Context(), nil))
 	t.Cleanup(func() { assert.NilError(t, a.Stop(time.Now().Add(generousEnd))) })
@@ -115,7 +116,7 @@
 
 func TestStopAnswersWaitingRequests(t *testing.T) {
 	r := router.New(router.Settings{})
-	r.Update(catalog(t, 1))
+	r.Update(newCatalog(1))
 	a := New(r, Settings{})
 	assert.NilError(t, a.Start(t.Context(), nil))
 	assert.NilError(t, a.Stop(time.Now().Add(generousEnd)))
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -13,8 +13,9 @@
 // queueLimit bounds the waiting requests of one entry.
 const queueLimit = 4096
 
-// backlogRetry is the shortest wait after a refusal.
-const backlogRetry = time.Second
+// holderTime is how long a patient request waits for an upstream that holds
+// what it asks for.
+const holderTime = 2 * time.Minute
 
 // Queue is the deterministic part: it holds the waiting requests in order of
 // the time left to their targets. It is owned by one goroutine. Each call may
@@ -24,12 +25,24 @@
 	waiting   []*Ticket
 	demand    *ledger
 	budget    *limiter.Budget
+	shares    *shares
+	pace      pace
 	decisions []Decision
+	// groups number the kinds of waiting requests; blocked says which of them
+	// found no room in the current round.
+	groups  map[kind]int
+	blocked []bool
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(router *router.Router, now time.Time) *Queue {
-	return &Queue{router: router, demand: newLedger(now), budget: limiter.NewBudget()}
+	return &Queue{
+		router: router,
+		demand: newLedger(now),
+		budget: limiter.NewBudget(),
+		shares: newShares(shareEntries),
+		groups: map[kind]int{},
+	}
 }
 
 // Arrive takes in a new request.
@@ -63,13 +76,22 @@
 	q.decide(Decision{Ticket: t, Err: err})
 }
 
-// Pump grants what fits and gives up on what is hopeless.
+// Pump grants what fits and gives up on what is hopeless. Once a request has
+// found no room, those after it that ask for the same are not tried.
 func (q *Queue) Pump(now time.Time) {
+	clear(q.blocked)
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
-		if q.hopeless(now, t) || q.try(now, t) {
+		if q.hopeless(now, t) {
+			continue
+		}
+		if !q.blocked[t.group] && q.try(now, t) {
 			continue
 		}
+		if q.blocked[t.group] && !now.Before(t.holderBy) {
+			t.holderBy = time.Time{}
+		}
+		q.blocked[t.group] = true
 		kept = append(kept, t)
 	}
 	clear(q.waiting[len(kept):])
@@ -80,13 +102,20 @@
 func (q *Queue) Next() time.Time {
 	var next time.Time
 	for _, t := range q.waiting {
-		if !t.giveUpBy.IsZero() && (next.IsZero() || t.giveUpBy.Before(next)) {
-			next = t.giveUpBy
-		}
+		next = earlier(next, t.giveUpBy)
+		next = earlier(next, t.holderBy)
 	}
 	return next
 }
 
+// earlier returns the earlier of two times; zero stands for never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
 // Stop decides everything that waits.
 func (q *Queue) Stop() {
 	for _, t := range q.waiting {
@@ -113,12 +142,13 @@
 		q.decide(Decision{Ticket: t, Err: &BudgetError{}})
 		return
 	}
+	t.request.Route.Yields = q.shares.over(now, t.request.Subscriber)
 	if q.try(now, t) {
 		return
 	}
 	if len(q.waiting) >= queueLimit {
 		last := q.waiting[len(q.waiting)-1]
-		if !t.key.Before(last.key) {
+		if !t.before(last) {
 			q.overload(now, t)
 			return
 		}
@@ -130,8 +160,9 @@
 
 func (q *Queue) insert(t *Ticket) {
 	t.waited = true
+	t.group = q.group(t.kind())
 	at, _ := slices.BinarySearchFunc(q.waiting, t, func(a, b *Ticket) int {
-		if a.key.After(b.key) {
+		if b.before(a) {
 			return 1
 		}
 		return -1
@@ -139,6 +170,21 @@
 	q.waiting = slices.Insert(q.waiting, at, t)
 }
 
+// group returns the number of a kind.
+func (q *Queue) group(k kind) int {
+	if len(q.waiting) == 0 {
+		clear(q.groups)
+		q.blocked = q.blocked[:0]
+	}
+	at, known := q.groups[k]
+	if !known {
+		at = len(q.blocked)
+		q.groups[k] = at
+		q.blocked = append(q.blocked, false)
+	}
+	return at
+}
+
 // count earns or spends retry budget. It returns false for a retry that the
 // budget does not cover.
 func (q *Queue) count(t *Ticket) bool {
@@ -162,16 +208,16 @@
 
 func (q *Queue) giveUp(now time.Time, t *Ticket) {
 	q.demand.refused(&t.request)
-	q.decide(Decision{Ticket: t, Err: &HopelessError{Retry: now.Add(backlogRetry)}})
+	q.decide(Decision{Ticket: t, Err: &HopelessError{Retry: q.pace.retry(now, len(q.waiting))}})
 }
 
 func (q *Queue) overload(now time.Time, t *Ticket) {
 	q.demand.refused(&t.request)
-	q.decide(Decision{Ticket: t, Err: &OverloadError{Retry: now.Add(backlogRetry)}})
+	q.decide(Decision{Ticket: t, Err: &OverloadError{Retry: q.pace.retry(now, len(q.waiting))}})
 }
 
 // try grants a ticket if an upstream has room, or refuses it if no upstream
-// holds what it asks for. It returns false if the ticket has to wait.
+// holds what it asks for and it can't wait for one. It returns false if the ticket has to wait.
 func (q *Queue) try(now time.Time, t *Ticket) bool {
 	choice, err := q.router.Choose(now, &t.request.Route)
 	if err == nil {
@@ -184,6 +230,10 @@
 	}
 	var saturated *router.SaturatedError
 	if errors.As(err, &saturated) {
+		t.holderBy = time.Time{}
+		return false
+	}
+	if t.waitsForHolder(now) {
 		return false
 	}
 	q.demand.refused(&t.request)
@@ -193,6 +243,8 @@
 
 func (q *Queue) grant(now time.Time, t *Ticket, choice router.Choice) {
 	q.router.Started(choice, &t.request.Route, now)
+	q.pace.granted(now)
+	q.shares.add(now, t.request.Subscriber, cost(&t.request))
 	q.decide(Decision{Ticket: t, Grant: &Grant{
 		Choice:   choice,
 		Priority: priority(t.request.Class),
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"burdocklink/cataloger"
+	"burdocklink/classifier"
 	"burdocklink/estimator"
 	"burdocklink/router"
 )
@@ -17,7 +19,7 @@
 func queueOf(t *testing.T, slots int) (*Queue, *router.Router) {
 	t.Helper()
 	r := router.New(router.Settings{})
-	r.Update(catalog(t, slots))
+	r.Update(newCatalog(slots))
 	return NewQueue(r, epoch), r
 }
 
@@ -71,3 +73,83 @@
 	q.Arrive(now, at(now, "next"))
 	assert.Equal(t, len(granted(q)), 1)
 }
+
+func TestPatientRequestWaitsForAHolder(t *testing.T) {
+	overnight := at(epoch, "s")
+	overnight.Class = classifier.Class{Name: "overnight"}
+	overnight.Route.Holds = "new"
+	couple := at(epoch, "s")
+	couple.Route.Holds = "new"
+	q, r := queueOf(t, 1)
+	q.Arrive(epoch, overnight)
+	q.Arrive(epoch, couple)
+	decisions := q.Take()
+	assert.Equal(t, len(decisions), 1)
+	var none *router.NoUpstreamError
+	assert.Assert(t, errors.As(decisions[0].Err, &none), "got %v", decisions[0].Err)
+	held, err := newCatalog(1).With(cataloger.Delta{From: 1, To: 2, Changes: []cataloger.Change{
+		cataloger.PutPlacement{Placement: cataloger.Placement{Upstream: "e1", Incarnation: "i1", Models: []string{"new"}}},
+	}})
+	assert.NilError(t, err)
+	r.Update(held)
+	q.Pump(epoch.Add(time.Second))
+	assert.Equal(t, len(granted(q)), 1)
+}
+
+func TestHolderNeverComes(t *testing.T) {
+	overnight := at(epoch, "s")
+	overnight.Class = classifier.Class{Name: "overnight"}
+	overnight.Route.Holds = "new"
+	q, _ := queueOf(t, 1)
+	q.Arrive(epoch, overnight)
+	assert.Equal(t, q.Next(), epoch.Add(holderTime))
+	q.Pump(q.Next())
+	decisions := q.Take()
+	assert.Equal(t, len(decisions), 1)
+	var none *router.NoUpstreamError
+	assert.Assert(t, errors.As(decisions[0].Err, &none), "got %v", decisions[0].Err)
+}
+
+func TestRetryFollowsTheBacklog(t *testing.T) {
+	var p pace
+	now := epoch
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		p.granted(now)
+	}
+	cases := map[string]struct {
+		waiting int
+		least   time.Duration
+		most    time.Duration
+	}{
+		"nothing waits":  {waiting: 0, least: soonestRetry, most: soonestRetry},
+		"a long queue":   {waiting: 100, least: 5 * time.Second, most: 30 * time.Second},
+		"a hopeless one": {waiting: 100000, least: latestRetry, most: latestRetry},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			wait := p.retry(now, c.waiting).Sub(now)
+			assert.Assert(t, wait >= c.least && wait <= c.most, "%s", wait)
+		})
+	}
+}
+
+func TestWaitForAHolderEndsWhenOneComes(t *testing.T) {
+	overnight := at(epoch, "s")
+	overnight.Class = classifier.Class{Name: "overnight"}
+	overnight.Route.Holds = "new"
+	q, r := queueOf(t, 1)
+	fillUp(q, epoch)
+	q.Arrive(epoch, overnight)
+	q.Arrive(epoch, overnight)
+	held, err := newCatalog(1).With(cataloger.Delta{From: 1, To: 2, Changes: []cataloger.Change{
+		cataloger.PutPlacement{Placement: cataloger.Placement{Upstream: "e1", Incarnation: "i1", Models: []string{"m", "new"}}},
+	}})
+	assert.NilError(t, err)
+	r.Update(held)
+	late := epoch.Add(2 * holderTime)
+	q.Pump(epoch.Add(time.Second))
+	q.Pump(late)
+	assert.Equal(t, q.Waiting(), 2)
+	assert.Assert(t, q.Next().IsZero(), "%s", q.Next())
+}
--- a/admitter/run.go
+++ b/admitter/run.go
@@ -5,7 +5,7 @@
 // run owns the queue until Stop.
 func (a *Admitter) run() {
 	defer close(a.stopped)
-	timer := time.NewTimer(time.Hour)
+	timer := time.NewTimer(idleWake)
 	defer timer.Stop()
 	for {
 		a.arm(timer)
@@ -51,8 +51,12 @@
 	}
 }
 
-// idleWake is how often the queue is looked at when nothing is due.
-const idleWake = time.Hour
+// idleWake is how often the queue is looked at when nothing is due, and
+// soonestWake the shortest time between two looks.
+const (
+	idleWake    = time.Hour
+	soonestWake = time.Millisecond
+)
 
 func (a *Admitter) arm(timer *time.Timer) {
 	next := a.queue.Next()
@@ -60,5 +64,5 @@
 		timer.Reset(idleWake)
 		return
 	}
-	timer.Reset(max(0, next.Sub(a.settings.Now())))
+	timer.Reset(max(soonestWake, next.Sub(a.settings.Now())))
 }
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -12,8 +12,13 @@
 	key time.Time
 	// giveUpBy is when waiting stops making sense, zero for never.
 	giveUpBy time.Time
+	// holderBy is how long a patient request waits for an upstream that holds
+	// what it asks for; zero while one does.
+	holderBy time.Time
 	// retry is true for a second dispatch, which needs the retry budget.
 	retry bool
+	// group numbers the tickets that need the same room.
+	group int
 	// waited is true once the ticket has been in the queue.
 	waited bool
 	answer chan Decision
@@ -54,3 +59,37 @@
 	promised := t.request.Class.Target.FirstToken
 	return promised > 0 && first.After(t.request.Arrived.Add(promised))
 }
+
+// before is the order of the queue: requests of subscribers that had used more
+// than their fair share when they arrived go after all others.
+func (t *Ticket) before(other *Ticket) bool {
+	if t.request.Route.Yields != other.request.Route.Yields {
+		return other.request.Route.Yields
+	}
+	return t.key.Before(other.key)
+}
+
+// kind is what the room for a request depends on.
+type kind struct {
+	service, holds, class string
+	yields                bool
+	// avoiding is true for a retry, which may not go everywhere.
+	avoiding bool
+}
+
+func (t *Ticket) kind() kind {
+	route := &t.request.Route
+	return kind{
+		service: route.Service, holds: route.Holds, class: t.request.Class.Name,
+		yields: route.Yields, avoiding: len(route.Avoid) > 0,
+	}
+}
+
+// waitsForHolder says whether a request for which there is no upstream goes on
+// waiting for one.
+func (t *Ticket) waitsForHolder(now time.Time) bool {
+	if t.holderBy.IsZero() && t.key.After(now.Add(holderTime)) && !t.retry {
+		t.holderBy = now.Add(holderTime)
+	}
+	return now.Before(t.holderBy)
+}
