--- /dev/null
+++ b/cmd/control.go
@@ -0,0 +1,140 @@
+package cmd
+
+import (
+	"context"
+
+	"burdocklink/assembler"
+	"burdocklink/checker"
+	"burdocklink/conductor"
+	"burdocklink/orderer"
+)
+
+// Settings of a control member.
+var (
+	memberName = checker.Definition{
+		Name:  "name",
+		Usage: "this member's name, unique among all that ever were members",
+	}
+	controlListen = checker.Definition{
+		Name:    "listen",
+		Default: "127.0.0.1:7400",
+		Usage:   "IP address and port for members, entries and operators",
+	}
+	controlAdvertise = checker.Definition{
+		Name:  "advertise",
+		Usage: "address at which others reach this member; the listen address where none is given",
+	}
+	healthListen = checker.Definition{
+		Name:    "health-listen",
+		Default: "127.0.0.1:7401",
+		Usage:   "IP address and port for health, readiness and metrics",
+	}
+	dataFolder = checker.Definition{
+		Name:  "data",
+		Usage: "data folder on a disk; without one the member is alone and keeps its state in memory",
+	}
+	memberList = checker.Definition{
+		Name:  "members",
+		Usage: "the first members as NAME=ADDRESS pairs, separated by commas; this one alone where none are given",
+	}
+	platformURL = checker.Definition{
+		Name:  "platform",
+		Usage: "base URL of the platform's list of VMs",
+	}
+	storeURL = checker.Definition{
+		Name:  "store",
+		Usage: "base URL of the weight store",
+	}
+	storeRate = checker.Definition{
+		Name:    "store-loads-per-second",
+		Default: "1",
+		Usage:   "loads that the weight store allows each second",
+	}
+	storeAtOnce = checker.Definition{
+		Name:    "store-loads-at-once",
+		Default: "4",
+		Usage:   "loads that the weight store serves at full speed",
+	}
+	storeTransit = checker.Definition{
+		Name:    "store-adapters-in-transit",
+		Default: "32",
+		Usage:   "adapters that load quickly at once across all upstreams",
+	}
+)
+
+// bounds of the counts above.
+const mostLoads = 100000
+
+func controlCommand() command {
+	return command{
+		name:  "control",
+		usage: "run a control member",
+		settings: append(tlsSettings(), memberName, controlListen, controlAdvertise, healthListen, dataFolder,
+			keysFile, memberList, platformURL, storeURL, storeRate, storeAtOnce, storeTransit,
+			drainTime, checkSettings),
+		run: runControl,
+	}
+}
+
+func readControlSettings(settings *checker.Reader) assembler.ControlSettings {
+	read := assembler.ControlSettings{
+		Listen:       settings.Address(controlListen.Name),
+		HealthListen: settings.Address(healthListen.Name),
+		Folder:       settings.Text(dataFolder.Name),
+		Platform:     settings.Required(platformURL.Name),
+		Store:        settings.Required(storeURL.Name),
+		Limits: orderer.StoreLimits{
+			LoadsPerSecond:    settings.Rate(storeRate.Name),
+			LoadsAtOnce:       settings.Count(storeAtOnce.Name, 1, mostLoads),
+			AdaptersInTransit: settings.Count(storeTransit.Name, 1, mostLoads),
+		},
+	}
+	read.Member = conductor.Member{
+		Name:    settings.Required(memberName.Name),
+		Address: read.Listen,
+		Role:    conductor.Voter,
+	}
+	if settings.Text(controlAdvertise.Name) != "" {
+		read.Member.Address = settings.Address(controlAdvertise.Name)
+	}
+	for _, pair := range settings.Pairs(memberList.Name) {
+		read.Peers = append(read.Peers, conductor.Member{
+			Name:    pair.Name,
+			Address: pair.Value,
+			Role:    conductor.Voter,
+		})
+	}
+	if len(read.Peers) == 0 {
+		read.Peers = []conductor.Member{read.Member}
+	}
+	if len(read.Peers) > 1 && read.Folder == "" {
+		settings.Fault(dataFolder.Name, "must be given where the group has more than one member")
+	}
+	return read
+}
+
+func runControl(call *invocation) error {
+	settings := readControlSettings(call.settings)
+	keys := readKeys(call)
+	settings.Certificates = readCertificates(call)
+	drain := call.settings.Duration(drainTime.Name)
+	if err := call.settings.Err(); err != nil {
+		return err
+	}
+	if call.settings.Switch(checkSettings.Name) {
+		return nil
+	}
+	ctx, fail := context.WithCancelCause(call.ctx)
+	call.ctx = ctx
+	settings.Fatal = func(err error) { fail(err) }
+	settings.Log = call.log
+	settings.Keys = keys
+	member, err := assembler.NewControl(settings)
+	if err != nil {
+		return err
+	}
+	if err := serve(call, drain, member.Services); err != nil {
+		return err
+	}
+	return context.Cause(ctx)
+}
--- /dev/null
+++ b/prover/check_operator.go
@@ -0,0 +1,57 @@
+package prover
+
+// checkInForce finds ready entries that lack a change long after it was
+// accepted.
+func (h *history) checkInForce(limits Limits) []Violation {
+	var found []Violation
+	for _, accepted := range h.accepted {
+		for _, seen := range h.revisions {
+			late := seen.At.Sub(accepted.At) > limits.InForce
+			if late && seen.Lacks > 0 && seen.Lacks <= accepted.Revision {
+				found = append(found, NotInForce{Accepted: accepted, Seen: seen})
+			}
+		}
+	}
+	return found
+}
+
+// checkReverts finds entries that lack a change which they had in force before,
+// also over restarts.
+func (h *history) checkReverts() []Violation {
+	var found []Violation
+	highest := map[string]Revision{}
+	for _, seen := range h.revisions {
+		before := highest[seen.Entry]
+		if seen.Lacks > 0 && seen.Lacks <= before.Revision {
+			found = append(found, Reverted{Before: before, After: seen})
+		}
+		if seen.Revision > before.Revision {
+			highest[seen.Entry] = seen
+		}
+	}
+	return found
+}
+
+// checkAccepts finds two changes that won on one revision or took the same
+// one, and resends that were accepted as new.
+func (h *history) checkAccepts() []Violation {
+	var found []Violation
+	for i, second := range h.accepted {
+		for _, first := range h.accepted[:i] {
+			if clash(first, second) {
+				found = append(found, DoublyAccepted{First: first, Second: second})
+			}
+		}
+	}
+	return found
+}
+
+// clash says whether two accepted changes exclude each other.
+func clash(first, second Accepted) bool {
+	resent := first.Operator == second.Operator && first.Request == second.Request
+	if resent {
+		return first.Revision != second.Revision
+	}
+	sameBase := first.Based == second.Based && first.Based != Unbased
+	return sameBase || first.Revision == second.Revision
+}
--- /dev/null
+++ b/sender/sender_test.go
@@ -0,0 +1,187 @@
+package sender_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+	"burdocklink/faker"
+	"burdocklink/orderer"
+	"burdocklink/sender"
+)
+
+// testEnd is the generous end of every wait.
+const testEnd = 30 * time.Second
+
+func startEngine(t *testing.T, checksFence bool) *faker.Engine {
+	t.Helper()
+	engine := faker.NewEngine(faker.EngineSettings{
+		Name: "e", Incarnation: "i", MemoryBytes: 100, ChecksFence: checksFence,
+	})
+	assert.NilError(t, engine.Start("127.0.0.1:0"))
+	t.Cleanup(func() { _ = engine.Stop(time.Now().Add(testEnd)) })
+	return engine
+}
+
+func startSender(t *testing.T) *sender.Sender {
+	t.Helper()
+	s := sender.New(sender.Settings{
+		Silence:   200 * time.Millisecond,
+		AskEvery:  time.Millisecond,
+		AskAtMost: 20 * time.Millisecond,
+	}, zap.NewNop())
+	t.Cleanup(s.Stop)
+	return s
+}
+
+func loadOrder(id uint64, incarnation string, life time.Duration) orderer.Order {
+	return orderer.Order{
+		ID:          id,
+		Upstream:    "e",
+		Incarnation: incarnation,
+		Work:        orderer.LoadModel{Model: "m", Version: "1", MemoryBytes: 10},
+		Fence:       id,
+		NotAfter:    time.Now().Add(life),
+	}
+}
+
+// next waits for a report.
+func next(t *testing.T, s *sender.Sender) sender.Report {
+	t.Helper()
+	select {
+	case report := <-s.Reports():
+		return report
+	case <-time.After(testEnd):
+		t.Fatal("no report")
+		return nil
+	}
+}
+
+// nextSettled waits for the end of an order. Lost calls may be told before.
+func nextSettled(t *testing.T, s *sender.Sender) sender.Settled {
+	t.Helper()
+	for {
+		if settled, ok := next(t, s).(sender.Settled); ok {
+			return settled
+		}
+	}
+}
+
+func TestOrdersAreDrivenToAnEnd(t *testing.T) {
+	tests := map[string]struct {
+		faults      encoder.EngineFaults
+		incarnation string
+		life        time.Duration
+		outcome     orderer.Outcome
+		reason      string
+	}{
+		"calm":            {incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"orders lost":     {faults: encoder.EngineFaults{LoseOrders: 3}, incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"reply lost":      {faults: encoder.EngineFaults{LoseOrderReplies: 1}, incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"arrives late":    {faults: encoder.EngineFaults{LateOrders: 1, LateOrderMilliseconds: 50}, incarnation: "i", life: time.Minute, outcome: orderer.OutcomeDone},
+		"refused":         {incarnation: "other", life: time.Minute, outcome: orderer.OutcomeRefused, reason: "wrong incarnation"},
+		"surely too late": {incarnation: "i", life: -2 * orderer.ClockMargin, outcome: orderer.OutcomeExpired},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			engine := startEngine(t, true)
+			engine.SetFaults(test.faults)
+			s := startSender(t)
+			order := loadOrder(7, test.incarnation, test.life)
+			s.Drive([]sender.Task{{Order: order, Address: engine.Address()}})
+			settled := nextSettled(t, s)
+			assert.Equal(t, settled.Order.ID, order.ID)
+			assert.Equal(t, settled.Outcome, test.outcome)
+			assert.Equal(t, settled.Reason, test.reason)
+			assert.Equal(t, len(engine.Record().Violations), 0)
+		})
+	}
+}
+
+// TestSilentUpstreamIsTriedAnew has an upstream that takes calls and never
+// answers: it is said to be silent only after a second connection.
+func TestSilentUpstreamIsTriedAnew(t *testing.T) {
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: server.Listener.Addr().String()}})
+	silent, ok := next(t, s).(sender.Silent)
+	assert.Assert(t, ok)
+	assert.Equal(t, connections.Load(), int64(2))
+	assert.Equal(t, silent.Upstream, "e")
+}
+
+// TestRefusedDuplicateIsNotAnEnd has an upstream that carried out an order,
+// and refuses it when it is sent again.
+func TestRefusedDuplicateIsNotAnEnd(t *testing.T) {
+	var asked atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			w.WriteHeader(http.StatusConflict)
+			_, _ = w.Write([]byte(`{"id":7,"state":"refused","reason":"old fence"}`))
+		case asked.Add(1) == 1:
+			w.WriteHeader(http.StatusNotFound)
+		default:
+			_, _ = w.Write([]byte(`{"id":7,"state":"done"}`))
+		}
+	}))
+	defer server.Close()
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: server.Listener.Addr().String()}})
+	assert.Equal(t, nextSettled(t, s).Outcome, orderer.OutcomeDone)
+}
+
+// TestConnectionsAreNotReused has an upstream whose connections go silent after
+// their first call. Reused ones would cost a silence each.
+func TestConnectionsAreNotReused(t *testing.T) {
+	var calls sync.Map
+	var asked, silent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, reused := calls.LoadOrStore(r.RemoteAddr, true); reused {
+			silent.Add(1)
+			<-r.Context().Done()
+			return
+		}
+		if asked.Add(1) < 5 {
+			w.WriteHeader(http.StatusAccepted)
+		}
+		_, _ = w.Write([]byte(`{"id":7,"state":"running"}`))
+	}))
+	defer server.Close()
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: server.Listener.Addr().String()}})
+	assert.Equal(t, nextSettled(t, s).Outcome, orderer.OutcomeDone)
+	assert.Equal(t, silent.Load(), int64(0))
+}
+
+// TestOrdersLeftOutAreNotSent replaces the tasks while the upstream does not
+// answer, as when another member leads.
+func TestOrdersLeftOutAreNotSent(t *testing.T) {
+	engine := startEngine(t, false)
+	engine.SetFaults(encoder.EngineFaults{Frozen: true})
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: engine.Address()}})
+	next(t, s)
+	s.Drive(nil)
+	s.Stop()
+	engine.SetFaults(encoder.EngineFaults{})
+	assert.Equal(t, len(engine.Record().Orders), 0)
+}
