--- a/assembler/control.go
+++ b/assembler/control.go
@@ -135,7 +135,7 @@
 	return conductor.Codec{
 		EncodeCommand: encoder.EncodeCommand,
 		DecodeCommand: encoder.DecodeCommand,
-		EncodeState:   encoder.EncodeState,
+		EncodeState:   encoder.EncodeStateSnapshot,
 		DecodeState:   encoder.DecodeState,
 	}
 }
--- a/conductor/carry.go
+++ b/conductor/carry.go
@@ -197,18 +197,40 @@
 	}
 }
 
-// takeSnapshot replaces a long log by the state.
+// takeSnapshot begins to replace a long log by the state. Only the copy of the
+// state is made here; its encoding takes long and has a goroutine of its own.
 func (c *Conductor) takeSnapshot(status replicator.Status) {
 	kept := c.applied - status.SnapshotIndex
 	full := c.unsaved >= max(snapshotBytes, c.saved)
-	if kept == 0 || (kept < c.config.SnapshotEntries && !full) {
+	if c.encoding || kept == 0 || (kept < c.config.SnapshotEntries && !full) {
 		return
 	}
-	data, err := c.config.Codec.EncodeState(c.state)
-	if err != nil {
-		c.fail(err)
+	c.encoding = true
+	c.unsaved = 0
+	go c.runEncode(c.applied, c.state.Snapshot())
+}
+
+// encodedState is a state as bytes, or why there are none.
+type encodedState struct {
+	index uint64
+	data  []byte
+	err   error
+}
+
+// runEncode hands the bytes of a state to the loop, which may have ended.
+func (c *Conductor) runEncode(index uint64, snapshot applier.Snapshot) {
+	data, err := c.config.Codec.EncodeState(snapshot)
+	c.encoded <- encodedState{index: index, data: data, err: err}
+}
+
+// takeEncoded ends what takeSnapshot began. The core passes over a state that
+// is older than its snapshot by then.
+func (c *Conductor) takeEncoded(done encodedState) {
+	c.encoding = false
+	if done.err != nil {
+		c.fail(done.err)
 		return
 	}
-	c.unsaved, c.saved = 0, len(data)
-	c.step(replicator.Compact{Index: c.applied, Data: data})
+	c.saved = len(done.data)
+	c.step(replicator.Compact{Index: done.index, Data: done.data})
 }
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -19,7 +19,7 @@
 	return conductor.Codec{
 		EncodeCommand: func(applier.Command) ([]byte, error) { return []byte{1}, nil },
 		DecodeCommand: func([]byte) (applier.Command, error) { return applier.Noop{}, nil },
-		EncodeState:   func(*applier.State) ([]byte, error) { return []byte{1}, nil },
+		EncodeState:   func(applier.Snapshot) ([]byte, error) { return []byte{1}, nil },
 		DecodeState:   func([]byte) (*applier.State, error) { return applier.New(), nil },
 	}
 }
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -53,8 +53,9 @@
 type Codec struct {
 	EncodeCommand func(applier.Command) ([]byte, error)
 	DecodeCommand func([]byte) (applier.Command, error)
-	EncodeState   func(*applier.State) ([]byte, error)
-	DecodeState   func([]byte) (*applier.State, error)
+	// EncodeState is called off the control goroutine.
+	EncodeState func(applier.Snapshot) ([]byte, error)
+	DecodeState func([]byte) (*applier.State, error)
 }
 
 // Timing sets how fast members notice each other's loss.
--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -31,7 +31,7 @@
 	return conductor.Codec{
 		EncodeCommand: encoder.EncodeCommand,
 		DecodeCommand: encoder.DecodeCommand,
-		EncodeState:   encoder.EncodeState,
+		EncodeState:   encoder.EncodeStateSnapshot,
 		DecodeState:   encoder.DecodeState,
 	}
 }
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -31,6 +31,8 @@
 			c.step(replicator.Tick{})
 		case done := <-c.synced:
 			c.takeSynced(done)
+		case done := <-c.encoded:
+			c.takeEncoded(done)
 		case envelope := <-c.inbox:
 			c.receive(envelope)
 		case asked := <-c.calls:
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -40,6 +40,10 @@
 	core     *replicator.Core
 	state    *applier.State
 	applied  uint64
+	// encoding is true while a state is on its way to encoded, which has room
+	// for it.
+	encoding bool
+	encoded  chan encodedState
 	// unsaved counts bytes applied since the last snapshot, saved its size.
 	unsaved   int
 	saved     int
@@ -67,6 +71,7 @@
 		calls:     make(chan call, callQueue),
 		inbox:     make(chan replicator.Envelope, inboxQueue),
 		synced:    make(chan syncResult, 1),
+		encoded:   make(chan encodedState, 1),
 		stop:      make(chan struct{}),
 		stopped:   make(chan struct{}),
 		commits:   metrics.GetOrRegisterCounter("replication-entries-applied", config.Metrics),
--- /dev/null
+++ b/conductor/snapshot_test.go
@@ -0,0 +1,62 @@
+package conductor_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"burdocklink/applier"
+	"burdocklink/conductor"
+)
+
+// slowCodec encodes no state before it is told to.
+type slowCodec struct {
+	begun   atomic.Int64
+	release chan struct{}
+}
+
+func (s *slowCodec) encode(applier.Snapshot) ([]byte, error) {
+	s.begun.Add(1)
+	<-s.release
+	return []byte{1}, nil
+}
+
+func TestProposalsGoOnWhileAStateIsEncoded(t *testing.T) {
+	slow := &slowCodec{release: make(chan struct{})}
+	codec := tinyCodec()
+	codec.EncodeState = slow.encode
+	member, err := conductor.New(conductor.Config{Name: "a", Codec: codec, SnapshotEntries: 20})
+	assert.NilError(t, err)
+	assert.NilError(t, member.Start(context.Background(), nil))
+	defer func() { assert.NilError(t, member.Stop(time.Now().Add(stopTime))) }()
+	ctx, cancel := context.WithTimeout(context.Background(), waitTime)
+	defer cancel()
+
+	for range 100 {
+		_, err := member.Propose(ctx, applier.Noop{})
+		assert.NilError(t, err)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if slow.begun.Load() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no state is being encoded")
+	}, poll.WithTimeout(waitTime))
+	close(slow.release)
+
+	// Another state is encoded once the first has replaced the log.
+	for range 100 {
+		_, err := member.Propose(ctx, applier.Noop{})
+		assert.NilError(t, err)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if slow.begun.Load() > 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no second state was encoded")
+	}, poll.WithTimeout(waitTime))
+}
--- a/responder/responder_test.go
+++ b/responder/responder_test.go
@@ -43,7 +43,7 @@
 		Codec: conductor.Codec{
 			EncodeCommand: encoder.EncodeCommand,
 			DecodeCommand: encoder.DecodeCommand,
-			EncodeState:   encoder.EncodeState,
+			EncodeState:   encoder.EncodeStateSnapshot,
 			DecodeState:   encoder.DecodeState,
 		},
 	})
