fix(admitter): only a class with a far target waits for a holder

Cause: after the merge TestBadInputIsAnsweredByType/no_holder of the receiver hung: its class promises nothing, so that its request waited two minutes for a holder in place of its refusal at once. Ruled out: no waiting at all, which refuses drafts while a model is restored.

--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -88,7 +88,8 @@
 // waitsForHolder says whether a request for which there is no upstream goes on
 // waiting for one.
 func (t *Ticket) waitsForHolder(now time.Time) bool {
-	if t.holderBy.IsZero() && t.key.After(now.Add(holderTime)) && !t.retry {
+	promised := !t.request.Route.FirstTokenBy.IsZero()
+	if t.holderBy.IsZero() && promised && t.key.After(now.Add(holderTime)) && !t.retry {
 		t.holderBy = now.Add(holderTime)
 	}
 	return now.Before(t.holderBy)
