feat(encoder): demand tells how long requests kept their upstreams

Cause: the planner weighs the time of a request, which the wire left out, so that it had to be guessed from token counts. Red without the mapping: --- FAIL: TestDemandTellsOnlyWhatChanged; green with it: ok burdocklink/encoder.

--- a/encoder/demand.go
+++ b/encoder/demand.go
@@ -50,6 +50,7 @@
 		AnswerTokens: count.AnswerTokens,
 		Refused:      count.Refused,
 		Missed:       count.Missed,
+		BusyMs:       uint64(count.Busy.Milliseconds()),
 	}
 	id, known := e.ids[key]
 	if !known {
@@ -109,6 +110,7 @@
 		AnswerTokens: told.GetAnswerTokens(),
 		Refused:      told.GetRefused(),
 		Missed:       told.GetMissed(),
+		Busy:         time.Duration(told.GetBusyMs()) * time.Millisecond,
 	}
 }
 
--- a/encoder/demand_test.go
+++ b/encoder/demand_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -24,7 +25,7 @@
 	_, err := receiver.Decode(first)
 	assert.NilError(t, err)
 
-	demand.Counts["large"]["waiting"] = placer.Count{Arrivals: 4, Missed: 1}
+	demand.Counts["large"]["waiting"] = placer.Count{Arrivals: 4, Missed: 1, Busy: 3 * time.Second}
 	second := &wire.FollowRequest{Demand: sender.Encode(demand)}
 	assert.Equal(t, len(second.Demand), 1)
 	assert.Equal(t, second.Demand[0].GetName(), "")
