fix(router): leave an upstream that shows no sign of life

Cause: a frozen engine takes connections and says nothing. Ruled out: a shorter silence for classes without targets; drafts may wait in an engine's queue. Ruled out: one lost answer as a failure; the connection may be dead, a new one is tried first. Now silence over a new connection counts like no connection, a broken stream neither opens nor closes the circuit, and upstreams that did not report are asked again first. Red with failures closing the circuit: --- FAIL: TestASilentUpstreamIsLeftAlone; red with one lost report told: --- FAIL: TestOneLostAnswerIsNoFailure. Green: go test -race ./poller ./router ./receiver ./relayer: ok.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -94,9 +94,12 @@
 		Seed:    xxhash.Sum64String(settings.Name),
 		Catalog: catalogs.Catalog,
 		Observe: routes.Observe,
-		Wake:    admission.Wake,
-		Calls:   calls,
-		Log:     settings.Log,
+		Failed: func(upstream cataloger.Upstream) {
+			routes.Unreachable(upstream.Name, upstream.Incarnation, time.Now())
+		},
+		Wake:  admission.Wake,
+		Calls: calls,
+		Log:   settings.Log,
 	})
 	claims := proposer.New(proposer.Settings{
 		Control: settings.Control,
--- a/poller/ask.go
+++ b/poller/ask.go
@@ -50,12 +50,13 @@
 	done     *sync.WaitGroup
 }
 
-// choose returns the upstreams whose turn it is, in order of their names from
+// choose returns the upstreams whose turn it is: those that did not answer the
+// last time, but for one place, and the others in order of their names from
 // where the last round ended.
 func (p *Poller) choose(catalog *cataloger.Catalog) []task {
 	names := slices.Sorted(maps.Keys(catalog.Upstreams))
 	p.forget(catalog)
-	var chosen []task
+	chosen := p.chooseFailed(catalog, names)
 	for range names {
 		if len(chosen) == p.settings.PerRound {
 			break
@@ -63,7 +64,7 @@
 		p.turn = (p.turn + 1) % len(names)
 		upstream := catalog.Upstreams[names[p.turn]]
 		kept := p.recordOf(upstream)
-		if kept.silent {
+		if kept.silent || holds(chosen, upstream.Name) {
 			continue
 		}
 		chosen = append(chosen, task{upstream: upstream, record: kept})
@@ -71,6 +72,27 @@
 	return chosen
 }
 
+// chooseFailed returns upstreams that did not answer the last time, so that
+// one which has gone is known soon.
+func (p *Poller) chooseFailed(catalog *cataloger.Catalog, names []string) []task {
+	var chosen []task
+	for _, name := range names {
+		if len(chosen) >= p.settings.PerRound-1 {
+			break
+		}
+		kept := p.recordOf(catalog.Upstreams[name])
+		if kept.failed && !kept.silent {
+			chosen = append(chosen, task{upstream: catalog.Upstreams[name], record: kept})
+		}
+	}
+	return chosen
+}
+
+// holds is true where an upstream is among the tasks.
+func holds(tasks []task, name string) bool {
+	return slices.ContainsFunc(tasks, func(each task) bool { return each.upstream.Name == name })
+}
+
 // forget drops the records of upstreams that are gone.
 func (p *Poller) forget(catalog *cataloger.Catalog) {
 	for name := range p.known {
@@ -92,16 +114,30 @@
 func (p *Poller) ask(ctx context.Context, asked task) {
 	ctx, cancel := context.WithTimeout(ctx, p.settings.Answer)
 	defer cancel()
+	before := asked.record.failed
 	report, err := p.fetch(ctx, asked)
 	asked.record.failed = err != nil
 	if err != nil {
 		p.settings.Log.Debug("no load report",
 			zap.String("upstream", asked.upstream.Name), zap.Error(err))
+		if before && isSilence(err) {
+			p.settings.Failed(asked.upstream)
+		}
 		return
 	}
 	p.settings.Observe(report)
 }
 
+// isSilence is true where no answer came at all.
+func isSilence(err error) bool {
+	switch err.(type) {
+	case *StatusError, *StrangerError, *encoder.MalformedError:
+		return false
+	default:
+		return true
+	}
+}
+
 func (p *Poller) fetch(ctx context.Context, asked task) (estimator.Report, error) {
 	answer, err := p.settings.Calls.Whole(ctx, dispatcher.Call{
 		Address: asked.upstream.Address,
--- a/poller/bytes_test.go
+++ b/poller/bytes_test.go
@@ -53,6 +53,7 @@
 		Every:   10 * time.Millisecond,
 		Catalog: func() *cataloger.Catalog { return catalog },
 		Observe: func(estimator.Report) { reports.Add(1) },
+		Failed:  func(cataloger.Upstream) {},
 		Wake:    func() {},
 		Calls:   dispatcher.New(dispatcher.Settings{}),
 		Log:     zap.NewNop(),
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -33,6 +33,9 @@
 	Catalog func() *cataloger.Catalog
 	// Observe takes in a report.
 	Observe func(estimator.Report)
+	// Failed is told of an upstream that gave no answer over a new connection,
+	// after the one before had failed too.
+	Failed func(cataloger.Upstream)
 	// Wake is called after the reports of a round.
 	Wake  func()
 	Calls *dispatcher.Dispatcher
--- a/poller/poller_test.go
+++ b/poller/poller_test.go
@@ -62,6 +62,7 @@
 	mu      sync.Mutex
 	reports map[string]estimator.Report
 	wakes   atomic.Int64
+	failed  atomic.Int64
 }
 
 func (s *seen) observe(report estimator.Report) {
@@ -85,6 +86,7 @@
 		PerRound: perRound,
 		Catalog:  func() *cataloger.Catalog { return f.catalog },
 		Observe:  s.observe,
+		Failed:   func(cataloger.Upstream) { s.failed.Add(1) },
 		Wake:     func() { s.wakes.Add(1) },
 		Calls:    dispatcher.New(dispatcher.Settings{}),
 		Log:      zap.NewNop(),
@@ -130,10 +132,30 @@
 			s := start(t, f, 8)
 			waitFor(t, "asked again", func() bool { return f.asked[0].Load() > 2 })
 			assert.Equal(t, s.count(), 0)
+			if name == "silence" {
+				waitFor(t, "told as failed", func() bool { return s.failed.Load() > 0 })
+				return
+			}
+			assert.Equal(t, s.failed.Load(), int64(0))
 		})
 	}
 }
 
+func TestOneLostAnswerIsNoFailure(t *testing.T) {
+	var lost atomic.Bool
+	f := newFleet(t, 1, func(n int, w http.ResponseWriter, _ *http.Request) {
+		if !lost.Swap(true) {
+			panic(http.ErrAbortHandler)
+		}
+		tell(w, report(n, "first"))
+	})
+	s := start(t, f, 8)
+
+	waitFor(t, "asked again", func() bool { return f.asked[0].Load() > 4 })
+
+	assert.Equal(t, s.failed.Load(), int64(0))
+}
+
 func TestOneSilentUpstreamDoesNotHoldTheOthersUp(t *testing.T) {
 	f := newFleet(t, 3, func(n int, w http.ResponseWriter, r *http.Request) {
 		if n == 1 {
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -31,6 +32,8 @@
 	grant     *admitter.Grant
 	attemptID string
 	legTokens int
+	// leaving is what the last failed resume says of the present engine.
+	leaving router.Outcome
 }
 
 // answeredError carries an engine's refusal of the request itself, which goes
@@ -69,7 +72,8 @@
 
 // place finds an engine for the next stream.
 func (e *engines) place(ctx context.Context, from relayer.Prefix) error {
-	e.settle(router.OutcomeFailed)
+	e.settle(cmp.Or(e.leaving, router.OutcomeFailed))
+	e.leaving = 0
 	before := e.grant
 	grant, err := e.acquire(ctx, before, from)
 	var nowhere *router.NoUpstreamError
@@ -187,6 +191,9 @@
 	if errors.As(err, &status) || is[*answeredError](err) {
 		return nil, &relayer.ForgottenError{}
 	}
+	if err != nil {
+		e.leaving = outcomeOf(err)
+	}
 	return source, err
 }
 
@@ -296,7 +303,7 @@
 // outcomeOf tells the router what a failed start says of the engine.
 func outcomeOf(err error) router.Outcome {
 	switch {
-	case is[*dispatcher.NotSentError](err):
+	case is[*dispatcher.NotSentError](err), is[*dispatcher.SilentError](err):
 		return router.OutcomeUnreachable
 	case is[*UpstreamStatusError](err), is[*answeredError](err):
 		return router.OutcomeRefused
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -177,7 +177,7 @@
 
 func wholeOutcome(answer dispatcher.Answer, err error) router.Outcome {
 	switch {
-	case is[*dispatcher.NotSentError](err):
+	case is[*dispatcher.NotSentError](err), is[*dispatcher.SilentError](err):
 		return router.OutcomeUnreachable
 	case err != nil:
 		return router.OutcomeFailed
--- a/router/router.go
+++ b/router/router.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// Unreachable counts a failure to reach an upstream that no dispatch has shown.
+func (r *Router) Unreachable(name, incarnation string, now time.Time) {
+	if u := r.find(name, incarnation); u != nil {
+		u.unreachable(now)
+	}
+}
+
 func (r *Router) find(name, incarnation string) *upstream {
 	u := r.current.Load().upstreams[name]
 	if u == nil || u.about.Incarnation != incarnation {
--- a/router/sample.go
+++ b/router/sample.go
@@ -11,7 +11,8 @@
 	// OutcomeFailed means that the upstream answered with a failure or broke
 	// off.
 	OutcomeFailed
-	// OutcomeUnreachable means that no connection could be made.
+	// OutcomeUnreachable means that no connection could be made, or that one
+	// made for the purpose showed no sign of life.
 	OutcomeUnreachable
 	// OutcomeRefused means that the upstream refused the request unrun.
 	OutcomeRefused
--- /dev/null
+++ b/router/unreachable_test.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// chosen counts how often an upstream is chosen among many tries.
+func chosen(r *Router, name string, now time.Time) int {
+	count := 0
+	for seed := range uint64(200) {
+		choice, err := r.Choose(now, ask(seed))
+		if err == nil && choice.Upstream == name {
+			count++
+		}
+	}
+	return count
+}
+
+func TestASilentUpstreamIsLeftAlone(t *testing.T) {
+	cases := map[string]func(r *Router, choice Choice){
+		"reports do not come": func(r *Router, choice Choice) {
+			r.Unreachable(choice.Upstream, choice.Incarnation, epoch)
+		},
+		"requests show no sign of life": func(r *Router, choice Choice) {
+			r.Started(choice, ask(1), epoch)
+			r.Finished(choice, Sample{Started: epoch, Ended: epoch, Outcome: OutcomeUnreachable})
+		},
+		"silence and broken streams in turn": func(r *Router, choice Choice) {
+			r.Started(choice, ask(1), epoch)
+			r.Finished(choice, Sample{Started: epoch, Ended: epoch, Outcome: OutcomeFailed})
+			r.Unreachable(choice.Upstream, choice.Incarnation, epoch)
+		},
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			r.Update(fleet(t, 2))
+			choice, err := r.Choose(epoch, ask(1))
+			assert.NilError(t, err)
+			assert.Assert(t, chosen(r, choice.Upstream, epoch) > 0)
+			for range 3 {
+				fail(r, choice)
+			}
+			assert.Equal(t, chosen(r, choice.Upstream, epoch), 0)
+		})
+	}
+}
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -112,6 +112,12 @@
 	m.circuit.Tried(now)
 }
 
+func (m *measured) unreachable(now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.circuit.Failed(now)
+}
+
 func (m *measured) finished(sample *Sample, predicted time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -124,7 +130,7 @@
 		m.circuit.Failed(sample.Ended)
 		return
 	}
-	if sample.Outcome != OutcomeCancelled {
+	if sample.Outcome == OutcomeFinished || sample.Outcome == OutcomeRefused {
 		m.circuit.Answered()
 	}
 	m.limit.Observe(load, sample.Gap(), sample.BetweenTokensTarget)
