--- a/router/unreachable_test.go
+++ b/router/unreachable_test.go
@@ -37,7 +37,7 @@
 	for name, fail := range cases {
 		t.Run(name, func(t *testing.T) {
 			r := New(Settings{})
-			r.Update(fleet(t, 2))
+			r.Update(fleet(t, 1))
 			choice, err := r.Choose(epoch, ask(1))
 			assert.NilError(t, err)
 			assert.Assert(t, chosen(r, choice.Upstream, epoch) > 0)
