--- a/assembler/control.go
+++ b/assembler/control.go
@@ -58,17 +58,7 @@
 func NewControl(settings ControlSettings) (*ControlMember, error) {
 	metrics := reporter.New(reporter.Settings{})
 	meter := linker.NewMeter(metrics.Registry())
-	member, err := conductor.New(conductor.Config{
-		Name:        settings.Member.Name,
-		Address:     settings.Member.Address,
-		Folder:      settings.Folder,
-		Peers:       settings.Peers,
-		Credentials: clientCredentials(settings.Certificates),
-		Codec:       codec(),
-		Metrics:     metrics.Registry(),
-		Log:         settings.Log,
-		Fatal:       settings.Fatal,
-	})
+	member, err := newMember(settings, metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -111,6 +101,20 @@
 	}, nil
 }
 
+func newMember(settings ControlSettings, metrics *reporter.Reporter) (*conductor.Conductor, error) {
+	return conductor.New(conductor.Config{
+		Name:        settings.Member.Name,
+		Address:     settings.Member.Address,
+		Folder:      settings.Folder,
+		Peers:       settings.Peers,
+		Credentials: clientCredentials(settings.Certificates),
+		Codec:       codec(),
+		Metrics:     metrics.Registry(),
+		Log:         settings.Log,
+		Fatal:       settings.Fatal,
+	})
+}
+
 // hasLeader returns nil while the member knows a leader.
 func hasLeader(member *conductor.Conductor) error {
 	if member.Status().Leader == "" {
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -55,75 +55,115 @@
 
 // NewEntry puts an entry together.
 func NewEntry(settings EntrySettings) *Entry {
+	parts := newEntryParts(settings)
+	catalogs := parts.newFollower()
+	peers := parts.newGossiper(catalogs)
+	reports := parts.newPoller(catalogs)
+	callers := parts.newReceiver(catalogs, peers)
+	return &Entry{
+		Meter:    parts.meter,
+		Follower: catalogs,
+		Gossiper: peers,
+		Receiver: callers,
+		Services: withCertificates(settings.Certificates,
+			settings.Keys, parts.admission, catalogs, peers, reports, callers),
+	}
+}
+
+// entryParts are what several services of an entry share.
+type entryParts struct {
+	settings  EntrySettings
+	metrics   *reporter.Reporter
+	meter     *linker.Meter
+	links     *linker.Linker
+	routes    *router.Router
+	admission *admitter.Admitter
+	calls     *dispatcher.Dispatcher
+}
+
+func newEntryParts(settings EntrySettings) *entryParts {
 	metrics := reporter.New(reporter.Settings{})
 	meter := linker.NewMeter(metrics.Registry())
-	links := linker.New(clientCredentials(settings.Certificates), meter)
 	routes := router.New(router.Settings{
 		AvailabilityZone: settings.AvailabilityZone,
 		Seed:             xxhash.Sum64String(settings.Name),
 		Entries:          len(settings.Peers) + 1,
 	})
-	admission := admitter.New(routes, admitter.Settings{})
-	catalogs := follower.New(follower.Settings{
-		Entry:            settings.Name,
+	return &entryParts{
+		settings:  settings,
+		metrics:   metrics,
+		meter:     meter,
+		links:     linker.New(clientCredentials(settings.Certificates), meter),
+		routes:    routes,
+		admission: admitter.New(routes, admitter.Settings{}),
+		calls:     dispatcher.New(dispatcher.Settings{}),
+	}
+}
+
+func (p *entryParts) newFollower() *follower.Follower {
+	return follower.New(follower.Settings{
+		Entry:            p.settings.Name,
 		Incarnation:      uuid.NewString(),
-		AvailabilityZone: settings.AvailabilityZone,
-		Control:          settings.Control,
-		Links:            links,
-		Notify: func(catalog *cataloger.Catalog) {
-			routes.Update(catalog)
-			admission.Wake()
-		},
-		Demand: admission.Demand,
-		Log:    settings.Log,
+		AvailabilityZone: p.settings.AvailabilityZone,
+		Control:          p.settings.Control,
+		Links:            p.links,
+		Notify:           p.notify,
+		Demand:           p.admission.Demand,
+		Log:              p.settings.Log,
 	})
-	peers := gossiper.New(gossiper.Settings{
-		Entry:       settings.Name,
-		Listen:      settings.PeerListen,
-		Peers:       settings.Peers,
-		Links:       links,
-		Meter:       meter,
-		Credentials: peerCredentials(settings.Certificates),
+}
+
+// notify brings a catalog that came into force to those who decide by it.
+func (p *entryParts) notify(catalog *cataloger.Catalog) {
+	p.routes.Update(catalog)
+	p.admission.Wake()
+}
+
+func (p *entryParts) newGossiper(catalogs *follower.Follower) *gossiper.Gossiper {
+	return gossiper.New(gossiper.Settings{
+		Entry:       p.settings.Name,
+		Listen:      p.settings.PeerListen,
+		Peers:       p.settings.Peers,
+		Links:       p.links,
+		Meter:       p.meter,
+		Credentials: peerCredentials(p.settings.Certificates),
 		Follower:    catalogs,
-		Dispatches:  func() map[string]int { return nil },
-		Heard:       func(string, map[string]int) {},
-		Log:         settings.Log,
+		Log:         p.settings.Log,
 	})
-	calls := dispatcher.New(dispatcher.Settings{})
-	reports := poller.New(poller.Settings{
-		Seed:    xxhash.Sum64String(settings.Name),
+}
+
+func (p *entryParts) newPoller(catalogs *follower.Follower) *poller.Poller {
+	return poller.New(poller.Settings{
+		Seed:    xxhash.Sum64String(p.settings.Name),
 		Catalog: catalogs.Catalog,
-		Observe: routes.Observe,
-		Failed: func(upstream cataloger.Upstream) {
-			routes.Unreachable(upstream.Name, upstream.Incarnation, time.Now())
-		},
-		Wake:  admission.Wake,
-		Calls: calls,
-		Log:   settings.Log,
+		Observe: p.routes.Observe,
+		Failed:  p.unreachable,
+		Wake:    p.admission.Wake,
+		Calls:   p.calls,
+		Log:     p.settings.Log,
 	})
+}
+
+func (p *entryParts) unreachable(upstream cataloger.Upstream) {
+	p.routes.Unreachable(upstream.Name, upstream.Incarnation, time.Now())
+}
+
+func (p *entryParts) newReceiver(catalogs *follower.Follower, peers *gossiper.Gossiper) *receiver.Receiver {
 	claims := proposer.New(proposer.Settings{
-		Control: settings.Control,
-		Links:   links,
+		Control: p.settings.Control,
+		Links:   p.links,
 		Leader:  catalogs.Leader,
 	})
-	callers := receiver.New(receiver.Config{
-		Settings: settings.Callers,
-		Log:      settings.Log,
-		TLS:      callersTLS(settings),
+	return receiver.New(receiver.Config{
+		Settings: p.settings.Callers,
+		Log:      p.settings.Log,
+		TLS:      callersTLS(p.settings),
 		Catalog:  catalogs.Catalog,
 		Ready:    func() error { return catalogs.Ready(time.Now(), peers) },
-		Keys:     settings.Keys,
-		Admitter: admission,
+		Keys:     p.settings.Keys,
+		Admitter: p.admission,
 		Claims:   claims,
-		Calls:    calls,
-		Reporter: metrics,
+		Calls:    p.calls,
+		Reporter: p.metrics,
 	})
-	return &Entry{
-		Meter:    meter,
-		Follower: catalogs,
-		Gossiper: peers,
-		Receiver: callers,
-		Services: withCertificates(settings.Certificates,
-			settings.Keys, admission, catalogs, peers, reports, callers),
-	}
 }
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -13,8 +13,7 @@
 )
 
 // Exchange answers a peer's digest with this entry's own.
-func (g *Gossiper) Exchange(_ context.Context, theirs *wire.PeerDigest) (*wire.PeerDigest, error) {
-	g.settings.Heard(theirs.GetEntry(), dispatches(theirs))
+func (g *Gossiper) Exchange(context.Context, *wire.PeerDigest) (*wire.PeerDigest, error) {
 	return g.digest(time.Now()), nil
 }
 
@@ -44,7 +43,6 @@
 		}
 		return err
 	}
-	g.settings.Heard(theirs.GetEntry(), dispatches(theirs))
 	return g.learn(ctx, link, theirs, sent)
 }
 
@@ -94,19 +92,5 @@
 	if !confirmation.At.IsZero() {
 		digest.ConfirmedAgeMs = now.Sub(confirmation.At).Milliseconds()
 	}
-	for upstream, running := range g.settings.Dispatches() {
-		digest.Dispatches = append(digest.Dispatches, &wire.Dispatch{
-			Upstream: upstream,
-			Running:  uint32(running),
-		})
-	}
 	return digest
 }
-
-func dispatches(digest *wire.PeerDigest) map[string]int {
-	running := map[string]int{}
-	for _, dispatch := range digest.GetDispatches() {
-		running[dispatch.GetUpstream()] = int(dispatch.GetRunning())
-	}
-	return running
-}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -1,5 +1,5 @@
 // Package gossiper lets entries tell each other what they know: the newest
-// catalog, the quorum's last confirmation and their own dispatches.
+// catalog and the quorum's last confirmation.
 package gossiper
 
 import (
@@ -48,11 +48,7 @@
 	Meter       *linker.Meter
 	Credentials credentials.TransportCredentials
 	Follower    *follower.Follower
-	// Dispatches returns the requests this entry has running, by upstream.
-	Dispatches func() map[string]int
-	// Heard is called with each peer's dispatches.
-	Heard func(entry string, dispatches map[string]int)
-	Log   *zap.Logger
+	Log         *zap.Logger
 }
 
 // Gossiper exchanges digests with the other entries.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -46,15 +46,13 @@
 	})
 	assert.NilError(t, catalogs.Start(context.Background(), nil))
 	g := New(Settings{
-		Entry:      name,
-		Listen:     address,
-		Peers:      peers,
-		Links:      links,
-		Follower:   catalogs,
-		Dispatches: func() map[string]int { return map[string]int{"u": 1} },
-		Heard:      func(string, map[string]int) {},
-		Meter:      linker.NewMeter(metrics.NewRegistry()),
-		Log:        zap.NewNop(),
+		Entry:    name,
+		Listen:   address,
+		Peers:    peers,
+		Links:    links,
+		Follower: catalogs,
+		Meter:    linker.NewMeter(metrics.NewRegistry()),
+		Log:      zap.NewNop(),
 	})
 	assert.NilError(t, g.Start(context.Background(), nil))
 	t.Cleanup(func() {
