feat(cmd): attainment per class in status and class list

Cause: operators saw counts and had to work out the share themselves. Run: go test ./encoder ./cmd: ok.

--- a/cmd/class.go
+++ b/cmd/class.go
@@ -76,18 +76,26 @@
 }
 
 func writeClasses(table *tabwriter.Writer, classes []encoder.ClassLine) error {
-	_, err := fmt.Fprintln(table, "CLASS\tFIRST TOKEN\tBETWEEN TOKENS\tWHOLE\tREPEAT\tENDED\tMISSED\tREFUSED")
+	_, err := fmt.Fprintln(table, "CLASS\tFIRST TOKEN\tBETWEEN TOKENS\tWHOLE\tREPEAT\tATTAINED\tENDED\tMISSED\tREFUSED")
 	for _, class := range classes {
 		if err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n",
+		_, err = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\n",
 			class.Name, dash(class.FirstToken), dash(class.BetweenTokens), dash(class.Whole),
-			repeatWord(class.RepeatForbidden), class.Ended, class.Missed, class.Refused)
+			repeatWord(class.RepeatForbidden), attainedWord(class), class.Ended, class.Missed, class.Refused)
 	}
 	return err
 }
 
+// attainedWord gives a class's attainment with four digits.
+func attainedWord(class encoder.ClassLine) string {
+	if class.Attained == nil {
+		return "-"
+	}
+	return strconv.FormatFloat(*class.Attained, 'f', 4, 64)
+}
+
 func repeatWord(forbidden bool) string {
 	if forbidden {
 		return "forbidden"
--- a/encoder/status.go
+++ b/encoder/status.go
@@ -64,9 +64,12 @@
 	BetweenTokens   string `json:"between-tokens,omitempty"`
 	Whole           string `json:"whole,omitempty"`
 	RepeatForbidden bool   `json:"repeat-forbidden"`
-	Ended           uint64 `json:"ended"`
-	Missed          uint64 `json:"missed"`
-	Refused         uint64 `json:"refused"`
+	// Attained is the share of requests that met the target; absent where
+	// there were none.
+	Attained *float64 `json:"attained,omitempty"`
+	Ended    uint64   `json:"ended"`
+	Missed   uint64   `json:"missed"`
+	Refused  uint64   `json:"refused"`
 }
 
 // ChangeLine is one accepted change of the operators' history.
@@ -143,9 +146,21 @@
 		Ended:           class.GetEnded(),
 		Missed:          class.GetMissed(),
 		Refused:         class.GetRefused(),
+		Attained:        attained(class),
 	}
 }
 
+// attained is the share of a class's requests that met its target. Refused ones
+// count among the missed.
+func attained(class *wire.ClassState) *float64 {
+	all := class.GetEnded() + class.GetRefused()
+	if all == 0 {
+		return nil
+	}
+	share := 1 - float64(class.GetMissed())/float64(all)
+	return &share
+}
+
 // milliseconds writes a target; zero is none.
 func milliseconds(count int64) string {
 	if count == 0 {
