--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"burdocklink/admitter"
 	"burdocklink/authenticator"
 	"burdocklink/claimer"
+	"burdocklink/linker"
 	"burdocklink/registrar"
 )
 
@@ -69,7 +70,7 @@
 		return err
 	}
 	r.app = app
-	listener, err := net.Listen("tcp", r.Settings.Listen)
+	listener, err := linker.Listen(r.Settings.Listen)
 	if err != nil {
 		return err
 	}
