feat(conductor): whole configurations in the log, members that join from elsewhere

Cause: the control group could only be formed of the members in its settings, leases were judged by a clock that stands still while a VM is suspended, and operators could change classes only. Ruled out: a second log for configurations (two histories to keep in step); asking the settings for all members (only three are known).

--- a/applier/command.go
+++ b/applier/command.go
@@ -47,14 +47,19 @@
 	Changes  []cataloger.Change
 }
 
+// Configure replaces the routing configuration by one with a higher version.
+// One that is not higher changes nothing, so that a resend does no harm.
+type Configure struct{ Configuration cataloger.Configuration }
+
 // Noop does nothing; a new leader commits one.
 type Noop struct{}
 
-func (Claim) command()  {}
-func (Order) command()  {}
-func (Change) command() {}
-func (Watch) command()  {}
-func (Noop) command()   {}
+func (Claim) command()     {}
+func (Order) command()     {}
+func (Change) command()    {}
+func (Watch) command()     {}
+func (Configure) command() {}
+func (Noop) command()      {}
 
 // Result is what Apply answers. It is one of the types below.
 type Result interface{ result() }
--- /dev/null
+++ b/applier/configure.go
@@ -0,0 +1,12 @@
+package applier
+
+import "burdocklink/cataloger"
+
+// configure stores a configuration that is newer than the one stored.
+func (s *State) configure(configuration cataloger.Configuration) Applied {
+	if configuration.Version <= s.catalog.Configuration.Version {
+		return Applied{Result: Nothing{}, Delta: s.commit(nil)}
+	}
+	delta := s.commit([]cataloger.Change{cataloger.PutConfiguration{Configuration: configuration}})
+	return Applied{Result: Accepted{Revision: delta.To}, Delta: delta}
+}
--- a/applier/state.go
+++ b/applier/state.go
@@ -74,6 +74,8 @@
 		return s.change(command)
 	case Watch:
 		return s.watch(command)
+	case Configure:
+		return s.configure(command.Configuration)
 	default:
 		return Applied{Result: Nothing{}, Delta: s.commit(nil)}
 	}
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -90,6 +90,16 @@
 	Role     Role
 }
 
+// Configuration is a whole routing configuration as an operator gave it. The
+// highest version wins.
+type Configuration struct {
+	// Version is zero where there is none yet.
+	Version uint64
+	// Content is compressed, in the format of the API that accepted it. It must
+	// not be changed.
+	Content []byte
+}
+
 // Catalog is the picture at one revision. Its maps must not be changed.
 type Catalog struct {
 	// Revision counts up with each accepted change.
@@ -105,4 +115,6 @@
 	// Services lists upstream names by service in ascending order. It is
 	// derived from Upstreams.
 	Services map[string][]string
+	// Configuration is replaced as a whole.
+	Configuration Configuration
 }
--- a/cataloger/change.go
+++ b/cataloger/change.go
@@ -32,15 +32,19 @@
 // PutPlacement replaces what an upstream holds.
 type PutPlacement struct{ Placement Placement }
 
-func (PutClass) change()       {}
-func (RemoveClass) change()    {}
-func (PutModel) change()       {}
-func (RemoveModel) change()    {}
-func (PutAdapter) change()     {}
-func (RemoveAdapter) change()  {}
-func (PutUpstream) change()    {}
-func (RemoveUpstream) change() {}
-func (PutPlacement) change()   {}
+// PutConfiguration replaces the routing configuration.
+type PutConfiguration struct{ Configuration Configuration }
+
+func (PutConfiguration) change() {}
+func (PutClass) change()         {}
+func (RemoveClass) change()      {}
+func (PutModel) change()         {}
+func (RemoveModel) change()      {}
+func (PutAdapter) change()       {}
+func (RemoveAdapter) change()    {}
+func (PutUpstream) change()      {}
+func (RemoveUpstream) change()   {}
+func (PutPlacement) change()     {}
 
 // Delta leads from one revision to a later one.
 type Delta struct {
--- a/cataloger/with.go
+++ b/cataloger/with.go
@@ -52,6 +52,9 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Placements)) {
 		changes = append(changes, PutPlacement{Placement: c.Placements[name]})
 	}
+	if c.Configuration.Version > 0 {
+		changes = append(changes, PutConfiguration{Configuration: c.Configuration})
+	}
 	return changes
 }
 
@@ -123,6 +126,8 @@
 		c.removeUpstream(change.Name)
 	case PutPlacement:
 		c.putPlacement(change.Placement)
+	case PutConfiguration:
+		c.Configuration = change.Configuration
 	}
 }
 
--- /dev/null
+++ b/conductor/announce.go
@@ -0,0 +1,177 @@
+package conductor
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"burdocklink/replicator"
+	"burdocklink/timekeeper"
+)
+
+const (
+	// announceInterval is how often a member that is not part of a group with a
+	// leader tells others that it is there.
+	announceInterval = 500 * time.Millisecond
+	// metTime is how long a member that has introduced itself is remembered. It
+	// spans many announcements.
+	metTime = 10 * time.Second
+	// mostAcquaintances bounds what strangers can make a member remember.
+	mostAcquaintances = 64
+)
+
+// acquaintances are members whose addresses are known from the settings or
+// from their own announcements. It is safe for concurrent use.
+type acquaintances struct {
+	mutex sync.Mutex
+	// given are known from the settings, by name.
+	given map[string]Member
+	// announced have introduced themselves, by name.
+	announced map[string]announcement
+}
+
+// announcement is where a member said that it is reached.
+type announcement struct {
+	address string
+	until   time.Time
+}
+
+func newAcquaintances() *acquaintances {
+	return &acquaintances{given: map[string]Member{}, announced: map[string]announcement{}}
+}
+
+// met notes a member that has introduced itself.
+func (a *acquaintances) met(member replicator.Member) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	_, known := a.announced[member.ID.Name]
+	if member.ID.Name == "" || member.Address == "" || (!known && len(a.announced) >= mostAcquaintances) {
+		return
+	}
+	a.announced[member.ID.Name] = announcement{
+		address: member.Address,
+		until:   timekeeper.Now().Add(metTime),
+	}
+}
+
+// list returns the acquaintances at a time, without one of the name, in
+// ascending order.
+func (a *acquaintances) list(without string, now time.Time) []Member {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var members []Member
+	for name, member := range a.given {
+		if name != without {
+			members = append(members, member)
+		}
+	}
+	for name, said := range a.announced {
+		if now.After(said.until) {
+			delete(a.announced, name)
+			continue
+		}
+		if _, given := a.given[name]; !given && name != without {
+			members = append(members, Member{Name: name, Address: said.address})
+		}
+	}
+	slices.SortFunc(members, byName)
+	return members
+}
+
+// Meet adds members to those that are known, as when the settings name others
+// than before. Only Name and Address are read.
+func (c *Conductor) Meet(members []Member) {
+	c.acquaintances.mutex.Lock()
+	defer c.acquaintances.mutex.Unlock()
+	for _, member := range members {
+		c.acquaintances.given[member.Name] = member
+	}
+}
+
+// known are the members of the group as this member knows them.
+func (c *Conductor) known() []replicator.Member {
+	status := c.status.Load()
+	if status == nil {
+		return nil
+	}
+	members := make([]replicator.Member, 0, len(status.Members))
+	for _, member := range status.Members {
+		role := replicator.Learner
+		if member.Role == Voter {
+			role = replicator.Voter
+		}
+		members = append(members, replicator.Member{
+			ID:      replicator.Identity{Name: member.Name, Disk: member.Disk},
+			Address: member.Address,
+			Role:    role,
+		})
+	}
+	return members
+}
+
+// runAnnouncements tells others that this member is there until it is part of
+// a group with a leader, and again whenever it is not.
+func (c *Conductor) runAnnouncements() {
+	told := map[string]Member{}
+	for {
+		select {
+		case <-c.stopped:
+			return
+		case <-time.After(announceInterval):
+		}
+		if c.belongs() {
+			clear(told)
+			continue
+		}
+		c.announce(told)
+	}
+}
+
+// belongs says whether the member is in the group as it knows it and hears a
+// leader.
+func (c *Conductor) belongs() bool {
+	status := c.status.Load()
+	at := slices.IndexFunc(status.Members, func(m Member) bool {
+		return m.Name == c.self.Name && m.Disk == c.self.Disk
+	})
+	return at >= 0 && status.Leader != ""
+}
+
+// announce introduces this member to all that it knows, and to those that
+// these tell of. Told collects them.
+func (c *Conductor) announce(told map[string]Member) {
+	for _, member := range c.acquaintances.list(c.config.Name, timekeeper.Now()) {
+		told[member.Name] = member
+	}
+	for _, member := range c.status.Load().Members {
+		told[member.Name] = member
+	}
+	delete(told, c.config.Name)
+	for _, address := range addresses(told) {
+		known, err := c.messenger.Introduce(context.Background(), address)
+		if err != nil {
+			continue
+		}
+		for _, member := range known.Members {
+			told[member.ID.Name] = Member{Name: member.ID.Name, Address: member.Address}
+		}
+	}
+}
+
+func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
+
+// addresses returns the addresses of members in ascending order of name.
+func addresses(members map[string]Member) []string {
+	listed := make([]Member, 0, len(members))
+	for _, member := range members {
+		listed = append(listed, member)
+	}
+	slices.SortFunc(listed, byName)
+	list := make([]string, 0, len(listed))
+	for _, member := range listed {
+		list = append(list, member.Address)
+	}
+	return list
+}
--- a/conductor/carry.go
+++ b/conductor/carry.go
@@ -1,10 +1,9 @@
 package conductor
 
 import (
-	"time"
-
 	"burdocklink/applier"
 	"burdocklink/replicator"
+	"burdocklink/timekeeper"
 )
 
 // snapshotBytes is how many bytes of applied entries the log keeps before a
@@ -29,7 +28,7 @@
 	if c.failure != nil {
 		return
 	}
-	c.carryOut(c.core.Step(event, time.Now()))
+	c.carryOut(c.core.Step(event, timekeeper.Now()))
 }
 
 func (c *Conductor) carryOut(out replicator.Output) {
@@ -64,7 +63,7 @@
 	for _, asked := range batch {
 		data = append(data, asked.data)
 	}
-	out := c.core.Step(replicator.Propose{Data: data}, time.Now())
+	out := c.core.Step(replicator.Propose{Data: data}, timekeeper.Now())
 	for at, asked := range batch {
 		if out.Refusal != nil {
 			asked.answer <- proposed{err: c.refusal(out.Refusal)}
--- a/conductor/config.go
+++ b/conductor/config.go
@@ -29,6 +29,9 @@
 	// member without a group waits to be taken into the one that its peers
 	// have. A member without other peers forms a group of its own.
 	Peers []Member
+	// Joins is true where the member must not begin a group: it waits to be
+	// taken into the one that its peers have.
+	Joins bool
 	// Voters is how many voters the group founds and repairs itself with; zero
 	// means the number of peers. Further members are learners and stand by.
 	Voters int
--- a/conductor/formation.go
+++ b/conductor/formation.go
@@ -13,6 +13,7 @@
 	"burdocklink/applier"
 	"burdocklink/recorder"
 	"burdocklink/replicator"
+	"burdocklink/timekeeper"
 )
 
 const (
@@ -73,7 +74,7 @@
 		Hard:     loaded.Hard,
 		Snapshot: loaded.Snapshot,
 		Entries:  loaded.Entries,
-	}, time.Now())
+	}, timekeeper.Now())
 }
 
 // seedOf makes a seed of an identity.
@@ -100,7 +101,7 @@
 	if c.core.Status().Group != "" {
 		return
 	}
-	hard, entries := replicator.Found(randomName(), members, time.Now())
+	hard, entries := replicator.Found(randomName(), members, timekeeper.Now())
 	if c.recorder != nil {
 		if err := c.recorder.Append(replicator.Write{Hard: &hard, Entries: entries}); err != nil {
 			c.fail(err)
@@ -138,6 +139,9 @@
 // formation asks all peers who they are. It is false where this member must
 // not begin a group.
 func (c *Conductor) formation() ([]replicator.Member, bool) {
+	if c.config.Joins {
+		return nil, false
+	}
 	members := []replicator.Member{c.selfMember()}
 	for _, peer := range c.config.others() {
 		if peer.Name < c.config.Name {
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -33,6 +33,8 @@
 	status    atomic.Pointer[Status]
 	group     atomic.Pointer[string]
 	commits   metrics.Counter
+	// acquaintances are members known from elsewhere than the group.
+	acquaintances *acquaintances
 
 	// what follows belongs to loop.
 	recorder *recorder.Recorder
@@ -78,7 +80,10 @@
 		pending:   map[uint64]pendingProposal{},
 		reads:     map[uint64]*confirmCall{},
 		followers: map[*follower]struct{}{},
+
+		acquaintances: newAcquaintances(),
 	}
+	c.Meet(config.Peers)
 	if err := c.open(); err != nil {
 		return nil, err
 	}
@@ -88,6 +93,8 @@
 		Credentials: config.Credentials,
 		Deliver:     c.deliver,
 		Group:       c.groupName,
+		Members:     c.known,
+		Met:         c.acquaintances.met,
 		Log:         config.Log,
 		Metrics:     config.Metrics,
 	})
@@ -104,6 +111,7 @@
 	go c.loop()
 	if len(c.config.others()) > 0 {
 		go c.runFormation()
+		go c.runAnnouncements()
 		go c.runRepair()
 	}
 	return nil
--- a/conductor/membership.go
+++ b/conductor/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"burdocklink/replicator"
+	"burdocklink/timekeeper"
 )
 
 // retryInterval is how often a change that is not possible yet is tried again.
@@ -196,7 +197,7 @@
 
 // change passes a change to the core.
 func (c *Conductor) change(asked *changeCall) {
-	out := c.core.Step(replicator.Reconfigure{Change: asked.change}, time.Now())
+	out := c.core.Step(replicator.Reconfigure{Change: asked.change}, timekeeper.Now())
 	if out.Refusal != nil {
 		asked.answer <- proposed{err: c.refusal(out.Refusal)}
 	} else {
@@ -216,7 +217,7 @@
 		asked.answer <- &UnknownMemberError{Name: asked.name}
 		return
 	}
-	out := c.core.Step(replicator.Transfer{Target: target}, time.Now())
+	out := c.core.Step(replicator.Transfer{Target: target}, timekeeper.Now())
 	if out.Refusal != nil {
 		asked.answer <- c.refusal(out.Refusal)
 	} else {
--- a/conductor/repair.go
+++ b/conductor/repair.go
@@ -7,11 +7,12 @@
 	"go.uber.org/zap"
 
 	"burdocklink/replicator"
+	"burdocklink/timekeeper"
 )
 
 const (
 	// repairInterval is how often a leader looks after the group.
-	repairInterval = time.Second
+	repairInterval = 250 * time.Millisecond
 	// silentAfter is when a member is asked at its address who it is.
 	silentAfter = 3 * time.Second
 	// changeTime is how long one change of a repair may take.
@@ -117,7 +118,7 @@
 			continue
 		}
 		if since.IsZero() {
-			since = time.Now()
+			since = timekeeper.Now()
 		}
 		c.repair(since)
 	}
@@ -135,7 +136,7 @@
 		Self:      c.self,
 		Status:    status,
 		Since:     since,
-		Now:       time.Now(),
+		Now:       timekeeper.Now(),
 		Voters:    c.wantedVoters(),
 		LostAfter: c.config.LostAfter,
 	}
@@ -151,7 +152,7 @@
 // introduce asks the peers that are missing or silent who they are.
 func (c *Conductor) introduce(ctx context.Context, view repairView) []replicator.Member {
 	var introduced []replicator.Member
-	for _, peer := range c.config.others() {
+	for _, peer := range c.acquaintances.list(c.config.Name, view.Now) {
 		if c.present(peer.Name, view) {
 			continue
 		}
--- a/conductor/status.go
+++ b/conductor/status.go
@@ -2,15 +2,15 @@
 
 import (
 	"slices"
-	"time"
 
 	"burdocklink/replicator"
+	"burdocklink/timekeeper"
 )
 
 // Status describes the member as it sees itself.
 func (c *Conductor) Status() Status {
 	status := *c.status.Load()
-	status.Leading = status.Leading && time.Now().Before(status.LeaseUntil)
+	status.Leading = status.Leading && timekeeper.Now().Before(status.LeaseUntil)
 	status.Members = slices.Clone(status.Members)
 	select {
 	case <-c.stopped:
--- a/encoder/catalog.go
+++ b/encoder/catalog.go
@@ -94,6 +94,10 @@
 		message.Change = &wire.CatalogChange_RemoveUpstream{RemoveUpstream: change.Name}
 	case cataloger.PutPlacement:
 		message.Change = &wire.CatalogChange_PutPlacement{PutPlacement: encodePlacement(change.Placement)}
+	case cataloger.PutConfiguration:
+		message.Change = &wire.CatalogChange_PutConfiguration{
+			PutConfiguration: encodeRouting(change.Configuration),
+		}
 	default:
 		return nil, &UnsupportedTypeError{Message: "catalog change"}
 	}
@@ -122,11 +126,23 @@
 	case *wire.CatalogChange_PutPlacement:
 		placement, err := decodePlacement(change.PutPlacement)
 		return cataloger.PutPlacement{Placement: placement}, err
+	case *wire.CatalogChange_PutConfiguration:
+		return cataloger.PutConfiguration{
+			Configuration: decodeRouting(change.PutConfiguration),
+		}, nil
 	default:
 		return nil, &NewerVersionError{Message: nameOf(message)}
 	}
 }
 
+func encodeRouting(configuration cataloger.Configuration) *wire.Configuration {
+	return &wire.Configuration{Version: configuration.Version, Content: configuration.Content}
+}
+
+func decodeRouting(message *wire.Configuration) cataloger.Configuration {
+	return cataloger.Configuration{Version: message.GetVersion(), Content: message.GetContent()}
+}
+
 func encodeClass(class classifier.Class) *wire.Class {
 	return &wire.Class{
 		Name:               class.Name,
--- a/encoder/command.go
+++ b/encoder/command.go
@@ -74,6 +74,11 @@
 			Sequence: command.Sequence,
 		}}
 		return message, err
+	case applier.Configure:
+		message.Command = &wire.Command_Configuration{
+			Configuration: encodeRouting(command.Configuration),
+		}
+		return message, nil
 	case applier.Noop:
 		message.Command = &wire.Command_Noop{Noop: &wire.Empty{}}
 		return message, nil
@@ -99,6 +104,8 @@
 			Sequence: command.Watch.GetSequence(),
 			Changes:  changes,
 		}, err
+	case *wire.Command_Configuration:
+		return applier.Configure{Configuration: decodeRouting(command.Configuration)}, nil
 	case *wire.Command_Noop:
 		return applier.Noop{}, nil
 	default:
--- a/encoder/replication.go
+++ b/encoder/replication.go
@@ -146,29 +146,39 @@
 }
 
 func encodeConfiguration(configuration replicator.Configuration) *wire.ReplicaConfiguration {
-	message := &wire.ReplicaConfiguration{}
-	for _, member := range configuration.Members {
-		message.Members = append(message.Members, &wire.ReplicaMember{
+	return &wire.ReplicaConfiguration{Members: EncodeMembers(configuration.Members)}
+}
+
+func decodeConfiguration(message *wire.ReplicaConfiguration) replicator.Configuration {
+	return replicator.Configuration{Members: DecodeMembers(message.GetMembers())}
+}
+
+// EncodeMembers writes the members of a group.
+func EncodeMembers(members []replicator.Member) []*wire.ReplicaMember {
+	var messages []*wire.ReplicaMember
+	for _, member := range members {
+		messages = append(messages, &wire.ReplicaMember{
 			Id:      EncodeIdentity(member.ID),
 			Address: member.Address,
 			Voter:   member.Role == replicator.Voter,
 		})
 	}
-	return message
+	return messages
 }
 
-func decodeConfiguration(message *wire.ReplicaConfiguration) replicator.Configuration {
-	configuration := replicator.Configuration{}
-	for _, member := range message.GetMembers() {
+// DecodeMembers reads what EncodeMembers wrote.
+func DecodeMembers(messages []*wire.ReplicaMember) []replicator.Member {
+	var members []replicator.Member
+	for _, message := range messages {
 		role := replicator.Learner
-		if member.GetVoter() {
+		if message.GetVoter() {
 			role = replicator.Voter
 		}
-		configuration.Members = append(configuration.Members, replicator.Member{
-			ID:      DecodeIdentity(member.GetId()),
-			Address: member.GetAddress(),
+		members = append(members, replicator.Member{
+			ID:      DecodeIdentity(message.GetId()),
+			Address: message.GetAddress(),
 			Role:    role,
 		})
 	}
-	return configuration
+	return members
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -29,7 +29,11 @@
 	// Deliver takes in a message that has arrived. It may wait.
 	Deliver func(replicator.Envelope)
 	// Group tells which group the member belongs to; empty for none.
-	Group   func() string
+	Group func() string
+	// Members tells the members of the group, as far as this member knows them.
+	Members func() []replicator.Member
+	// Met is told who has introduced itself, and where it is reached.
+	Met     func(replicator.Member)
 	Log     *zap.Logger
 	Metrics metrics.Registry
 }
@@ -38,6 +42,8 @@
 type Introduction struct {
 	ID    replicator.Identity
 	Group string
+	// Members are those of its group, as far as it knows them.
+	Members []replicator.Member
 }
 
 // Messenger sends and receives messages.
@@ -61,6 +67,12 @@
 
 // New returns a Messenger without links.
 func New(settings Settings) *Messenger {
+	if settings.Members == nil {
+		settings.Members = func() []replicator.Member { return nil }
+	}
+	if settings.Met == nil {
+		settings.Met = func(replicator.Member) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Messenger{
 		settings: settings,
@@ -176,7 +188,11 @@
 	if err != nil {
 		return Introduction{}, err
 	}
-	return Introduction{ID: encoder.DecodeIdentity(reply.GetId()), Group: reply.GetGroup()}, nil
+	return Introduction{
+		ID:      encoder.DecodeIdentity(reply.GetId()),
+		Group:   reply.GetGroup(),
+		Members: encoder.DecodeMembers(reply.GetMembers()),
+	}, nil
 }
 
 // timing of links.
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -21,11 +21,16 @@
 }
 
 // Introduce answers who this member is.
-func (s *server) Introduce(context.Context, *wire.IntroduceRequest) (*wire.IntroduceReply, error) {
+func (s *server) Introduce(_ context.Context, asked *wire.IntroduceRequest) (*wire.IntroduceReply, error) {
 	m := s.messenger
+	m.settings.Met(replicator.Member{
+		ID:      encoder.DecodeIdentity(asked.GetId()),
+		Address: asked.GetAddress(),
+	})
 	return &wire.IntroduceReply{
-		Id:    encoder.EncodeIdentity(m.settings.Self),
-		Group: m.settings.Group(),
+		Id:      encoder.EncodeIdentity(m.settings.Self),
+		Group:   m.settings.Group(),
+		Members: encoder.EncodeMembers(m.settings.Members()),
 	}, nil
 }
 
