--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -75,6 +75,9 @@
 	Accelerators int
 	// Slots is how many requests the engine batches at once.
 	Slots int
+	// CacheTokens is the engine's memory for prompts and answers, in tokens;
+	// zero where it is not known.
+	CacheTokens int
 	// ChecksFence is true where the upstream refuses an order with an old
 	// fencing number.
 	ChecksFence bool
--- a/cmd/command.go
+++ b/cmd/command.go
@@ -38,6 +38,8 @@
 		demoCommand(),
 		entryCommand(),
 		controlCommand(),
+		entryNodeCommand(),
+		controlNodeCommand(),
 		classCommand(),
 		statusCommand(),
 		historyCommand(),
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -45,11 +45,18 @@
 	Address string
 	Method  string
 	// Path is the path with the query.
-	Path   string
+	Path string
+	// Host is the host that the upstream is told; empty for its address.
+	Host   string
 	Header http.Header
 	Body   []byte
 	// Fresh asks for a connection that nothing used before.
 	Fresh bool
+	// Owns tells by its header whether an answer belongs to the call. One that
+	// does not is read past: a late answer to another call may stand before it
+	// on a connection that is used again. Nil takes every answer. Only Send
+	// reads it.
+	Owns func(header http.Header) bool
 	// Silence is the longest wait for progress; zero takes that of Settings.
 	Silence time.Duration
 }
@@ -67,22 +74,37 @@
 	dialer   *net.Dialer
 	shared   *http.Transport
 	fresh    *http.Transport
+	pool     *pool
 }
 
 // New returns a Dispatcher.
 func New(settings Settings) *Dispatcher {
 	settings = settings.withDefaults()
-	dialer := &net.Dialer{Timeout: settings.Dial}
+	dialer := &net.Dialer{
+		Timeout: settings.Dial,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount,
+		},
+		Control: limitUnacknowledged,
+	}
 	shared := transport(dialer.DialContext)
 	shared.MaxIdleConnsPerHost = settings.IdleConnections
 	shared.IdleConnTimeout = settings.Idle
 	fresh := transport(dialer.DialContext)
 	fresh.DisableKeepAlives = true
-	return &Dispatcher{settings: settings, dialer: dialer, shared: shared, fresh: fresh}
+	return &Dispatcher{settings: settings, dialer: dialer, shared: shared, fresh: fresh,
+		pool: &pool{idle: map[string][]*pooledLine{}}}
 }
 
 // Close drops the unused connections.
-func (d *Dispatcher) Close() { d.shared.CloseIdleConnections() }
+func (d *Dispatcher) Close() {
+	d.shared.CloseIdleConnections()
+	d.pool.close()
+}
+
+// Forget closes the unused connections to an address, as when another upstream
+// answers there.
+func (d *Dispatcher) Forget(address string) { d.pool.forget(address) }
 
 // Patience is what the body of a response of Stream can do besides.
 type Patience interface {
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -49,6 +49,13 @@
 	return "the answer has more than " + strconv.FormatInt(e.Limit, 10) + " bytes"
 }
 
+// ForeignAnswersError says that a connection carried nothing but answers to
+// other calls.
+type ForeignAnswersError struct{}
+
+// Error describes the failure.
+func (e *ForeignAnswersError) Error() string { return "only answers to other calls arrived" }
+
 // SecondDialError says that something below a call that must not repeat asked
 // for a second connection.
 type SecondDialError struct{}
--- /dev/null
+++ b/forwarder/events.go
@@ -0,0 +1,105 @@
+package forwarder
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+)
+
+// mostEventBytes bounds one event of a stream.
+const mostEventBytes = 1 << 20
+
+// eventReader cuts a stream into whole events. An event ends with an empty
+// line and is handed on byte for byte.
+type eventReader struct {
+	from io.Reader
+	// rest are bytes that were read and not yet handed on.
+	rest   []byte
+	buffer []byte
+	err    error
+}
+
+func newEventReader(from io.Reader) *eventReader {
+	return &eventReader{from: from, buffer: make([]byte, 4<<10)}
+}
+
+// next returns all whole events that have arrived, at least one. The bytes are
+// valid until the next call. It returns io.EOF after the end of the stream, and
+// a *PartialEventError where that cuts an event.
+func (r *eventReader) next() ([]byte, error) {
+	for {
+		if end := lastEventEnd(r.rest); end > 0 {
+			whole := r.rest[:end]
+			r.rest = r.rest[end:]
+			return whole, nil
+		}
+		if r.err != nil {
+			return nil, r.ending()
+		}
+		if len(r.rest) > mostEventBytes {
+			return nil, &PartialEventError{}
+		}
+		n, err := r.from.Read(r.buffer)
+		r.rest = append(bytes.Clone(r.rest), r.buffer[:n]...)
+		r.err = err
+	}
+}
+
+func (r *eventReader) ending() error {
+	if r.err == io.EOF && len(r.rest) > 0 {
+		return &PartialEventError{}
+	}
+	return r.err
+}
+
+// lastEventEnd returns the length of the whole events at the beginning.
+func lastEventEnd(data []byte) int {
+	end := 0
+	if at := bytes.LastIndex(data, []byte("\n\n")); at >= 0 {
+		end = at + 2
+	}
+	if at := bytes.LastIndex(data, []byte("\n\r\n")); at >= 0 {
+		end = max(end, at+3)
+	}
+	return end
+}
+
+// split calls a function with each of several whole events.
+func split(events []byte, each func(event []byte) error) error {
+	for len(events) > 0 {
+		end := firstEventEnd(events)
+		if err := each(events[:end]); err != nil {
+			return err
+		}
+		events = events[end:]
+	}
+	return nil
+}
+
+func firstEventEnd(data []byte) int {
+	plain := bytes.Index(data, []byte("\n\n"))
+	returned := bytes.Index(data, []byte("\n\r\n"))
+	switch {
+	case plain < 0 && returned < 0:
+		return len(data)
+	case returned < 0 || (plain >= 0 && plain < returned):
+		return plain + 2
+	default:
+		return returned + 3
+	}
+}
+
+// eventID returns the number of an event, and false where it has none.
+func eventID(event []byte) (uint64, bool) {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		event = rest
+		value, found := bytes.CutPrefix(line, []byte("id:"))
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		return number, err == nil
+	}
+	return 0, false
+}
--- /dev/null
+++ b/forwarder/exchange.go
@@ -0,0 +1,313 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"burdocklink/admitter"
+	"burdocklink/classifier"
+	"burdocklink/dispatcher"
+	"burdocklink/matcher"
+	"burdocklink/reporter"
+	"burdocklink/router"
+)
+
+// exchange is one request on its way to its answer.
+type exchange struct {
+	*Forwarder
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+	table   *matcher.Table
+	route   *matcher.Route
+	request Request
+	// service is the one of the route's that this request goes to.
+	service string
+	class   classifier.Class
+	body    []byte
+	// deadline is the end of the caller's patience or of the route's timeout.
+	deadline time.Time
+	tries    attempts
+	grant    *admitter.Grant
+	// failure is an answer that is delivered where no better one comes.
+	failure *answer
+	// last is the number of the last event that the caller has.
+	last       uint64
+	events     int
+	firstToken time.Time
+	granted    time.Time
+	result     reporter.Result
+	status     int
+}
+
+// answer is a whole answer of an upstream.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func newExchange(f *Forwarder, w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{Forwarder: f, w: w, r: r, arrived: time.Now()}
+}
+
+// serve sees the request through. The error says why there is no whole answer.
+func (x *exchange) serve() error {
+	if err := x.read(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.deadline, &TimeoutError{})
+	defer cancel()
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	err := x.forward(ctx)
+	if err != nil && x.failure != nil && !x.tries.begun && x.r.Context().Err() == nil {
+		return x.deliver(x.failure)
+	}
+	return err
+}
+
+// read finds out what is asked for.
+func (x *exchange) read() error {
+	x.table = x.Table()
+	if x.table == nil {
+		return &NoConfigurationError{}
+	}
+	request, err := x.Codec.DecodeRequest(x.r, x.arrived)
+	x.request = request
+	if err != nil {
+		return err
+	}
+	x.route = x.table.Match(x.r.Host, x.r.URL.EscapedPath())
+	if x.route == nil {
+		return &NoRouteError{}
+	}
+	x.service = x.route.Pick(fraction(request.ID))
+	x.deadline = x.arrived.Add(x.route.Timeout)
+	if !request.Deadline.IsZero() && request.Deadline.Before(x.deadline) {
+		x.deadline = request.Deadline
+	}
+	x.class = classOf(x.route)
+	return nil
+}
+
+// fraction spreads request IDs over [0, 1).
+func fraction(id string) float64 {
+	const steps = 1 << 24
+	return float64(xxhash.Sum64String(id)%steps) / steps
+}
+
+// classOf is the class of work that a route stands for.
+func classOf(route *matcher.Route) classifier.Class {
+	class := classifier.Class{
+		Name:            route.Name,
+		RepeatForbidden: !route.Repeatable(),
+	}
+	if route.Kind == matcher.Streaming {
+		class.Target.FirstToken = route.Target
+		class.Target.BetweenTokens = route.GapTarget
+	} else {
+		class.Target.Whole = route.Target
+	}
+	return class
+}
+
+func (x *exchange) readBody() error {
+	limit := x.table.Configuration.Limits.BodyBytes
+	from := io.Reader(x.r.Body)
+	if limit > 0 {
+		from = http.MaxBytesReader(x.w, x.r.Body, limit)
+	}
+	body, err := io.ReadAll(from)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &BodyTooLargeError{Limit: limit}
+	}
+	if err != nil {
+		return &BodyError{Cause: err}
+	}
+	x.body = body
+	return nil
+}
+
+// forward sends the request to one upstream after the other until one has
+// answered or no further one may be tried.
+func (x *exchange) forward(ctx context.Context) error {
+	for {
+		if err := x.place(ctx); err != nil {
+			return causeOf(ctx, err)
+		}
+		err := x.send(ctx)
+		if err == nil {
+			return nil
+		}
+		if cause := context.Cause(ctx); cause != nil {
+			return x.ended(cause)
+		}
+		if !x.tries.mayAgain(x.route, time.Now(), x.deadline) || (x.tries.begun && x.last == 0) {
+			return err
+		}
+		x.Log.Info("sent again", zap.String("request-id", x.request.ID),
+			zap.String("upstream", x.grant.Choice.Upstream), zap.Int("sends", x.tries.sends),
+			zap.Int("runs", x.tries.runs), zap.Error(err))
+	}
+}
+
+// ended says what the end of the time or of the caller means for the request.
+func (x *exchange) ended(cause error) error {
+	if x.tries.runs == 0 {
+		return cause
+	}
+	return &LostError{Cause: cause}
+}
+
+// place waits for an upstream.
+func (x *exchange) place(ctx context.Context) error {
+	for {
+		grant, err := x.acquire(ctx)
+		var nowhere *router.NoUpstreamError
+		if errors.As(err, &nowhere) && x.request.Model != "" {
+			if err := x.Holders.Want(ctx, x.service, x.request.Model, x.request.Adapter, x.holderBy()); err != nil {
+				return err
+			}
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		x.grant = grant
+		if x.granted.IsZero() {
+			x.granted = time.Now()
+		}
+		return nil
+	}
+}
+
+// holderBy is when a holder of what the request asks for must be there.
+func (x *exchange) holderBy() time.Time { return x.deadline }
+
+func (x *exchange) acquire(ctx context.Context) (*admitter.Grant, error) {
+	if x.tries.sends > 0 {
+		return x.Admitter.Again(ctx, x.grant)
+	}
+	return x.Admitter.Acquire(ctx, x.admission())
+}
+
+func (x *exchange) admission() admitter.Request {
+	asked := admitter.Request{
+		Class:    x.class,
+		Arrived:  x.arrived,
+		Deadline: x.deadline,
+		Route: router.Request{
+			Service:          x.service,
+			PromptTokens:     x.request.PromptTokens,
+			AnswerTokens:     x.request.AnswerTokens,
+			AvailabilityZone: x.AvailabilityZone,
+			Seed:             xxhash.Sum64String(x.request.ID),
+		},
+	}
+	if x.request.Model != "" && x.table.Configuration.Services[x.service].Engine != nil {
+		asked.Route.Holds = x.Holders.Name(x.service, x.request.Model, x.request.Adapter)
+		asked.Route.Base = x.Holders.Name(x.service, x.request.Model, "")
+	}
+	return asked
+}
+
+// send makes one attempt at the upstream of the grant.
+func (x *exchange) send(ctx context.Context) error {
+	x.tries.sends++
+	x.grant.Started = time.Now()
+	choice := x.grant.Choice
+	path := x.r.RequestURI
+	response, err := x.Calls.Send(ctx, dispatcher.Call{
+		Address: choice.Address,
+		Method:  x.r.Method,
+		Path:    path,
+		Host:    x.r.Host,
+		Header:  x.Codec.EncodeSend(x.r.Header, x.sending(choice)),
+		Body:    x.body,
+		Owns:    func(header http.Header) bool { return x.Codec.Owns(x.request.ID, header) },
+	})
+	if err != nil {
+		return x.unanswered(err)
+	}
+	said := x.Codec.DecodeAnswer(response)
+	if said.NotRun {
+		return x.notRun(response, said)
+	}
+	x.tries.runs++
+	if x.route.Kind == matcher.Streaming && response.StatusCode == http.StatusOK {
+		return x.stream(response)
+	}
+	return x.whole(response, said)
+}
+
+func (x *exchange) sending(choice router.Choice) Send {
+	send := Send{
+		Now:       time.Now(),
+		Deadline:  x.deadline,
+		Upstream:  choice.Upstream,
+		Rank:      min(x.route.Rank, lowestRank),
+		Ranked:    x.route.Kind == matcher.Streaming,
+		LastEvent: x.request.LastEvent,
+	}
+	if x.last > 0 {
+		send.LastEvent = formatID(x.last)
+	}
+	return send
+}
+
+// lowestRank is the last urgency that engines know.
+const lowestRank = 9
+
+// unanswered takes in a send that brought no answer.
+func (x *exchange) unanswered(err error) error {
+	var unsent *dispatcher.NotSentError
+	if errors.As(err, &unsent) {
+		x.settle(router.OutcomeUnreachable)
+		return &NotRunError{Retry: time.Now().Add(shortRetry)}
+	}
+	x.tries.runs++
+	x.settle(router.OutcomeFailed)
+	return &LostError{Cause: err}
+}
+
+// notRun takes in an upstream's word that it did not run the request.
+func (x *exchange) notRun(response *http.Response, said Answer) error {
+	drain(response)
+	if said.Elsewhere {
+		x.Calls.Forget(x.grant.Choice.Address)
+	}
+	x.settle(router.OutcomeRefused)
+	return &NotRunError{Retry: time.Now().Add(shortRetry)}
+}
+
+// mostDrained bounds what is read of an answer that nobody needs, so that its
+// connection can be used again.
+const mostDrained = 64 << 10
+
+func drain(response *http.Response) {
+	// what can't be read costs the connection, which Close sees to
+	_, _ = io.CopyN(io.Discard, response.Body, mostDrained)
+	_ = response.Body.Close()
+}
+
+// settle ends the present grant.
+func (x *exchange) settle(outcome router.Outcome) {
+	x.grant.Done(admitter.Result{Ended: time.Now(), Tokens: x.events, Outcome: outcome})
+}
+
+// causeOf returns why a context ended in place of a failure that it caused.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,171 @@
+// Package forwarder takes callers' requests on the routes of a configuration,
+// sends each to an upstream unchanged and brings its answer back: whole, and
+// only the one that belongs to it.
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/admitter"
+	"burdocklink/dispatcher"
+	"burdocklink/linker"
+	"burdocklink/matcher"
+	"burdocklink/registrar"
+	"burdocklink/reporter"
+)
+
+// Name is the service's name in the kernel.
+const Name = "forwarder"
+
+// Admitter gives requests their upstreams.
+type Admitter interface {
+	Acquire(ctx context.Context, request admitter.Request) (*admitter.Grant, error)
+	Again(ctx context.Context, grant *admitter.Grant) (*admitter.Grant, error)
+}
+
+// Holders brings about that a model or adapter is held somewhere.
+type Holders interface {
+	// Name is what the router calls a model or adapter of a service.
+	Name(service, model, adapter string) string
+	// Want asks for a holder and waits until there may be one. It returns an
+	// *AbsentError where none will be there in time.
+	Want(ctx context.Context, service, model, adapter string, by time.Time) error
+}
+
+// Config is what a forwarder needs.
+type Config struct {
+	// Listen is the IP address and port for callers.
+	Listen           string
+	AvailabilityZone string
+	// Linger is how long the listener stays open after readiness failed.
+	Linger time.Duration
+	Codec  Codec
+	// Table returns the routes in force, nil before there are any.
+	Table    func() *matcher.Table
+	Ready    func() error
+	Admitter Admitter
+	Holders  Holders
+	Calls    *dispatcher.Dispatcher
+	Reporter *reporter.Reporter
+	Log      *zap.Logger
+}
+
+// bounds of callers' connections. What a configuration says of them is lower;
+// these only end what would stay for ever.
+const (
+	headerTime  = 10 * time.Second
+	idleTime    = 75 * time.Second
+	headerBytes = 64 << 10
+)
+
+// Forwarder serves callers.
+type Forwarder struct {
+	Config
+	server   *http.Server
+	listener net.Listener
+	draining atomic.Bool
+}
+
+// New returns a forwarder that has not started.
+func New(config Config) *Forwarder { return &Forwarder{Config: config} }
+
+// String names the service.
+func (f *Forwarder) String() string { return Name }
+
+// Address returns the IP and port for callers, once started.
+func (f *Forwarder) Address() string { return f.listener.Addr().String() }
+
+// Start opens the listener and serves.
+func (f *Forwarder) Start(context.Context, *registrar.Registrar) error {
+	listener, err := linker.Listen(f.Listen)
+	if err != nil {
+		return err
+	}
+	f.listener = listener
+	f.server = &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(f.Log),
+	}
+	go f.run()
+	return nil
+}
+
+func (f *Forwarder) run() {
+	if err := f.server.Serve(f.listener); err != http.ErrServerClosed {
+		f.Log.Error("listener failed", zap.Error(err))
+	}
+}
+
+// ServeHTTP sees one request through to its answer.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := newExchange(f, w, r)
+	// what follows a chunked body could be taken for a request of its own by
+	// one reader and for a part of the body by another
+	if f.draining.Load() || len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	if err := x.serve(); err != nil {
+		x.refuse(err)
+	}
+}
+
+// Accepting returns why new connections should go elsewhere, or nil.
+func (f *Forwarder) Accepting() error {
+	if f.draining.Load() {
+		return &DrainingError{}
+	}
+	if f.Table() == nil {
+		return &NoConfigurationError{}
+	}
+	return f.Ready()
+}
+
+// Stop fails readiness, keeps the listener open until the balancer has had
+// time to notice, and lets requests in flight end before the deadline.
+func (f *Forwarder) Stop(deadline time.Time) error {
+	f.draining.Store(true)
+	if wait := min(f.Linger, time.Until(deadline)); wait > 0 {
+		time.Sleep(wait)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := f.server.Shutdown(ctx); err != nil {
+		_ = f.server.Close()
+		return &CutError{Cause: err}
+	}
+	return nil
+}
+
+// DrainingError says that the process is about to stop.
+type DrainingError struct{}
+
+// Error describes the state.
+func (e *DrainingError) Error() string { return "the process is about to stop" }
+
+// CutError says that requests in flight did not end in time.
+type CutError struct{ Cause error }
+
+// Error describes the cut.
+func (e *CutError) Error() string { return "requests in flight were cut off: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error { return e.Cause }
+
+// AbsentError says that no upstream holds a model or adapter in time.
+type AbsentError struct {
+	Model string
+	// Retry is when one is expected to.
+	Retry time.Time
+}
+
+// Error names the model.
+func (e *AbsentError) Error() string { return "no upstream holds " + e.Model }
--- /dev/null
+++ b/forwarder/refuse.go
@@ -0,0 +1,131 @@
+package forwarder
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/admitter"
+	"burdocklink/reporter"
+	"burdocklink/router"
+)
+
+// shortRetry is when a caller should come back after a failure that is likely
+// to have passed by then: one more placement of the request takes less.
+const shortRetry = 200 * time.Millisecond
+
+// refuse answers a request that has no whole answer.
+func (x *exchange) refuse(err error) {
+	x.result = reporter.ResultFailed
+	if x.tries.runs == 0 {
+		x.result = reporter.ResultRefused
+	}
+	if x.r.Context().Err() != nil || is[*callerGoneError](err) {
+		x.result = reporter.ResultAbandoned
+	}
+	if x.grant != nil {
+		x.settle(router.OutcomeCancelled)
+	}
+	if x.tries.begun {
+		x.record(err)
+		// an answer that has begun must not look complete
+		panic(http.ErrAbortHandler)
+	}
+	x.status = statusOf(err, x.tries)
+	x.record(err)
+	header := x.w.Header()
+	if retry := retryOf(err); promises(x.status) && !retry.IsZero() {
+		seconds := max(0, time.Until(retry).Seconds())
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
+	}
+	header.Set("Content-Length", "0")
+	x.w.WriteHeader(x.status)
+}
+
+// statusOf maps failures to statuses. Statuses that promise that the request
+// has not run are given only where no upstream can have run it.
+func statusOf(err error, tries attempts) int {
+	switch {
+	case is[*MalformedError](err), is[*BodyError](err):
+		return http.StatusBadRequest
+	case is[*NoRouteError](err):
+		return http.StatusNotFound
+	case is[*BodyTooLargeError](err):
+		return http.StatusRequestEntityTooLarge
+	case tries.runs == 0:
+		return http.StatusServiceUnavailable
+	case is[*TimeoutError](err):
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// retryOf returns when a refused request should come back, zero where the
+// failure does not tell.
+func retryOf(err error) time.Time {
+	var hopeless *admitter.HopelessError
+	var overload *admitter.OverloadError
+	var nowhere *router.NoUpstreamError
+	var absent *AbsentError
+	var unrun *NotRunError
+	switch {
+	case errors.As(err, &hopeless):
+		return hopeless.Retry
+	case errors.As(err, &overload):
+		return overload.Retry
+	case errors.As(err, &nowhere):
+		return nowhere.Retry
+	case errors.As(err, &absent):
+		return absent.Retry
+	case errors.As(err, &unrun):
+		return unrun.Retry
+	default:
+		return time.Now().Add(shortRetry)
+	}
+}
+
+func is[E error](err error) bool {
+	var target E
+	return errors.As(err, &target)
+}
+
+// record counts and logs what became of the request.
+func (x *exchange) record(err error) {
+	now := time.Now()
+	x.Reporter.Record(reporter.Sample{
+		Class: x.class, Subscriber: x.service, Arrived: x.arrived,
+		FirstToken: x.firstToken, Ended: now, Tokens: x.events, Result: x.result,
+	})
+	fields := []zap.Field{
+		zap.String("request-id", x.request.ID),
+		zap.String("result", x.result.String()),
+		zap.Int("status", x.status),
+		zap.String("class", x.class.Name),
+		zap.String("service", x.service),
+		zap.String("model", x.request.Model),
+		zap.String("adapter", x.request.Adapter),
+		zap.Int("sends", x.tries.sends),
+		zap.Int("runs", x.tries.runs),
+		zap.Int("events", x.events),
+		zap.Duration("took", now.Sub(x.arrived)),
+		zap.Duration("left", x.deadline.Sub(now)),
+	}
+	if x.table != nil {
+		fields = append(fields, zap.Uint64("configuration", x.table.Configuration.Version))
+	}
+	if x.grant != nil {
+		fields = append(fields, zap.String("upstream", x.grant.Choice.Upstream),
+			zap.Duration("queued", x.granted.Sub(x.arrived)))
+	}
+	if !x.firstToken.IsZero() {
+		fields = append(fields, zap.Duration("first-event", x.firstToken.Sub(x.arrived)))
+	}
+	if err != nil {
+		fields = append(fields, zap.Error(err))
+	}
+	x.Log.Info("request", fields...)
+}
--- /dev/null
+++ b/matcher/matcher.go
@@ -0,0 +1,164 @@
+// Package matcher finds the route of a request in a routing configuration. A
+// configuration is checked as a whole before it may come into force.
+package matcher
+
+import "time"
+
+// Kind says what of a request may be repeated.
+type Kind int
+
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota + 1
+	// NonIdempotent requests may run at most once.
+	NonIdempotent
+	// Streaming requests are answered by a series of events. One may run more
+	// than once only where its route is resumable.
+	Streaming
+)
+
+// Share is the part of a route's requests that go to one service.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route says how requests for one host and path prefix are served.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer is fully useful: the whole
+	// answer, or the first event of a stream.
+	Target time.Duration
+	// GapTarget is the longest pause between two events of a stream.
+	GapTarget time.Duration
+	// Rank orders routes by urgency; 0 is the most urgent.
+	Rank  int
+	Split []Share
+	// MaxAttempts is the largest number of upstreams for one request.
+	MaxAttempts int
+	Sticky      bool
+	Resumable   bool
+}
+
+// Repeatable says whether a request that may have run may run again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Model is a model that the engines of a service can hold.
+type Model struct {
+	Name        string
+	MemoryBytes int64
+	// LoadTime is from the weight store, DiskTime from the engine's own disk,
+	// WarmTime from its main memory.
+	LoadTime time.Duration
+	DiskTime time.Duration
+	WarmTime time.Duration
+	// Adapters is how many adapters the model has.
+	Adapters           int
+	AdapterMemoryBytes int64
+}
+
+// Engine is what the engines of a service can do.
+type Engine struct {
+	// Slots is how many requests an engine batches at once.
+	Slots int
+	// CacheTokens is the memory for prompts and answers, in tokens.
+	CacheTokens int
+	// MemoryBytes is the memory for weights and adapters together.
+	MemoryBytes  int64
+	AdapterSlots int
+	// LoadsPerSecond is what the weight store allows all engines together.
+	LoadsPerSecond float64
+	Models         map[string]Model
+}
+
+// Service is a group of upstreams.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one upstream accepts of all callers together.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what callers may send, and how long they may take.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Configuration is a whole routing configuration.
+type Configuration struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// InvalidError says why a configuration can't come into force.
+type InvalidError struct {
+	// Route is empty where the fault is not a route's.
+	Route  string
+	Reason string
+}
+
+// Error describes the fault.
+func (e *InvalidError) Error() string {
+	if e.Route == "" {
+		return "configuration: " + e.Reason
+	}
+	return "configuration: route " + e.Route + ": " + e.Reason
+}
+
+// place is what a route is found by.
+type place struct{ host, prefix string }
+
+// Check returns the first fault of a configuration as an *InvalidError.
+func (c *Configuration) Check() error {
+	if c.Version == 0 {
+		return &InvalidError{Reason: "no version"}
+	}
+	taken := make(map[place]bool, len(c.Routes))
+	for at := range c.Routes {
+		route := &c.Routes[at]
+		if reason := c.fault(route); reason != "" {
+			return &InvalidError{Route: route.Name, Reason: reason}
+		}
+		where := place{host: route.Host, prefix: route.Prefix}
+		if taken[where] {
+			return &InvalidError{Route: route.Name, Reason: "another route has the same host and prefix"}
+		}
+		taken[where] = true
+	}
+	return nil
+}
+
+func (c *Configuration) fault(route *Route) string {
+	total := 0.0
+	for _, share := range route.Split {
+		if _, known := c.Services[share.Service]; !known {
+			return "unknown service " + share.Service
+		}
+		if share.Weight < 0 {
+			return "negative weight"
+		}
+		total += share.Weight
+	}
+	switch {
+	case total <= 0:
+		return "weights add up to nothing"
+	case route.Timeout <= 0:
+		return "no timeout"
+	default:
+		return ""
+	}
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -28,6 +28,8 @@
 type Settings struct {
 	// Listen is the IP address and port for HTTP.
 	Listen string
+	// ReadyPath is a further path at which readiness is told; may be empty.
+	ReadyPath string
 	// Ready returns why the member is of no use at present, or nil.
 	Ready    func() error
 	Reporter *reporter.Reporter
@@ -48,6 +50,9 @@
 	mux.HandleFunc("GET /healthz", p.answerHealth)
 	mux.HandleFunc("GET /readyz", p.answerReady)
 	mux.HandleFunc("GET /metrics", p.answerMetrics)
+	if settings.ReadyPath != "" {
+		mux.HandleFunc("GET "+settings.ReadyPath, p.answerReady)
+	}
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerLimit, WriteTimeout: writeLimit}
 	return p
 }
--- /dev/null
+++ b/surveyor/surveyor.go
@@ -0,0 +1,187 @@
+package surveyor
+
+import (
+	"context"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/cataloger"
+	"burdocklink/matcher"
+	"burdocklink/registrar"
+)
+
+// Name is the service's name in the kernel.
+const Name = "surveyor"
+
+// Settings are what a surveyor needs.
+type Settings struct {
+	// Fetch reads a page of the platform's list; empty names the first one.
+	Fetch func(ctx context.Context, page string) (Page, error)
+	// Interval is the time between two readings of the list.
+	Interval time.Duration
+	// Notify is called with each new picture, on any goroutine, one call at a
+	// time.
+	Notify func(*cataloger.Catalog)
+	Log    *zap.Logger
+}
+
+// Surveyor is the service.
+type Surveyor struct {
+	settings Settings
+	ctx      context.Context
+	cancel   context.CancelFunc
+	ended    chan struct{}
+
+	mutex sync.Mutex
+	// listed are the upstreams by name, as last read.
+	listed map[string]Upstream
+	// told are what the control group says that engines hold.
+	told map[string]Told
+	// configuration is the one in force, nil before there is any.
+	configuration *matcher.Configuration
+	current       *cataloger.Catalog
+	revision      uint64
+}
+
+// fetchTime is the longest that one reading may take. A lost connection shows
+// in it, and several readings fit into the time that a leaving upstream gives.
+const fetchTime = 800 * time.Millisecond
+
+// jitter is the part of the interval by which readings vary, so that entries
+// don't read the list at the same time.
+const jitter = 0.2
+
+// New returns a surveyor that has not started.
+func New(settings Settings) *Surveyor {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Surveyor{
+		settings: settings,
+		ctx:      ctx,
+		cancel:   cancel,
+		ended:    make(chan struct{}),
+		listed:   map[string]Upstream{},
+		told:     map[string]Told{},
+	}
+}
+
+// String names the service.
+func (s *Surveyor) String() string { return Name }
+
+// Start begins to read the list.
+func (s *Surveyor) Start(context.Context, *registrar.Registrar) error {
+	go s.run()
+	return nil
+}
+
+// Stop ends the readings.
+func (s *Surveyor) Stop(deadline time.Time) error {
+	s.cancel()
+	select {
+	case <-s.ended:
+	case <-time.After(time.Until(deadline)):
+	}
+	return nil
+}
+
+func (s *Surveyor) run() {
+	defer close(s.ended)
+	failed := false
+	for {
+		err := s.read()
+		if (err != nil) != failed {
+			failed = err != nil
+			s.settings.Log.Info("platform's list", zap.Bool("readable", !failed), zap.Error(err))
+		}
+		timer := time.NewTimer(s.wait())
+		select {
+		case <-s.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (s *Surveyor) wait() time.Duration {
+	spread := 1 + jitter*(rand.Float64()-0.5)
+	return time.Duration(float64(s.settings.Interval) * spread)
+}
+
+// read takes in the whole list. A list that can't be read in full changes
+// nothing.
+func (s *Surveyor) read() error {
+	ctx, cancel := context.WithTimeout(s.ctx, fetchTime)
+	defer cancel()
+	listed := map[string]Upstream{}
+	page := ""
+	for {
+		got, err := s.settings.Fetch(ctx, page)
+		if err != nil {
+			return err
+		}
+		for _, upstream := range got.Upstreams {
+			listed[upstream.Name] = upstream
+		}
+		if got.Next == "" {
+			break
+		}
+		page = got.Next
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tell(listed)
+	s.listed = listed
+	s.update()
+	return nil
+}
+
+// tell logs what changed in the list.
+func (s *Surveyor) tell(listed map[string]Upstream) {
+	for name, upstream := range listed {
+		before, known := s.listed[name]
+		if known && before.State == upstream.State && before.Incarnation == upstream.Incarnation {
+			continue
+		}
+		s.settings.Log.Info("upstream listed", zap.String("upstream", name),
+			zap.String("service", upstream.Service), zap.String("address", upstream.Address),
+			zap.Bool("leaving", upstream.State == Leaving))
+	}
+	for name := range s.listed {
+		if _, still := listed[name]; !still {
+			s.settings.Log.Info("upstream no longer listed", zap.String("upstream", name))
+		}
+	}
+}
+
+// Configure takes in the configuration in force.
+func (s *Surveyor) Configure(configuration *matcher.Configuration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.configuration = configuration
+	s.update()
+}
+
+// Upstream returns an upstream of the list by name.
+func (s *Surveyor) Upstream(name string) (Upstream, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	upstream, known := s.listed[name]
+	return upstream, known
+}
+
+// update makes a new picture where something changed. The mutex is held.
+func (s *Surveyor) update() {
+	catalog := s.catalog()
+	if s.current != nil && reflect.DeepEqual(catalog.Upstreams, s.current.Upstreams) &&
+		reflect.DeepEqual(catalog.Placements, s.current.Placements) {
+		return
+	}
+	s.revision++
+	catalog.Revision = s.revision
+	s.current = catalog
+	s.settings.Notify(catalog)
+}
