--- a/admitter/grant.go
+++ b/admitter/grant.go
@@ -59,6 +59,7 @@
 		Started:             e.grant.Started,
 		FirstToken:          e.first,
 		Ended:               e.result.Ended,
+		Work:                e.grant.request.Route.Work(),
 		Tokens:              e.result.Tokens,
 		Outcome:             e.result.Outcome,
 		FirstTokenTarget:    target.FirstToken,
--- /dev/null
+++ b/allocator/allocator.go
@@ -0,0 +1,176 @@
+// Package allocator decides which engine holds which model and adapter. It is
+// pure: it takes a view of engines and demand and returns moves. It answers
+// loads whose demand moves between models within seconds, on engines that hold
+// few models at once and keep copies of others in their main memory and on
+// their disks.
+package allocator
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Model is a model that the engines of one service can hold.
+type Model struct {
+	Name               string
+	MemoryBytes        int64
+	AdapterMemoryBytes int64
+	// LoadTime is from the weight store, DiskTime from an engine's disk and
+	// WarmTime from its main memory.
+	LoadTime time.Duration
+	DiskTime time.Duration
+	WarmTime time.Duration
+	// Work is the demand, in engines kept busy.
+	Work float64
+	// Wanted is true where requests wait for a holder.
+	Wanted bool
+	// AskedAt is when the model was last asked for; zero for never.
+	AskedAt time.Time
+}
+
+// Copy is a model on an engine.
+type Copy struct {
+	// Adapters by name, with the time at which each was last asked for.
+	Adapters map[string]time.Time
+	// Dropping is true where entries were told to send nothing more, and Dropped
+	// from when on all of them know.
+	Dropping bool
+	Dropped  time.Time
+	// Since is when the copy was first seen.
+	Since time.Time
+}
+
+// Engine is one engine.
+type Engine struct {
+	Name             string
+	AvailabilityZone string
+	MemoryBytes      int64
+	AdapterSlots     int
+	// Copies are by model. A copy that is still loading is among them.
+	Copies map[string]*Copy
+	// Loading is the model whose load is under way; empty for none.
+	Loading string
+	// Intended is the model that is loaded once others have made way; empty for
+	// none.
+	Intended string
+	// Free is true where an order may be given now.
+	Free bool
+	// Leaving engines are given nothing and count for nothing.
+	Leaving bool
+	// Warm and OnDisk are the models that the engine keeps copies of.
+	Warm   map[string]bool
+	OnDisk map[string]bool
+	// InFlight is how many requests all entries have there.
+	InFlight int
+}
+
+// View is what a plan depends on.
+type View struct {
+	Now     time.Time
+	Models  map[string]*Model
+	Engines map[string]*Engine
+	// StoreLoads is how many loads from the weight store may begin now.
+	StoreLoads int
+}
+
+// Move is one change. It is one of the types below.
+type Move interface{ move() }
+
+// Load has an engine load a model.
+type Load struct {
+	Engine, Model string
+	// FromStore is true where the engine keeps no copy.
+	FromStore bool
+	Reason    string
+}
+
+// Drop stops requests for a model at an engine, so that it can be unloaded.
+type Drop struct {
+	Engine, Model string
+	// For is the model that is to be loaded in its place.
+	For    string
+	Reason string
+}
+
+// Unload has an engine unload a model that gets no more requests.
+type Unload struct{ Engine, Model string }
+
+func (Load) move()   {}
+func (Drop) move()   {}
+func (Unload) move() {}
+
+// free is the memory of an engine that nothing holds or is about to hold.
+func (e *Engine) free(models map[string]*Model) int64 {
+	left := e.MemoryBytes
+	for name, held := range e.Copies {
+		left -= held.memory(models[name])
+	}
+	return left
+}
+
+// unknownBytes stands for the size of a model that the configuration does not
+// name: nothing may be put beside it.
+const unknownBytes = int64(1) << 62
+
+func (c *Copy) memory(model *Model) int64 {
+	if model == nil {
+		return unknownBytes
+	}
+	return model.MemoryBytes + int64(len(c.Adapters))*model.AdapterMemoryBytes
+}
+
+// adapters counts the adapters that an engine holds.
+func (e *Engine) adapters() int {
+	count := 0
+	for _, held := range e.Copies {
+		count += len(held.Adapters)
+	}
+	return count
+}
+
+// serves says whether requests for a model may go to the engine.
+func (e *Engine) serves(model string) bool {
+	held := e.Copies[model]
+	return held != nil && !held.Dropping && e.Loading != model && !e.Leaving
+}
+
+// loadTime is how long an engine takes to load a model.
+func (e *Engine) loadTime(model *Model) time.Duration {
+	switch {
+	case e.Warm[model.Name]:
+		return model.WarmTime
+	case e.OnDisk[model.Name]:
+		return model.DiskTime
+	default:
+		return model.LoadTime
+	}
+}
+
+// stored says whether a load of a model would come from the weight store.
+func (e *Engine) stored(model string) bool { return !e.Warm[model] && !e.OnDisk[model] }
+
+// holders lists the engines that serve a model or will soon, in ascending
+// order.
+func (v *View) holders(model string) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(v.Engines)) {
+		engine := v.Engines[name]
+		held := engine.Copies[model]
+		coming := engine.Intended == model
+		if (coming || (held != nil && !held.Dropping)) && !engine.Leaving {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// dropping is true while something is about to make way.
+func (e *Engine) dropping() bool {
+	for _, held := range e.Copies {
+		if held.Dropping {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/allocator/plan.go
@@ -0,0 +1,272 @@
+package allocator
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// leastGain is the least fall of the pain for which a copy is moved. Half
+	// an engine's work that moves to an idle engine gains a quarter.
+	leastGain = 0.04
+	// quietTime is how long a model must not have been asked for before its
+	// last copy may make way, and only where a copy stays on a disk.
+	quietTime = 3 * time.Second
+	// settleTime is how long a copy stays before it may make way, so that
+	// copies don't change places with every wave of demand.
+	settleTime = 4 * time.Second
+	// loadPenalty is the gain that a second of loading time must be worth.
+	loadPenalty = 0.004
+	// movesAtOnce bounds the changes that one plan begins.
+	movesAtOnce = 3
+)
+
+// Plan returns the moves to begin now, the most urgent first.
+func Plan(view *View) []Move {
+	p := planner{view: view, holders: map[string][]string{}}
+	for name := range view.Models {
+		p.holders[name] = view.holders(name)
+	}
+	p.finishDrops()
+	p.loadIntended()
+	p.serveWanted()
+	p.follow()
+	return p.moves
+}
+
+type planner struct {
+	view    *View
+	holders map[string][]string
+	moves   []Move
+	// taken are engines that a move of this plan concerns.
+	taken map[string]bool
+}
+
+func (p *planner) take(engine string, move Move) {
+	if p.taken == nil {
+		p.taken = map[string]bool{}
+	}
+	p.taken[engine] = true
+	p.moves = append(p.moves, move)
+}
+
+// finishDrops unloads what gets no more requests.
+func (p *planner) finishDrops() {
+	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+		engine := p.view.Engines[name]
+		if !engine.Free || engine.Leaving {
+			continue
+		}
+		for _, model := range slices.Sorted(maps.Keys(engine.Copies)) {
+			held := engine.Copies[model]
+			if held.Dropping && !p.view.Now.Before(held.Dropped) && !p.taken[name] {
+				p.take(name, Unload{Engine: name, Model: model})
+			}
+		}
+	}
+}
+
+// loadIntended loads what others have made way for.
+func (p *planner) loadIntended() {
+	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+		engine := p.view.Engines[name]
+		model := p.view.Models[engine.Intended]
+		if model == nil || !engine.Free || engine.Leaving || p.taken[name] || engine.dropping() {
+			continue
+		}
+		if engine.Copies[model.Name] == nil && engine.free(p.view.Models) >= model.MemoryBytes {
+			p.load(name, model.Name, "room was made")
+		}
+	}
+}
+
+// load begins a load where the weight store has no say or room for it.
+func (p *planner) load(engine, model, reason string) {
+	fromStore := p.view.Engines[engine].stored(model)
+	if fromStore && p.view.StoreLoads <= 0 {
+		return
+	}
+	if fromStore {
+		p.view.StoreLoads--
+	}
+	p.take(engine, Load{Engine: engine, Model: model, FromStore: fromStore, Reason: reason})
+}
+
+// serveWanted loads models that requests wait for and that nobody holds.
+func (p *planner) serveWanted() {
+	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
+		model := p.view.Models[name]
+		if !model.Wanted || len(p.holders[name]) > 0 {
+			continue
+		}
+		if option, found := p.best(model, wantedGain); found {
+			p.begin(option, "wanted")
+		}
+	}
+}
+
+// wantedGain is the worth of the first copy of a model that requests wait for.
+const wantedGain = 10.0
+
+// option is a way to add a copy of a model.
+type option struct {
+	engine string
+	model  *Model
+	// victims must make way first; nil where there is room.
+	victims []string
+	gain    float64
+}
+
+// follow adds copies of models whose holders have too much to do.
+func (p *planner) follow() {
+	for range movesAtOnce {
+		spread := p.view.balance(p.holders)
+		before := spread.pain()
+		var chosen option
+		found := false
+		for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
+			model := p.view.Models[name]
+			if model.Work <= 0 || len(p.holders[name]) == 0 {
+				continue
+			}
+			if candidate, ok := p.relief(model, before); ok && (!found || candidate.gain > chosen.gain) {
+				chosen, found = candidate, true
+			}
+		}
+		if !found || chosen.gain < leastGain {
+			return
+		}
+		p.begin(chosen, "demand")
+	}
+}
+
+// relief is the best way to add a copy of a model that has some.
+func (p *planner) relief(model *Model, before float64) (option, bool) {
+	return p.search(model, func(engine string, victims []string) float64 {
+		return before - p.painWith(model.Name, engine, victims)
+	})
+}
+
+// painWith is the pain after a change of the holders.
+func (p *planner) painWith(model, engine string, victims []string) float64 {
+	changed := maps.Clone(p.holders)
+	changed[model] = append(slices.Clone(changed[model]), engine)
+	for _, victim := range victims {
+		changed[victim] = without(changed[victim], engine)
+	}
+	return p.view.balance(changed).pain()
+}
+
+// best is the best place for the first copy of a model.
+func (p *planner) best(model *Model, worth float64) (option, bool) {
+	spread := p.view.balance(p.holders)
+	return p.search(model, func(engine string, victims []string) float64 {
+		return worth - spread.engines[engine] - float64(len(victims))
+	})
+}
+
+// search looks at all engines that can take a copy of a model.
+func (p *planner) search(model *Model, worth func(engine string, victims []string) float64) (option, bool) {
+	best, found := option{}, false
+	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+		engine := p.view.Engines[name]
+		if !engine.Free || engine.Leaving || p.taken[name] || engine.Intended != "" || engine.Copies[model.Name] != nil {
+			continue
+		}
+		if engine.stored(model.Name) && p.view.StoreLoads <= 0 {
+			continue
+		}
+		victims, fits := p.victims(engine, model)
+		if !fits {
+			continue
+		}
+		gain := worth(name, victims) - loadPenalty*engine.loadTime(model).Seconds()
+		if !found || gain > best.gain {
+			best, found = option{engine: name, model: model, victims: victims, gain: gain}, true
+		}
+	}
+	return best, found
+}
+
+// victims returns the models that must make way on an engine, those that are
+// asked for least first, and false where that can't be.
+func (p *planner) victims(engine *Engine, model *Model) ([]string, bool) {
+	room := engine.free(p.view.Models)
+	var chosen []string
+	for _, name := range p.byUse(engine) {
+		if room >= model.MemoryBytes {
+			break
+		}
+		held := engine.Copies[name]
+		if held.Dropping {
+			return nil, false
+		}
+		if !p.mayGo(engine, name, model) {
+			continue
+		}
+		chosen = append(chosen, name)
+		room += held.memory(p.view.Models[name])
+	}
+	return chosen, room >= model.MemoryBytes
+}
+
+// byUse lists what an engine holds, the least asked for per copy first.
+func (p *planner) byUse(engine *Engine) []string {
+	names := slices.Sorted(maps.Keys(engine.Copies))
+	slices.SortStableFunc(names, func(a, b string) int {
+		return compare(p.perCopy(a), p.perCopy(b))
+	})
+	return names
+}
+
+func (p *planner) perCopy(name string) float64 {
+	model := p.view.Models[name]
+	if model == nil {
+		return 0
+	}
+	return model.Work / float64(max(1, len(p.holders[name])))
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// mayGo says whether a copy may make way for a model. The last copy goes only
+// where nobody has asked for it for a while and a copy on the engine's disk
+// brings it back within seconds.
+func (p *planner) mayGo(engine *Engine, name string, wanted *Model) bool {
+	held, model := engine.Copies[name], p.view.Models[name]
+	if model == nil || engine.Loading == name || p.view.Now.Sub(held.Since) < settleTime {
+		return false
+	}
+	if len(without(p.holders[name], engine.Name)) > 0 {
+		return true
+	}
+	quiet := !model.Wanted && p.view.Now.Sub(model.AskedAt) >= quietTime
+	return quiet && !engine.stored(name) && wanted.Name != name
+}
+
+// begin begins an option: with the drop of its victims, or with the load.
+func (p *planner) begin(chosen option, reason string) {
+	name := chosen.model.Name
+	for _, victim := range chosen.victims {
+		p.take(chosen.engine, Drop{Engine: chosen.engine, Model: victim, For: name, Reason: reason})
+		p.holders[victim] = without(p.holders[victim], chosen.engine)
+	}
+	p.holders[name] = append(p.holders[name], chosen.engine)
+	if len(chosen.victims) == 0 {
+		p.load(chosen.engine, name, reason)
+	}
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(one string) bool { return one == name })
+}
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -18,12 +18,15 @@
 	"burdocklink/follower"
 	"burdocklink/forwarder"
 	"burdocklink/linker"
+	"burdocklink/mover"
+	"burdocklink/placer"
 	"burdocklink/platform"
 	"burdocklink/prober"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
 	"burdocklink/responder"
 	"burdocklink/router"
+	"burdocklink/seeker"
 	"burdocklink/surveyor"
 )
 
@@ -94,10 +97,28 @@
 	if err != nil {
 		return nil, err
 	}
-	answers := responder.New(responder.Settings{
+	calls := dispatcher.New(dispatcher.Settings{Dial: dialTime})
+	client := platform.NewClient(settings.List.Address, calls)
+	var answers *responder.Responder
+	moves := mover.New(mover.Settings{
+		Holder:       settings.Node,
+		Group:        member,
+		Fetch:        client.FetchList,
+		Engines:      client,
+		Unpack:       unpack,
+		Demands:      func() map[string]placer.Demand { return answers.Demands() },
+		Loads:        func() map[string]router.Load { return answers.Loads() },
+		Lease:        settings.Bounds.Lease,
+		StoreWindow:  settings.Bounds.StoreWindow,
+		StoreOverage: settings.Bounds.StoreOverage,
+		Log:          settings.Log,
+	})
+	answers = responder.New(responder.Settings{
 		Listen:   settings.Links,
 		Operator: noOperator,
 		Group:    member,
+		Holdings: moves,
+		Pulse:    pulse,
 		Meter:    linker.NewMeter(metrics.Registry()),
 		Log:      settings.Log,
 	})
@@ -119,7 +140,7 @@
 		Log:      settings.Log,
 	})
 	return &Node{
-		Services: []registrar.Service{answers, member, operators, health},
+		Services: []registrar.Service{answers, member, moves, operators, health},
 		Reload:   func(changed platform.Settings) { member.Meet(links(changed.SeedLinks())) },
 	}, nil
 }
@@ -167,14 +188,20 @@
 		Log: settings.Log,
 	})
 	configuration := newConfigured(upstreams, settings.Log)
+	peers := linker.New(nil, linker.NewMeter(metrics.Registry()))
 	catalogs := follower.New(follower.Settings{
 		Entry:            settings.Node,
 		Incarnation:      uuid.NewString(),
 		AvailabilityZone: settings.AvailabilityZone,
 		Control:          settings.SeedLinks(),
-		Links:            linker.New(nil, linker.NewMeter(metrics.Registry())),
+		Links:            peers,
 		Notify:           configuration.take,
 		Demand:           admission.Demand,
+		Loads:            func() []router.Load { return routes.Loads(time.Now()) },
+		Others:           func(loads []router.Load) { routes.Others(time.Now(), loads) },
+		Held:             upstreams.Tell,
+		Tell:             pulse,
+		TellDemand:       tellDemand,
 		Log:              settings.Log,
 	})
 	callers := forwarder.New(forwarder.Config{
@@ -185,7 +212,9 @@
 		Table:            configuration.table.Load,
 		Ready:            func() error { return nil },
 		Admitter:         admission,
-		Holders:          absentHolders{},
+		Holders: seeker.New(seeker.Settings{
+			Links: peers, Leader: catalogs.Leader, Tell: upstreams.Tell, Log: settings.Log,
+		}),
 		Calls:            calls,
 		Reporter:         metrics,
 		Log:              settings.Log,
@@ -208,20 +237,12 @@
 	// of them and the list's lag pass before a leaving upstream may get no more
 	// work.
 	listInterval = 1200 * time.Millisecond
+	// pulse is the time between two tellings of what is in flight, from an entry
+	// to the leader and back. It is well below the time of a request.
+	pulse = 250 * time.Millisecond
+	// tellDemand is the time between two reports of demand.
+	tellDemand = 500 * time.Millisecond
 	// crossZoneCost is what a call to another availability zone costs beside
 	// the wait for a first token: the way there and back.
 	crossZoneCost = 4 * time.Millisecond
 )
-
-// absentHolders knows of no way to get a model held.
-type absentHolders struct{}
-
-// Name is the router's name of a model or adapter.
-func (absentHolders) Name(service, model, adapter string) string {
-	return surveyor.HeldName(service, model, adapter)
-}
-
-// Want refuses.
-func (absentHolders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
-	return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(time.Second)}
-}
--- /dev/null
+++ b/encoder/holding.go
@@ -0,0 +1,84 @@
+package encoder
+
+import (
+	"time"
+
+	"burdocklink/encoder/wire"
+	"burdocklink/estimator"
+	"burdocklink/router"
+	"burdocklink/surveyor"
+)
+
+// EncodeLoads writes what an entry has in flight.
+func EncodeLoads(loads []router.Load) []*wire.EntryLoad {
+	var messages []*wire.EntryLoad
+	for _, load := range loads {
+		messages = append(messages, &wire.EntryLoad{
+			Upstream:     load.Upstream,
+			Incarnation:  load.Incarnation,
+			Requests:     uint32(max(0, load.Requests)),
+			Tokens:       uint32(max(0, load.Tokens)),
+			PromptTokens: uint32(max(0, load.PromptTokens)),
+		})
+	}
+	return messages
+}
+
+// DecodeLoads reads what EncodeLoads wrote.
+func DecodeLoads(messages []*wire.EntryLoad) []router.Load {
+	var loads []router.Load
+	for _, message := range messages {
+		loads = append(loads, router.Load{
+			Upstream:    message.GetUpstream(),
+			Incarnation: message.GetIncarnation(),
+			Share: estimator.Share{
+				Requests:     int(message.GetRequests()),
+				Tokens:       int(message.GetTokens()),
+				PromptTokens: int(message.GetPromptTokens()),
+			},
+		})
+	}
+	return loads
+}
+
+// toldTime is how long the control group's word of what an engine holds goes
+// before the platform's list. It spans several repeats of the word.
+const toldTime = 5 * time.Second
+
+// EncodeHoldings writes what engines hold.
+func EncodeHoldings(told []surveyor.Told) []*wire.Holding {
+	var messages []*wire.Holding
+	for _, one := range told {
+		message := &wire.Holding{Upstream: one.Upstream, Incarnation: one.Incarnation}
+		for _, held := range one.Holds {
+			message.Models = append(message.Models, &wire.HeldModel{
+				Model:    held.Model,
+				Version:  int64(held.Version),
+				Adapters: held.Adapters,
+			})
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+// DecodeHoldings reads what EncodeHoldings wrote, as told now.
+func DecodeHoldings(messages []*wire.Holding, now time.Time) []surveyor.Told {
+	var told []surveyor.Told
+	for _, message := range messages {
+		one := surveyor.Told{
+			Upstream:    message.GetUpstream(),
+			Incarnation: message.GetIncarnation(),
+			Until:       now.Add(toldTime),
+		}
+		for _, held := range message.GetModels() {
+			one.Holds = append(one.Holds, surveyor.Held{
+				Model:    held.GetModel(),
+				Version:  int(held.GetVersion()),
+				Adapters: held.GetAdapters(),
+			})
+		}
+		told = append(told, one)
+	}
+	return told
+}
--- a/estimator/engine.go
+++ b/estimator/engine.go
@@ -28,8 +28,13 @@
 	// the engine is believed to hold in its prefix cache.
 	PromptTokens int
 	CachedTokens int
+	// AnswerTokens is the expected length of the answer.
+	AnswerTokens int
 }
 
+// memory is what the request is expected to need, in tokens.
+func (w Work) memory() int { return w.PromptTokens + w.AnswerTokens }
+
 // Prediction is how long a request is expected to take on an engine.
 type Prediction struct {
 	// FirstToken is the wait from now to the first token.
@@ -61,6 +66,13 @@
 	// backlog is the prompt tokens that wait for prefill at a time.
 	backlog   float64
 	backlogAt time.Time
+	// others is what the other entries have in flight, as told last; it counts
+	// until othersUntil.
+	others      Share
+	othersUntil time.Time
+	// reserved is the memory that own dispatches in flight are expected to
+	// need, in tokens.
+	reserved int
 	// bias is how much longer than predicted the first token takes, in
 	// seconds.
 	bias float64
@@ -99,23 +111,59 @@
 	return true
 }
 
+// Share is what one entry, or several together, have in flight at an engine.
+type Share struct {
+	Requests int
+	// Tokens is the memory that the requests are expected to need.
+	Tokens int
+	// PromptTokens are those that wait to be read.
+	PromptTokens int
+}
+
+// othersTime is how long the word of the other entries counts. It spans a few
+// tellings, so that a lost one changes nothing.
+const othersTime = 2 * time.Second
+
+// Others takes in what the other entries have in flight. It takes the place of
+// the guess that they do what this one does.
+func (e *Engine) Others(now time.Time, share Share) {
+	e.others = share
+	e.othersUntil = now.Add(othersTime)
+}
+
+// Own returns what this entry has in flight.
+func (e *Engine) Own(now time.Time) Share {
+	return Share{Requests: e.inFlight, Tokens: e.reserved, PromptTokens: int(e.backlogLeft(now))}
+}
+
+// Reserved returns the memory that all requests in flight are expected to
+// need, in tokens.
+func (e *Engine) Reserved(now time.Time) int {
+	if now.Before(e.othersUntil) {
+		return e.reserved + e.others.Tokens
+	}
+	return int(float64(e.reserved) * e.entries)
+}
+
 // Report returns the last report, and false where there is none.
 func (e *Engine) Report() (Report, bool) { return e.report, e.reported }
 
 // Started counts an own dispatch.
 func (e *Engine) Started(now time.Time, work Work) {
 	e.inFlight++
+	e.reserved += work.memory()
 	start := call{at: now, tokens: work.PromptTokens - work.CachedTokens}
 	e.starts = appendCall(e.starts, start)
 	e.addBacklog(start)
 }
 
-// Finished counts the end of an own dispatch. Tokens is the length of the
-// answer, zero where none was given.
-func (e *Engine) Finished(now time.Time, tokens int) {
+// Finished counts the end of an own dispatch of some work. Tokens is the length
+// of the answer, zero where none was given.
+func (e *Engine) Finished(now time.Time, work Work, tokens int) {
 	if e.inFlight > 0 {
 		e.inFlight--
 	}
+	e.reserved = max(0, e.reserved-work.memory())
 	e.ends = appendCall(e.ends, call{at: now})
 	if tokens > 0 {
 		e.answer += answerWeight * (float64(tokens) - e.answer)
@@ -132,7 +180,10 @@
 func (e *Engine) InFlight() int { return e.inFlight }
 
 // Load estimates how many requests run and wait on the upstream.
-func (e *Engine) Load() float64 {
+func (e *Engine) Load(now time.Time) float64 {
+	if now.Before(e.othersUntil) {
+		return float64(e.inFlight + e.others.Requests)
+	}
 	if !e.reported {
 		return float64(e.inFlight) * e.entries
 	}
@@ -143,10 +194,14 @@
 
 // Predict estimates the times of a request that is dispatched now.
 func (e *Engine) Predict(now time.Time, work Work) Prediction {
-	load := e.Load()
+	load := e.Load(now)
 	prefill, decode := e.rates()
 	own := float64(work.PromptTokens - work.CachedTokens)
-	seconds := (e.backlogLeft(now) + own) / prefill
+	waiting := e.backlogLeft(now)
+	if now.Before(e.othersUntil) {
+		waiting += float64(e.others.PromptTokens)
+	}
+	seconds := (waiting + own) / prefill
 	if queued := load + 1 - float64(e.slots); e.slots > 0 && queued > 0 {
 		seconds += queued * e.answer / (decode * float64(e.slots))
 	}
@@ -157,9 +212,14 @@
 	}
 }
 
-// addBacklog counts the prompt of a dispatch, for the other entries too.
+// addBacklog counts the prompt of a dispatch, for the other entries too where
+// they don't tell of theirs.
 func (e *Engine) addBacklog(start call) {
-	e.backlog = e.backlogLeft(start.at) + float64(start.tokens)*e.entries
+	entries := e.entries
+	if start.at.Before(e.othersUntil) {
+		entries = 1
+	}
+	e.backlog = e.backlogLeft(start.at) + float64(start.tokens)*entries
 	e.backlogAt = start.at
 }
 
--- a/estimator/engine_test.go
+++ b/estimator/engine_test.go
@@ -22,15 +22,15 @@
 	first.Running = 4
 	assert.Assert(t, e.Observe(first))
 	e.Started(epoch.Add(time.Second), Work{PromptTokens: 100})
-	assert.Equal(t, e.Load(), 7.0)
-	e.Finished(epoch.Add(2*time.Second), 50)
-	assert.Equal(t, e.Load(), 4.0)
+	assert.Equal(t, e.Load(epoch.Add(2*time.Second)), 7.0)
+	e.Finished(epoch.Add(2*time.Second), Work{}, 50)
+	assert.Equal(t, e.Load(epoch.Add(2*time.Second)), 4.0)
 	e.Started(epoch.Add(3*time.Second), Work{})
 	// A report taken before the last dispatch arrives after it.
 	second := report(2, epoch.Add(2500*time.Millisecond))
 	second.Running = 1
 	assert.Assert(t, e.Observe(second))
-	assert.Equal(t, e.Load(), 4.0)
+	assert.Equal(t, e.Load(epoch.Add(2*time.Second)), 4.0)
 	assert.Assert(t, !e.Observe(first))
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -14,6 +14,8 @@
 	"burdocklink/linker"
 	"burdocklink/placer"
 	"burdocklink/registrar"
+	"burdocklink/router"
+	"burdocklink/surveyor"
 )
 
 // Name is the service's name in the kernel.
@@ -33,7 +35,17 @@
 	Notify func(*cataloger.Catalog)
 	// Demand returns what the entry was asked for since its start.
 	Demand func() placer.Demand
-	Log    *zap.Logger
+	// Loads returns what the entry has in flight; nil where it does not tell.
+	Loads func() []router.Load
+	// Others takes in what the other entries have in flight; nil for nobody.
+	Others func([]router.Load)
+	// Held takes in what engines hold; nil for nobody.
+	Held func([]surveyor.Told)
+	// Tell is the time between two reports of the entry, TellDemand between two
+	// of demand. Zero takes the standard ones.
+	Tell       time.Duration
+	TellDemand time.Duration
+	Log        *zap.Logger
 }
 
 // Confirmation says that a quorum vouched for a revision at a time.
@@ -70,6 +82,12 @@
 
 // New returns a follower that has not started.
 func New(settings Settings) *Follower {
+	if settings.Tell <= 0 {
+		settings.Tell = tellInterval
+	}
+	if settings.TellDemand <= 0 {
+		settings.TellDemand = demandInterval
+	}
 	f := &Follower{
 		settings: settings,
 		offers:   make(chan Offer, offerQueue),
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -78,7 +78,7 @@
 	go s.runReceive()
 	silence := time.NewTimer(silenceLimit)
 	defer silence.Stop()
-	tell := time.NewTicker(tellInterval)
+	tell := time.NewTicker(f.settings.Tell)
 	defer tell.Stop()
 	told := newTold()
 	s.tell(f.report(told))
@@ -116,10 +116,14 @@
 		Revision:         f.Held().Revision,
 		InForce:          f.Catalog() != nil,
 	}
+	if f.settings.Loads != nil {
+		report.LoadsTold = true
+		report.Loads = encoder.EncodeLoads(f.settings.Loads())
+	}
 	if now.Before(told.nextDemand) {
 		return report
 	}
-	told.nextDemand = now.Add(demandInterval)
+	told.nextDemand = now.Add(f.settings.TellDemand)
 	demand := f.settings.Demand()
 	report.SinceUnixMs = demand.Since.UnixMilli()
 	report.Demand = told.demand.Encode(demand)
@@ -135,6 +139,11 @@
 		return f.takeDelta(update.Delta)
 	case *wire.FollowReply_Heartbeat:
 		return f.takeHeartbeat(address, sent, update.Heartbeat)
+	case *wire.FollowReply_Holdings:
+		if f.settings.Held != nil {
+			f.settings.Held(encoder.DecodeHoldings(update.Holdings.GetHoldings(), time.Now()))
+		}
+		return nil
 	default:
 		return &UpdateError{}
 	}
@@ -178,6 +187,9 @@
 	if at, ok := sent.at(beat.GetEcho()); ok {
 		f.confirm(Confirmation{Revision: beat.GetRevision(), At: at})
 	}
+	if beat.GetLoadsTold() && f.settings.Others != nil {
+		f.settings.Others(encoder.DecodeLoads(beat.GetLoads()))
+	}
 	leader := beat.GetLeader()
 	f.leader.Store(&leader)
 	if leader != "" && leader != address && !beat.GetLeading() {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -38,12 +38,14 @@
 	// failure is an answer that is delivered where no better one comes.
 	failure *answer
 	// last is the number of the last event that the caller has.
-	last       uint64
-	events     int
-	firstToken time.Time
-	granted    time.Time
-	result     reporter.Result
-	status     int
+	last   uint64
+	events int
+	// eventTokens is how many tokens an event holds.
+	eventTokens int
+	firstToken  time.Time
+	granted     time.Time
+	result      reporter.Result
+	status      int
 }
 
 // answer is a whole answer of an upstream.
@@ -94,7 +96,11 @@
 	if !request.Deadline.IsZero() && request.Deadline.Before(x.deadline) {
 		x.deadline = request.Deadline
 	}
-	x.class = classOf(x.route)
+	x.eventTokens = 1
+	if engine := x.table.Configuration.Services[x.service].Engine; engine != nil {
+		x.eventTokens = max(1, engine.EventTokens)
+	}
+	x.class = classOf(x.route, x.eventTokens)
 	return nil
 }
 
@@ -105,14 +111,14 @@
 }
 
 // classOf is the class of work that a route stands for.
-func classOf(route *matcher.Route) classifier.Class {
+func classOf(route *matcher.Route, eventTokens int) classifier.Class {
 	class := classifier.Class{
 		Name:            route.Name,
 		RepeatForbidden: !route.Repeatable(),
 	}
 	if route.Kind == matcher.Streaming {
 		class.Target.FirstToken = route.Target
-		class.Target.BetweenTokens = route.GapTarget
+		class.Target.BetweenTokens = route.GapTarget / time.Duration(eventTokens)
 	} else {
 		class.Target.Whole = route.Target
 	}
@@ -299,9 +305,12 @@
 	_ = response.Body.Close()
 }
 
+// tokens is the length of the answer so far.
+func (x *exchange) tokens() int { return x.events * x.eventTokens }
+
 // settle ends the present grant.
 func (x *exchange) settle(outcome router.Outcome) {
-	x.grant.Done(admitter.Result{Ended: time.Now(), Tokens: x.events, Outcome: outcome})
+	x.grant.Done(admitter.Result{Ended: time.Now(), Tokens: x.tokens(), Outcome: outcome})
 }
 
 // causeOf returns why a context ended in place of a failure that it caused.
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -98,7 +98,7 @@
 	now := time.Now()
 	x.Reporter.Record(reporter.Sample{
 		Class: x.class, Subscriber: x.service, Arrived: x.arrived,
-		FirstToken: x.firstToken, Ended: now, Tokens: x.events, Result: x.result,
+		FirstToken: x.firstToken, Ended: now, Tokens: x.tokens(), Result: x.result,
 	})
 	fields := []zap.Field{
 		zap.String("request-id", x.request.ID),
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -68,6 +68,8 @@
 type Engine struct {
 	// Slots is how many requests an engine batches at once.
 	Slots int
+	// EventTokens is how many tokens an event of a stream holds.
+	EventTokens int
 	// CacheTokens is the memory for prompts and answers, in tokens.
 	CacheTokens int
 	// MemoryBytes is the memory for weights and adapters together.
--- /dev/null
+++ b/mover/demand.go
@@ -0,0 +1,154 @@
+package mover
+
+import (
+	"math"
+	"time"
+
+	"burdocklink/allocator"
+	"burdocklink/placer"
+	"burdocklink/surveyor"
+)
+
+const (
+	// rateTime is how long demand is averaged over. Demand moves to other
+	// models within seconds; a shorter time would follow single requests.
+	rateTime = 1500 * time.Millisecond
+	// prefillRate and decodeRate are in tokens per second of a whole engine
+	// with a full batch, from the service's sheet: what reads prompts, and what
+	// writes answers.
+	prefillRate = 25000.0
+	decodeRate  = 4700.0
+	// costWeight is the share of a new reading in the mean cost of a class.
+	costWeight = 0.2
+	// defaultCost is the cost of a request of a class that has not ended any,
+	// in seconds of a whole engine.
+	defaultCost = 0.08
+)
+
+// asked is what was asked for by one model or adapter.
+type asked struct {
+	// rate is requests per second by class.
+	rate map[string]float64
+	// at is when it was last asked for.
+	at time.Time
+}
+
+// meter turns the entries' cumulative counts into rates.
+type meter struct {
+	last map[string]placer.Demand
+	// names are by the router's name.
+	names map[string]*asked
+	// costs are by class, in seconds of a whole engine.
+	costs map[string]float64
+	at    time.Time
+}
+
+func newMeter() *meter {
+	return &meter{last: map[string]placer.Demand{}, names: map[string]*asked{}, costs: map[string]float64{}}
+}
+
+// observe takes in the counts of all entries.
+func (m *meter) observe(now time.Time, demands map[string]placer.Demand) {
+	passed := now.Sub(m.at)
+	if m.at.IsZero() {
+		passed = rateTime
+	}
+	m.at = now
+	arrivals := map[string]map[string]float64{}
+	for entry, demand := range demands {
+		m.add(entry, demand, arrivals, now)
+	}
+	keep := math.Exp(-passed.Seconds() / rateTime.Seconds())
+	for name, one := range m.names {
+		for class := range one.rate {
+			fresh := arrivals[name][class] / passed.Seconds()
+			one.rate[class] = keep*one.rate[class] + (1-keep)*fresh
+		}
+	}
+}
+
+// add counts what is new since an entry's last counts. An entry that has just
+// started begins at zero; one that is heard of for the first time may have
+// counted for long, so that its past is left out.
+func (m *meter) add(entry string, demand placer.Demand, arrivals map[string]map[string]float64, now time.Time) {
+	before, known := m.last[entry]
+	m.last[entry] = demand
+	if !known {
+		return
+	}
+	restarted := !before.Since.Equal(demand.Since)
+	for name, classes := range demand.Counts {
+		for class, count := range classes {
+			var past placer.Count
+			if !restarted {
+				past = before.Counts[name][class]
+			}
+			m.learn(class, past, count)
+			fresh := float64(count.Arrivals - min(count.Arrivals, past.Arrivals))
+			if fresh == 0 {
+				continue
+			}
+			m.find(name, class).at = now
+			if arrivals[name] == nil {
+				arrivals[name] = map[string]float64{}
+			}
+			arrivals[name][class] += fresh
+		}
+	}
+}
+
+func (m *meter) find(name, class string) *asked {
+	one := m.names[name]
+	if one == nil {
+		one = &asked{rate: map[string]float64{}}
+		m.names[name] = one
+	}
+	if _, known := one.rate[class]; !known {
+		one.rate[class] = 0
+	}
+	return one
+}
+
+// learn corrects the cost of a class by requests that have ended.
+func (m *meter) learn(class string, past, count placer.Count) {
+	ended := float64(count.Ended) - float64(past.Ended)
+	if ended <= 0 {
+		return
+	}
+	prompt := float64(count.PromptTokens-past.PromptTokens) / ended
+	answer := float64(count.AnswerTokens-past.AnswerTokens) / ended
+	cost := prompt/prefillRate + answer/decodeRate
+	if before, known := m.costs[class]; known {
+		cost = before + costWeight*(cost-before)
+	}
+	m.costs[class] = cost
+}
+
+// apply sets the work and the times of a service's models.
+func (m *meter) apply(service string, models map[string]*allocator.Model) {
+	for name, one := range m.names {
+		of, model, _, ok := surveyor.ParseHeldName(name)
+		target := models[model]
+		if !ok || of != service || target == nil {
+			continue
+		}
+		if one.at.After(target.AskedAt) {
+			target.AskedAt = one.at
+		}
+		for class, rate := range one.rate {
+			cost, known := m.costs[class]
+			if !known {
+				cost = defaultCost
+			}
+			target.Work += rate * cost
+		}
+	}
+}
+
+// adapterAsked returns when an adapter was last asked for.
+func (m *meter) adapterAsked(service, model, adapter string) time.Time {
+	if one := m.names[surveyor.HeldName(service, model, adapter)]; one != nil {
+		return one.at
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/mover/engine.go
@@ -0,0 +1,160 @@
+package mover
+
+import (
+	"time"
+
+	"burdocklink/allocator"
+	"burdocklink/matcher"
+	"burdocklink/surveyor"
+)
+
+const (
+	// reportEvery is the time between two reports of an idle engine, and
+	// reportSoon while an order is under way.
+	reportEvery = 1500 * time.Millisecond
+	reportSoon  = 250 * time.Millisecond
+	// reportLag is how old a report may be. One that was asked for sooner after
+	// an order may not know of it.
+	reportLag = 700 * time.Millisecond
+	// retryAfter is how long an engine is left alone after an order or report
+	// that failed.
+	retryAfter = time.Second
+	// intendedTime is how long room may take to be made for a model. Unloading
+	// waits for the runs of the model that makes way.
+	intendedTime = 20 * time.Second
+	// dropTime is how long entries may take to learn that a copy gets no more
+	// requests: two of their heartbeats.
+	dropTime = 600 * time.Millisecond
+)
+
+// engine is what the mover knows of one engine.
+type engine struct {
+	upstream surveyor.Upstream
+	// reported is true once a report of this incarnation was taken in.
+	reported bool
+	copies   map[string]*allocator.Copy
+	versions map[string]int
+	sequence uint64
+	busy     bool
+	// loading is the model whose load is under way, until about loadedAt.
+	loading  string
+	loadedAt time.Time
+	warm     map[string]bool
+	disk     map[string]bool
+	// sending is true while an order is on its way.
+	sending bool
+	// believeFrom is when a report must have been asked for to be believed.
+	believeFrom time.Time
+	asking      bool
+	askAt       time.Time
+	restUntil   time.Time
+	intended    string
+	intendedBy  time.Time
+	// jobs are adapters to load, in order of arrival.
+	jobs []adapterJob
+}
+
+// adapterJob is an adapter that requests wait for.
+type adapterJob struct{ want Want }
+
+func newEngine(upstream surveyor.Upstream, now time.Time) *engine {
+	return &engine{
+		upstream: upstream,
+		copies:   map[string]*allocator.Copy{},
+		versions: map[string]int{},
+		askAt:    now,
+	}
+}
+
+// take takes in a report that was asked for at a time. It returns false where
+// the report says nothing that can be used.
+func (e *engine) take(report Report, askedAt, now time.Time) bool {
+	if report.Incarnation != e.upstream.Incarnation || askedAt.Before(e.believeFrom) || e.sending {
+		return false
+	}
+	e.reported = true
+	e.sequence = report.Sequence
+	e.busy = report.Busy
+	if !report.Busy {
+		e.loading = ""
+	}
+	e.warm, e.disk = set(report.InMemory), set(report.OnDisk)
+	e.takeHolds(report, now)
+	return true
+}
+
+func (e *engine) takeHolds(report Report, now time.Time) {
+	copies := map[string]*allocator.Copy{}
+	for _, held := range report.Holds {
+		known := e.copies[held.Model]
+		one := &allocator.Copy{Adapters: map[string]time.Time{}, Since: now}
+		if known != nil {
+			one.Dropping, one.Dropped, one.Since = known.Dropping, known.Dropped, known.Since
+		}
+		for _, adapter := range held.Adapters {
+			one.Adapters[adapter] = usedAt(known, adapter)
+		}
+		copies[held.Model] = one
+		e.versions[held.Model] = held.Version
+	}
+	for _, pending := range report.Pending {
+		if one := copies[pending.Model]; one != nil {
+			one.Adapters[pending.Adapter] = now
+		}
+	}
+	if e.loading != "" && copies[e.loading] == nil {
+		copies[e.loading] = &allocator.Copy{Adapters: map[string]time.Time{}, Since: now}
+	}
+	e.copies = copies
+	if copies[e.intended] != nil || now.After(e.intendedBy) {
+		e.intended = ""
+	}
+}
+
+// usedAt is when an adapter of a copy was last asked for.
+func usedAt(held *allocator.Copy, adapter string) time.Time {
+	if held == nil {
+		return time.Time{}
+	}
+	return held.Adapters[adapter]
+}
+
+// free is true where an order about a model may be given.
+func (e *engine) free(now time.Time) bool {
+	return e.reported && !e.sending && !e.busy && !now.Before(e.restUntil) && !now.Before(e.believeFrom)
+}
+
+// told is what entries hear of the engine: all that may get requests.
+func (e *engine) told() surveyor.Told {
+	told := surveyor.Told{Upstream: e.upstream.Name, Incarnation: e.upstream.Incarnation}
+	for _, name := range sortedNames(e.copies) {
+		held := e.copies[name]
+		if held.Dropping || e.loading == name {
+			continue
+		}
+		told.Holds = append(told.Holds, surveyor.Held{
+			Model:    name,
+			Version:  e.versions[name],
+			Adapters: sortedNames(held.Adapters),
+		})
+	}
+	return told
+}
+
+// view is the engine as plans see it.
+func (e *engine) view(service *matcher.Engine, now time.Time, inFlight int) *allocator.Engine {
+	return &allocator.Engine{
+		Name:             e.upstream.Name,
+		AvailabilityZone: e.upstream.AvailabilityZone,
+		MemoryBytes:      service.MemoryBytes,
+		AdapterSlots:     service.AdapterSlots,
+		Copies:           e.copies,
+		Loading:          e.loading,
+		Intended:         e.intended,
+		Free:             e.free(now),
+		Leaving:          e.upstream.State == surveyor.Leaving || !e.reported,
+		Warm:             e.warm,
+		OnDisk:           e.disk,
+		InFlight:         inFlight,
+	}
+}
--- /dev/null
+++ b/mover/mover.go
@@ -0,0 +1,284 @@
+package mover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/conductor"
+	"burdocklink/matcher"
+	"burdocklink/placer"
+	"burdocklink/registrar"
+	"burdocklink/router"
+	"burdocklink/surveyor"
+)
+
+// Name is the service's name in the kernel.
+const Name = "mover"
+
+// Group is the control member that the mover runs on.
+type Group interface {
+	Read(ctx context.Context, read func(*applier.State)) error
+	Status() conductor.Status
+}
+
+// Settings are what a mover needs.
+type Settings struct {
+	// Holder names this VM in orders.
+	Holder string
+	Group  Group
+	// Fetch reads a page of the platform's list; empty names the first one.
+	Fetch   func(ctx context.Context, page string) (surveyor.Page, error)
+	Engines Engines
+	// Unpack reads a stored configuration.
+	Unpack func(content []byte) (*matcher.Configuration, error)
+	// Demands returns the entries' cumulative counts, Loads what they have in
+	// flight by upstream.
+	Demands func() map[string]placer.Demand
+	Loads   func() map[string]router.Load
+	// Lease is the shortest time between orders of two holders.
+	Lease time.Duration
+	// StoreWindow and StoreOverage bound the loads from the weight store.
+	StoreWindow  time.Duration
+	StoreOverage float64
+	Log          *zap.Logger
+}
+
+const (
+	// tick is the time between two looks at what is due.
+	tick = 100 * time.Millisecond
+	// listEvery is the time between two readings of the platform's list.
+	listEvery = time.Second
+	// demandEvery is the time between two readings of demand.
+	demandEvery = 500 * time.Millisecond
+	// callTime is the longest that a call may take.
+	callTime = time.Second
+	// leaseMargin is added to the wait of a new leader: two clocks may differ in
+	// pace.
+	leaseMargin = 200 * time.Millisecond
+	// wantTime is how long a model counts as wanted after it was asked for.
+	wantTime = 2 * time.Second
+	// eventQueue is how many events may wait for the loop.
+	eventQueue = 256
+)
+
+// Mover is the service.
+type Mover struct {
+	settings Settings
+	ctx      context.Context
+	cancel   context.CancelFunc
+	ended    chan struct{}
+	events   chan event
+	calls    sync.WaitGroup
+	table    *heldTable
+
+	// what follows belongs to run.
+	lead          lead
+	configuration *matcher.Configuration
+	engines       map[string]*engine
+	meter         *meter
+	demandAt      time.Time
+	listAt        time.Time
+	listing       bool
+	// wanted is until when a model counts as wanted, by the router's name.
+	wanted  map[string]time.Time
+	waiters []waiter
+	// storeLoads are the times of loads from the weight store.
+	storeLoads []time.Time
+}
+
+// lead is one time of leading.
+type lead struct {
+	// term is zero while another member leads.
+	term uint64
+	// ordersFrom is when orders may be given.
+	ordersFrom time.Time
+	// fenced is true once an engine has seen a later holder.
+	fenced bool
+}
+
+// waiter is an entry that waits for an adapter.
+type waiter struct {
+	want   Want
+	answer chan Wanted
+	until  time.Time
+}
+
+// New returns a mover that has not started.
+func New(settings Settings) *Mover {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Mover{
+		settings: settings,
+		ctx:      ctx,
+		cancel:   cancel,
+		ended:    make(chan struct{}),
+		events:   make(chan event, eventQueue),
+		table:    newHeldTable(),
+	}
+	m.reset()
+	return m
+}
+
+// String names the service.
+func (m *Mover) String() string { return Name }
+
+// Start begins the duties.
+func (m *Mover) Start(context.Context, *registrar.Registrar) error {
+	go m.run()
+	return nil
+}
+
+// Stop ends the duties. An order that is on its way may still be carried out.
+func (m *Mover) Stop(deadline time.Time) error {
+	m.cancel()
+	select {
+	case <-m.ended:
+		return nil
+	case <-time.After(time.Until(deadline)):
+		return &LateStopError{}
+	}
+}
+
+// LateStopError says that the mover did not end in time.
+type LateStopError struct{}
+
+// Error describes the failure.
+func (e *LateStopError) Error() string { return "mover did not stop in time" }
+
+// Held returns what engines hold after a serial number, and the number of the
+// newest change.
+func (m *Mover) Held(after uint64) ([]surveyor.Told, uint64) { return m.table.after(after) }
+
+// Want returns the engines that hold a model or adapter, or when one is
+// expected to. It waits for an adapter that is on its way.
+func (m *Mover) Want(ctx context.Context, want Want) Wanted {
+	call := wantCalled{want: want, answer: make(chan Wanted, 1)}
+	select {
+	case m.events <- call:
+	case <-ctx.Done():
+		return Wanted{}
+	case <-m.ended:
+		return Wanted{}
+	}
+	select {
+	case wanted := <-call.answer:
+		return wanted
+	case <-ctx.Done():
+		return Wanted{}
+	case <-m.ended:
+		return Wanted{}
+	}
+}
+
+func (m *Mover) run() {
+	defer close(m.ended)
+	defer m.calls.Wait()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.ctx.Done():
+			return
+		case happened := <-m.events:
+			m.handle(happened, time.Now())
+		case <-ticker.C:
+			m.round(time.Now())
+		}
+	}
+}
+
+// reset forgets everything, as when another member leads.
+func (m *Mover) reset() {
+	for _, one := range m.waiters {
+		one.answer <- Wanted{}
+	}
+	m.waiters = nil
+	m.engines = map[string]*engine{}
+	m.meter = newMeter()
+	m.wanted = map[string]time.Time{}
+	m.listAt, m.demandAt = time.Time{}, time.Time{}
+	m.listing = false
+	m.table.clear()
+}
+
+// round does what is due.
+func (m *Mover) round(now time.Time) {
+	if !m.leading(now) {
+		return
+	}
+	m.readConfiguration()
+	if m.configuration == nil {
+		return
+	}
+	m.askList(now)
+	m.askReports(now)
+	m.readDemand(now)
+	m.expireWaiters(now)
+	m.plan(now)
+	m.table.put(m.engines)
+}
+
+// leading is true while this member leads, and notes when that changes.
+func (m *Mover) leading(now time.Time) bool {
+	status := m.settings.Group.Status()
+	switch {
+	case !status.Leading && m.lead.term != 0:
+		m.settings.Log.Info("gives no more orders", zap.Uint64("term", m.lead.term))
+		m.lead = lead{}
+		m.reset()
+	case status.Leading && status.Term != m.lead.term:
+		m.reset()
+		m.lead = lead{term: status.Term, ordersFrom: now.Add(m.settings.Lease + leaseMargin)}
+		if status.Term == firstTerm {
+			// the group is new: nobody has given orders before
+			m.lead.ordersFrom = now
+		}
+		m.settings.Log.Info("will give orders", zap.Uint64("fence", status.Term),
+			zap.Time("from", m.lead.ordersFrom))
+	}
+	return status.Leading
+}
+
+// firstTerm is the first in which a group has a leader.
+const firstTerm = 1
+
+// mayOrder is true where this member may give orders now.
+func (m *Mover) mayOrder(now time.Time) bool {
+	return m.lead.term != 0 && !m.lead.fenced && !now.Before(m.lead.ordersFrom)
+}
+
+// readConfiguration takes in the configuration that is stored.
+func (m *Mover) readConfiguration() {
+	var stored cataloger.Configuration
+	err := m.settings.Group.Read(m.ctx, func(state *applier.State) { stored = state.Catalog().Configuration })
+	if err != nil || stored.Version == 0 {
+		return
+	}
+	if m.configuration != nil && m.configuration.Version == stored.Version {
+		return
+	}
+	configuration, err := m.settings.Unpack(stored.Content)
+	if err != nil {
+		m.settings.Log.Error("configuration can't be used", zap.Uint64("version", stored.Version), zap.Error(err))
+		return
+	}
+	m.configuration = configuration
+}
+
+// engineOf returns what the engines of a service can do; nil for a plain
+// service.
+func (m *Mover) engineOf(service string) *matcher.Engine {
+	return m.configuration.Services[service].Engine
+}
+
+func (m *Mover) readDemand(now time.Time) {
+	if now.Before(m.demandAt) {
+		return
+	}
+	m.demandAt = now.Add(demandEvery)
+	m.meter.observe(now, m.settings.Demands())
+}
--- /dev/null
+++ b/mover/plan.go
@@ -0,0 +1,116 @@
+package mover
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/allocator"
+	"burdocklink/matcher"
+	"burdocklink/surveyor"
+)
+
+// plan begins the moves of each service.
+func (m *Mover) plan(now time.Time) {
+	if !m.mayOrder(now) {
+		return
+	}
+	for _, service := range sortedNames(m.configuration.Services) {
+		if engine := m.engineOf(service); engine != nil {
+			view := m.view(service, engine, now)
+			for _, move := range allocator.Plan(view) {
+				m.begin(move, view, now)
+			}
+		}
+	}
+}
+
+// view is the service as plans see it.
+func (m *Mover) view(service string, can *matcher.Engine, now time.Time) *allocator.View {
+	view := &allocator.View{
+		Now:        now,
+		Models:     map[string]*allocator.Model{},
+		Engines:    map[string]*allocator.Engine{},
+		StoreLoads: m.storeRoom(can, now),
+	}
+	for name, model := range can.Models {
+		view.Models[name] = &allocator.Model{
+			Name:               name,
+			MemoryBytes:        model.MemoryBytes,
+			AdapterMemoryBytes: model.AdapterMemoryBytes,
+			LoadTime:           model.LoadTime,
+			DiskTime:           model.DiskTime,
+			WarmTime:           model.WarmTime,
+			Wanted:             now.Before(m.wanted[surveyor.HeldName(service, name, "")]),
+		}
+	}
+	m.meter.apply(service, view.Models)
+	loads := m.settings.Loads()
+	for name, one := range m.engines {
+		if one.upstream.Service != service {
+			continue
+		}
+		m.markAdapters(one, service)
+		view.Engines[name] = one.view(can, now, loads[name].Requests)
+	}
+	return view
+}
+
+// markAdapters notes when adapters were last asked for.
+func (m *Mover) markAdapters(one *engine, service string) {
+	for model, held := range one.copies {
+		for adapter, at := range held.Adapters {
+			if asked := m.meter.adapterAsked(service, model, adapter); asked.After(at) {
+				held.Adapters[adapter] = asked
+			}
+		}
+	}
+}
+
+// storeSpare is how many loads of the window are never used: two windows of
+// different clocks may overlap.
+const storeSpare = 1
+
+// storeRoom is how many loads from the weight store may begin now.
+func (m *Mover) storeRoom(can *matcher.Engine, now time.Time) int {
+	m.storeLoads = slices.DeleteFunc(m.storeLoads, func(at time.Time) bool {
+		return now.Sub(at) > m.settings.StoreWindow
+	})
+	allowed := int(can.LoadsPerSecond*m.settings.StoreWindow.Seconds()*m.settings.StoreOverage) - storeSpare
+	return max(0, allowed-len(m.storeLoads))
+}
+
+// begin carries out the first step of a move.
+func (m *Mover) begin(move allocator.Move, view *allocator.View, now time.Time) {
+	switch move := move.(type) {
+	case allocator.Load:
+		one := m.engines[move.Engine]
+		if move.FromStore {
+			m.storeLoads = append(m.storeLoads, now)
+		}
+		one.loadedAt = now.Add(loadTime(view, one, move.Model))
+		m.send(one, Order{Action: ActionLoad, Model: move.Model}, move.Reason)
+	case allocator.Drop:
+		one := m.engines[move.Engine]
+		held := one.copies[move.Model]
+		held.Dropping, held.Dropped = true, now.Add(dropTime)
+		one.intended, one.intendedBy = move.For, now.Add(intendedTime)
+		m.settings.Log.Info("copy makes way", zap.String("upstream", move.Engine),
+			zap.String("model", move.Model), zap.String("for", move.For), zap.String("reason", move.Reason))
+	case allocator.Unload:
+		m.send(m.engines[move.Engine], Order{Action: ActionUnload, Model: move.Model}, "makes way")
+	}
+}
+
+func loadTime(view *allocator.View, one *engine, model string) time.Duration {
+	about := view.Models[model]
+	switch {
+	case one.warm[model]:
+		return about.WarmTime
+	case one.disk[model]:
+		return about.DiskTime
+	default:
+		return about.LoadTime
+	}
+}
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -24,6 +24,11 @@
 	ended     chan struct{}
 	// demand belongs to the goroutine that receives.
 	demand *encoder.DemandDecoder
+	entry  string
+	// heldSerial is the newest change of holdings that was told; all are told
+	// again at repeatAt.
+	heldSerial uint64
+	repeatAt   time.Time
 
 	mu sync.Mutex
 	// reports are the last reports received, oldest first.
@@ -50,6 +55,7 @@
 		stream:    stream,
 		ended:     make(chan struct{}),
 		demand:    encoder.NewDemandDecoder(),
+		entry:     first.GetEntry(),
 	}
 	if err := s.note(first, time.Now()); err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
@@ -120,7 +126,7 @@
 }
 
 func (s *session) send(deltas <-chan cataloger.Delta) error {
-	ticker := time.NewTicker(pulseInterval)
+	ticker := time.NewTicker(s.responder.settings.Pulse)
 	defer ticker.Stop()
 	for {
 		select {
@@ -136,7 +142,10 @@
 				return err
 			}
 		case <-ticker.C:
-			if err := s.stream.Send(s.heartbeat()); err != nil {
+			if err := s.stream.Send(s.heartbeat(time.Now())); err != nil {
+				return err
+			}
+			if err := s.sendHoldings(time.Now()); err != nil {
 				return err
 			}
 		}
@@ -151,14 +160,43 @@
 	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Delta{Delta: data}})
 }
 
-// heartbeat tells the leader and what the quorum vouched for last.
-func (s *session) heartbeat() *wire.FollowReply {
+// repeatInterval is the time after which all holdings are told again, so that
+// entries know that the word still stands.
+const repeatInterval = 2 * time.Second
+
+// sendHoldings tells what engines hold where that changed, and all of it from
+// time to time.
+func (s *session) sendHoldings(now time.Time) error {
+	if s.responder.settings.Holdings == nil || !s.responder.settings.Group.Status().Leading {
+		return nil
+	}
+	if !now.Before(s.repeatAt) {
+		s.heldSerial, s.repeatAt = 0, now.Add(repeatInterval)
+	}
+	told, serial := s.responder.settings.Holdings.Held(s.heldSerial)
+	s.heldSerial = serial
+	if len(told) == 0 {
+		return nil
+	}
+	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Holdings{
+		Holdings: &wire.Holdings{Holdings: encoder.EncodeHoldings(told)},
+	}})
+}
+
+// heartbeat tells the leader, what the quorum vouched for last and what the
+// other entries have in flight.
+func (s *session) heartbeat(now time.Time) *wire.FollowReply {
 	last := s.responder.pulse.read()
 	state := s.responder.settings.Group.Status()
+	others, entries := s.responder.entries.others(s.entry, now)
 	return &wire.FollowReply{Update: &wire.FollowReply_Heartbeat{Heartbeat: &wire.Heartbeat{
 		Echo:     s.echo(last.began),
 		Revision: last.revision,
 		Leader:   leaderAddress(state),
 		Leading:  state.Leading,
+
+		Entries:   uint32(entries),
+		Loads:     encoder.EncodeLoads(others),
+		LoadsTold: true,
 	}}}
 }
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -16,7 +16,9 @@
 	"burdocklink/conductor"
 	"burdocklink/encoder/wire"
 	"burdocklink/linker"
+	"burdocklink/mover"
 	"burdocklink/registrar"
+	"burdocklink/surveyor"
 )
 
 // Name is the service's name in the kernel.
@@ -40,6 +42,16 @@
 	RemoveMember(ctx context.Context, name, disk string) error
 }
 
+// Holdings tells what engines hold, and has a model or adapter held.
+type Holdings interface {
+	// Held returns what engines hold after a serial number, and the number of
+	// the newest change.
+	Held(after uint64) ([]surveyor.Told, uint64)
+	// Want returns the engines that hold a model or adapter, or when one is
+	// expected to.
+	Want(ctx context.Context, want mover.Want) mover.Wanted
+}
+
 // Settings are what a responder needs.
 type Settings struct {
 	// Listen is the IP address and port for entries, operators and members.
@@ -49,8 +61,12 @@
 	// Operator returns the authenticated operator of a call.
 	Operator func(ctx context.Context) (string, error)
 	Group    Group
-	Meter    *linker.Meter
-	Log      *zap.Logger
+	// Holdings tells what engines hold; nil where this member does not know.
+	Holdings Holdings
+	// Pulse is the time between two heartbeats; zero takes the standard one.
+	Pulse time.Duration
+	Meter *linker.Meter
+	Log   *zap.Logger
 }
 
 // Responder is the gRPC service of a control member.
@@ -69,6 +85,9 @@
 
 // New returns a responder that has not started.
 func New(settings Settings) *Responder {
+	if settings.Pulse <= 0 {
+		settings.Pulse = pulseInterval
+	}
 	return &Responder{
 		settings: settings,
 		entries:  newEntryTable(),
--- /dev/null
+++ b/responder/want.go
@@ -0,0 +1,35 @@
+package responder
+
+import (
+	"context"
+
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/mover"
+)
+
+// unknownTime stands for a time that is not known.
+const unknownTime = -1
+
+// Want answers which engines hold a model or adapter, and has one held where
+// none does. Only the leader answers.
+func (r *Responder) Want(ctx context.Context, request *wire.WantRequest) (*wire.WantReply, error) {
+	state := r.settings.Group.Status()
+	if r.settings.Holdings == nil || !state.Leading {
+		return &wire.WantReply{Leader: leaderAddress(state), ReadyInMs: unknownTime}, nil
+	}
+	wanted := r.settings.Holdings.Want(ctx, mover.Want{
+		Service: request.GetService(),
+		Model:   request.GetModel(),
+		Adapter: request.GetAdapter(),
+	})
+	reply := &wire.WantReply{
+		Leading:   true,
+		Holdings:  encoder.EncodeHoldings(wanted.Holders),
+		ReadyInMs: unknownTime,
+	}
+	if wanted.Known {
+		reply.ReadyInMs = wanted.ReadyIn.Milliseconds()
+	}
+	return reply, nil
+}
--- a/router/choose.go
+++ b/router/choose.go
@@ -84,7 +84,7 @@
 	if slices.Contains(s.request.Avoid, u.about.Name) {
 		return
 	}
-	prediction, verdict := u.judge(s, s.request.work())
+	prediction, verdict := u.judge(s, s.request.Work())
 	if verdict == unusable {
 		return
 	}
@@ -137,7 +137,7 @@
 	return !s.patient && !s.request.Yields && s.request.FirstTokenBy.Before(s.now.Add(pressedTime))
 }
 
-// work is what the request asks of an upstream.
-func (r *Request) work() estimator.Work {
-	return estimator.Work{PromptTokens: r.PromptTokens}
+// Work is what the request asks of an upstream.
+func (r *Request) Work() estimator.Work {
+	return estimator.Work{PromptTokens: r.PromptTokens, AnswerTokens: r.AnswerTokens}
 }
--- a/router/sample.go
+++ b/router/sample.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"burdocklink/estimator"
+)
 
 // Outcome is how a dispatched request ended.
 type Outcome int
@@ -26,6 +30,8 @@
 	// FirstToken is zero where none came.
 	FirstToken time.Time
 	Ended      time.Time
+	// Work is what the request asked of the upstream.
+	Work estimator.Work
 	// Tokens is the length of the answer.
 	Tokens  int
 	Outcome Outcome
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -124,8 +124,8 @@
 	if !sample.FirstToken.IsZero() && !predicted.IsZero() {
 		m.engine.Measured(sample.FirstToken.Sub(predicted))
 	}
-	load := m.engine.Load()
-	m.engine.Finished(sample.Ended, sample.Tokens)
+	load := m.engine.Load(sample.Ended)
+	m.engine.Finished(sample.Ended, sample.Work, sample.Tokens)
 	if sample.Outcome == OutcomeUnreachable {
 		m.circuit.Failed(sample.Ended)
 		return
--- a/surveyor/picture.go
+++ b/surveyor/picture.go
@@ -18,14 +18,6 @@
 	Until time.Time
 }
 
-// HeldName is what the router calls a model or adapter of a service.
-func HeldName(service, model, adapter string) string {
-	if adapter == "" {
-		return service + "|" + model
-	}
-	return service + "|" + model + "/" + adapter
-}
-
 // catalog makes the picture of all upstreams. The mutex is held.
 func (s *Surveyor) catalog() *cataloger.Catalog {
 	var changes []cataloger.Change
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -116,31 +116,38 @@
 func (s *Surveyor) read() error {
 	ctx, cancel := context.WithTimeout(s.ctx, fetchTime)
 	defer cancel()
+	listed, err := ReadList(ctx, s.settings.Fetch)
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.logNews(listed)
+	s.listed = listed
+	s.update()
+	return nil
+}
+
+// ReadList reads all pages of the platform's list.
+func ReadList(ctx context.Context, fetch func(ctx context.Context, page string) (Page, error)) (map[string]Upstream, error) {
 	listed := map[string]Upstream{}
-	page := ""
-	for {
-		got, err := s.settings.Fetch(ctx, page)
+	for page := ""; ; {
+		got, err := fetch(ctx, page)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, upstream := range got.Upstreams {
 			listed[upstream.Name] = upstream
 		}
 		if got.Next == "" {
-			break
+			return listed, nil
 		}
 		page = got.Next
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.tell(listed)
-	s.listed = listed
-	s.update()
-	return nil
 }
 
-// tell logs what changed in the list.
-func (s *Surveyor) tell(listed map[string]Upstream) {
+// logNews logs what changed in the list.
+func (s *Surveyor) logNews(listed map[string]Upstream) {
 	for name, upstream := range listed {
 		before, known := s.listed[name]
 		if known && before.State == upstream.State && before.Incarnation == upstream.Incarnation {
@@ -165,6 +172,16 @@
 	s.update()
 }
 
+// Tell takes in what the control group says that engines hold.
+func (s *Surveyor) Tell(told []Told) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, one := range told {
+		s.told[one.Upstream] = one
+	}
+	s.update()
+}
+
 // Upstream returns an upstream of the list by name.
 func (s *Surveyor) Upstream(name string) (Upstream, bool) {
 	s.mutex.Lock()
