feat(router): kept prompts counted, prompts paced, last copies guarded

Cause: events paused over 250 ms while engines read prompts in a row; models lost their last copy to waves of demand and came back from the store; requests that could still be served late were given up at their target. Ruled out: sharing loads through the leader (250 ms old, prompts collide).

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -32,8 +32,14 @@
 	// found no room in the current round.
 	groups  map[kind]int
 	blocked []bool
+	// lookAt is when room is looked for again without news; zero for never.
+	lookAt time.Time
 }
 
+// lookTime is how often room is looked for while requests wait for it: an
+// engine's room for prompts grows with the time.
+const lookTime = 10 * time.Millisecond
+
 // NewQueue returns an empty queue.
 func NewQueue(router *router.Router, now time.Time) *Queue {
 	return &Queue{
@@ -80,6 +86,7 @@
 // found no room, those after it that ask for the same are not tried.
 func (q *Queue) Pump(now time.Time) {
 	clear(q.blocked)
+	q.overdueLast(now)
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
 		if q.hopeless(now, t) {
@@ -96,11 +103,31 @@
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
+	q.lookAt = time.Time{}
+	if slices.ContainsFunc(kept, func(t *Ticket) bool { return t.holderBy.IsZero() }) {
+		q.lookAt = now.Add(lookTime)
+	}
+}
+
+// overdueLast moves those that can't meet their targets any more behind those
+// that can. It answers an overload: serving what is overdue first would make
+// all that comes after it overdue too.
+func (q *Queue) overdueLast(now time.Time) {
+	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
+		switch first, second := a.overdue(now), b.overdue(now); {
+		case first == second:
+			return 0
+		case second:
+			return -1
+		default:
+			return 1
+		}
+	})
 }
 
 // Next returns when the next ticket is to be given up on, zero for never.
 func (q *Queue) Next() time.Time {
-	var next time.Time
+	next := q.lookAt
 	for _, t := range q.waiting {
 		next = earlier(next, t.giveUpBy)
 		next = earlier(next, t.holderBy)
@@ -160,6 +187,9 @@
 
 func (q *Queue) insert(t *Ticket) {
 	t.waited = true
+	if t.holderBy.IsZero() {
+		q.lookAt = t.request.Arrived.Add(lookTime)
+	}
 	t.group = q.group(t.kind())
 	at, _ := slices.BinarySearchFunc(q.waiting, t, func(a, b *Ticket) int {
 		if b.before(a) {
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -19,6 +19,9 @@
 	Arrived time.Time
 	// Deadline is the caller's own, zero if there is none.
 	Deadline time.Time
+	// UsefulUntil is the latest useful time of a first token; zero where the
+	// class's target is.
+	UsefulUntil time.Time
 	// Route is what the choice of the upstream depends on. Its FirstTokenBy
 	// and Avoid are filled in by the admitter.
 	Route router.Request
@@ -41,7 +44,10 @@
 // giveUpBy returns the latest useful time of a start, zero where there is
 // none.
 func (r *Request) giveUpBy() time.Time {
-	by := r.targetBy()
+	by := r.UsefulUntil
+	if by.IsZero() {
+		by = r.targetBy()
+	}
 	if by.IsZero() || (!r.Deadline.IsZero() && r.Deadline.Before(by)) {
 		by = r.Deadline
 	}
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -56,6 +56,9 @@
 // late says whether a first token at a time misses the class target. A request
 // that had to wait then gives way to those that can still meet theirs.
 func (t *Ticket) late(first time.Time) bool {
+	if !t.request.UsefulUntil.IsZero() {
+		return first.After(t.request.UsefulUntil)
+	}
 	promised := t.request.Class.Target.FirstToken
 	return promised > 0 && first.After(t.request.Arrived.Add(promised))
 }
@@ -94,3 +97,6 @@
 	}
 	return now.Before(t.holderBy)
 }
+
+// overdue says whether the target has passed.
+func (t *Ticket) overdue(now time.Time) bool { return now.After(t.key) }
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -21,8 +21,9 @@
 	LoadTime time.Duration
 	DiskTime time.Duration
 	WarmTime time.Duration
-	// Work is the demand, in engines kept busy.
-	Work float64
+	// Work is the demand, in engines kept busy. Lasting follows it more slowly.
+	Work    float64
+	Lasting float64
 	// Wanted is true where requests wait for a holder.
 	Wanted bool
 	// AskedAt is when the model was last asked for; zero for never.
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -11,13 +11,14 @@
 	// an engine's work that moves to an idle engine gains a quarter.
 	leastGain = 0.04
 	// quietTime is how long a model must not have been asked for before its
-	// last copy may make way, and only where a copy stays on a disk.
-	quietTime = 3 * time.Second
+	// last copy may make way for one that requests wait for, and only where a
+	// copy stays on a disk.
+	quietTime = 8 * time.Second
 	// settleTime is how long a copy stays before it may make way, so that
 	// copies don't change places with every wave of demand.
 	settleTime = 4 * time.Second
 	// loadPenalty is the gain that a second of loading time must be worth.
-	loadPenalty = 0.004
+	loadPenalty = 0.02
 	// movesAtOnce bounds the changes that one plan begins.
 	movesAtOnce = 3
 )
@@ -32,6 +33,7 @@
 	p.loadIntended()
 	p.serveWanted()
 	p.follow()
+	p.fill()
 	return p.moves
 }
 
@@ -106,6 +108,27 @@
 	}
 }
 
+// fill gives each model a first copy before anybody asks for it, where that
+// hurts no other much.
+func (p *planner) fill() {
+	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
+		model := p.view.Models[name]
+		if len(p.holders[name]) > 0 {
+			continue
+		}
+		before := p.view.balance(p.holders).pain()
+		option, found := p.search(model, false, func(engine string, victims []string) float64 {
+			return firstGain + before - p.painWith(name, engine, victims)
+		})
+		if found && option.gain > 0 {
+			p.begin(option, "first copy")
+		}
+	}
+}
+
+// firstGain is the worth of a first copy that nobody waits for yet.
+const firstGain = 0.3
+
 // wantedGain is the worth of the first copy of a model that requests wait for.
 const wantedGain = 10.0
 
@@ -143,7 +166,7 @@
 
 // relief is the best way to add a copy of a model that has some.
 func (p *planner) relief(model *Model, before float64) (option, bool) {
-	return p.search(model, func(engine string, victims []string) float64 {
+	return p.search(model, false, func(engine string, victims []string) float64 {
 		return before - p.painWith(model.Name, engine, victims)
 	})
 }
@@ -160,14 +183,25 @@
 
 // best is the best place for the first copy of a model.
 func (p *planner) best(model *Model, worth float64) (option, bool) {
-	spread := p.view.balance(p.holders)
-	return p.search(model, func(engine string, victims []string) float64 {
-		return worth - spread.engines[engine] - float64(len(victims))
+	before := p.view.balance(p.holders).pain()
+	return p.search(model, true, func(engine string, victims []string) float64 {
+		return worth + before - p.painWith(model.Name, engine, victims) - p.lastCopies(engine, victims)
 	})
 }
 
+// lastCopies counts the victims that would have no copy left.
+func (p *planner) lastCopies(engine string, victims []string) float64 {
+	count := 0.0
+	for _, victim := range victims {
+		if len(without(p.holders[victim], engine)) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // search looks at all engines that can take a copy of a model.
-func (p *planner) search(model *Model, worth func(engine string, victims []string) float64) (option, bool) {
+func (p *planner) search(model *Model, pressing bool, worth func(engine string, victims []string) float64) (option, bool) {
 	best, found := option{}, false
 	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
 		engine := p.view.Engines[name]
@@ -177,7 +211,7 @@
 		if engine.stored(model.Name) && p.view.StoreLoads <= 0 {
 			continue
 		}
-		victims, fits := p.victims(engine, model)
+		victims, fits := p.victims(engine, model, pressing)
 		if !fits {
 			continue
 		}
@@ -191,7 +225,7 @@
 
 // victims returns the models that must make way on an engine, those that are
 // asked for least first, and false where that can't be.
-func (p *planner) victims(engine *Engine, model *Model) ([]string, bool) {
+func (p *planner) victims(engine *Engine, model *Model, pressing bool) ([]string, bool) {
 	room := engine.free(p.view.Models)
 	var chosen []string
 	for _, name := range p.byUse(engine) {
@@ -202,7 +236,7 @@
 		if held.Dropping {
 			return nil, false
 		}
-		if !p.mayGo(engine, name, model) {
+		if !p.mayGo(engine, name, pressing) {
 			continue
 		}
 		chosen = append(chosen, name)
@@ -225,7 +259,7 @@
 	if model == nil {
 		return 0
 	}
-	return model.Work / float64(max(1, len(p.holders[name])))
+	return max(model.Work, model.Lasting) / float64(max(1, len(p.holders[name])))
 }
 
 func compare(a, b float64) int {
@@ -239,10 +273,10 @@
 	}
 }
 
-// mayGo says whether a copy may make way for a model. The last copy goes only
-// where nobody has asked for it for a while and a copy on the engine's disk
-// brings it back within seconds.
-func (p *planner) mayGo(engine *Engine, name string, wanted *Model) bool {
+// mayGo says whether a copy may make way. The last copy goes only where
+// requests wait for what takes its place, nobody has asked for it for a while,
+// and a copy on the engine's disk brings it back within seconds.
+func (p *planner) mayGo(engine *Engine, name string, pressing bool) bool {
 	held, model := engine.Copies[name], p.view.Models[name]
 	if model == nil || engine.Loading == name || p.view.Now.Sub(held.Since) < settleTime {
 		return false
@@ -251,7 +285,7 @@
 		return true
 	}
 	quiet := !model.Wanted && p.view.Now.Sub(model.AskedAt) >= quietTime
-	return quiet && !engine.stored(name) && wanted.Name != name
+	return pressing && quiet && !engine.stored(name)
 }
 
 // begin begins an option: with the drop of its victims, or with the load.
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/admitter"
+	"burdocklink/broadcaster"
 	"burdocklink/cataloger"
 	"burdocklink/conductor"
 	"burdocklink/configurator"
@@ -189,6 +190,14 @@
 	})
 	configuration := newConfigured(upstreams, settings.Log)
 	peers := linker.New(nil, linker.NewMeter(metrics.Registry()))
+	notes := broadcaster.New(broadcaster.Settings{
+		Entry:  settings.Node,
+		Listen: settings.Links,
+		Links:  peers,
+		Router: routes,
+		Wake:   admission.Wake,
+		Log:    settings.Log,
+	})
 	catalogs := follower.New(follower.Settings{
 		Entry:            settings.Node,
 		Incarnation:      uuid.NewString(),
@@ -197,8 +206,9 @@
 		Links:            peers,
 		Notify:           configuration.take,
 		Demand:           admission.Demand,
-		Loads:            func() []router.Load { return routes.Loads(time.Now()) },
-		Others:           func(loads []router.Load) { routes.Others(time.Now(), loads) },
+		Loads:            routes.Loads,
+		NotesAddress:     settings.Links,
+		Peers:            notes.Meet,
 		Held:             upstreams.Tell,
 		Tell:             pulse,
 		TellDemand:       tellDemand,
@@ -215,9 +225,9 @@
 		Holders: seeker.New(seeker.Settings{
 			Links: peers, Leader: catalogs.Leader, Tell: upstreams.Tell, Log: settings.Log,
 		}),
-		Calls:            calls,
-		Reporter:         metrics,
-		Log:              settings.Log,
+		Calls:    calls,
+		Reporter: metrics,
+		Log:      settings.Log,
 	})
 	health := prober.New(prober.Settings{
 		Listen:    settings.Readiness,
@@ -227,7 +237,7 @@
 		Log:       settings.Log,
 	})
 	return &Node{
-		Services: []registrar.Service{health, admission, upstreams, catalogs, callers},
+		Services: []registrar.Service{health, admission, notes, upstreams, catalogs, callers},
 		Reload:   func(platform.Settings) {},
 	}
 }
--- /dev/null
+++ b/broadcaster/broadcaster.go
@@ -0,0 +1,236 @@
+// Package broadcaster tells the other entries what this one dispatches, as it
+// happens, so that entries which see only a part of the requests don't send too
+// much to one upstream at the same moment. A note that is lost changes little:
+// shares are absolute and repeated.
+package broadcaster
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/linker"
+	"burdocklink/registrar"
+	"burdocklink/router"
+)
+
+// Name is the service's name in the kernel.
+const Name = "broadcaster"
+
+const (
+	// flushTime is the time between two notes while something changes. It is
+	// well below the time in which an engine reads a prompt.
+	flushTime = 10 * time.Millisecond
+	// repeatTime is the time between two notes with all shares.
+	repeatTime = 500 * time.Millisecond
+	// mostPeers bounds the entries that are told. Beyond it, each is told of
+	// by a part of the others only.
+	mostPeers = 24
+	// noteQueue is how many notes may wait for a peer before the oldest are left
+	// out.
+	noteQueue = 16
+	// redialPause is the wait before a peer is called again.
+	redialPause = 200 * time.Millisecond
+)
+
+// Settings are what a broadcaster needs.
+type Settings struct {
+	// Entry is this entry's name.
+	Entry string
+	// Listen is the IP address and port for the other entries.
+	Listen string
+	Links  *linker.Linker
+	Router *router.Router
+	// Wake is called when room at an upstream may have changed.
+	Wake func()
+	Log  *zap.Logger
+}
+
+// Broadcaster is the service.
+type Broadcaster struct {
+	wire.UnimplementedPeerServer
+
+	settings Settings
+	ctx      context.Context
+	cancel   context.CancelFunc
+	server   *grpc.Server
+	ended    chan struct{}
+
+	mutex sync.Mutex
+	// peers are the entries that are told, by address.
+	peers map[string]*peer
+}
+
+// peer is one entry that is told.
+type peer struct {
+	address string
+	notes   chan *wire.EntryNotes
+	cancel  context.CancelFunc
+	ctx     context.Context
+}
+
+// New returns a broadcaster that has not started.
+func New(settings Settings) *Broadcaster {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Broadcaster{
+		settings: settings,
+		ctx:      ctx,
+		cancel:   cancel,
+		ended:    make(chan struct{}),
+		peers:    map[string]*peer{},
+	}
+}
+
+// String names the service.
+func (b *Broadcaster) String() string { return Name }
+
+// Start listens for the notes of others and begins to tell.
+func (b *Broadcaster) Start(context.Context, *registrar.Registrar) error {
+	listener, err := linker.Listen(b.settings.Listen)
+	if err != nil {
+		return err
+	}
+	b.server = grpc.NewServer(linker.ServerOptions()...)
+	wire.RegisterPeerServer(b.server, b)
+	go b.runServer(listener)
+	go b.run()
+	return nil
+}
+
+// Stop ends all streams.
+func (b *Broadcaster) Stop(time.Time) error {
+	b.cancel()
+	b.server.Stop()
+	<-b.ended
+	return nil
+}
+
+func (b *Broadcaster) runServer(listener net.Listener) {
+	if err := b.server.Serve(listener); err != nil {
+		b.settings.Log.Warn("listener for notes ended", zap.Error(err))
+	}
+}
+
+// Meet sets the addresses of the other entries.
+func (b *Broadcaster) Meet(addresses []string) {
+	addresses = addresses[:min(len(addresses), mostPeers)]
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	wanted := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		wanted[address] = true
+		if b.peers[address] == nil {
+			b.add(address)
+		}
+	}
+	for address, known := range b.peers {
+		if !wanted[address] {
+			known.cancel()
+			delete(b.peers, address)
+		}
+	}
+}
+
+func (b *Broadcaster) add(address string) {
+	ctx, cancel := context.WithCancel(b.ctx)
+	added := &peer{address: address, notes: make(chan *wire.EntryNotes, noteQueue), ctx: ctx, cancel: cancel}
+	b.peers[address] = added
+	go b.runPeer(added)
+}
+
+// run collects what changed and hands it to all peers.
+func (b *Broadcaster) run() {
+	defer close(b.ended)
+	ticker := time.NewTicker(flushTime)
+	defer ticker.Stop()
+	repeatAt := time.Now()
+	for {
+		select {
+		case <-b.ctx.Done():
+			return
+		case now := <-ticker.C:
+			loads := b.settings.Router.News()
+			if len(loads) > 0 {
+				b.tell(&wire.EntryNotes{Entry: b.settings.Entry, Loads: encoder.EncodeLoads(loads)})
+			}
+			if now.After(repeatAt) {
+				repeatAt = now.Add(repeatTime)
+				b.tell(&wire.EntryNotes{
+					Entry: b.settings.Entry,
+					Loads: encoder.EncodeLoads(b.settings.Router.Loads()),
+					Whole: true,
+				})
+			}
+		}
+	}
+}
+
+// tell queues notes for all peers. One that does not keep up misses some.
+func (b *Broadcaster) tell(notes *wire.EntryNotes) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, one := range b.peers {
+		select {
+		case one.notes <- notes:
+		default:
+		}
+	}
+}
+
+// runPeer keeps a stream to one peer.
+func (b *Broadcaster) runPeer(to *peer) {
+	for {
+		err := b.stream(to)
+		b.settings.Log.Debug("notes to a peer ended", zap.String("peer", to.address), zap.Error(err))
+		if !linker.Pause(to.ctx, redialPause) {
+			return
+		}
+	}
+}
+
+// stream sends notes until the stream breaks. A peer that has gone silent shows
+// in the repeated notes: the kernel gives up on what is not acknowledged.
+func (b *Broadcaster) stream(to *peer) error {
+	link, err := b.settings.Links.Connect(to.address)
+	if err != nil {
+		return err
+	}
+	call, err := wire.NewPeerClient(link).Notes(to.ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-to.ctx.Done():
+			return to.ctx.Err()
+		case <-call.Context().Done():
+			return call.Context().Err()
+		case notes := <-to.notes:
+			if err := call.Send(notes); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// Notes takes in what another entry dispatches.
+func (b *Broadcaster) Notes(stream grpc.ClientStreamingServer[wire.EntryNotes, wire.NotesReply]) error {
+	for {
+		notes, err := stream.Recv()
+		if err == io.EOF {
+			return stream.SendAndClose(&wire.NotesReply{})
+		}
+		if err != nil {
+			return err
+		}
+		b.settings.Router.TakeNews(time.Now(), notes.GetEntry(), encoder.DecodeLoads(notes.GetLoads()), notes.GetWhole())
+		b.settings.Wake()
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"burdocklink/linker"
 )
 
 // Settings bound the calls of a Dispatcher. A zero field takes its default.
@@ -80,13 +82,7 @@
 // New returns a Dispatcher.
 func New(settings Settings) *Dispatcher {
 	settings = settings.withDefaults()
-	dialer := &net.Dialer{
-		Timeout: settings.Dial,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount,
-		},
-		Control: limitUnacknowledged,
-	}
+	dialer := linker.Dialer(settings.Dial)
 	shared := transport(dialer.DialContext)
 	shared.MaxIdleConnsPerHost = settings.IdleConnections
 	shared.IdleConnTimeout = settings.Idle
--- a/estimator/engine.go
+++ b/estimator/engine.go
@@ -32,8 +32,8 @@
 	AnswerTokens int
 }
 
-// memory is what the request is expected to need, in tokens.
-func (w Work) memory() int { return w.PromptTokens + w.AnswerTokens }
+// Memory is what the request is expected to need, in tokens.
+func (w Work) Memory() int { return w.PromptTokens + w.AnswerTokens }
 
 // Prediction is how long a request is expected to take on an engine.
 type Prediction struct {
@@ -66,6 +66,8 @@
 	// backlog is the prompt tokens that wait for prefill at a time.
 	backlog   float64
 	backlogAt time.Time
+	// pace bounds how fast prompts are sent.
+	pace Pace
 	// others is what the other entries have in flight, as told last; it counts
 	// until othersUntil.
 	others      Share
@@ -116,7 +118,7 @@
 	Requests int
 	// Tokens is the memory that the requests are expected to need.
 	Tokens int
-	// PromptTokens are those that wait to be read.
+	// PromptTokens were dispatched since it was told before.
 	PromptTokens int
 }
 
@@ -131,9 +133,22 @@
 	e.othersUntil = now.Add(othersTime)
 }
 
+// Dispatched counts prompts that other entries have just dispatched.
+func (e *Engine) Dispatched(now time.Time, promptTokens int) {
+	if promptTokens > 0 {
+		e.addBacklog(call{at: now, tokens: promptTokens})
+	}
+}
+
 // Own returns what this entry has in flight.
-func (e *Engine) Own(now time.Time) Share {
-	return Share{Requests: e.inFlight, Tokens: e.reserved, PromptTokens: int(e.backlogLeft(now))}
+func (e *Engine) Own() Share {
+	return Share{Requests: e.inFlight, Tokens: e.reserved}
+}
+
+// Paces says whether a prompt may be sent now without holding up the streams
+// that run.
+func (e *Engine) Paces(now time.Time, work Work) bool {
+	return e.pace.Allows(now, float64(work.PromptTokens-work.CachedTokens))
 }
 
 // Reserved returns the memory that all requests in flight are expected to
@@ -145,13 +160,16 @@
 	return int(float64(e.reserved) * e.entries)
 }
 
+// Resize sets how many requests the engine batches at once.
+func (e *Engine) Resize(slots int) { e.slots = slots }
+
 // Report returns the last report, and false where there is none.
 func (e *Engine) Report() (Report, bool) { return e.report, e.reported }
 
 // Started counts an own dispatch.
 func (e *Engine) Started(now time.Time, work Work) {
 	e.inFlight++
-	e.reserved += work.memory()
+	e.reserved += work.Memory()
 	start := call{at: now, tokens: work.PromptTokens - work.CachedTokens}
 	e.starts = appendCall(e.starts, start)
 	e.addBacklog(start)
@@ -163,7 +181,7 @@
 	if e.inFlight > 0 {
 		e.inFlight--
 	}
-	e.reserved = max(0, e.reserved-work.memory())
+	e.reserved = max(0, e.reserved-work.Memory())
 	e.ends = appendCall(e.ends, call{at: now})
 	if tokens > 0 {
 		e.answer += answerWeight * (float64(tokens) - e.answer)
@@ -197,11 +215,7 @@
 	load := e.Load(now)
 	prefill, decode := e.rates()
 	own := float64(work.PromptTokens - work.CachedTokens)
-	waiting := e.backlogLeft(now)
-	if now.Before(e.othersUntil) {
-		waiting += float64(e.others.PromptTokens)
-	}
-	seconds := (waiting + own) / prefill
+	seconds := (e.backlogLeft(now) + own) / prefill
 	if queued := load + 1 - float64(e.slots); e.slots > 0 && queued > 0 {
 		seconds += queued * e.answer / (decode * float64(e.slots))
 	}
@@ -220,6 +234,7 @@
 		entries = 1
 	}
 	e.backlog = e.backlogLeft(start.at) + float64(start.tokens)*entries
+	e.pace.Add(start.at, float64(start.tokens)*entries)
 	e.backlogAt = start.at
 }
 
--- a/experimenter/dispatch.go
+++ b/experimenter/dispatch.go
@@ -88,7 +88,10 @@
 	job := emulator.Job{
 		ID: a.id, Holds: c.request.Route.Holds, Base: c.request.Route.Base,
 		PromptTokens: c.request.Route.PromptTokens, AnswerTokens: c.answerTokens,
-		Prefix: c.request.Route.Prefix, PrefixTokens: c.prefixTokens,
+		PrefixTokens: c.prefixTokens,
+	}
+	if parts := c.request.Route.Parts; len(parts) > 0 {
+		job.Prefix = parts[0].Hash
 	}
 	if grant != nil {
 		job.Priority = grant.Priority
--- a/experimenter/workload.go
+++ b/experimenter/workload.go
@@ -165,7 +165,10 @@
 	p.request.Route.AnswerTokens = d.AnswerTokens
 	p.answerTokens = g.tokens(d.AnswerTokens)
 	p.prefixTokens = int(sharedPrefix * float64(p.request.Route.PromptTokens))
-	p.request.Route.Prefix = hash(subscriber + p.request.Route.Holds)
+	p.request.Route.Parts = []router.Part{{
+		Hash:   hash(subscriber + p.request.Route.Holds),
+		Tokens: p.prefixTokens,
+	}}
 	return p
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -37,8 +37,12 @@
 	Demand func() placer.Demand
 	// Loads returns what the entry has in flight; nil where it does not tell.
 	Loads func() []router.Load
-	// Others takes in what the other entries have in flight; nil for nobody.
-	Others func([]router.Load)
+	// NotesAddress is where the entry takes notes of other entries; empty where
+	// it takes none.
+	NotesAddress string
+	// Peers takes in the addresses at which the other entries take notes; nil for
+	// nobody.
+	Peers func([]string)
 	// Held takes in what engines hold; nil for nobody.
 	Held func([]surveyor.Told)
 	// Tell is the time between two reports of the entry, TellDemand between two
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -117,7 +117,7 @@
 		InForce:          f.Catalog() != nil,
 	}
 	if f.settings.Loads != nil {
-		report.LoadsTold = true
+		report.Address = f.settings.NotesAddress
 		report.Loads = encoder.EncodeLoads(f.settings.Loads())
 	}
 	if now.Before(told.nextDemand) {
@@ -187,8 +187,8 @@
 	if at, ok := sent.at(beat.GetEcho()); ok {
 		f.confirm(Confirmation{Revision: beat.GetRevision(), At: at})
 	}
-	if beat.GetLoadsTold() && f.settings.Others != nil {
-		f.settings.Others(encoder.DecodeLoads(beat.GetLoads()))
+	if f.settings.Peers != nil {
+		f.settings.Peers(beat.GetPeers())
 	}
 	leader := beat.GetLeader()
 	f.leader.Store(&leader)
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -196,8 +196,28 @@
 	}
 }
 
-// holderBy is when a holder of what the request asks for must be there.
-func (x *exchange) holderBy() time.Time { return x.deadline }
+// usefulUntil is when the caller must have a first event, or the whole answer.
+func (x *exchange) usefulUntil() time.Time {
+	until := x.holderBy()
+	if margin := until.Add(-usefulMargin); margin.After(x.arrived) {
+		return margin
+	}
+	return until
+}
+
+// usefulMargin is left between a dispatch and the caller's leaving: a prompt is
+// read meanwhile.
+const usefulMargin = 100 * time.Millisecond
+
+// holderBy is when a holder of what the request asks for must be there: later,
+// the caller will have left.
+func (x *exchange) holderBy() time.Time {
+	patient := x.arrived.Add(x.route.Patience())
+	if patient.Before(x.deadline) {
+		return patient
+	}
+	return x.deadline
+}
 
 func (x *exchange) acquire(ctx context.Context) (*admitter.Grant, error) {
 	if x.tries.sends > 0 {
@@ -211,21 +231,49 @@
 		Class:    x.class,
 		Arrived:  x.arrived,
 		Deadline: x.deadline,
+
+		UsefulUntil: x.usefulUntil(),
 		Route: router.Request{
 			Service:          x.service,
 			PromptTokens:     x.request.PromptTokens,
-			AnswerTokens:     x.request.AnswerTokens,
+			AnswerTokens:     x.likelyTokens(),
 			AvailabilityZone: x.AvailabilityZone,
 			Seed:             xxhash.Sum64String(x.request.ID),
 		},
 	}
 	if x.request.Model != "" && x.table.Configuration.Services[x.service].Engine != nil {
 		asked.Route.Holds = x.Holders.Name(x.service, x.request.Model, x.request.Adapter)
+		asked.Route.Parts = x.parts(asked.Route.Holds)
 		asked.Route.Base = x.Holders.Name(x.service, x.request.Model, "")
 	}
 	return asked
 }
 
+// parts returns the beginnings of the prompt that other requests for the same
+// model and adapter may share.
+func (x *exchange) parts(holds string) []router.Part {
+	parts := make([]router.Part, 0, len(x.request.Parts))
+	hash := xxhash.New()
+	_, _ = hash.WriteString(holds)
+	tokens := 0
+	for _, part := range x.request.Parts {
+		// a hash takes all that is written
+		_, _ = hash.WriteString(" " + part.ID)
+		tokens += part.Tokens
+		parts = append(parts, router.Part{Hash: hash.Sum64(), Tokens: tokens})
+	}
+	return parts
+}
+
+// likelyTokens is the expected length of the answer: the caller's guess, or half
+// of the most where it does not guess.
+func (x *exchange) likelyTokens() int {
+	if x.request.LikelyAnswerTokens > 0 {
+		return x.request.LikelyAnswerTokens
+	}
+	return x.request.AnswerTokens / 2
+}
+
 // send makes one attempt at the upstream of the grant.
 func (x *exchange) send(ctx context.Context) error {
 	x.tries.sends++
--- a/dispatcher/probe.go
+++ b/linker/dial.go
@@ -1,6 +1,7 @@
-package dispatcher
+package linker
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -21,6 +22,18 @@
 	unacknowledgedTime = 2 * time.Second
 )
 
+// Dialer returns a dialer whose connections notice that they have gone silent.
+// Timeout is the longest wait for a connection; zero leaves it to the context.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeCount,
+		},
+		Control: limitUnacknowledged,
+	}
+}
+
 // limitUnacknowledged sets the bound on a new socket.
 func limitUnacknowledged(_, _ string, socket syscall.RawConn) error {
 	var failed error
--- a/mover/demand.go
+++ b/mover/demand.go
@@ -13,6 +13,9 @@
 	// rateTime is how long demand is averaged over. Demand moves to other
 	// models within seconds; a shorter time would follow single requests.
 	rateTime = 1500 * time.Millisecond
+	// lastingTime is the longer time that decides what makes way: a model that
+	// is asked for rarely must not look idle between two requests.
+	lastingTime = 8 * time.Second
 	// prefillRate and decodeRate are in tokens per second of a whole engine
 	// with a full batch, from the service's sheet: what reads prompts, and what
 	// writes answers.
@@ -27,8 +30,9 @@
 
 // asked is what was asked for by one model or adapter.
 type asked struct {
-	// rate is requests per second by class.
-	rate map[string]float64
+	// rate is requests per second by class; lasting follows it more slowly.
+	rate    map[string]float64
+	lasting map[string]float64
 	// at is when it was last asked for.
 	at time.Time
 }
@@ -58,15 +62,21 @@
 	for entry, demand := range demands {
 		m.add(entry, demand, arrivals, now)
 	}
-	keep := math.Exp(-passed.Seconds() / rateTime.Seconds())
 	for name, one := range m.names {
 		for class := range one.rate {
 			fresh := arrivals[name][class] / passed.Seconds()
-			one.rate[class] = keep*one.rate[class] + (1-keep)*fresh
+			one.rate[class] = follow(one.rate[class], fresh, passed, rateTime)
+			one.lasting[class] = follow(one.lasting[class], fresh, passed, lastingTime)
 		}
 	}
 }
 
+// follow moves a mean towards a new value.
+func follow(mean, fresh float64, passed, over time.Duration) float64 {
+	keep := math.Exp(-passed.Seconds() / over.Seconds())
+	return keep*mean + (1-keep)*fresh
+}
+
 // add counts what is new since an entry's last counts. An entry that has just
 // started begins at zero; one that is heard of for the first time may have
 // counted for long, so that its past is left out.
@@ -100,7 +110,7 @@
 func (m *meter) find(name, class string) *asked {
 	one := m.names[name]
 	if one == nil {
-		one = &asked{rate: map[string]float64{}}
+		one = &asked{rate: map[string]float64{}, lasting: map[string]float64{}}
 		m.names[name] = one
 	}
 	if _, known := one.rate[class]; !known {
@@ -141,6 +151,7 @@
 				cost = defaultCost
 			}
 			target.Work += rate * cost
+			target.Lasting += one.lasting[class] * cost
 		}
 	}
 }
@@ -152,3 +163,24 @@
 	}
 	return time.Time{}
 }
+
+// copyWork is the work for which a copy stands while nothing was asked for yet,
+// in engines kept busy.
+const copyWork = 0.5
+
+// assume takes the number of copies for the demand while there is none: who
+// placed them expected it.
+func assume(view *allocator.View) {
+	for _, model := range view.Models {
+		if model.Work > 0 {
+			return
+		}
+	}
+	for _, engine := range view.Engines {
+		for name := range engine.Copies {
+			if model := view.Models[name]; model != nil {
+				model.Work += copyWork
+			}
+		}
+	}
+}
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -243,8 +243,9 @@
 	return status.Leading
 }
 
-// firstTerm is the first in which a group has a leader.
-const firstTerm = 1
+// firstTerm is the first in which a group has a leader: it is founded in the
+// one before.
+const firstTerm = 2
 
 // mayOrder is true where this member may give orders now.
 func (m *Mover) mayOrder(now time.Time) bool {
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -54,6 +54,7 @@
 		m.markAdapters(one, service)
 		view.Engines[name] = one.view(can, now, loads[name].Requests)
 	}
+	assume(view)
 	return view
 }
 
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -127,18 +127,20 @@
 		Base:             base,
 		PromptTokens:     request.PromptBytes/bytesPerToken + 1,
 		AnswerTokens:     expected,
-		Prefix:           prefixHash(request),
+		Parts:            prefixOf(request),
 		AvailabilityZone: x.Settings.AvailabilityZone,
 		Seed:             xxhash.Sum64String(x.id),
 	}, nil
 }
 
-func prefixHash(request *encoder.Completion) uint64 {
+// prefixOf is the beginning of the prompt, which requests of one conversation
+// share.
+func prefixOf(request *encoder.Completion) []router.Part {
 	var hash xxhash.Digest
 	hash.Reset()
 	_, _ = hash.WriteString(request.Model)
 	_, _ = hash.Write(request.PromptHead)
-	return hash.Sum64()
+	return []router.Part{{Hash: hash.Sum64(), Tokens: len(request.PromptHead) / bytesPerToken}}
 }
 
 // admission is the request for an upstream.
--- a/responder/entries.go
+++ b/responder/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,19 +68,27 @@
 // loadsTime is how long what an entry has in flight counts after it was told.
 const loadsTime = 2 * time.Second
 
-// others returns what all entries but one have in flight, and how many entries
-// were heard of lately.
-func (t *entryTable) others(entry string, now time.Time) ([]router.Load, int) {
+// peers returns the addresses of all entries but one that were heard of lately
+// and take notes, in ascending order.
+func (t *entryTable) peers(entry string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sums := map[string]router.Load{}
-	entries := 0
+	var peers []string
 	for name, record := range t.entries {
-		if now.Sub(record.heard) > loadsTime {
-			continue
+		if name != entry && now.Sub(record.heard) <= loadsTime && record.said.GetAddress() != "" {
+			peers = append(peers, record.said.GetAddress())
 		}
-		entries++
-		if name == entry {
+	}
+	slices.Sort(peers)
+	return peers
+}
+
+// Loads returns what all entries together have in flight, by upstream.
+func (r *Responder) Loads() map[string]router.Load {
+	now := time.Now()
+	sums := map[string]router.Load{}
+	for _, record := range r.entries.list() {
+		if now.Sub(record.heard) > loadsTime {
 			continue
 		}
 		for _, load := range encoder.DecodeLoads(record.said.GetLoads()) {
@@ -87,23 +96,8 @@
 			sum.Upstream, sum.Incarnation = load.Upstream, load.Incarnation
 			sum.Requests += load.Requests
 			sum.Tokens += load.Tokens
-			sum.PromptTokens += load.PromptTokens
 			sums[load.Upstream] = sum
 		}
 	}
-	loads := make([]router.Load, 0, len(sums))
-	for _, sum := range sums {
-		loads = append(loads, sum)
-	}
-	return loads, entries
-}
-
-// Loads returns what all entries together have in flight, by upstream.
-func (r *Responder) Loads() map[string]router.Load {
-	all, _ := r.entries.others("", time.Now())
-	loads := make(map[string]router.Load, len(all))
-	for _, load := range all {
-		loads[load.Upstream] = load
-	}
-	return loads
+	return sums
 }
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -183,20 +183,19 @@
 	}})
 }
 
-// heartbeat tells the leader, what the quorum vouched for last and what the
-// other entries have in flight.
+// heartbeat tells the leader, what the quorum vouched for last and who the
+// other entries are.
 func (s *session) heartbeat(now time.Time) *wire.FollowReply {
 	last := s.responder.pulse.read()
 	state := s.responder.settings.Group.Status()
-	others, entries := s.responder.entries.others(s.entry, now)
+	peers := s.responder.entries.peers(s.entry, now)
 	return &wire.FollowReply{Update: &wire.FollowReply_Heartbeat{Heartbeat: &wire.Heartbeat{
 		Echo:     s.echo(last.began),
 		Revision: last.revision,
 		Leader:   leaderAddress(state),
 		Leading:  state.Leading,
 
-		Entries:   uint32(entries),
-		Loads:     encoder.EncodeLoads(others),
-		LoadsTold: true,
+		Entries: uint32(len(peers) + 1),
+		Peers:   peers,
 	}}}
 }
--- a/router/choice.go
+++ b/router/choice.go
@@ -15,8 +15,9 @@
 	// PromptTokens and AnswerTokens are estimates.
 	PromptTokens int
 	AnswerTokens int
-	// Prefix is a hash of the prompt's beginning, zero where unknown.
-	Prefix uint64
+	// Parts are the beginnings of the prompt that other requests may share, the
+	// shortest first.
+	Parts []Part
 	// FirstTokenBy is when the class promises the first token.
 	FirstTokenBy time.Time
 	// AvailabilityZone is the chooser's own.
@@ -35,6 +36,9 @@
 	Upstream    string
 	Incarnation string
 	Address     string
+	// CachedTokens is the part of the prompt that the upstream is believed to
+	// keep.
+	CachedTokens int
 	// Predicted is when the first token is expected.
 	Predicted time.Time
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -21,6 +21,8 @@
 	best    *upstream
 	cost    time.Duration
 	wait    time.Duration
+	// cached is the part of the prompt that the best one is believed to keep.
+	cached int
 	// full counts the candidates that were at their limits.
 	full int
 }
@@ -49,6 +51,8 @@
 		Incarnation: s.best.about.Incarnation,
 		Address:     s.best.about.Address,
 		Predicted:   now.Add(s.wait),
+
+		CachedTokens: s.cached,
 	}, nil
 }
 
@@ -84,7 +88,7 @@
 	if slices.Contains(s.request.Avoid, u.about.Name) {
 		return
 	}
-	prediction, verdict := u.judge(s, s.request.Work())
+	prediction, cached, verdict := u.judge(s, s.request.Work())
 	if verdict == unusable {
 		return
 	}
@@ -100,7 +104,7 @@
 		cost += contradicted
 	}
 	if cost < s.cost {
-		s.best, s.cost, s.wait = u, cost, prediction.FirstToken
+		s.best, s.cost, s.wait, s.cached = u, cost, prediction.FirstToken, cached
 	}
 }
 
--- a/router/loads.go
+++ b/router/loads.go
@@ -6,19 +6,19 @@
 	"burdocklink/estimator"
 )
 
-// Load is what an entry, or several together, have in flight at an upstream.
+// Load is what an entry has in flight at an upstream.
 type Load struct {
 	Upstream    string
 	Incarnation string
 	estimator.Share
 }
 
-// Loads returns what this entry has in flight, for the other entries. Idle
-// upstreams are left out.
-func (r *Router) Loads(now time.Time) []Load {
+// Loads returns all that this entry has in flight. Idle upstreams are left
+// out. What it returns was not yet told as dispatched.
+func (r *Router) Loads() []Load {
 	var loads []Load
 	for name, u := range r.current.Load().upstreams {
-		share := u.own(now)
+		share := u.own()
 		if share.Requests == 0 {
 			continue
 		}
@@ -27,30 +27,85 @@
 	return loads
 }
 
-// Others takes in what all other entries have in flight. What is not in the
-// list is idle.
-func (r *Router) Others(now time.Time, loads []Load) {
-	told := make(map[string]Load, len(loads))
+// News returns the upstreams at which this entry's share changed since the
+// news before, with the prompts dispatched meanwhile.
+func (r *Router) News() []Load {
+	var loads []Load
+	for name, u := range r.current.Load().upstreams {
+		if share, changed := u.news(); changed {
+			loads = append(loads, Load{Upstream: name, Incarnation: u.about.Incarnation, Share: share})
+		}
+	}
+	return loads
+}
+
+// TakeNews takes in what another entry has in flight. Where whole is true,
+// upstreams that are not listed are idle for it.
+func (r *Router) TakeNews(now time.Time, entry string, loads []Load, whole bool) {
+	upstreams := r.current.Load().upstreams
+	listed := make(map[string]bool, len(loads))
 	for _, load := range loads {
-		told[load.Upstream] = load
+		listed[load.Upstream] = true
+		if u := upstreams[load.Upstream]; u != nil && u.about.Incarnation == load.Incarnation {
+			u.others(now, entry, load.Share)
+		}
 	}
-	for name, u := range r.current.Load().upstreams {
-		load := told[name]
-		if load.Incarnation != u.about.Incarnation {
-			load.Share = estimator.Share{}
+	if !whole {
+		return
+	}
+	for name, u := range upstreams {
+		if !listed[name] {
+			u.others(now, entry, estimator.Share{})
 		}
-		u.others(now, load.Share)
 	}
 }
 
-func (m *measured) own(now time.Time) estimator.Share {
+// peerTime is how long the word of another entry counts: it repeats it more
+// often.
+const peerTime = 2 * time.Second
+
+// peerShare is what one other entry has in flight.
+type peerShare struct {
+	estimator.Share
+	until time.Time
+}
+
+func (m *measured) own() estimator.Share {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.engine.Own(now)
+	return m.engine.Own()
 }
 
-func (m *measured) others(now time.Time, share estimator.Share) {
+// news returns the share where it changed since the call before.
+func (m *measured) news() (estimator.Share, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.engine.Others(now, share)
+	if !m.changed {
+		return estimator.Share{}, false
+	}
+	share := m.engine.Own()
+	share.PromptTokens = m.dispatched
+	m.changed, m.dispatched = false, 0
+	return share, true
+}
+
+// others takes in the share of another entry.
+func (m *measured) others(now time.Time, entry string, share estimator.Share) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.engine.Dispatched(now, share.PromptTokens)
+	if m.peers == nil {
+		m.peers = map[string]peerShare{}
+	}
+	m.peers[entry] = peerShare{Share: share, until: now.Add(peerTime)}
+	var sum estimator.Share
+	for name, peer := range m.peers {
+		if now.After(peer.until) {
+			delete(m.peers, name)
+			continue
+		}
+		sum.Requests += peer.Requests
+		sum.Tokens += peer.Tokens
+	}
+	m.engine.Others(now, sum)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -44,7 +44,7 @@
 // Started counts an own dispatch.
 func (r *Router) Started(choice Choice, request *Request, now time.Time) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
-		u.started(now, request.Work(), request.patient(now))
+		u.started(now, request, choice.CachedTokens)
 	}
 }
 
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -18,10 +18,19 @@
 
 // measured is what the router knows of one incarnation.
 type measured struct {
-	mutex   sync.Mutex
-	engine  *estimator.Engine
-	limit   *limiter.Limit
-	circuit limiter.Circuit
+	mutex sync.Mutex
+	// cacheTokens is the memory for prompts and answers, zero where unknown.
+	cacheTokens int
+	engine      *estimator.Engine
+	limit       *limiter.Limit
+	circuit     limiter.Circuit
+	// peers is what each other entry has in flight.
+	peers map[string]peerShare
+	// changed is true where the own share changed since it was told, and
+	// dispatched the prompts dispatched meanwhile, in tokens.
+	changed    bool
+	dispatched int
+	prefixes   *prefixes
 	// hurryUntil is how long patient requests leave room for urgent ones.
 	hurryUntil time.Time
 	// contendedUntil is how long yielding requests leave room for others.
@@ -34,16 +43,34 @@
 }
 
 func newUpstream(about cataloger.Upstream, entries int) *upstream {
-	most := plainLimit
-	if about.Slots > 0 {
-		most = about.Slots + max(0, int(float64(about.Slots)*waitingShare))
-	}
 	return &upstream{about: about, measured: &measured{
+		cacheTokens: about.CacheTokens,
+		prefixes:    newPrefixes(),
+
 		engine: estimator.New(about.Slots, entries),
-		limit:  limiter.New(limiter.Settings{Least: leastLimit, Most: most}),
+		limit:  limiter.New(limiter.Settings{Least: leastLimit, Most: mostAtOnce(about)}),
 	}}
 }
 
+// resize takes in what an upstream can do where that was not known before.
+func (m *measured) resize(about cataloger.Upstream) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.cacheTokens != about.CacheTokens {
+		m.cacheTokens = about.CacheTokens
+		m.limit = limiter.New(limiter.Settings{Least: leastLimit, Most: mostAtOnce(about)})
+		m.engine.Resize(about.Slots)
+	}
+}
+
+// mostAtOnce is the highest concurrency limit of an upstream.
+func mostAtOnce(about cataloger.Upstream) int {
+	if about.Slots <= 0 {
+		return plainLimit
+	}
+	return about.Slots + max(0, int(float64(about.Slots)*waitingShare))
+}
+
 func (m *measured) observe(report estimator.Report) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -65,20 +92,38 @@
 )
 
 // judge predicts a request on the upstream.
-func (m *measured) judge(s *search, work estimator.Work) (estimator.Prediction, verdict) {
+func (m *measured) judge(s *search, work estimator.Work) (estimator.Prediction, int, verdict) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.leaving || !m.circuit.Allows(s.now) {
-		return estimator.Prediction{}, unusable
+		return estimator.Prediction{}, 0, unusable
 	}
+	work.CachedTokens = m.prefixes.cached(s.request.Parts)
 	prediction := m.engine.Predict(s.now, work)
-	if m.limit.Allows(prediction.Load / m.share(s)) {
-		return prediction, fits
+	if m.limit.Allows(prediction.Load/m.share(s)) && m.roomFor(s.now, work) {
+		return prediction, work.CachedTokens, fits
 	}
 	if s.pressed() {
 		m.contendedUntil = s.now.Add(contendedTime)
 	}
-	return prediction, full
+	return prediction, work.CachedTokens, full
+}
+
+// memoryShare is the part of an engine's memory for prompts and answers that is
+// given away: lengths are only guessed.
+const memoryShare = 0.95
+
+// roomFor says whether an engine of known memory takes a request without
+// holding up or displacing those that run.
+func (m *measured) roomFor(now time.Time, work estimator.Work) bool {
+	if m.cacheTokens <= 0 {
+		return true
+	}
+	reserved := m.engine.Reserved(now)
+	if reserved > 0 && float64(reserved+work.Memory()) > memoryShare*float64(m.cacheTokens) {
+		return false
+	}
+	return m.engine.Paces(now, work)
 }
 
 // share returns the part of the limit that is open to a request.
@@ -102,13 +147,19 @@
 	return !slices.Contains(m.models, request.Holds) && !slices.Contains(m.adapters, request.Holds)
 }
 
-func (m *measured) started(now time.Time, work estimator.Work, patient bool) {
+func (m *measured) started(now time.Time, request *Request, cached int) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	work := request.Work()
+	work.CachedTokens = cached
+	m.prefixes.use(request.Parts, m.cacheTokens)
+	patient := request.patient(now)
 	if !patient {
 		m.hurryUntil = now.Add(hurryTime)
 	}
 	m.engine.Started(now, work)
+	m.changed = true
+	m.dispatched += work.PromptTokens - work.CachedTokens
 	m.circuit.Tried(now)
 }
 
@@ -126,6 +177,7 @@
 	}
 	load := m.engine.Load(sample.Ended)
 	m.engine.Finished(sample.Ended, sample.Work, sample.Tokens)
+	m.changed = true
 	if sample.Outcome == OutcomeUnreachable {
 		m.circuit.Failed(sample.Ended)
 		return
