--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -18,7 +18,7 @@
 	// copies don't change places with every wave of demand.
 	settleTime = 4 * time.Second
 	// loadPenalty is the gain that a second of loading time must be worth.
-	loadPenalty = 0.02
+	loadPenalty = 0.05
 	// movesAtOnce bounds the changes that one plan begins.
 	movesAtOnce = 3
 )
@@ -281,13 +281,21 @@
 	if model == nil || engine.Loading == name || p.view.Now.Sub(held.Since) < settleTime {
 		return false
 	}
-	if len(without(p.holders[name], engine.Name)) > 0 {
+	if p.servedElsewhere(name, engine.Name) {
 		return true
 	}
 	quiet := !model.Wanted && p.view.Now.Sub(model.AskedAt) >= quietTime
 	return pressing && quiet && !engine.stored(name)
 }
 
+// servedElsewhere says whether another engine serves a model now. A copy that is
+// still to come does not count.
+func (p *planner) servedElsewhere(model, engine string) bool {
+	return slices.ContainsFunc(p.holders[model], func(name string) bool {
+		return name != engine && p.view.Engines[name].serves(model)
+	})
+}
+
 // begin begins an option: with the drop of its victims, or with the load.
 func (p *planner) begin(chosen option, reason string) {
 	name := chosen.model.Name
