--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -19,6 +19,12 @@
 	settleTime = 4 * time.Second
 	// loadPenalty is the gain that a second of loading time must be worth.
 	loadPenalty = 0.05
+	// leastWork is the demand from which on further copies are thought of, in
+	// engines kept busy: below it, one copy does.
+	leastWork = 0.2
+	// victimWeight is what it costs that a copy which is in use makes way: its
+	// runs end first, and nothing is served there meanwhile.
+	victimWeight = 0.6
 	// movesAtOnce bounds the changes that one plan begins.
 	movesAtOnce = 3
 )
@@ -150,7 +156,7 @@
 		found := false
 		for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
 			model := p.view.Models[name]
-			if model.Work <= 0 || len(p.holders[name]) == 0 {
+			if model.Work < leastWork || len(p.holders[name]) == 0 {
 				continue
 			}
 			if candidate, ok := p.relief(model, before); ok && (!found || candidate.gain > chosen.gain) {
@@ -167,10 +173,19 @@
 // relief is the best way to add a copy of a model that has some.
 func (p *planner) relief(model *Model, before float64) (option, bool) {
 	return p.search(model, false, func(engine string, victims []string) float64 {
-		return before - p.painWith(model.Name, engine, victims)
+		return before - p.painWith(model.Name, engine, victims) - p.disturbance(victims)
 	})
 }
 
+// disturbance is what it costs that copies make way.
+func (p *planner) disturbance(victims []string) float64 {
+	total := 0.0
+	for _, victim := range victims {
+		total += victimWeight * p.perCopy(victim)
+	}
+	return total
+}
+
 // painWith is the pain after a change of the holders.
 func (p *planner) painWith(model, engine string, victims []string) float64 {
 	changed := maps.Clone(p.holders)
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -90,6 +90,12 @@
 		Voters:    votersFor(settings.Losses),
 		Joins:     !settings.First,
 		LostAfter: lostAfter,
+		Timing: conductor.Timing{
+			Heartbeat:   heartbeat,
+			ElectionMin: electionMin,
+			ElectionMax: electionMax,
+			Lease:       leaderLease,
+		},
 		Codec:     codec(),
 		Metrics:   metrics.Registry(),
 		Log:       settings.Log,
@@ -146,6 +152,16 @@
 	}, nil
 }
 
+// Timing of the control group. A member that has just started waits for
+// electionMin at least, since it may have vouched for a leader before; callers
+// wait with it where all members were lost at once.
+const (
+	heartbeat   = 100 * time.Millisecond
+	electionMin = 500 * time.Millisecond
+	electionMax = 900 * time.Millisecond
+	leaderLease = 400 * time.Millisecond
+)
+
 // lostAfter is how long a voter may be silent before a learner that has caught
 // up takes its place: a restart of its process takes less.
 const lostAfter = 2 * time.Second
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -148,7 +148,7 @@
 func (x *exchange) forward(ctx context.Context) error {
 	for {
 		if err := x.place(ctx); err != nil {
-			return causeOf(ctx, err)
+			return err
 		}
 		err := x.send(ctx)
 		if err == nil {
@@ -176,6 +176,18 @@
 
 // place waits for an upstream.
 func (x *exchange) place(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	release := context.AfterFunc(x.admitting, func() { cancel(context.Cause(x.admitting)) })
+	defer release()
+	if err := x.choose(ctx); err != nil {
+		return causeOf(ctx, err)
+	}
+	return nil
+}
+
+// choose waits for an upstream, and for one that holds what is asked for.
+func (x *exchange) choose(ctx context.Context) error {
 	for {
 		grant, err := x.acquire(ctx)
 		var nowhere *router.NoUpstreamError
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,10 +70,17 @@
 	server   *http.Server
 	listener net.Listener
 	draining atomic.Bool
+	// admitting ends when requests that wait for an upstream are to be refused.
+	admitting context.Context
+	refuse    context.CancelCauseFunc
 }
 
 // New returns a forwarder that has not started.
-func New(config Config) *Forwarder { return &Forwarder{Config: config} }
+func New(config Config) *Forwarder {
+	f := &Forwarder{Config: config}
+	f.admitting, f.refuse = context.WithCancelCause(context.Background())
+	return f
+}
 
 // String names the service.
 func (f *Forwarder) String() string { return Name }
@@ -130,12 +137,15 @@
 }
 
 // Stop fails readiness, keeps the listener open until the balancer has had
-// time to notice, and lets requests in flight end before the deadline.
+// time to notice, and lets requests that are at an upstream end before the
+// deadline. Those that still wait for one are refused: they would be cut off
+// later.
 func (f *Forwarder) Stop(deadline time.Time) error {
 	f.draining.Store(true)
 	if wait := min(f.Linger, time.Until(deadline)); wait > 0 {
 		time.Sleep(wait)
 	}
+	f.refuse(&DrainingError{})
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := f.server.Shutdown(ctx); err != nil {
--- a/linker/dial.go
+++ b/linker/dial.go
@@ -22,6 +22,11 @@
 	unacknowledgedTime = 2 * time.Second
 )
 
+// DialTime is the longest wait for a connection between the system's own
+// processes. A VM that is just coming back leaves the first packet unanswered,
+// and the kernel repeats it only after a second.
+const DialTime = 400 * time.Millisecond
+
 // Dialer returns a dialer whose connections notice that they have gone silent.
 // Timeout is the longest wait for a connection; zero leaves it to the context.
 func Dialer(timeout time.Duration) *net.Dialer {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -5,8 +5,10 @@
 
 import (
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 )
@@ -20,6 +22,27 @@
 	messageBytes = 64 << 20
 )
 
+// Waits between two tries to connect. A process that has been restarted, or has
+// lost a partition, must be found again within a fraction of a second.
+const (
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 400 * time.Millisecond
+	connectTime    = time.Second
+)
+
+// ReconnectOption sets how soon a broken connection is opened again.
+func ReconnectOption() grpc.DialOption {
+	return grpc.WithConnectParams(grpc.ConnectParams{
+		Backoff: backoff.Config{
+			BaseDelay:  firstBackoff,
+			Multiplier: backoff.DefaultConfig.Multiplier,
+			Jitter:     backoff.DefaultConfig.Jitter,
+			MaxDelay:   longestBackoff,
+		},
+		MinConnectTimeout: connectTime,
+	})
+}
+
 // ServerOptions are what a server of linked processes should have.
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
@@ -59,6 +82,7 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
 		grpc.WithIdleTimeout(0),
+		ReconnectOption(),
 		grpc.WithContextDialer(l.meter.dial),
 		grpc.WithStaticStreamWindowSize(windowBytes),
 		grpc.WithStaticConnWindowSize(windowBytes),
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -7,6 +7,8 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+
+	"burdocklink/linker"
 )
 
 // windowBytes is the flow control window. A fixed one saves the pings by which
@@ -34,6 +36,7 @@
 		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
+		linker.ReconnectOption(),
 		grpc.WithDefaultCallOptions(
 			grpc.MaxCallRecvMsgSize(maxGRPCBytes),
 			grpc.MaxCallSendMsgSize(maxGRPCBytes),
@@ -42,7 +45,7 @@
 }
 
 func (m *Messenger) connect(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := linker.Dialer(linker.DialTime).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/mover/engine.go
+++ b/mover/engine.go
@@ -15,7 +15,7 @@
 	reportSoon  = 250 * time.Millisecond
 	// reportLag is how old a report may be. One that was asked for sooner after
 	// an order may not know of it.
-	reportLag = 700 * time.Millisecond
+	reportLag = 400 * time.Millisecond
 	// retryAfter is how long an engine is left alone after an order or report
 	// that failed.
 	retryAfter = time.Second
@@ -23,8 +23,8 @@
 	// waits for the runs of the model that makes way.
 	intendedTime = 20 * time.Second
 	// dropTime is how long entries may take to learn that a copy gets no more
-	// requests: two of their heartbeats.
-	dropTime = 600 * time.Millisecond
+	// requests. They are told at once.
+	dropTime = 200 * time.Millisecond
 )
 
 // engine is what the mover knows of one engine.
--- a/mover/events.go
+++ b/mover/events.go
@@ -259,4 +259,7 @@
 		e.busy, e.loading = false, ""
 	}
 	e.askAt = now.Add(reportLag)
+	if e.loading != "" && e.loadedAt.After(e.askAt) {
+		e.askAt = e.loadedAt.Add(reportSoon)
+	}
 }
--- a/mover/held.go
+++ b/mover/held.go
@@ -13,6 +13,8 @@
 	mutex   sync.Mutex
 	serial  uint64
 	entries map[string]heldEntry
+	// changed is closed at the next change.
+	changed chan struct{}
 }
 
 type heldEntry struct {
@@ -20,18 +22,19 @@
 	serial uint64
 }
 
-func newHeldTable() *heldTable { return &heldTable{entries: map[string]heldEntry{}} }
+func newHeldTable() *heldTable { return &heldTable{entries: map[string]heldEntry{}, changed: make(chan struct{})} }
 
 // put notes what changed.
 func (t *heldTable) put(engines map[string]*engine) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	before := t.serial
 	for name, one := range engines {
 		if !one.reported {
 			continue
 		}
 		told := one.told()
-		if before, known := t.entries[name]; known && reflect.DeepEqual(before.told, told) {
+		if last, known := t.entries[name]; known && reflect.DeepEqual(last.told, told) {
 			continue
 		}
 		t.serial++
@@ -42,6 +45,17 @@
 			delete(t.entries, name)
 		}
 	}
+	if t.serial != before {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+// next returns a channel that is closed at the next change.
+func (t *heldTable) next() <-chan struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.changed
 }
 
 // after returns what changed after a serial number, and the newest number.
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -153,6 +153,9 @@
 // newest change.
 func (m *Mover) Held(after uint64) ([]surveyor.Told, uint64) { return m.table.after(after) }
 
+// Changed returns a channel that is closed when engines hold something else.
+func (m *Mover) Changed() <-chan struct{} { return m.table.next() }
+
 // Want returns the engines that hold a model or adapter, or when one is
 // expected to. It waits for an adapter that is on its way.
 func (m *Mover) Want(ctx context.Context, want Want) Wanted {
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -141,6 +141,10 @@
 			if err := s.sendDelta(delta); err != nil {
 				return err
 			}
+		case <-s.holdingsChanged():
+			if err := s.sendHoldings(time.Now()); err != nil {
+				return err
+			}
 		case <-ticker.C:
 			if err := s.stream.Send(s.heartbeat(time.Now())); err != nil {
 				return err
@@ -164,6 +168,15 @@
 // entries know that the word still stands.
 const repeatInterval = 2 * time.Second
 
+// holdingsChanged returns a channel that is closed at the next change; nil where
+// this member does not know what engines hold.
+func (s *session) holdingsChanged() <-chan struct{} {
+	if s.responder.settings.Holdings == nil {
+		return nil
+	}
+	return s.responder.settings.Holdings.Changed()
+}
+
 // sendHoldings tells what engines hold where that changed, and all of it from
 // time to time.
 func (s *session) sendHoldings(now time.Time) error {
--- a/responder/pulse.go
+++ b/responder/pulse.go
@@ -27,19 +27,21 @@
 // pulse asks the quorum again and again for the revision in force, once for
 // all followers.
 type pulse struct {
+	// every is the time between two questions.
+	every time.Duration
 	group conductor.Proposer
 	last  atomic.Pointer[beat]
 }
 
-func newPulse(group conductor.Proposer) *pulse {
-	p := &pulse{group: group}
+func newPulse(group conductor.Proposer, every time.Duration) *pulse {
+	p := &pulse{group: group, every: every}
 	p.last.Store(&beat{})
 	return p
 }
 
 // loop runs until stop is closed.
 func (p *pulse) loop(stop <-chan struct{}) {
-	ticker := time.NewTicker(pulseInterval)
+	ticker := time.NewTicker(p.every)
 	defer ticker.Stop()
 	for {
 		select {
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -47,6 +47,8 @@
 	// Held returns what engines hold after a serial number, and the number of
 	// the newest change.
 	Held(after uint64) ([]surveyor.Told, uint64)
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
 	// Want returns the engines that hold a model or adapter, or when one is
 	// expected to.
 	Want(ctx context.Context, want mover.Want) mover.Wanted
@@ -91,7 +93,7 @@
 	return &Responder{
 		settings: settings,
 		entries:  newEntryTable(),
-		pulse:    newPulse(settings.Group),
+		pulse:    newPulse(settings.Group, settings.Pulse),
 		stopping: make(chan struct{}),
 		stopped:  make(chan struct{}),
 	}
