feat(burdocklink-node): a small program for the platform's VMs, logs that never wait

Cause: half of a node's start was spent on libraries that it does not use; logs went to standard error and could hold a request up; an entry waited for two periods of a timer before it served.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -9,7 +9,6 @@
 	"burdocklink/authenticator"
 	"burdocklink/certifier"
 	"burdocklink/conductor"
-	"burdocklink/encoder"
 	"burdocklink/linker"
 	"burdocklink/orderer"
 	"burdocklink/placer"
@@ -86,7 +85,7 @@
 	})
 	health := prober.New(prober.Settings{
 		Listen:   settings.HealthListen,
-		Ready:    func() error { return hasLeader(member) },
+		Ready:    member.Led,
 		Reporter: metrics,
 		Log:      settings.Log,
 	})
@@ -108,38 +107,15 @@
 		Folder:      settings.Folder,
 		Peers:       settings.Peers,
 		Credentials: clientCredentials(settings.Certificates),
-		Codec:       codec(),
+		Codec:       responder.Codec(),
 		Metrics:     metrics.Registry(),
 		Log:         settings.Log,
 		Fatal:       settings.Fatal,
 	})
 }
 
-// hasLeader returns nil while the member knows a leader.
-func hasLeader(member *conductor.Conductor) error {
-	if member.Status().Leader == "" {
-		return &NoLeaderError{}
-	}
-	return nil
-}
-
-// NoLeaderError says that the member knows no leader.
-type NoLeaderError struct{}
-
-// Error describes the state.
-func (e *NoLeaderError) Error() string { return "no leader is known" }
-
 // planner is the placement policy in force.
 type planner struct{}
 
 // Plan returns the moves to make now.
 func (planner) Plan(input placer.Input) placer.Output { return placer.Plan(input) }
-
-func codec() conductor.Codec {
-	return conductor.Codec{
-		EncodeCommand: encoder.EncodeCommand,
-		DecodeCommand: encoder.DecodeCommand,
-		EncodeState:   encoder.EncodeStateSnapshot,
-		DecodeState:   encoder.DecodeState,
-	}
-}
--- a/cmd/command.go
+++ b/cmd/command.go
@@ -38,8 +38,6 @@
 		demoCommand(),
 		entryCommand(),
 		controlCommand(),
-		entryNodeCommand(),
-		controlNodeCommand(),
 		classCommand(),
 		statusCommand(),
 		historyCommand(),
--- a/cmd/logger.go
+++ b/cmd/logger.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"burdocklink/checker"
+	"burdocklink/launcher"
 )
 
 // newLogger returns a logger that writes one JSON object a line.
@@ -16,8 +17,5 @@
 		settings.Fault(logLevel.Name, "must be debug, info, warn or error")
 		return nil, settings.Err()
 	}
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), level)
-	return zap.New(core), nil
+	return launcher.NewLogger(level, zapcore.Lock(zapcore.AddSync(out))), nil
 }
--- a/conductor/status.go
+++ b/conductor/status.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"go.uber.org/zap"
+
 	"burdocklink/replicator"
 	"burdocklink/timekeeper"
 )
@@ -29,6 +31,7 @@
 		c.members = core.Configuration.Members
 		c.messenger.Route(c.members)
 	}
+	c.logLeader(core)
 	status := &Status{
 		Member:     c.self.Name,
 		Leader:     core.Leader.Name,
@@ -45,6 +48,16 @@
 	c.status.Store(status)
 }
 
+// logLeader tells when another member leads, or none is known any more.
+func (c *Conductor) logLeader(core replicator.Status) {
+	before := c.status.Load()
+	if before == nil || (before.Leader == core.Leader.Name && before.Term == core.Term) {
+		return
+	}
+	c.config.Log.Info("leader", zap.String("leader", core.Leader.Name), zap.Uint64("term", core.Term),
+		zap.Bool("own", core.Leading), zap.Uint64("committed", core.Committed))
+}
+
 func (c *Conductor) memberOf(member replicator.Member) Member {
 	role := Learner
 	if member.Role == replicator.Voter {
@@ -65,3 +78,17 @@
 	}
 	c.step(replicator.Synced{Sequence: done.sequence})
 }
+
+// Led returns nil while the member knows a leader, and *NoLeaderError else.
+func (c *Conductor) Led() error {
+	if c.Status().Leader == "" {
+		return &NoLeaderError{}
+	}
+	return nil
+}
+
+// NoLeaderError says that the member knows no leader.
+type NoLeaderError struct{}
+
+// Error describes the state.
+func (e *NoLeaderError) Error() string { return "no leader is known" }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -79,6 +79,8 @@
 	inForce   atomic.Pointer[cataloger.Catalog]
 	confirmed atomic.Pointer[Confirmation]
 	leader    atomic.Pointer[string]
+	// control lists the control members' addresses.
+	control atomic.Pointer[[]string]
 }
 
 // offerQueue is how many offers of peers may wait for the loop.
@@ -103,6 +105,7 @@
 	f.confirmed.Store(&Confirmation{})
 	none := ""
 	f.leader.Store(&none)
+	f.control.Store(&settings.Control)
 	return f
 }
 
@@ -137,6 +140,14 @@
 // Leader returns the address of the leader as last heard, or an empty string.
 func (f *Follower) Leader() string { return *f.leader.Load() }
 
+// Meet sets the addresses of control members, as when the settings name others
+// than before.
+func (f *Follower) Meet(control []string) {
+	if len(control) > 0 {
+		f.control.Store(&control)
+	}
+}
+
 // Take hands over what a peer offers. It drops the offer where the follower
 // is busy; peers offer again.
 func (f *Follower) Take(offer Offer) {
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -44,7 +44,8 @@
 		f.leader.Store(&none)
 		return leader
 	}
-	address := f.settings.Control[*next%len(f.settings.Control)]
+	control := *f.control.Load()
+	address := control[*next%len(control)]
 	*next++
 	return address
 }
--- /dev/null
+++ b/launcher/serve.go
@@ -0,0 +1,51 @@
+// Package launcher runs the services of a process: it starts them in order,
+// waits for a signal to stop and stops them, and gives them a log that never
+// holds them up.
+package launcher
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/registrar"
+)
+
+// startTime is the longest wait for the stop of services after a failed start.
+const startTime = 5 * time.Second
+
+// Serve starts the services in order, waits for a signal to stop or the end of
+// the context, and stops them. Drain is the longest wait for work in flight.
+func Serve(ctx context.Context, log *zap.Logger, drain time.Duration, services []registrar.Service) error {
+	kernel := registrar.New(log)
+	for _, service := range services {
+		if err := kernel.Add(service); err != nil {
+			return err
+		}
+	}
+	signals := make(chan os.Signal, 1)
+	// The channel stays registered, so that a second signal does not end the
+	// process while work is in flight.
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if err := kernel.Start(ctx, time.Now().Add(startTime)); err != nil {
+		return err
+	}
+	log.Info("serving")
+	waitForStop(ctx, log, signals)
+	kernel.Stop(time.Now().Add(drain))
+	log.Info("stopped")
+	return nil
+}
+
+func waitForStop(ctx context.Context, log *zap.Logger, signals <-chan os.Signal) {
+	select {
+	case <-ctx.Done():
+		log.Info("stopping", zap.Error(context.Cause(ctx)))
+	case received := <-signals:
+		log.Info("stopping", zap.Stringer("signal", received))
+	}
+}
--- a/cmd/node_settings.go
+++ b/launcher/settings.go
@@ -1,4 +1,4 @@
-package cmd
+package launcher
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 // change without a signal.
 const settingsInterval = time.Second
 
-// settingsWatcher reads the settings file again when it changes.
+// settingsWatcher reads the platform's settings file again when it changes.
 type settingsWatcher struct {
 	path    string
 	current platform.Settings
--- a/assembler/configured.go
+++ b/provisioner/configured.go
@@ -1,4 +1,4 @@
-package assembler
+package provisioner
 
 import (
 	"sync/atomic"
--- a/assembler/node.go
+++ b/provisioner/node.go
@@ -1,4 +1,7 @@
-package assembler
+// Package provisioner puts the services of a process on the users' platform
+// together: an entry's and a control member's. It is the one place that knows
+// which part needs which, and where the platform's adapter is used.
+package provisioner
 
 import (
 	"context"
@@ -31,8 +34,8 @@
 	"burdocklink/surveyor"
 )
 
-// NodeSettings are what a process on the platform runs with.
-type NodeSettings struct {
+// Settings are what a process on the platform runs with.
+type Settings struct {
 	platform.Settings
 	// Fatal is called once when a control member can't go on.
 	Fatal func(error)
@@ -80,7 +83,7 @@
 }
 
 // NewControlNode puts a control member on the platform together.
-func NewControlNode(settings NodeSettings) (*Node, error) {
+func NewControlNode(settings Settings) (*Node, error) {
 	metrics := reporter.New(reporter.Settings{})
 	member, err := conductor.New(conductor.Config{
 		Name:      settings.Links,
@@ -96,7 +99,7 @@
 			ElectionMax: electionMax,
 			Lease:       leaderLease,
 		},
-		Codec:   codec(),
+		Codec:   responder.Codec(),
 		Metrics: metrics.Registry(),
 		Log:     settings.Log,
 		Fatal:   settings.Fatal,
@@ -142,7 +145,7 @@
 	})
 	health := prober.New(prober.Settings{
 		Listen:   settings.Metrics,
-		Ready:    func() error { return hasLeader(member) },
+		Ready:    member.Led,
 		Reporter: metrics,
 		Log:      settings.Log,
 	})
@@ -168,7 +171,13 @@
 
 // noOperator refuses the product's own operators' calls, which have no keys on
 // the platform.
-func noOperator(context.Context) (string, error) { return "", &RoleError{Name: "platform"} }
+func noOperator(context.Context) (string, error) { return "", &NoOperatorsError{} }
+
+// NoOperatorsError says that the product's own operators have no access.
+type NoOperatorsError struct{}
+
+// Error describes the refusal.
+func (e *NoOperatorsError) Error() string { return "operators use the platform's interface" }
 
 // AddressError says that an address of the settings can't be used.
 type AddressError struct {
@@ -185,7 +194,7 @@
 func (e *AddressError) Unwrap() error { return e.Cause }
 
 // NewEntryNode puts an entry on the platform together.
-func NewEntryNode(settings NodeSettings) *Node {
+func NewEntryNode(settings Settings) (*Node, error) {
 	metrics := reporter.New(reporter.Settings{})
 	routes := router.New(router.Settings{
 		AvailabilityZone: settings.AvailabilityZone,
@@ -254,8 +263,8 @@
 	})
 	return &Node{
 		Services: []registrar.Service{health, admission, notes, upstreams, catalogs, callers},
-		Reload:   func(platform.Settings) {},
-	}
+		Reload:   func(changed platform.Settings) { catalogs.Meet(changed.SeedLinks()) },
+	}, nil
 }
 
 const (
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -66,6 +66,11 @@
 	if err := s.begin(catalog, first.GetRevision()); err != nil {
 		return err
 	}
+	// an entry that has just started serves nothing before a quorum's word
+	r.pulse.confirm()
+	if err := s.stream.Send(s.heartbeat(time.Now())); err != nil {
+		return err
+	}
 	return s.send(deltas)
 }
 
