fix(admitter): retries bounded for each service by this entry's share

Cause: ten retries saved up at each of seven entries are more than the fleet's 54, and one service could spend what another needs. A wanted model waited for the store for 8.6 s where other engines had it on disk.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"burdocklink/limiter"
 	"burdocklink/placer"
 	"burdocklink/registrar"
 	"burdocklink/router"
@@ -14,6 +15,9 @@
 type Settings struct {
 	// Now reads the clock; nil is time.Now.
 	Now func() time.Time
+	// Retries bound second dispatches to each service; zero takes the standard
+	// bounds.
+	Retries limiter.BudgetSettings
 }
 
 // Admitter is the driver of the queue. Start it before Acquire.
@@ -24,6 +28,7 @@
 	arrivals chan *Ticket
 	leavings chan leaving
 	wakes    chan struct{}
+	reserves chan float64
 	readings chan chan placer.Demand
 	stopping chan struct{}
 	stopped  chan struct{}
@@ -51,13 +56,18 @@
 	if settings.Now == nil {
 		settings.Now = time.Now
 	}
+	queue := NewQueue(router, settings.Now())
+	if settings.Retries != (limiter.BudgetSettings{}) {
+		queue.budgets = newBudgets(settings.Retries)
+	}
 	return &Admitter{
 		settings: settings,
 		router:   router,
-		queue:    NewQueue(router, settings.Now()),
+		queue:    queue,
 		arrivals: make(chan *Ticket),
 		leavings: make(chan leaving),
 		wakes:    make(chan struct{}, 1),
+		reserves: make(chan float64, 1),
 		readings: make(chan chan placer.Demand),
 		stopping: make(chan struct{}),
 		stopped:  make(chan struct{}),
@@ -106,6 +116,14 @@
 	}
 }
 
+// SetReserve changes how many retries can be saved up for each service.
+func (a *Admitter) SetReserve(reserve float64) {
+	select {
+	case a.reserves <- reserve:
+	case <-a.stopped:
+	}
+}
+
 // Wake says that capacity may have changed: a report arrived or the catalog
 // changed.
 func (a *Admitter) Wake() {
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -24,7 +24,7 @@
 	router    *router.Router
 	waiting   []*Ticket
 	demand    *ledger
-	budget    *limiter.Budget
+	budgets   budgets
 	shares    *shares
 	pace      pace
 	decisions []Decision
@@ -43,11 +43,11 @@
 // NewQueue returns an empty queue.
 func NewQueue(router *router.Router, now time.Time) *Queue {
 	return &Queue{
-		router: router,
-		demand: newLedger(now),
-		budget: limiter.NewBudget(),
-		shares: newShares(shareEntries),
-		groups: map[kind]int{},
+		router:  router,
+		demand:  newLedger(now),
+		budgets: newBudgets(limiter.StandardBudget()),
+		shares:  newShares(shareEntries),
+		groups:  map[kind]int{},
 	}
 }
 
@@ -218,11 +218,12 @@
 // count earns or spends retry budget. It returns false for a retry that the
 // budget does not cover.
 func (q *Queue) count(t *Ticket) bool {
+	budget := q.budgets.of(t.request.Route.Service)
 	if t.retry {
-		return q.budget.Spend()
+		return budget.Spend()
 	}
 	q.demand.arrived(&t.request)
-	q.budget.Earn()
+	budget.Earn()
 	return true
 }
 
--- a/admitter/run.go
+++ b/admitter/run.go
@@ -20,6 +20,8 @@
 			a.queue.Withdraw(l.ticket, l.err)
 		case reply := <-a.readings:
 			reply <- a.queue.Demand()
+		case reserve := <-a.reserves:
+			a.queue.budgets.resize(reserve)
 		case <-a.wakes:
 			a.settle()
 			a.queue.Pump(a.settings.Now())
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -19,6 +19,8 @@
 	settleTime = 4 * time.Second
 	// loadPenalty is the gain that a second of loading time must be worth.
 	loadPenalty = 0.05
+	// waitPenalty is the same where requests wait already.
+	waitPenalty = 0.3
 	// leastWork is the demand from which on further copies are thought of, in
 	// engines kept busy: below it, one copy does.
 	leastWork = 0.2
@@ -78,7 +80,7 @@
 // drainTime is how long the runs of a copy that makes way are waited for. An
 // engine that is ordered to unload before waits for them itself, and takes no
 // other order meanwhile.
-const drainTime = 8 * time.Second
+const drainTime = 4 * time.Second
 
 // drained says whether a copy that gets no more requests can be unloaded.
 func (p *planner) drained(held *Copy) bool {
@@ -243,7 +245,11 @@
 		if !fits {
 			continue
 		}
-		gain := worth(name, victims) - loadPenalty*engine.loadTime(model).Seconds()
+		penalty := loadPenalty
+		if pressing {
+			penalty = waitPenalty
+		}
+		gain := worth(name, victims) - penalty*p.timeTo(engine, model, victims).Seconds()
 		if !found || gain > best.gain {
 			best, found = option{engine: name, model: model, victims: victims, gain: gain}, true
 		}
@@ -251,6 +257,21 @@
 	return best, found
 }
 
+// runTime is how long the requests of a copy that makes way run on: about half
+// of a long answer.
+const runTime = 2 * time.Second
+
+// timeTo is how long it takes until an engine serves a model.
+func (p *planner) timeTo(engine *Engine, model *Model, victims []string) time.Duration {
+	total := engine.loadTime(model)
+	for _, victim := range victims {
+		if engine.Copies[victim].InFlight > 0 {
+			return total + runTime
+		}
+	}
+	return total
+}
+
 // victims returns the models that must make way on an engine, those that are
 // asked for least first, and false where that can't be.
 func (p *planner) victims(engine *Engine, model *Model, pressing bool) ([]string, bool) {
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -1,22 +1,44 @@
 package limiter
 
-// Retry budget.
+// BudgetSettings bound retries.
+type BudgetSettings struct {
+	// Fraction is how many retries each request earns.
+	Fraction float64
+	// Reserve is the most that can be saved up, so that a quiet time does not
+	// pay for a storm.
+	Reserve float64
+}
+
+// StandardBudget returns the standard bounds.
+func StandardBudget() BudgetSettings {
+	return BudgetSettings{Fraction: retryFraction, Reserve: retryReserve}
+}
+
+// Standard bounds of retries.
 const (
-	// retryFraction is how many retries each request earns.
 	retryFraction = 0.1
-	// retryReserve is the most that can be saved up, so that a quiet time
-	// does not pay for a storm.
-	retryReserve = 10.0
+	retryReserve  = 10.0
 )
 
 // Budget bounds retries to a fraction of the requests.
-type Budget struct{ tokens float64 }
+type Budget struct {
+	settings BudgetSettings
+	tokens   float64
+}
 
 // NewBudget returns a budget with its reserve filled.
-func NewBudget() *Budget { return &Budget{tokens: retryReserve} }
+func NewBudget(settings BudgetSettings) *Budget {
+	return &Budget{settings: settings, tokens: settings.Reserve}
+}
+
+// Resize changes the reserve.
+func (b *Budget) Resize(reserve float64) {
+	b.settings.Reserve = reserve
+	b.tokens = min(b.tokens, reserve)
+}
 
 // Earn counts a first try.
-func (b *Budget) Earn() { b.tokens = min(retryReserve, b.tokens+retryFraction) }
+func (b *Budget) Earn() { b.tokens = min(b.settings.Reserve, b.tokens+b.settings.Fraction) }
 
 // Spend takes one retry out of the budget. It returns false when there is
 // none.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -67,7 +67,7 @@
 }
 
 func TestBudgetIsAFractionOfTraffic(t *testing.T) {
-	b := NewBudget()
+	b := NewBudget(StandardBudget())
 	spent := 0
 	for range 1000 {
 		b.Earn()
--- a/provisioner/node.go
+++ b/provisioner/node.go
@@ -201,7 +201,9 @@
 		Seed:             xxhash.Sum64String(settings.Node),
 		CrossZone:        crossZoneCost,
 	})
-	admission := admitter.New(routes, admitter.Settings{})
+	retries := newRetryShare(settings.Bounds)
+	admission := admitter.New(routes, admitter.Settings{Retries: retries.budget()})
+	retries.apply = admission.SetReserve
 	calls := dispatcher.New(dispatcher.Settings{Dial: dialTime})
 	client := platform.NewClient(settings.List.Address, calls)
 	upstreams := surveyor.New(surveyor.Settings{
@@ -233,11 +235,14 @@
 		Demand:           admission.Demand,
 		Loads:            routes.Loads,
 		NotesAddress:     settings.Links,
-		Peers:            notes.Meet,
-		Held:             upstreams.Tell,
-		Tell:             pulse,
-		TellDemand:       tellDemand,
-		Log:              settings.Log,
+		Peers: func(peers []string) {
+			notes.Meet(peers)
+			retries.share(len(peers) + 1)
+		},
+		Held:       upstreams.Tell,
+		Tell:       pulse,
+		TellDemand: tellDemand,
+		Log:        settings.Log,
 	})
 	callers := forwarder.New(forwarder.Config{
 		Listen:           settings.Callers,
