feat(allocator): a silent last copy makes way for overloaded models

Cause: engines held models that nobody asked for while the copies of busy ones had too much to do. The copy on the engine's disk brings a model back within two seconds.

--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -13,7 +13,7 @@
 	// quietTime is how long a model must not have been asked for before its
 	// last copy may make way for one that requests wait for, and only where a
 	// copy stays on a disk.
-	quietTime = 8 * time.Second
+	quietTime = 10 * time.Second
 	// settleTime is how long a copy stays before it may make way, so that
 	// copies don't change places with every wave of demand.
 	settleTime = 4 * time.Second
@@ -27,6 +27,9 @@
 	// victimWeight is what it costs that a copy which is in use makes way: its
 	// runs end first, and nothing is served there meanwhile.
 	victimWeight = 1.0
+	// lastWeight is what it costs that a model has no copy left though nobody
+	// asks for it now: it takes two seconds to come back.
+	lastWeight = 0.15
 	// movesAtOnce bounds the changes that one plan begins.
 	movesAtOnce = 3
 )
@@ -188,7 +191,8 @@
 // relief is the best way to add a copy of a model that has some.
 func (p *planner) relief(model *Model, before float64) (option, bool) {
 	return p.search(model, false, func(engine string, victims []string) float64 {
-		return before - p.painWith(model.Name, engine, victims) - p.disturbance(victims)
+		return before - p.painWith(model.Name, engine, victims) - p.disturbance(victims) -
+			lastWeight*p.lastCopies(engine, victims)
 	})
 }
 
@@ -334,7 +338,7 @@
 		return true
 	}
 	quiet := !model.Wanted && p.view.Now.Sub(model.AskedAt) >= quietTime
-	return pressing && quiet && !engine.stored(name)
+	return quiet && !engine.stored(name)
 }
 
 // servedElsewhere says whether another engine serves a model now. A copy that is
