--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -261,9 +261,9 @@
 	return best, found
 }
 
-// runTime is how long the requests of a copy that makes way run on: about half
-// of a long answer.
-const runTime = 2 * time.Second
+// runTime is how long the requests of a copy that makes way run on: as long as a
+// long answer.
+const runTime = 4 * time.Second
 
 // timeTo is how long it takes until an engine serves a model.
 func (p *planner) timeTo(engine *Engine, model *Model, victims []string) time.Duration {
