--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -30,6 +30,15 @@
 	// lastWeight is what it costs that a model has no copy left though nobody
 	// asks for it now: it takes two seconds to come back.
 	lastWeight = 0.15
+	// leastPressure is the work of a holder from which on a model is thought of
+	// as pressed.
+	leastPressure = 0.4
+	// mostModels and mostEngines bound what one change is chosen among, so that a
+	// plan for a large fleet stays short.
+	mostModels  = 8
+	mostEngines = 16
+	// fillsAtOnce bounds the first copies that one plan looks for.
+	fillsAtOnce = 4
 	// movesAtOnce bounds the changes that one plan begins.
 	movesAtOnce = 3
 )
@@ -135,11 +144,15 @@
 // fill gives each model a first copy before anybody asks for it, where that
 // hurts no other much.
 func (p *planner) fill() {
+	looked := 0
 	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
 		model := p.view.Models[name]
 		if len(p.holders[name]) > 0 {
 			continue
 		}
+		if looked++; looked > fillsAtOnce {
+			return
+		}
 		before := p.view.balance(p.holders).pain()
 		option, found := p.search(model, false, func(engine string, victims []string) float64 {
 			return firstGain + before - p.painWith(name, engine, victims)
@@ -172,11 +185,7 @@
 		before := spread.pain()
 		var chosen option
 		found := false
-		for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
-			model := p.view.Models[name]
-			if model.Work < leastWork || len(p.holders[name]) == 0 {
-				continue
-			}
+		for _, model := range p.pressed(spread) {
 			if candidate, ok := p.relief(model, before); ok && (!found || candidate.gain > chosen.gain) {
 				chosen, found = candidate, true
 			}
@@ -188,6 +197,27 @@
 	}
 }
 
+// pressed lists the models whose holders have most to do, the most pressed
+// first.
+func (p *planner) pressed(on spread) []*Model {
+	pressure := map[*Model]float64{}
+	var models []*Model
+	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
+		model := p.view.Models[name]
+		if model.Work < leastWork || len(p.holders[name]) == 0 {
+			continue
+		}
+		for _, holder := range p.holders[name] {
+			pressure[model] = max(pressure[model], on.engines[holder])
+		}
+		if pressure[model] >= leastPressure {
+			models = append(models, model)
+		}
+	}
+	slices.SortStableFunc(models, func(a, b *Model) int { return compare(pressure[b], pressure[a]) })
+	return models[:min(len(models), mostModels)]
+}
+
 // relief is the best way to add a copy of a model that has some.
 func (p *planner) relief(model *Model, before float64) (option, bool) {
 	return p.search(model, false, func(engine string, victims []string) float64 {
@@ -237,14 +267,8 @@
 // search looks at all engines that can take a copy of a model.
 func (p *planner) search(model *Model, pressing bool, worth func(engine string, victims []string) float64) (option, bool) {
 	best, found := option{}, false
-	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+	for _, name := range p.candidates(model) {
 		engine := p.view.Engines[name]
-		if !engine.Free || engine.Leaving || p.taken[name] || engine.Intended != "" || engine.Copies[model.Name] != nil {
-			continue
-		}
-		if engine.stored(model.Name) && p.view.StoreLoads <= 0 {
-			continue
-		}
 		victims, fits := p.victims(engine, model, pressing)
 		if !fits {
 			continue
@@ -261,6 +285,37 @@
 	return best, found
 }
 
+// candidates lists the engines that could take a copy of a model: those that
+// keep one first, then those with the least to do.
+func (p *planner) candidates(model *Model) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+		engine := p.view.Engines[name]
+		if !engine.Free || engine.Leaving || p.taken[name] || engine.Intended != "" || engine.Copies[model.Name] != nil {
+			continue
+		}
+		if !engine.stored(model.Name) || p.view.StoreLoads > 0 {
+			names = append(names, name)
+		}
+	}
+	if len(names) <= mostEngines {
+		return names
+	}
+	on := p.view.balance(p.holders)
+	slices.SortStableFunc(names, func(a, b string) int {
+		first, second := p.view.Engines[a].stored(model.Name), p.view.Engines[b].stored(model.Name)
+		switch {
+		case first == second:
+			return compare(on.engines[a], on.engines[b])
+		case second:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return names[:mostEngines]
+}
+
 // runTime is how long the requests of a copy that makes way run on: as long as a
 // long answer.
 const runTime = 4 * time.Second
--- /dev/null
+++ b/allocator/plan_test.go
@@ -0,0 +1,345 @@
+package allocator_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/allocator"
+)
+
+var now = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+const gigabyte = int64(1) << 30
+
+// fleet is a view under construction: engines of 200 GB and models of 70 GB.
+type fleet struct{ *allocator.View }
+
+func newFleet(models ...string) fleet {
+	view := &allocator.View{
+		Now: now, StoreLoads: 4,
+		Models: map[string]*allocator.Model{}, Engines: map[string]*allocator.Engine{},
+	}
+	for _, name := range models {
+		view.Models[name] = &allocator.Model{
+			Name: name, MemoryBytes: 70 * gigabyte, AdapterMemoryBytes: gigabyte / 16,
+			LoadTime: 8 * time.Second, DiskTime: 1700 * time.Millisecond, WarmTime: 600 * time.Millisecond,
+		}
+	}
+	return fleet{view}
+}
+
+// engine adds an engine with copies that have been there for long.
+func (f fleet) engine(name string, holds ...string) *allocator.Engine {
+	engine := &allocator.Engine{
+		Name: name, MemoryBytes: 200 * gigabyte, AdapterSlots: 8, Free: true,
+		Copies: map[string]*allocator.Copy{}, Warm: map[string]bool{}, OnDisk: map[string]bool{},
+	}
+	for _, model := range holds {
+		engine.Copies[model] = &allocator.Copy{Adapters: map[string]time.Time{}, Since: now.Add(-time.Minute)}
+		engine.OnDisk[model] = true
+	}
+	f.Engines[name] = engine
+	return engine
+}
+
+// busy sets the demand for a model, in engines kept busy.
+func (f fleet) busy(model string, work float64) {
+	f.Models[model].Work, f.Models[model].Lasting = work, work
+	f.Models[model].AskedAt = now
+}
+
+func ofType[M allocator.Move](moves []allocator.Move) []M {
+	var found []M
+	for _, move := range moves {
+		if one, ok := move.(M); ok {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+func TestABusyModelGetsAnotherCopyWhereThereIsRoom(t *testing.T) {
+	f := newFleet("busy", "calm")
+	f.engine("e1", "busy", "calm")
+	f.engine("e2", "calm").OnDisk["busy"] = true
+	f.busy("busy", 1.1)
+	f.busy("calm", 0.1)
+	loads := ofType[allocator.Load](allocator.Plan(f.View))
+	assert.Equal(t, len(loads), 1)
+	assert.Equal(t, loads[0].Engine, "e2")
+	assert.Equal(t, loads[0].Model, "busy")
+	assert.Equal(t, loads[0].FromStore, false)
+}
+
+func TestACopyOnDiskIsPreferredToTheStore(t *testing.T) {
+	f := newFleet("wanted", "a", "b", "c")
+	f.engine("e1", "a")
+	f.engine("e2", "b").OnDisk["wanted"] = true
+	f.engine("e3", "c")
+	f.Models["wanted"].Wanted = true
+	loads := ofType[allocator.Load](allocator.Plan(f.View))
+	assert.Assert(t, len(loads) > 0)
+	assert.Equal(t, loads[0], allocator.Load{Engine: "e2", Model: "wanted", Reason: "wanted"})
+}
+
+func TestTheStoreIsNotAskedBeyondItsRate(t *testing.T) {
+	f := newFleet("a", "b", "c", "d")
+	for _, name := range []string{"e1", "e2", "e3", "e4"} {
+		f.engine(name)
+	}
+	f.StoreLoads = 2
+	for _, model := range f.Models {
+		model.Wanted = true
+	}
+	loads := ofType[allocator.Load](allocator.Plan(f.View))
+	assert.Equal(t, len(loads), 2)
+}
+
+func TestTheLastCopyStays(t *testing.T) {
+	cases := map[string]struct {
+		askedAgo time.Duration
+		onDisk   bool
+		goes     bool
+	}{
+		"asked for lately":         {time.Second, true, false},
+		"silent, on disk":          {time.Minute, true, true},
+		"silent, only in memory":   {time.Minute, false, false},
+		"a rare request between":   {9 * time.Second, true, false},
+		"silent for long enough":   {11 * time.Second, true, true},
+		"asked for a moment later": {0, true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet("wanted", "last", "other")
+			engine := f.engine("e1", "last", "other")
+			engine.OnDisk["last"], engine.OnDisk["other"] = c.onDisk, false
+			f.busy("other", 0.3)
+			f.Models["last"].AskedAt = now.Add(-c.askedAgo)
+			f.Models["wanted"].Wanted = true
+			drops := ofType[allocator.Drop](allocator.Plan(f.View))
+			assert.Equal(t, len(drops) == 1 && drops[0].Model == "last", c.goes, "%v", drops)
+		})
+	}
+}
+
+// Found on cukorvirag-foglalo quiet-1: a model lost its only serving copy while
+// another one was still loading.
+func TestACopyToComeDoesNotMakeTheLastOneSpare(t *testing.T) {
+	f := newFleet("last", "busy", "x")
+	f.engine("e1", "last", "busy")
+	coming := f.engine("e2", "x", "last")
+	coming.Loading, coming.Free = "last", false
+	f.busy("last", 0.5)
+	f.busy("busy", 2.5)
+	f.busy("x", 0.2)
+	for _, drop := range ofType[allocator.Drop](allocator.Plan(f.View)) {
+		assert.Assert(t, drop.Model != "last", "%v", drop)
+	}
+}
+
+// Found on cukorvirag-foglalo trouble-1: requests waited nine seconds for a
+// model whose engine had long answers to end first.
+func TestAnIdleCopyMakesWayBeforeABusyOne(t *testing.T) {
+	f := newFleet("wanted", "a", "b", "c")
+	for _, name := range []string{"e1", "e2"} {
+		f.engine(name, "a", "b").OnDisk["wanted"] = true
+		f.Engines[name].Copies["b"].InFlight = 5
+	}
+	f.Engines["e1"].Copies["a"].InFlight = 5
+	f.engine("e3", "b", "c")
+	f.busy("b", 1)
+	f.busy("c", 0.1)
+	f.Models["wanted"].Wanted = true
+	drops := ofType[allocator.Drop](allocator.Plan(f.View))
+	assert.Equal(t, len(drops), 1)
+	assert.Equal(t, drops[0].Engine, "e2")
+	assert.Equal(t, drops[0].Model, "a")
+	assert.Equal(t, drops[0].For, "wanted")
+}
+
+func TestUnloadingWaitsForRuns(t *testing.T) {
+	cases := map[string]struct {
+		inFlight int
+		dropped  time.Duration
+		unloads  bool
+	}{
+		"entries may not know yet": {0, -time.Millisecond, false},
+		"idle":                     {0, time.Millisecond, true},
+		"runs go on":               {2, time.Second, false},
+		"runs go on for long":      {2, 5 * time.Second, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet("a", "b")
+			held := f.engine("e1", "a", "b").Copies["a"]
+			held.Dropping, held.Dropped, held.InFlight = true, now.Add(-c.dropped), c.inFlight
+			assert.Equal(t, len(ofType[allocator.Unload](allocator.Plan(f.View))) == 1, c.unloads)
+		})
+	}
+}
+
+func TestRoomThatWasMadeIsUsed(t *testing.T) {
+	f := newFleet("a", "coming")
+	f.engine("e1", "a").Intended = "coming"
+	f.engine("e2")
+	loads := ofType[allocator.Load](allocator.Plan(f.View))
+	assert.Assert(t, slices.Contains(loads, allocator.Load{
+		Engine: "e1", Model: "coming", FromStore: true, Reason: "room was made",
+	}), "%v", loads)
+}
+
+func TestEnginesThatLeaveGetNothing(t *testing.T) {
+	f := newFleet("wanted")
+	f.engine("e1").Leaving = true
+	f.Models["wanted"].Wanted = true
+	assert.Equal(t, len(allocator.Plan(f.View)), 0)
+}
+
+func TestPlaceAdapter(t *testing.T) {
+	full := func(engine *allocator.Engine, used time.Time) {
+		for at := range 8 {
+			engine.Copies["m"].Adapters[fmt.Sprint("a", at)] = used
+		}
+	}
+	cases := map[string]struct {
+		prepare func(f fleet)
+		want    allocator.AdapterPlace
+		found   bool
+	}{
+		"the engine with less in flight": {func(f fleet) { f.Engines["e1"].InFlight = 9 }, allocator.AdapterPlace{Engine: "e2"}, true},
+		"room before an eviction": {func(f fleet) {
+			full(f.Engines["e1"], now.Add(-time.Minute))
+		}, allocator.AdapterPlace{Engine: "e2"}, true},
+		"the one idle for longest makes way": {func(f fleet) {
+			full(f.Engines["e1"], now)
+			full(f.Engines["e2"], now.Add(-3*time.Second))
+			f.Engines["e2"].Copies["m"].Adapters["a5"] = now.Add(-time.Minute)
+		}, allocator.AdapterPlace{Engine: "e2", EvictModel: "m", Evict: "a5"}, true},
+		"all in use": {func(f fleet) {
+			full(f.Engines["e1"], now)
+			full(f.Engines["e2"], now)
+		}, allocator.AdapterPlace{}, false},
+		"not where the model makes way": {func(f fleet) {
+			f.Engines["e2"].Copies["m"].Dropping = true
+			f.Engines["e1"].InFlight = 50
+		}, allocator.AdapterPlace{Engine: "e1"}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet("m")
+			f.engine("e1", "m")
+			f.engine("e2", "m")
+			c.prepare(f)
+			got, found := allocator.PlaceAdapter(f.View, "m")
+			assert.Equal(t, found, c.found)
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+// histories is how many fixed seeds the fleet's memory is checked on.
+const histories = 2000
+
+// TestPlansKeepMemory plays plans on random fleets: memory is never given away
+// twice, and a model that is asked for always keeps a copy once it has one.
+func TestPlansKeepMemory(t *testing.T) {
+	for seed := range uint64(histories) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		f := randomFleet(random)
+		for step := range 25 {
+			f.Now = f.Now.Add(500 * time.Millisecond)
+			moveDemand(random, f)
+			f.play(allocator.Plan(f.View))
+			for name, engine := range f.Engines {
+				used := int64(0)
+				for model := range engine.Copies {
+					used += f.Models[model].MemoryBytes
+				}
+				if used > engine.MemoryBytes {
+					t.Fatalf("seed %d, step %d: %s holds %d bytes", seed, step, name, used)
+				}
+			}
+		}
+	}
+}
+
+func randomFleet(random *rand.Rand) fleet {
+	var names []string
+	for at := range 4 + random.IntN(8) {
+		names = append(names, fmt.Sprint("m", at))
+	}
+	f := newFleet(names...)
+	for _, name := range names {
+		f.Models[name].MemoryBytes = int64(30+random.IntN(45)) * gigabyte
+	}
+	for at := range 2 + random.IntN(6) {
+		first := names[random.IntN(len(names))]
+		engine := f.engine(fmt.Sprint("e", at), first)
+		for _, name := range names {
+			engine.OnDisk[name] = engine.OnDisk[name] || random.IntN(3) == 0
+		}
+	}
+	return f
+}
+
+func moveDemand(random *rand.Rand, f fleet) {
+	f.StoreLoads = random.IntN(3)
+	for _, name := range slices.Sorted(maps.Keys(f.Models)) {
+		switch random.IntN(8) {
+		case 0:
+			f.Models[name].Work = 3 * random.Float64()
+			f.Models[name].AskedAt = f.Now
+		case 1:
+			f.Models[name].Work = 0
+		}
+		f.Models[name].Wanted = random.IntN(20) == 0
+	}
+}
+
+// play carries the moves out at once.
+func (f fleet) play(moves []allocator.Move) {
+	for _, move := range moves {
+		switch move := move.(type) {
+		case allocator.Load:
+			f.Engines[move.Engine].Copies[move.Model] = &allocator.Copy{Adapters: map[string]time.Time{}, Since: f.Now}
+			f.Engines[move.Engine].OnDisk[move.Model] = true
+			f.Engines[move.Engine].Intended = ""
+		case allocator.Drop:
+			held := f.Engines[move.Engine].Copies[move.Model]
+			held.Dropping, held.Dropped = true, f.Now
+			f.Engines[move.Engine].Intended = move.For
+		case allocator.Unload:
+			delete(f.Engines[move.Engine].Copies, move.Model)
+		}
+	}
+}
+
+// BenchmarkPlan plans the engines of one service of the sizes of today and of
+// grown deployments.
+func BenchmarkPlan(b *testing.B) {
+	for _, engines := range []int{12, 140} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			var names []string
+			for at := range engines * 5 / 3 {
+				names = append(names, fmt.Sprint("m", at))
+			}
+			f := newFleet(names...)
+			for at := range engines {
+				f.engine(fmt.Sprint("e", at), names[at], names[(at*7)%len(names)])
+			}
+			for _, name := range names {
+				f.busy(name, random.Float64()*0.8)
+			}
+			for b.Loop() {
+				allocator.Plan(f.View)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatcher/pool_test.go
@@ -0,0 +1,311 @@
+package dispatcher
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// talker is an upstream whose every byte a test decides on.
+type talker struct {
+	listener net.Listener
+	// accepted counts connections, requests the requests read on them.
+	accepted atomic.Int32
+	requests atomic.Int32
+}
+
+// talk serves each connection with a function until it returns.
+func talk(t *testing.T, serve func(conn net.Conn, reader *bufio.Reader, tk *talker)) *talker {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tk := &talker{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go tk.run(serve)
+	return tk
+}
+
+func (tk *talker) run(serve func(net.Conn, *bufio.Reader, *talker)) {
+	for {
+		conn, err := tk.listener.Accept()
+		if err != nil {
+			return
+		}
+		tk.accepted.Add(1)
+		go tk.runOne(conn, serve)
+	}
+}
+
+func (tk *talker) runOne(conn net.Conn, serve func(net.Conn, *bufio.Reader, *talker)) {
+	defer func() { _ = conn.Close() }()
+	serve(conn, bufio.NewReader(conn), tk)
+}
+
+// next reads one request.
+func (tk *talker) next(reader *bufio.Reader) (*http.Request, []byte, error) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(request.Body)
+	tk.requests.Add(1)
+	return request, body, err
+}
+
+func (tk *talker) call(method string) Call {
+	return Call{Address: tk.listener.Addr().String(), Method: method, Path: "/a/b?c=d", Header: http.Header{}}
+}
+
+func answerText(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(t *testing.T, d *Dispatcher, call Call) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	response, err := d.Send(ctx, call)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return string(body), err
+}
+
+func echo(conn net.Conn, reader *bufio.Reader, tk *talker) {
+	for {
+		request, _, err := tk.next(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answerText("", request.RequestURI))
+	}
+}
+
+func TestSendUsesAConnectionAgain(t *testing.T) {
+	tk := talk(t, echo)
+	d := New(Settings{})
+	defer d.Close()
+	for range 3 {
+		body, err := send(t, d, tk.call(http.MethodGet))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "/a/b?c=d")
+	}
+	assert.Equal(t, tk.accepted.Load(), int32(1))
+}
+
+func TestSendKeepsThePathAsGiven(t *testing.T) {
+	paths := map[string]string{
+		"escapes":      "/a%2Fb/%7e/c%20d",
+		"dots":         "/a/../b/./c",
+		"empty query":  "/a?",
+		"two slashes":  "/a//b",
+		"odd":          "/a;b=c/|",
+		"query escape": "/a?b=%2f&c=+",
+	}
+	tk := talk(t, echo)
+	d := New(Settings{})
+	defer d.Close()
+	for name, path := range paths {
+		t.Run(name, func(t *testing.T) {
+			call := tk.call(http.MethodGet)
+			call.Path = path
+			body, err := send(t, d, call)
+			assert.NilError(t, err)
+			assert.Equal(t, body, path)
+		})
+	}
+}
+
+func TestSendNeverRepeats(t *testing.T) {
+	// the second request on a connection is read and never answered
+	tk := talk(t, func(conn net.Conn, reader *bufio.Reader, tk *talker) {
+		if _, _, err := tk.next(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answerText("", "first"))
+		_, _, _ = tk.next(reader)
+	})
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		d := New(Settings{})
+		_, err := send(t, d, tk.call(method))
+		assert.NilError(t, err)
+		before := tk.requests.Load()
+		_, err = send(t, d, tk.call(method))
+		var interrupted *InterruptedError
+		assert.Assert(t, errors.As(err, &interrupted), "got %v", err)
+		assert.Equal(t, tk.requests.Load()-before, int32(1))
+		d.Close()
+	}
+}
+
+func TestSendLeavesAClosedConnection(t *testing.T) {
+	tk := talk(t, func(conn net.Conn, reader *bufio.Reader, tk *talker) {
+		if _, _, err := tk.next(reader); err == nil {
+			_, _ = io.WriteString(conn, answerText("", "x"))
+		}
+	})
+	d := New(Settings{})
+	defer d.Close()
+	for range 3 {
+		_, err := send(t, d, tk.call(http.MethodPost))
+		assert.NilError(t, err)
+		waitFor(t, func() bool { return !d.anyQuiet(tk.listener.Addr().String()) })
+	}
+	assert.Equal(t, tk.requests.Load(), int32(3))
+}
+
+// anyQuiet says whether a kept connection still looks open.
+func (d *Dispatcher) anyQuiet(address string) bool {
+	d.pool.mutex.Lock()
+	defer d.pool.mutex.Unlock()
+	for _, line := range d.pool.idle[address] {
+		if line.quiet() {
+			return true
+		}
+	}
+	return false
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 2000 {
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("not reached")
+}
+
+func TestSendReadsPastAnswersToOthers(t *testing.T) {
+	tk := talk(t, func(conn net.Conn, reader *bufio.Reader, tk *talker) {
+		for {
+			if _, _, err := tk.next(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answerText("other", "not yours")+answerText("own", "yours"))
+		}
+	})
+	d := New(Settings{})
+	defer d.Close()
+	call := tk.call(http.MethodPost)
+	call.Owns = func(header http.Header) bool { return header.Get("Id") == "own" }
+	body, err := send(t, d, call)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "yours")
+}
+
+func TestSendGivesUpWhereAllAnswersAreOthers(t *testing.T) {
+	tk := talk(t, func(conn net.Conn, reader *bufio.Reader, tk *talker) {
+		if _, _, err := tk.next(reader); err == nil {
+			_, _ = io.WriteString(conn, strings.Repeat(answerText("other", "x"), mostHeaders+1))
+		}
+	})
+	d := New(Settings{})
+	defer d.Close()
+	call := tk.call(http.MethodPost)
+	call.Owns = func(header http.Header) bool { return header.Get("Id") == "own" }
+	_, err := send(t, d, call)
+	var foreign *ForeignAnswersError
+	assert.Assert(t, errors.As(err, &foreign), "got %v", err)
+}
+
+func TestSendTellsABrokenAnswer(t *testing.T) {
+	answers := map[string]string{
+		"cut in the body":  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+		"cut in a chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+		"no last chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"cut in a header":  "HTTP/1.1 200 OK\r\nConten",
+		"no answer at all": "",
+		"no HTTP":          "burdock\r\n\r\n",
+	}
+	for name, text := range answers {
+		t.Run(name, func(t *testing.T) {
+			tk := talk(t, func(conn net.Conn, reader *bufio.Reader, tk *talker) {
+				if _, _, err := tk.next(reader); err == nil {
+					_, _ = io.WriteString(conn, text)
+				}
+			})
+			d := New(Settings{})
+			defer d.Close()
+			_, err := send(t, d, tk.call(http.MethodPost))
+			assert.Assert(t, err != nil)
+		})
+	}
+}
+
+func TestSendTakesAnAnswerBeforeItsBodyIsRead(t *testing.T) {
+	// more than the buffers of a connection hold, so that writing waits
+	const length = 32 << 20
+	read := make(chan int64, 1)
+	tk := talk(t, func(conn net.Conn, reader *bufio.Reader, _ *talker) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answerText("", "too long"))
+		count, _ := io.Copy(io.Discard, request.Body)
+		read <- count
+		_, _ = http.ReadRequest(reader)
+	})
+	d := New(Settings{})
+	defer d.Close()
+	call := tk.call(http.MethodPost)
+	call.Body = make([]byte, length)
+	body, err := send(t, d, call)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "too long")
+	// what follows in the place of the body is the body or nothing
+	assert.Assert(t, <-read <= length)
+}
+
+func TestNotSentWhereNobodyListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	d := New(Settings{})
+	defer d.Close()
+	_, err = d.Send(t.Context(), Call{Address: address, Method: http.MethodPost, Path: "/"})
+	var unsent *NotSentError
+	assert.Assert(t, errors.As(err, &unsent), "got %v", err)
+}
+
+func TestKeptFor(t *testing.T) {
+	cases := map[string]struct {
+		header string
+		want   time.Duration
+	}{
+		"not told":     {"", keptTime},
+		"told":         {"timeout=5", 4500 * time.Millisecond},
+		"with a count": {"max=100, Timeout=3", 2500 * time.Millisecond},
+		"nothing":      {"timeout=0", -500 * time.Millisecond},
+		"longer":       {"timeout=500", keptTime},
+		"no number":    {"timeout=soon", keptTime},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, keptFor(c.header), c.want) })
+	}
+}
+
+func TestPoolForgetsWhatIsTooOld(t *testing.T) {
+	client, server := net.Pipe()
+	defer func() { _ = server.Close() }()
+	start := time.Now()
+	p := &pool{idle: map[string][]*pooledLine{}}
+	line := &pooledLine{Conn: client, address: "a", reader: bufio.NewReader(client), keptUntil: start.Add(time.Second)}
+	p.put(line, start)
+	assert.Assert(t, p.take("a", start.Add(2*time.Second)) == nil)
+}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,420 @@
+package forwarder_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/admitter"
+	"burdocklink/dispatcher"
+	"burdocklink/forwarder"
+	"burdocklink/matcher"
+	"burdocklink/reporter"
+	"burdocklink/router"
+)
+
+// codec speaks a small protocol of the tests' own.
+func codec() forwarder.Codec {
+	return forwarder.Codec{
+		DecodeRequest: func(r *http.Request, now time.Time) (forwarder.Request, error) {
+			request := forwarder.Request{ID: r.Header.Get("Id"), LastEvent: r.Header.Get("After"), Model: r.Header.Get("Model")}
+			if request.ID == "" {
+				return request, &forwarder.MalformedError{Field: "Id"}
+			}
+			if text := r.Header.Get("Wait"); text != "" {
+				wait, _ := time.ParseDuration(text)
+				request.Deadline = now.Add(wait)
+			}
+			return request, nil
+		},
+		EncodeSend: func(from http.Header, send forwarder.Send) http.Header {
+			header := from.Clone()
+			header.Set("Upstream", send.Upstream)
+			header.Set("After", send.LastEvent)
+			return header
+		},
+		DecodeAnswer: func(response *http.Response) forwarder.Answer {
+			return forwarder.Answer{
+				NotRun: response.Header.Get("Not-Run") != "", Signed: response.Header.Get("Signed") != "",
+				Elsewhere: response.StatusCode == http.StatusMisdirectedRequest,
+			}
+		},
+		AnswerHeader: func(to, from http.Header) {
+			for _, name := range []string{"Signed", "Content-Type", "Id"} {
+				if values, given := from[name]; given {
+					to[name] = values
+				}
+			}
+		},
+		Owns: func(id string, header http.Header) bool {
+			return header.Get("Id") == "" || header.Get("Id") == id
+		},
+	}
+}
+
+// admission grants upstreams in turn.
+type admission struct {
+	mutex     sync.Mutex
+	upstreams []string
+	next      int
+	// err answers where no upstream is left; block lets Acquire wait.
+	err   error
+	block bool
+}
+
+func (a *admission) Acquire(ctx context.Context, _ admitter.Request) (*admitter.Grant, error) {
+	if a.block {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.next >= len(a.upstreams) {
+		return nil, a.err
+	}
+	a.next++
+	return &admitter.Grant{Choice: router.Choice{Upstream: "u" + strconv.Itoa(a.next), Address: a.upstreams[a.next-1]}}, nil
+}
+
+func (a *admission) Again(ctx context.Context, _ *admitter.Grant) (*admitter.Grant, error) {
+	return a.Acquire(ctx, admitter.Request{})
+}
+
+// noHolders knows of no model.
+type noHolders struct{}
+
+func (noHolders) Name(service, model, _ string) string { return service + model }
+
+func (noHolders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
+	return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(7 * time.Second)}
+}
+
+// rig is a forwarder before upstreams.
+type rig struct {
+	t         *testing.T
+	forwarder *forwarder.Forwarder
+	admission *admission
+	table     atomic.Pointer[matcher.Table]
+	// runs counts what upstreams were sent.
+	runs atomic.Int32
+}
+
+func newRig(t *testing.T, route matcher.Route, upstreams ...http.HandlerFunc) *rig {
+	t.Helper()
+	r := &rig{t: t, admission: &admission{err: &admitter.BudgetError{}}}
+	for _, handle := range upstreams {
+		r.admission.upstreams = append(r.admission.upstreams, r.serve(handle))
+	}
+	route.Name, route.Host, route.Prefix = "route", "a.example", "/x/"
+	route.Split = []matcher.Share{{Service: "s", Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 5 * time.Second
+	}
+	route.MaxAttempts = max(1, route.MaxAttempts)
+	r.table.Store(matcher.NewTable(&matcher.Configuration{
+		Version: 1, Routes: []matcher.Route{route},
+		Services: map[string]matcher.Service{"s": {Name: "s", Engine: &matcher.Engine{EventTokens: 3}}},
+		Limits:   matcher.Limits{BodyBytes: 1 << 10},
+	}))
+	calls := dispatcher.New(dispatcher.Settings{})
+	t.Cleanup(calls.Close)
+	r.forwarder = forwarder.New(forwarder.Config{
+		Listen: "127.0.0.1:0", Codec: codec(), Table: r.table.Load, Ready: func() error { return nil },
+		Admitter: r.admission, Holders: noHolders{}, Calls: calls,
+		Reporter: reporter.New(reporter.Settings{}), Log: zap.NewNop(),
+	})
+	assert.NilError(t, r.forwarder.Start(t.Context(), nil))
+	t.Cleanup(func() { _ = r.forwarder.Stop(time.Now().Add(5 * time.Second)) })
+	return r
+}
+
+func (r *rig) serve(handle http.HandlerFunc) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		r.runs.Add(1)
+		handle(w, request)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	r.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// reply is what a caller gets.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err is why the answer is not whole.
+	err error
+}
+
+func (r *rig) ask(method, path, body string, header map[string]string) reply {
+	r.t.Helper()
+	request, err := http.NewRequest(method, "http://"+r.forwarder.Address()+path, strings.NewReader(body))
+	assert.NilError(r.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Id", "r1")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+func whole(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "yes")
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// events streams events from one number to another and breaks off there, or
+// ends well.
+func events(from, to int, ends bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "u"+strconv.Itoa(from))
+		w.Header().Set("Content-Type", "text/event-stream")
+		after, _ := strconv.Atoi(r.Header.Get("After"))
+		for id := max(from, after+1); id <= to; id++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !ends {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func eventText(from, to int) string {
+	text := ""
+	for id := from; id <= to; id++ {
+		text += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
+	}
+	return text
+}
+
+func TestWholeAnswers(t *testing.T) {
+	idempotent := matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2}
+	once := matcher.Route{Kind: matcher.NonIdempotent, MaxAttempts: 2}
+	cases := map[string]struct {
+		route     matcher.Route
+		upstreams []http.HandlerFunc
+		status    int
+		body      string
+		runs      int32
+	}{
+		"whole":                         {once, []http.HandlerFunc{whole(200, "ok")}, 200, "ok", 1},
+		"failure as it is":              {once, []http.HandlerFunc{whole(500, "no"), whole(200, "ok")}, 500, "no", 1},
+		"failure tried again":           {idempotent, []http.HandlerFunc{whole(500, "no"), whole(200, "ok")}, 200, "ok", 2},
+		"two failures":                  {idempotent, []http.HandlerFunc{whole(500, "a"), whole(500, "b"), whole(200, "ok")}, 500, "b", 2},
+		"failure, then nobody":          {idempotent, []http.HandlerFunc{whole(500, "a")}, 500, "a", 1},
+		"not run, elsewhere":            {once, []http.HandlerFunc{notRun, whole(200, "ok")}, 200, "ok", 2},
+		"not run anywhere":              {once, []http.HandlerFunc{notRun, notRun}, 503, "", 2},
+		"lost, may not be repeated":     {once, []http.HandlerFunc{hangUp, whole(200, "ok")}, 502, "", 1},
+		"lost, repeated":                {idempotent, []http.HandlerFunc{hangUp, whole(200, "ok")}, 200, "ok", 2},
+		"lost after not run":            {once, []http.HandlerFunc{notRun, hangUp, whole(200, "ok")}, 502, "", 2},
+		"success without a signature":   {once, []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(200) }}, 502, "", 1},
+		"503 that does not say not run": {once, []http.HandlerFunc{whole(503, "x"), whole(200, "ok")}, 502, "", 1},
+		"429 that does not say not run": {once, []http.HandlerFunc{whole(429, "x")}, 502, "", 1},
+		"body cut short": {once, []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Signed", "yes")
+			w.Header().Set("Content-Length", "9")
+			_, _ = io.WriteString(w, "half")
+		}}, 502, "", 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.route, c.upstreams...)
+			got := r.ask(http.MethodPost, "/x/1", "body", nil)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, got.body, c.body)
+			assert.Equal(t, r.runs.Load(), c.runs)
+		})
+	}
+}
+
+func TestRequestsReachTheUpstreamUnchanged(t *testing.T) {
+	var method, uri, host, body, upstream string
+	r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, func(w http.ResponseWriter, request *http.Request) {
+		data, _ := io.ReadAll(request.Body)
+		method, uri, host, body = request.Method, request.RequestURI, request.Host, string(data)
+		upstream = request.Header.Get("Upstream")
+		whole(200, "ok")(w, request)
+	})
+	got := r.ask(http.MethodPut, "/x/a%2Fb?c=%20", "the body", nil)
+	assert.NilError(t, got.err)
+	assert.Equal(t, method, http.MethodPut)
+	assert.Equal(t, uri, "/x/a%2Fb?c=%20")
+	assert.Equal(t, host, "a.example")
+	assert.Equal(t, body, "the body")
+	assert.Equal(t, upstream, "u1")
+}
+
+func TestRefusals(t *testing.T) {
+	cases := map[string]struct {
+		path, body string
+		header     map[string]string
+		change     func(*rig)
+		status     int
+		retry      bool
+	}{
+		"no route":         {path: "/y/1", status: 404},
+		"no ID":            {path: "/x/1", header: map[string]string{"Id": ""}, status: 400},
+		"body too large":   {path: "/x/1", body: strings.Repeat("x", 2<<10), status: 413},
+		"no configuration": {path: "/x/1", change: func(r *rig) { r.table.Store(nil) }, status: 503, retry: true},
+		"overload": {path: "/x/1", change: func(r *rig) {
+			r.admission.upstreams, r.admission.err = nil, &admitter.OverloadError{Retry: time.Now().Add(time.Second)}
+		}, status: 503, retry: true},
+		"model held nowhere": {path: "/x/1", header: map[string]string{"Model": "m"}, change: func(r *rig) {
+			r.admission.upstreams, r.admission.err = nil, &router.NoUpstreamError{}
+		}, status: 503, retry: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, whole(200, "ok"))
+			if c.change != nil {
+				c.change(r)
+			}
+			got := r.ask(http.MethodPost, c.path, c.body, c.header)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, r.runs.Load(), int32(0))
+			assert.Equal(t, got.header.Get("Retry-After") != "", c.retry)
+		})
+	}
+}
+
+func TestTimeouts(t *testing.T) {
+	slow := func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
+	cases := map[string]struct {
+		block  bool
+		status int
+		runs   int32
+	}{
+		"waits for an upstream": {true, 503, 0},
+		"at an upstream":        {false, 504, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent, Timeout: 60 * time.Millisecond}, slow)
+			r.admission.block = c.block
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, r.runs.Load(), c.runs)
+		})
+	}
+}
+
+func TestStreams(t *testing.T) {
+	resumable := matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}
+	plain := matcher.Route{Kind: matcher.Streaming, MaxAttempts: 2}
+	cases := map[string]struct {
+		route     matcher.Route
+		upstreams []http.HandlerFunc
+		body      string
+		complete  bool
+		runs      int32
+	}{
+		"whole":                      {plain, []http.HandlerFunc{events(1, 5, true)}, eventText(1, 5), true, 1},
+		"broken, not resumable":      {plain, []http.HandlerFunc{events(1, 3, false), events(1, 5, true)}, eventText(1, 3), false, 1},
+		"broken, resumed":            {resumable, []http.HandlerFunc{events(1, 3, false), events(1, 5, true)}, eventText(1, 5), true, 2},
+		"broken, no attempts left":   {resumable, []http.HandlerFunc{events(1, 2, false), events(1, 4, false), events(1, 5, true)}, eventText(1, 4), false, 2},
+		"a gap is not passed on":     {resumable, []http.HandlerFunc{events(1, 2, false), events(4, 5, true)}, eventText(1, 2), false, 2},
+		"not run before first event": {plain, []http.HandlerFunc{notRun, events(1, 2, true)}, eventText(1, 2), true, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.route, c.upstreams...)
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.Equal(t, got.status, 200)
+			assert.Equal(t, got.body, c.body)
+			assert.Equal(t, got.err == nil, c.complete)
+			assert.Equal(t, got.header.Get("Signed"), "u1")
+			assert.Equal(t, r.runs.Load(), c.runs)
+		})
+	}
+}
+
+func TestACallerThatLeavesIsCancelledUpstream(t *testing.T) {
+	left := make(chan struct{})
+	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set("Signed", "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-request.Context().Done()
+		close(left)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.forwarder.Address()+"/x/1", nil)
+	assert.NilError(t, err)
+	request.Host = "a.example"
+	request.Header.Set("Id", "r1")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	cancel()
+	_ = response.Body.Close()
+	<-left
+}
+
+func TestAStopRefusesWhatWaits(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, whole(200, "ok"))
+	r.admission.block = true
+	answered := make(chan reply, 1)
+	go func() { answered <- r.ask(http.MethodPost, "/x/1", "", nil) }()
+	for r.forwarder.Accepting() != nil {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, r.forwarder.Stop(time.Now().Add(5*time.Second)))
+	got := <-answered
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, 503)
+	var draining *forwarder.DrainingError
+	assert.Assert(t, errors.As(r.forwarder.Accepting(), &draining))
+}
+
+func TestNothingFollowsAChunkedBody(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, whole(200, "ok"))
+	conn, err := net.Dial("tcp", r.forwarder.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nContent-Length: 5\r\n"+
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /x/2 HTTP/1.1\r\nHost: a.example\r\nId: smuggled\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	data, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(data), "HTTP/1.1 "), 1)
+	assert.Assert(t, r.runs.Load() <= 1)
+}
--- /dev/null
+++ b/matcher/matcher_test.go
@@ -0,0 +1,130 @@
+package matcher_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/matcher"
+)
+
+func configuration(change func(*matcher.Configuration)) *matcher.Configuration {
+	c := &matcher.Configuration{
+		Version: 3,
+		Routes: []matcher.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Timeout: time.Second, Split: one("calendar")},
+			{Name: "menu", Host: "a.example", Prefix: "/menu/", Timeout: time.Second, Split: one("engines")},
+			{Name: "deep", Host: "a.example", Prefix: "/menu/cakes/", Timeout: time.Second, Split: one("calendar")},
+			{Name: "other", Host: "b.example", Prefix: "/menu/", Timeout: time.Second, Split: one("calendar")},
+		},
+		Services: map[string]matcher.Service{"engines": {Name: "engines"}, "calendar": {Name: "calendar"}},
+	}
+	if change != nil {
+		change(c)
+	}
+	return c
+}
+
+func one(service string) []matcher.Share { return []matcher.Share{{Service: service, Weight: 1}} }
+
+func TestMatch(t *testing.T) {
+	table := matcher.NewTable(configuration(nil))
+	cases := map[string]struct{ host, path, want string }{
+		"longest prefix":         {"a.example", "/menu/cakes/2f", "deep"},
+		"shorter prefix":         {"a.example", "/menu/tarts", "menu"},
+		"no prefix in part":      {"a.example", "/menus/x", "all"},
+		"prefix without a slash": {"a.example", "/menu", "all"},
+		"prefix itself":          {"a.example", "/menu/", "menu"},
+		"host with a port":       {"a.example:8080", "/menu/", "menu"},
+		"host in capitals":       {"A.Example", "/menu/", "menu"},
+		"other host":             {"b.example", "/menu/cakes/1", "other"},
+		"unknown path":           {"b.example", "/x", ""},
+		"unknown host":           {"c.example", "/menu/", ""},
+		"no path":                {"a.example", "", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			route := table.Match(c.host, c.path)
+			if c.want == "" {
+				assert.Assert(t, route == nil)
+				return
+			}
+			assert.Assert(t, route != nil)
+			assert.Equal(t, route.Name, c.want)
+		})
+	}
+}
+
+func TestCheck(t *testing.T) {
+	cases := map[string]struct {
+		change func(*matcher.Configuration)
+		valid  bool
+	}{
+		"valid":           {nil, true},
+		"no version":      {func(c *matcher.Configuration) { c.Version = 0 }, false},
+		"unknown service": {func(c *matcher.Configuration) { c.Routes[1].Split = one("nobody") }, false},
+		"same place":      {func(c *matcher.Configuration) { c.Routes[1].Prefix = "/" }, false},
+		"no weight":       {func(c *matcher.Configuration) { c.Routes[1].Split[0].Weight = 0 }, false},
+		"negative weight": {func(c *matcher.Configuration) {
+			c.Routes[1].Split = append(one("engines"), matcher.Share{Service: "calendar", Weight: -1})
+		}, false},
+		"no timeout": {func(c *matcher.Configuration) { c.Routes[1].Timeout = 0 }, false},
+		"no routes":  {func(c *matcher.Configuration) { c.Routes = nil }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := configuration(c.change).Check()
+			if c.valid {
+				assert.NilError(t, err)
+				return
+			}
+			var invalid *matcher.InvalidError
+			assert.Assert(t, errors.As(err, &invalid), "got %v", err)
+		})
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	route := matcher.Route{Split: []matcher.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for at := range 1000 {
+		counts[route.Pick(float64(at)/1000)]++
+	}
+	assert.Equal(t, counts["a"], 900)
+	assert.Equal(t, counts["b"], 100)
+}
+
+func TestRepeatable(t *testing.T) {
+	cases := map[string]struct {
+		route matcher.Route
+		want  bool
+	}{
+		"idempotent":       {matcher.Route{Kind: matcher.Idempotent}, true},
+		"non-idempotent":   {matcher.Route{Kind: matcher.NonIdempotent, Resumable: true}, false},
+		"stream":           {matcher.Route{Kind: matcher.Streaming}, false},
+		"resumable stream": {matcher.Route{Kind: matcher.Streaming, Resumable: true}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, c.route.Repeatable(), c.want) })
+	}
+}
+
+func ExampleRoute_Patience() {
+	route := matcher.Route{Kind: matcher.Streaming, Target: 6 * time.Second, GapTarget: 250 * time.Millisecond}
+	fmt.Println(route.Patience())
+	// Output: 24s
+}
+
+func BenchmarkMatch(b *testing.B) {
+	c := configuration(nil)
+	for at := range 1000 {
+		c.Routes = append(c.Routes, matcher.Route{Host: "a.example", Prefix: fmt.Sprintf("/r%d/", at), Split: one("calendar")})
+	}
+	table := matcher.NewTable(c)
+	for b.Loop() {
+		table.Match("a.example", "/r500/deep/path/2f")
+	}
+}
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -82,8 +82,10 @@
 	engines       map[string]*engine
 	meter         *meter
 	demandAt      time.Time
-	listAt        time.Time
-	listing       bool
+	// planAt is when the next plan may be made.
+	planAt  time.Time
+	listAt  time.Time
+	listing bool
 	// wanted is until when a model counts as wanted, by the router's name.
 	wanted  map[string]time.Time
 	waiters []waiter
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -13,9 +13,10 @@
 
 // plan begins the moves of each service.
 func (m *Mover) plan(now time.Time) {
-	if !m.mayOrder(now) {
+	if !m.mayOrder(now) || now.Before(m.planAt) {
 		return
 	}
+	defer m.rest(now)
 	for _, service := range sortedNames(m.configuration.Services) {
 		if engine := m.engineOf(service); engine != nil {
 			view := m.view(service, engine, now)
@@ -26,6 +27,15 @@
 	}
 }
 
+// planShare is the part of the time that may be spent on plans.
+const planShare = 0.1
+
+// rest puts the next plan off after one that took long.
+func (m *Mover) rest(began time.Time) {
+	took := time.Since(began)
+	m.planAt = began.Add(time.Duration(float64(took) / planShare))
+}
+
 // view is the service as plans see it.
 func (m *Mover) view(service string, can *matcher.Engine, now time.Time) *allocator.View {
 	view := &allocator.View{
