--- /dev/null
+++ b/admitter/overdue_test.go
@@ -0,0 +1,81 @@
+package admitter
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/limiter"
+	"burdocklink/router"
+)
+
+// TestOverdueRequestsGoLast plays an overload: what can still meet its target
+// goes first, what is overdue afterwards, and what its caller no longer waits
+// for is refused.
+func TestOverdueRequestsGoLast(t *testing.T) {
+	q, r := queueOf(t, 1)
+	// the only slot is taken
+	blocker := q.Arrive(epoch, at(epoch, "blocker"))
+	grants := granted(q)
+	assert.Equal(t, len(grants), 1)
+	overdue := patient(epoch, "overdue", 2*time.Second)
+	fresh := patient(epoch.Add(900*time.Millisecond), "fresh", 2*time.Second)
+	hopeless := patient(epoch, "hopeless", 700*time.Millisecond)
+	q.Arrive(epoch, overdue)
+	q.Arrive(epoch, hopeless)
+	later := epoch.Add(900 * time.Millisecond)
+	q.Arrive(later, fresh)
+	q.Pump(later)
+	var refused *HopelessError
+	decisions := q.Take()
+	assert.Equal(t, len(decisions), 1)
+	assert.Assert(t, errors.As(decisions[0].Err, &refused))
+	_ = blocker
+	_ = r
+	q.End(grants[0], Result{Ended: later, Outcome: router.OutcomeFinished})
+	q.Pump(later)
+	next := granted(q)
+	assert.Equal(t, len(next), 1)
+	assert.Equal(t, next[0].request.Subscriber, "fresh")
+	q.End(next[0], Result{Ended: later, Outcome: router.OutcomeFinished})
+	q.Pump(later)
+	last := granted(q)
+	assert.Equal(t, len(last), 1)
+	assert.Equal(t, last[0].request.Subscriber, "overdue")
+}
+
+// patient is a request whose caller waits longer than the class's target.
+func patient(arrived time.Time, subscriber string, wait time.Duration) Request {
+	request := at(arrived, subscriber)
+	request.Class.Target.FirstToken = 500 * time.Millisecond
+	request.UsefulUntil = arrived.Add(wait)
+	return request
+}
+
+// TestRetriesOfAFleetStayInItsBudget plays the worst case for one service: all
+// entries have saved up retries and fail each request.
+func TestRetriesOfAFleetStayInItsBudget(t *testing.T) {
+	const (
+		entries = 7
+		ratio   = 0.2
+		slack   = 54.0
+		part    = 0.7
+	)
+	requests, retries := 0, 0
+	for range entries {
+		b := newBudgets(limiter.BudgetSettings{Fraction: part * ratio, Reserve: part * slack / entries})
+		for range 50 {
+			requests++
+			b.of("calendar").Earn()
+			if b.of("calendar").Spend() {
+				retries++
+			}
+		}
+		// another service has retries of its own
+		assert.Assert(t, b.of("engines").Spend())
+	}
+	assert.Assert(t, float64(retries) <= ratio*float64(requests)+slack, "%d retries of %d requests", retries, requests)
+	assert.Assert(t, retries > 0)
+}
--- /dev/null
+++ b/router/prefix_test.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+)
+
+func TestPrefixesKeepTheBeginning(t *testing.T) {
+	p := newPrefixes()
+	p.use([]Part{{Hash: 1, Tokens: 100}, {Hash: 2, Tokens: 150}}, 10_000)
+	cases := map[string]struct {
+		parts []Part
+		want  int
+	}{
+		"whole":              {[]Part{{Hash: 1, Tokens: 100}, {Hash: 2, Tokens: 150}}, 150},
+		"same beginning":     {[]Part{{Hash: 1, Tokens: 100}, {Hash: 9, Tokens: 300}}, 100},
+		"other beginning":    {[]Part{{Hash: 9, Tokens: 100}, {Hash: 2, Tokens: 150}}, 0},
+		"nothing to compare": {nil, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, p.cached(c.parts), c.want) })
+	}
+}
+
+func TestPrefixesForgetTheOldest(t *testing.T) {
+	p := newPrefixes()
+	// 35 in 100 of 1,000 tokens are believed to be kept: three parts of 100
+	for hash := range uint64(5) {
+		p.use([]Part{{Hash: hash, Tokens: 100}}, 1000)
+	}
+	assert.Equal(t, p.cached([]Part{{Hash: 1, Tokens: 100}}), 0)
+	assert.Equal(t, p.cached([]Part{{Hash: 4, Tokens: 100}}), 100)
+	assert.Equal(t, p.total, 300)
+	assert.Equal(t, len(p.known), 3)
+}
+
+// paired returns two routers before the same two engines.
+func paired(t *testing.T) (*Router, *Router) {
+	t.Helper()
+	var changes []cataloger.Change
+	for _, name := range []string{"e1", "e2"} {
+		changes = append(changes,
+			cataloger.PutUpstream{Upstream: cataloger.Upstream{
+				Name: name, Incarnation: name + "@1", Service: "s", Kind: cataloger.EngineUpstream,
+				State: cataloger.UpstreamLive, Slots: 8, CacheTokens: 100_000, Address: name,
+			}},
+			cataloger.PutPlacement{Placement: cataloger.Placement{Upstream: name, Incarnation: name + "@1", Models: []string{"m"}}})
+	}
+	catalog, err := cataloger.New().With(cataloger.Delta{To: 1, Changes: changes})
+	assert.NilError(t, err)
+	a, b := New(Settings{Seed: 1}), New(Settings{Seed: 2})
+	a.Update(catalog)
+	b.Update(catalog)
+	return a, b
+}
+
+func TestNewsKeepTwoEntriesFromOneEngine(t *testing.T) {
+	a, b := paired(t)
+	request := Request{Service: "s", Holds: "m", Base: "m", PromptTokens: 2000, AnswerTokens: 100}
+	first, err := a.Choose(epoch, &request)
+	assert.NilError(t, err)
+	a.Started(first, &request, epoch)
+	news := a.News()
+	assert.Equal(t, len(news), 1)
+	assert.Equal(t, news[0].PromptTokens, 2000)
+	assert.Equal(t, len(a.News()), 0)
+	b.TakeNews(epoch, "a", news, false)
+	for seed := range uint64(20) {
+		request.Seed = seed
+		second, err := b.Choose(epoch, &request)
+		assert.NilError(t, err)
+		assert.Assert(t, second.Upstream != first.Upstream)
+	}
+	// told as a whole, an upstream that is not listed is idle
+	assert.Equal(t, a.Loads()[0].Models["m"], 1)
+	a.Finished(first, Sample{Ended: epoch, Work: request.Work(), Model: "m", Outcome: OutcomeFinished})
+	assert.Equal(t, len(a.Loads()), 0)
+	b.TakeNews(epoch, "a", nil, true)
+	assert.Equal(t, b.find(first.Upstream, first.Incarnation).engine.Load(epoch), 0.0)
+}
+
+func TestMemoryOfAnEngineIsNotOvercommitted(t *testing.T) {
+	a, _ := paired(t)
+	request := Request{Service: "s", Holds: "m", Base: "m", PromptTokens: 30_000, AnswerTokens: 5_000}
+	now, granted := epoch, 0
+	for seed := range uint64(20) {
+		request.Seed = seed
+		// far enough apart for the pace
+		now = now.Add(5 * time.Second)
+		choice, err := a.Choose(now, &request)
+		if err != nil {
+			continue
+		}
+		a.Started(choice, &request, now)
+		granted++
+	}
+	assert.Equal(t, granted, 4)
+}
