fix(mover): one order for each adapter

Cause: after an adapter had come, it was ordered once more before those who waited for it were answered.

--- /dev/null
+++ b/broadcaster/broadcaster_test.go
@@ -0,0 +1,87 @@
+package broadcaster_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/broadcaster"
+	"burdocklink/cataloger"
+	"burdocklink/linker"
+	"burdocklink/router"
+)
+
+// entry is a router with a broadcaster.
+type entry struct {
+	address string
+	router  *router.Router
+	notes   *broadcaster.Broadcaster
+}
+
+func newEntry(t *testing.T, name string) *entry {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &entry{address: listener.Addr().String(), router: router.New(router.Settings{})}
+	assert.NilError(t, listener.Close())
+	catalog, err := cataloger.New().With(cataloger.Delta{To: 1, Changes: []cataloger.Change{
+		cataloger.PutUpstream{Upstream: cataloger.Upstream{
+			Name: "e1", Incarnation: "e1@1", Service: "s", State: cataloger.UpstreamLive, Slots: 1,
+		}},
+	}})
+	assert.NilError(t, err)
+	e.router.Update(catalog)
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
+	t.Cleanup(links.Close)
+	e.notes = broadcaster.New(broadcaster.Settings{
+		Entry: name, Listen: e.address, Links: links, Router: e.router, Wake: func() {}, Log: zap.NewNop(),
+	})
+	assert.NilError(t, e.notes.Start(t.Context(), nil))
+	t.Cleanup(func() { _ = e.notes.Stop(time.Now().Add(time.Second)) })
+	return e
+}
+
+// full says whether the entry believes the only upstream to be full.
+func (e *entry) full() bool {
+	_, err := e.router.Choose(time.Now(), &router.Request{Service: "s"})
+	return err != nil
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 5000 {
+		if done() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("not reached: " + what)
+}
+
+func TestEntriesTellEachOther(t *testing.T) {
+	a, b := newEntry(t, "a"), newEntry(t, "b")
+	a.notes.Meet([]string{b.address})
+	request := router.Request{Service: "s", PromptTokens: 100}
+	choice, err := a.router.Choose(time.Now(), &request)
+	assert.NilError(t, err)
+	a.router.Started(choice, &request, time.Now())
+	eventually(t, "the dispatch is known", b.full)
+	a.router.Finished(choice, router.Sample{Ended: time.Now(), Work: request.Work(), Outcome: router.OutcomeFinished})
+	eventually(t, "its end is known", func() bool { return !b.full() })
+}
+
+func TestAnEntryThatIsGoneCountsNoMore(t *testing.T) {
+	a, b := newEntry(t, "a"), newEntry(t, "b")
+	a.notes.Meet([]string{b.address})
+	request := router.Request{Service: "s"}
+	choice, err := a.router.Choose(time.Now(), &request)
+	assert.NilError(t, err)
+	a.router.Started(choice, &request, time.Now())
+	eventually(t, "the dispatch is known", b.full)
+	a.notes.Meet(nil)
+	eventually(t, "it ages", func() bool { return !b.full() })
+}
--- /dev/null
+++ b/configurator/configurator_test.go
@@ -0,0 +1,146 @@
+package configurator_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+	"burdocklink/conductor"
+	"burdocklink/configurator"
+	"burdocklink/matcher"
+)
+
+// group is a control member that leads, or knows who does.
+type group struct {
+	state  *applier.State
+	index  uint64
+	status conductor.Status
+	// err fails proposals and confirmations.
+	err error
+}
+
+func (g *group) Propose(_ context.Context, command applier.Command) (applier.Applied, error) {
+	if g.err != nil {
+		return applier.Applied{}, g.err
+	}
+	g.index++
+	return g.state.Apply(g.index, time.Now(), command), nil
+}
+
+func (g *group) Confirm(context.Context) (uint64, error) { return g.state.Catalog().Revision, g.err }
+
+func (g *group) Read(_ context.Context, read func(*applier.State)) error {
+	read(g.state)
+	return nil
+}
+
+func (g *group) Status() conductor.Status { return g.status }
+
+func same(data []byte) ([]byte, error) { return data, nil }
+
+// decode takes a text such as "7 valid".
+func decode(data []byte) (*matcher.Configuration, error) {
+	version, rest, _ := strings.Cut(string(data), " ")
+	number, err := strconv.ParseUint(version, 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	c := &matcher.Configuration{Version: number}
+	if rest != "valid" {
+		c.Routes = []matcher.Route{{Name: "r", Split: []matcher.Share{{Service: "unknown", Weight: 1}}}}
+	}
+	return c, nil
+}
+
+func serve(t *testing.T, g *group) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	c := configurator.New(configurator.Settings{
+		Listen: address, Group: g, Log: zap.NewNop(),
+		Codec:     configurator.Codec{PathPut: "/put", PathGet: "/get", Decode: decode, Pack: same, Unpack: same},
+		Operators: func(member string) string { return member + ":1" },
+	})
+	assert.NilError(t, c.Start(t.Context(), nil))
+	t.Cleanup(func() { _ = c.Stop(time.Now().Add(time.Second)) })
+	return "http://" + address
+}
+
+func leading() *group {
+	return &group{state: applier.New(), status: conductor.Status{Member: "a", Leader: "a", Leading: true}}
+}
+
+func call(t *testing.T, method, url, body string) (int, string, http.Header) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	response, err := client.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode, string(data), response.Header
+}
+
+func TestTheHighestVersionWins(t *testing.T) {
+	url := serve(t, leading())
+	steps := []struct {
+		put    string
+		status int
+		held   string
+	}{
+		{"5 valid", 200, "5 valid"},
+		{"5 valid", 200, "5 valid"},
+		{"3 valid", 200, "5 valid"},
+		{"9 valid", 200, "9 valid"},
+		{"9 invalid", 400, "9 valid"},
+		{"12 invalid", 400, "9 valid"},
+		{"unreadable", 400, "9 valid"},
+		{"0 valid", 400, "9 valid"},
+	}
+	status, _, _ := call(t, http.MethodGet, url+"/get", "")
+	assert.Equal(t, status, 503)
+	for _, step := range steps {
+		status, _, _ := call(t, http.MethodPost, url+"/put", step.put)
+		assert.Equal(t, status, step.status, step.put)
+		status, held, _ := call(t, http.MethodGet, url+"/get", "")
+		assert.Equal(t, status, 200)
+		assert.Equal(t, held, step.held)
+	}
+}
+
+func TestOthersSendOperatorsToTheLeader(t *testing.T) {
+	g := leading()
+	g.status.Leader = "b"
+	url := serve(t, g)
+	for path, method := range map[string]string{"/put": http.MethodPost, "/get": http.MethodGet} {
+		status, _, header := call(t, method, url+path, "5 valid")
+		assert.Equal(t, status, http.StatusTemporaryRedirect)
+		assert.Equal(t, header.Get("Location"), "http://b:1"+path)
+	}
+	assert.Equal(t, g.state.Catalog().Configuration.Version, uint64(0))
+}
+
+func TestWhatIsNotSureIsNotAnswered(t *testing.T) {
+	g := leading()
+	url := serve(t, g)
+	status, _, _ := call(t, http.MethodPost, url+"/put", "5 valid")
+	assert.Equal(t, status, 200)
+	g.err = &conductor.NotLeaderError{}
+	for path, method := range map[string]string{"/put": http.MethodPost, "/get": http.MethodGet} {
+		status, _, _ := call(t, method, url+path, "6 valid")
+		assert.Equal(t, status, 503)
+	}
+}
--- /dev/null
+++ b/launcher/writer_test.go
@@ -0,0 +1,84 @@
+package launcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gotest.tools/v3/assert"
+)
+
+// blocked is an output that takes nothing until it is released.
+type blocked struct {
+	release chan struct{}
+	mutex   sync.Mutex
+	text    bytes.Buffer
+}
+
+func (b *blocked) Write(data []byte) (int, error) {
+	<-b.release
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(data)
+}
+
+func (b *blocked) lines() []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return strings.Split(strings.TrimSpace(b.text.String()), "\n")
+}
+
+func TestABlockedOutputHoldsNothingUp(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	w := NewWriter(out)
+	log := NewLogger(zapcore.InfoLevel, w)
+	// this would wait for ever if a line did
+	for range 3 * queuedLines {
+		log.Info("request")
+	}
+	close(out.release)
+	w.Close()
+	lines := out.lines()
+	assert.Assert(t, len(lines) <= queuedLines+2)
+	var last struct {
+		Msg   string
+		Lines int
+	}
+	omitted := 0
+	for _, line := range lines {
+		assert.NilError(t, json.Unmarshal([]byte(line), &last), line)
+		omitted += last.Lines
+	}
+	assert.Assert(t, omitted >= 2*queuedLines-1, "%d", omitted)
+}
+
+// TestVolumeIsBounded plays ten times the lines of a day of high load.
+func TestVolumeIsBounded(t *testing.T) {
+	w := &Writer{room: lineBurst, at: time.Time{}}
+	now := time.Time{}
+	written := 0
+	for range 10 * int(lineRate) * 60 {
+		now = now.Add(time.Second / time.Duration(10*lineRate))
+		if w.allowed(now) {
+			written++
+		}
+	}
+	assert.Assert(t, written <= int(lineBurst+60*lineRate)+1, "%d", written)
+	assert.Assert(t, written >= int(60*lineRate), "%d", written)
+}
+
+func TestLinesAreObjectsWithTheirFields(t *testing.T) {
+	var text bytes.Buffer
+	w := NewWriter(&text)
+	NewLogger(zapcore.InfoLevel, w).Info("request", zap.String("request-id", "r1"))
+	w.Close()
+	var line map[string]any
+	assert.NilError(t, json.Unmarshal(text.Bytes(), &line))
+	assert.Equal(t, line["msg"], "request")
+	assert.Equal(t, line["request-id"], "r1")
+}
--- a/mover/events.go
+++ b/mover/events.go
@@ -63,9 +63,10 @@
 		m.takeWant(happened, now)
 	}
 	if m.lead.term != 0 && m.configuration != nil {
-		m.loadAdapters(now)
 		m.table.put(m.engines)
+		// those that are served need no order
 		m.answerWaiters()
+		m.loadAdapters(now)
 	}
 }
 
--- /dev/null
+++ b/mover/mover_test.go
@@ -0,0 +1,348 @@
+package mover
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/applier"
+	"burdocklink/cataloger"
+	"burdocklink/conductor"
+	"burdocklink/matcher"
+	"burdocklink/placer"
+	"burdocklink/router"
+	"burdocklink/surveyor"
+)
+
+// control is a control member whose lead a test decides on.
+type control struct {
+	mutex  sync.Mutex
+	status conductor.Status
+	state  *applier.State
+}
+
+func (c *control) lead(term uint64, leading bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.status.Term, c.status.Leading = term, leading
+}
+
+func (c *control) Status() conductor.Status {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.status
+}
+
+func (c *control) Read(_ context.Context, read func(*applier.State)) error {
+	read(c.state)
+	return nil
+}
+
+// yard is engines that carry out orders at once.
+type yard struct {
+	mutex   sync.Mutex
+	engines map[string]*yardEngine
+	orders  []given
+	// outcome answers all orders where it is not zero.
+	outcome Outcome
+}
+
+type yardEngine struct {
+	report Report
+}
+
+type given struct {
+	engine string
+	order  Order
+}
+
+func (y *yard) Report(_ context.Context, engine surveyor.Upstream) (Report, error) {
+	y.mutex.Lock()
+	defer y.mutex.Unlock()
+	return y.engines[engine.Name].report, nil
+}
+
+func (y *yard) Order(_ context.Context, engine surveyor.Upstream, order Order) (Outcome, error) {
+	y.mutex.Lock()
+	defer y.mutex.Unlock()
+	y.orders = append(y.orders, given{engine: engine.Name, order: order})
+	report := &y.engines[engine.Name].report
+	switch {
+	case y.outcome != 0:
+		return y.outcome, nil
+	case order.Expected != report.Sequence:
+		return Conflicting, nil
+	}
+	report.Sequence++
+	report.apply(order)
+	return Accepted, nil
+}
+
+func (r *Report) apply(order Order) {
+	held := []surveyor.Held{}
+	for _, one := range r.Holds {
+		if order.Action == ActionUnload && order.Adapter == "" && one.Model == order.Model {
+			continue
+		}
+		if order.Action == ActionLoad && order.Adapter != "" && one.Model == order.Model {
+			one.Adapters = append(one.Adapters, order.Adapter)
+		}
+		held = append(held, one)
+	}
+	if order.Action == ActionLoad && order.Adapter == "" {
+		held = append(held, surveyor.Held{Model: order.Model})
+	}
+	r.Holds = held
+}
+
+func (y *yard) given() []given {
+	y.mutex.Lock()
+	defer y.mutex.Unlock()
+	return append([]given{}, y.orders...)
+}
+
+// stage is a mover before a yard of engines that each hold one model.
+type stage struct {
+	t       *testing.T
+	mover   *Mover
+	control *control
+	yard    *yard
+	now     time.Time
+}
+
+const lease = 3 * time.Second
+
+func newStage(t *testing.T, holds map[string][]string) *stage {
+	t.Helper()
+	s := &stage{t: t, control: &control{state: applier.New()}, yard: &yard{engines: map[string]*yardEngine{}}, now: time.Now()}
+	s.control.state.Apply(1, s.now, applier.Configure{Configuration: cataloger.Configuration{Version: 1}})
+	listed := map[string]surveyor.Upstream{}
+	for name, models := range holds {
+		engine := &yardEngine{report: Report{Incarnation: name + "@1"}}
+		for _, model := range models {
+			engine.report.Holds = append(engine.report.Holds, surveyor.Held{Model: model})
+			engine.report.OnDisk = append(engine.report.OnDisk, model)
+		}
+		s.yard.engines[name] = engine
+		listed[name] = surveyor.Upstream{Name: name, Incarnation: name + "@1", Service: "s", State: surveyor.Live}
+	}
+	s.mover = New(Settings{
+		Holder: "core-1", Group: s.control, Engines: s.yard,
+		Fetch: func(context.Context, string) (surveyor.Page, error) {
+			page := surveyor.Page{}
+			for _, upstream := range listed {
+				page.Upstreams = append(page.Upstreams, upstream)
+			}
+			return page, nil
+		},
+		Unpack: func([]byte) (*matcher.Configuration, error) {
+			return &matcher.Configuration{Version: 1, Services: map[string]matcher.Service{"s": {Name: "s", Engine: &matcher.Engine{
+				MemoryBytes: 20, AdapterSlots: 2, LoadsPerSecond: 1,
+				Models: map[string]matcher.Model{
+					"m": {Name: "m", MemoryBytes: 10, LoadTime: 8 * time.Second},
+					"n": {Name: "n", MemoryBytes: 10, LoadTime: 8 * time.Second},
+					"o": {Name: "o", MemoryBytes: 10, LoadTime: 8 * time.Second},
+				},
+			}}}}, nil
+		},
+		Demands: func() map[string]placer.Demand { return nil },
+		Loads:   func() map[string]router.Load { return nil },
+		Lease:   lease, StoreWindow: 5 * time.Second, StoreOverage: 1.1, Log: zap.NewNop(),
+	})
+	return s
+}
+
+// play lets time pass and takes in what calls bring, in the test's goroutine.
+func (s *stage) play(length time.Duration) {
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(tick) {
+		s.mover.round(s.now)
+		s.settle()
+	}
+}
+
+func (s *stage) settle() {
+	for {
+		s.mover.calls.Wait()
+		select {
+		case happened := <-s.mover.events:
+			s.mover.handle(happened, s.now)
+		default:
+			return
+		}
+	}
+}
+
+// want asks as an entry does.
+func (s *stage) want(want Want) chan Wanted {
+	answer := make(chan Wanted, 1)
+	s.mover.handle(wantCalled{want: want, answer: answer}, s.now)
+	s.settle()
+	return answer
+}
+
+func TestAnAdapterThatIsWantedIsLoaded(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m"}, "e2": {"n"}})
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	answer := s.want(Want{Service: "s", Model: "m", Adapter: "a1"})
+	wanted := <-answer
+	assert.Equal(t, len(wanted.Holders), 1)
+	assert.Equal(t, wanted.Holders[0].Upstream, "e1")
+	// the next order names the state after this one
+	<-s.want(Want{Service: "s", Model: "m", Adapter: "a2"})
+	orders := s.adapterOrders()
+	assert.Equal(t, len(orders), 2)
+	assert.Equal(t, orders[0], Order{
+		Action: ActionLoad, Model: "m", Adapter: "a1", Expected: orders[0].Expected,
+		Holder: "core-1", Fence: firstTerm,
+	})
+	assert.Equal(t, orders[1].Expected, orders[0].Expected+1)
+}
+
+func (s *stage) adapterOrders() []Order {
+	var orders []Order
+	for _, one := range s.yard.given() {
+		if one.order.Adapter != "" {
+			orders = append(orders, one.order)
+		}
+	}
+	return orders
+}
+
+func TestANewLeaderWaitsForTheLeaseOfTheOneBefore(t *testing.T) {
+	cases := map[string]struct {
+		term uint64
+		wait time.Duration
+	}{
+		"first leader": {firstTerm, 0},
+		"later leader": {firstTerm + 1, lease + leaseMargin},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, map[string][]string{"e1": {"m"}})
+			s.control.lead(c.term, true)
+			s.play(time.Second)
+			s.mover.handle(wantCalled{want: Want{Service: "s", Model: "n"}, answer: make(chan Wanted, 1)}, s.now)
+			if c.wait > 0 {
+				s.play(c.wait - time.Second - 2*tick)
+				assert.Equal(t, len(s.yard.given()), 0)
+			}
+			s.mover.handle(wantCalled{want: Want{Service: "s", Model: "n"}, answer: make(chan Wanted, 1)}, s.now)
+			s.play(time.Second)
+			assert.Assert(t, len(s.yard.given()) > 0)
+		})
+	}
+}
+
+func TestNobodyOrdersWithoutTheLead(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m"}})
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	s.control.lead(firstTerm, false)
+	s.play(time.Second)
+	before := len(s.yard.given())
+	wanted := <-s.want(Want{Service: "s", Model: "m", Adapter: "a1"})
+	assert.Equal(t, len(wanted.Holders), 0)
+	s.play(time.Second)
+	assert.Equal(t, len(s.yard.given()), before)
+}
+
+func TestAFencedHolderOrdersNoMore(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m"}})
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	before := len(s.yard.given())
+	s.yard.outcome = Fenced
+	s.want(Want{Service: "s", Model: "m", Adapter: "a1"})
+	s.play(5 * time.Second)
+	assert.Equal(t, len(s.yard.given()), before+1)
+	// another term has another number
+	s.yard.outcome = 0
+	s.control.lead(firstTerm+1, true)
+	s.play(lease + leaseMargin + time.Second)
+	answer := s.want(Want{Service: "s", Model: "m", Adapter: "a1"})
+	assert.Equal(t, len((<-answer).Holders), 1)
+}
+
+func TestAfterAnOrderWithoutAnswerTheEngineIsAskedFirst(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m"}})
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	s.yard.outcome = Unknown
+	s.want(Want{Service: "s", Model: "m", Adapter: "a1"})
+	before := len(s.yard.given())
+	// it was carried out all the same, later
+	s.yard.mutex.Lock()
+	s.yard.outcome = 0
+	s.yard.engines["e1"].report.Sequence = 1
+	s.yard.engines["e1"].report.Holds[0].Adapters = []string{"a1"}
+	s.yard.mutex.Unlock()
+	s.play(reportLag - tick)
+	assert.Equal(t, len(s.yard.given()), before)
+	s.play(3 * time.Second)
+	answer := s.want(Want{Service: "s", Model: "m", Adapter: "a1"})
+	assert.Equal(t, len((<-answer).Holders), 1)
+	assert.Equal(t, len(s.yard.given()), before)
+}
+
+func TestEntriesHearOfACopyOnlyWhileItServes(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m", "n"}})
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	told, serial := s.mover.Held(0)
+	assert.Equal(t, len(told), 1)
+	assert.Equal(t, len(told[0].Holds), 2)
+	changed := s.mover.Changed()
+	s.mover.engines["e1"].copies["m"].Dropping = true
+	s.mover.table.put(s.mover.engines)
+	<-changed
+	told, after := s.mover.Held(serial)
+	assert.Assert(t, after > serial)
+	assert.Equal(t, len(told[0].Holds), 1)
+	assert.Equal(t, told[0].Holds[0].Model, "n")
+	told, _ = s.mover.Held(after)
+	assert.Equal(t, len(told), 0)
+}
+
+func TestTheStoreIsAskedWithinItsRate(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": nil, "e2": nil, "e3": nil, "e4": nil, "e5": nil, "e6": nil, "e7": nil})
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	for range 20 {
+		for _, model := range []string{"m", "n", "o"} {
+			s.mover.wanted[surveyor.HeldName("s", model, "")] = s.now.Add(time.Hour)
+		}
+		s.play(250 * time.Millisecond)
+	}
+	// 1 a second for 5 s, times 1.1, less the spare one
+	assert.Assert(t, len(s.yard.given()) <= 4, "%d", len(s.yard.given()))
+}
+
+func TestDemandIsFollowed(t *testing.T) {
+	m := newMeter()
+	counts := func(arrivals uint64) map[string]placer.Demand {
+		return map[string]placer.Demand{"entry": {Since: time.Unix(1, 0), Counts: map[string]map[string]placer.Count{
+			surveyor.HeldName("s", "m", "a1"): {"draft": {Arrivals: arrivals}},
+		}}}
+	}
+	now := time.Unix(100, 0)
+	arrivals := uint64(0)
+	for range 20 {
+		m.observe(now, counts(arrivals))
+		arrivals += 5
+		now = now.Add(500 * time.Millisecond)
+	}
+	rate := m.names[surveyor.HeldName("s", "m", "a1")].rate["draft"]
+	assert.Assert(t, rate > 9 && rate < 11, "%.1f", rate)
+	// an entry that starts anew counts from zero
+	restarted := counts(5)
+	one := restarted["entry"]
+	one.Since = time.Unix(200, 0)
+	m.observe(now, map[string]placer.Demand{"entry": one})
+	after := m.names[surveyor.HeldName("s", "m", "a1")].rate["draft"]
+	assert.Assert(t, after > 9 && after < 11, "%.1f", after)
+}
--- /dev/null
+++ b/seeker/seeker_test.go
@@ -0,0 +1,91 @@
+package seeker_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder/wire"
+	"burdocklink/forwarder"
+	"burdocklink/linker"
+	"burdocklink/seeker"
+	"burdocklink/surveyor"
+)
+
+// leader answers as a test says.
+type leader struct {
+	wire.UnimplementedControlServer
+	asked atomic.Int32
+	reply func(asked int32) *wire.WantReply
+}
+
+func (l *leader) Want(context.Context, *wire.WantRequest) (*wire.WantReply, error) {
+	return l.reply(l.asked.Add(1)), nil
+}
+
+// seek returns a seeker before a leader, and what it was told.
+func seek(t *testing.T, reply func(asked int32) *wire.WantReply) (*seeker.Seeker, *leader, *[]surveyor.Told) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &leader{reply: reply}
+	server := grpc.NewServer()
+	wire.RegisterControlServer(server, l)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
+	t.Cleanup(links.Close)
+	var told []surveyor.Told
+	return seeker.New(seeker.Settings{
+		Links: links, Leader: listener.Addr().String, Log: zap.NewNop(),
+		Tell: func(got []surveyor.Told) { told = append(told, got...) },
+	}), l, &told
+}
+
+func TestWant(t *testing.T) {
+	held := &wire.WantReply{Leading: true, Holdings: []*wire.Holding{{Upstream: "e1", Incarnation: "e1@1"}}}
+	cases := map[string]struct {
+		reply func(asked int32) *wire.WantReply
+		asked int32
+		found bool
+	}{
+		"held": {func(int32) *wire.WantReply { return held }, 1, true},
+		"held soon": {func(asked int32) *wire.WantReply {
+			if asked < 3 {
+				return &wire.WantReply{Leading: true, ReadyInMs: 10}
+			}
+			return held
+		}, 3, true},
+		"not in time": {func(int32) *wire.WantReply { return &wire.WantReply{Leading: true, ReadyInMs: 60_000} }, 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, l, told := seek(t, c.reply)
+			err := s.Want(t.Context(), "s", "m", "a1", time.Now().Add(10*time.Second))
+			assert.Equal(t, l.asked.Load(), c.asked)
+			if c.found {
+				assert.NilError(t, err)
+				assert.Equal(t, (*told)[0].Upstream, "e1")
+				return
+			}
+			var absent *forwarder.AbsentError
+			assert.Assert(t, errors.As(err, &absent))
+			assert.Assert(t, time.Until(absent.Retry) > 30*time.Second)
+		})
+	}
+}
+
+func TestWantEndsWithItsTime(t *testing.T) {
+	s, _, _ := seek(t, func(int32) *wire.WantReply { return &wire.WantReply{ReadyInMs: -1} })
+	err := s.Want(t.Context(), "s", "m", "", time.Now().Add(100*time.Millisecond))
+	var absent *forwarder.AbsentError
+	assert.Assert(t, errors.As(err, &absent))
+}
--- /dev/null
+++ b/surveyor/surveyor_test.go
@@ -0,0 +1,123 @@
+package surveyor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/matcher"
+)
+
+// lister is a list that a test writes.
+type lister struct {
+	pages map[string]Page
+	err   error
+}
+
+func (l *lister) fetch(_ context.Context, page string) (Page, error) { return l.pages[page], l.err }
+
+// failedError says that the list can't be read.
+type failedError struct{}
+
+func (*failedError) Error() string { return "no list" }
+
+func engine(name string, state State, holds ...string) Upstream {
+	upstream := Upstream{
+		Name: name, Incarnation: name + "@1", Service: "s", Address: name + ":1", Slots: 2, State: state,
+	}
+	for _, model := range holds {
+		upstream.Holds = append(upstream.Holds, Held{Model: model, Adapters: []string{"a1"}})
+	}
+	return upstream
+}
+
+func survey(l *lister) (*Surveyor, func() *cataloger.Catalog, *int) {
+	var last *cataloger.Catalog
+	told := 0
+	s := New(Settings{Fetch: l.fetch, Notify: func(c *cataloger.Catalog) { last, told = c, told+1 }, Log: zap.NewNop()})
+	return s, func() *cataloger.Catalog { return last }, &told
+}
+
+func TestAListIsReadPageByPage(t *testing.T) {
+	l := &lister{pages: map[string]Page{
+		"":   {Upstreams: []Upstream{engine("e1", Live, "m")}, Next: "p2"},
+		"p2": {Upstreams: []Upstream{engine("e2", Leaving, "m")}},
+	}}
+	s, last, told := survey(l)
+	assert.NilError(t, s.read())
+	assert.Equal(t, last().Upstreams["e1"].State, cataloger.UpstreamLive)
+	assert.Equal(t, last().Upstreams["e2"].State, cataloger.UpstreamLeaving)
+	assert.DeepEqual(t, last().Holders[HeldName("s", "m", "")], []string{"e1", "e2"})
+	assert.DeepEqual(t, last().Holders[HeldName("s", "m", "a1")], []string{"e1", "e2"})
+	// the same list is no news
+	assert.NilError(t, s.read())
+	assert.Equal(t, *told, 1)
+}
+
+func TestAListThatCannotBeReadChangesNothing(t *testing.T) {
+	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "m")}}}}
+	s, last, told := survey(l)
+	assert.NilError(t, s.read())
+	l.err = &failedError{}
+	assert.Assert(t, s.read() != nil)
+	assert.Equal(t, *told, 1)
+	assert.Equal(t, len(last().Upstreams), 1)
+}
+
+func TestTheControlGroupsWordGoesFirst(t *testing.T) {
+	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "old")}}}}
+	told := func(incarnation string, until time.Time) Told {
+		return Told{Upstream: "e1", Incarnation: incarnation, Holds: []Held{{Model: "new"}}, Until: until}
+	}
+	cases := map[string]struct {
+		told Told
+		want string
+	}{
+		"fresh":               {told("e1@1", time.Now().Add(time.Hour)), "new"},
+		"too old":             {told("e1@1", time.Now().Add(-time.Second)), "old"},
+		"another incarnation": {told("e1@0", time.Now().Add(time.Hour)), "old"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, last, _ := survey(l)
+			s.Tell([]Told{c.told})
+			assert.NilError(t, s.read())
+			assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", c.want, "")})
+		})
+	}
+}
+
+func TestWhatEnginesCanDoComesFromTheConfiguration(t *testing.T) {
+	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "m")}}}}
+	s, last, _ := survey(l)
+	assert.NilError(t, s.read())
+	assert.Equal(t, last().Upstreams["e1"].Kind, cataloger.PlainUpstream)
+	s.Configure(&matcher.Configuration{Services: map[string]matcher.Service{
+		"s": {Name: "s", Engine: &matcher.Engine{Slots: 64, CacheTokens: 1000, MemoryBytes: 5}},
+	}})
+	assert.Equal(t, last().Upstreams["e1"].Kind, cataloger.EngineUpstream)
+	assert.Equal(t, last().Upstreams["e1"].Slots, 64)
+	assert.Equal(t, last().Upstreams["e1"].CacheTokens, 1000)
+}
+
+func TestHeldNames(t *testing.T) {
+	cases := map[string]struct{ service, model, adapter string }{
+		"model":   {"s", "m", ""},
+		"adapter": {"s", "m", "a1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			service, model, adapter, ok := ParseHeldName(HeldName(c.service, c.model, c.adapter))
+			assert.Assert(t, ok)
+			assert.Equal(t, service, c.service)
+			assert.Equal(t, model, c.model)
+			assert.Equal(t, adapter, c.adapter)
+		})
+	}
+	_, _, _, ok := ParseHeldName("calendar")
+	assert.Assert(t, !ok)
+}
