--- a/applier/history_test.go
+++ b/applier/history_test.go
@@ -49,6 +49,7 @@
 	claims    *claimOracle
 	operators *operatorOracle
 	fleet     *fleet
+	configure *configureOracle
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -63,6 +64,7 @@
 	w.claims = newClaimOracle(w)
 	w.operators = newOperatorOracle(w)
 	w.fleet = newFleet(w)
+	w.configure = &configureOracle{w: w}
 	w.fleet.begin()
 	return w
 }
@@ -117,6 +119,7 @@
 	w.claims.watch(command, applied.Result)
 	w.operators.watch(command, applied.Result)
 	w.fleet.watch(command, applied.Result)
+	w.configure.watch(command, applied.Result)
 	w.fleet.watchListing()
 	return applied.Result
 }
@@ -154,6 +157,9 @@
 // step does one thing. Each history has a matter that it is mostly about, so
 // that it gets far into it.
 func (w *world) step() {
+	if w.seed%5 == 0 && w.chance(3) {
+		w.configure.act()
+	}
 	switch w.rand.IntN(16) {
 	case 0:
 		w.pass()
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -19,7 +19,7 @@
 	defer c.end()
 	ticker := time.NewTicker(c.config.Timing.Heartbeat / 2)
 	defer ticker.Stop()
-	if c.core.Status().Group == "" && len(c.config.others()) == 0 {
+	if c.core.Status().Group == "" && len(c.config.others()) == 0 && !c.config.Joins {
 		c.found([]replicator.Member{c.selfMember()})
 	}
 	c.step(replicator.Tick{})
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -109,7 +109,7 @@
 func (c *Conductor) Start(_ context.Context, _ *registrar.Registrar) error {
 	c.started.Store(true)
 	go c.loop()
-	if len(c.config.others()) > 0 {
+	if len(c.config.others()) > 0 || c.config.Joins {
 		go c.runFormation()
 		go c.runAnnouncements()
 		go c.runRepair()
--- /dev/null
+++ b/timekeeper/timekeeper_test.go
@@ -0,0 +1,19 @@
+package timekeeper_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/timekeeper"
+)
+
+func TestNowGoesOn(t *testing.T) {
+	first := timekeeper.Now()
+	second := timekeeper.Now()
+	assert.Assert(t, !second.Before(first))
+	// no reading of the steady clock is kept, which a suspension would stop
+	assert.Equal(t, first, first.Round(0))
+	assert.Assert(t, time.Since(first) < time.Hour)
+}
