--- /dev/null
+++ b/prover/node_test.go
@@ -0,0 +1,165 @@
+package prover_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestPlatformPath plays the whole path on the platform with real processes:
+// a configuration, plain and streamed requests, an adapter that nobody holds,
+// a stream that breaks, a change, a leaving server and a stop.
+func TestPlatformPath(t *testing.T) {
+	s := newPlatformSite(t)
+	s.start()
+
+	booked := s.ask("front-1", "/book/1?x=%2f", "b1", nil)
+	assert.Equal(t, booked.status, 200)
+	assert.Equal(t, booked.body, "POST /book/1?x=%2f body")
+	assert.Equal(t, booked.signature, "signed-by-calendar-1")
+	assert.Equal(t, booked.header.Get("Burdocklink-Request-Id"), "b1")
+
+	model := map[string]string{"Burdocklink-Model": "m1", "Burdocklink-Token-Count": "100,20"}
+	for at := range 4 {
+		drafted := s.ask("front-2", "/draft/1", fmt.Sprint("d", at), model)
+		assert.Equal(t, drafted.status, 200)
+		assert.Equal(t, drafted.body, wholeStream)
+	}
+
+	adapted := s.ask("front-1", "/draft/2", "a1", map[string]string{"Burdocklink-Model": "m1/a2", "Burdocklink-Token-Count": "100,20"})
+	assert.Equal(t, adapted.status, 200)
+	assert.Equal(t, adapted.body, wholeStream)
+
+	for _, server := range s.servers[:2] {
+		server.mutex.Lock()
+		server.breaks = 1
+		server.mutex.Unlock()
+	}
+	resumed := s.ask("front-1", "/draft/3", "r1", map[string]string{"Burdocklink-Model": "m2"})
+	// the only holder breaks off, and another one may be tried once the first
+	// has been avoided: nobody else holds the model
+	assert.Assert(t, resumed.status == -1 || resumed.body == wholeStream)
+	continued := s.ask("front-2", "/draft/4", "r2", model)
+	assert.Equal(t, continued.body, wholeStream)
+
+	assert.Equal(t, s.ask("front-1", "/nowhere/", "n1", nil).status, 404)
+
+	// a change of the configuration is in force within two seconds
+	assert.Equal(t, s.put(5, "engines"), 200)
+	changed := time.Now()
+	eventually(t, "bookings go elsewhere", func() bool {
+		return strings.HasPrefix(s.ask("front-1", "/book/2", "c"+fmt.Sprint(time.Now().UnixNano()), nil).signature, "signed-by-engine")
+	})
+	t.Logf("in force after %v", time.Since(changed))
+	assert.Equal(t, s.put(5, "calendar"), 200)
+	assert.Equal(t, s.put(9, "nobody"), 400)
+
+	// each request ran once at most
+	for _, server := range s.servers {
+		server.mutex.Lock()
+		for id, runs := range server.runs {
+			if id[0] != 'r' {
+				assert.Equal(t, runs, 1, id)
+			}
+		}
+		server.mutex.Unlock()
+	}
+	s.checkLogs()
+	s.checkMetrics()
+}
+
+// checkLogs looks for the lines and fields by which a failure is explained.
+func (s *platformSite) checkLogs() {
+	s.t.Helper()
+	wanted := map[string][]string{
+		"request": {"request-id", "result", "status", "class", "service", "model", "adapter", "sends", "runs",
+			"events", "took", "left", "configuration", "upstream", "queued"},
+		"configuration in force": {"version", "revision", "routes"},
+		"upstream listed":        {"upstream", "service", "address", "leaving"},
+		"holder wanted":          {"name", "leader", "holders", "ready-in-ms", "took"},
+		"sent again":             {"request-id", "upstream", "sends", "runs", "error"},
+		"starting":               {"node", "role", "seeds"},
+		"serving":                nil,
+	}
+	for message, fields := range wanted {
+		lines := append(s.decisions("front-1", message), s.decisions("front-2", message)...)
+		assert.Assert(s.t, len(lines) > 0, message)
+		for _, field := range fields {
+			found := false
+			for _, line := range lines {
+				_, has := line[field]
+				found = found || has
+			}
+			assert.Assert(s.t, found, "%s: %s", message, field)
+		}
+	}
+	orders, leaders := 0, 0
+	for _, name := range []string{"core-1", "core-2", "core-3"} {
+		orders += len(s.decisions(name, "order"))
+		leaders += len(s.decisions(name, "leader"))
+	}
+	assert.Assert(s.t, orders > 0 && leaders > 0)
+}
+
+// checkMetrics looks for the counts of the classes on the metrics address.
+func (s *platformSite) checkMetrics() {
+	s.t.Helper()
+	response, err := http.Get("http://" + s.address(s.hosts["front-1"], readyOffset) + "/metrics")
+	assert.NilError(s.t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(s.t, err)
+	for _, word := range []string{`class="draft"`, `class="book"`} {
+		assert.Assert(s.t, strings.Contains(string(text), word), word)
+	}
+}
+
+// TestPlatformBearsLosses plays the loss of a control member, of its disk, and
+// of all members at once, and the stop of an entry that has a request.
+func TestPlatformBearsLosses(t *testing.T) {
+	s := newPlatformSite(t)
+	s.start()
+	s.nodes["core-1"].kill()
+	eventually(t, "a change is acknowledged without one member", func() bool { return s.put(11, "calendar") == 200 })
+	for _, name := range []string{"core-2", "core-3"} {
+		s.nodes[name].kill()
+	}
+	assert.Equal(t, s.ask("front-1", "/book/1", "w1", nil).status, 200)
+	for _, name := range []string{"core-1", "core-2", "core-3"} {
+		s.nodes[name].begin(t)
+	}
+	eventually(t, "what was acknowledged is still there", func() bool {
+		for at := range 3 {
+			response, err := http.Get("http://" + s.address(coreHost(at), controlOffset) + "/api/Config.Get")
+			if err != nil {
+				continue
+			}
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if err == nil && response.StatusCode == http.StatusOK {
+				assert.Assert(t, strings.HasPrefix(string(body), `{"version":11,`), string(body))
+				return true
+			}
+		}
+		return false
+	})
+
+	// an entry that is told to stop finishes what it has
+	answers := make(chan answered, 1)
+	go func() {
+		answers <- s.ask("front-2", "/draft/1", "t1", map[string]string{"Burdocklink-Model": "m1"})
+	}()
+	time.Sleep(shortTime / 10)
+	s.nodes["front-2"].signal(syscall.SIGTERM)
+	assert.Equal(t, s.nodes["front-2"].stopped(t), 0)
+	assert.Equal(t, (<-answers).body, wholeStream)
+	s.nodes["front-2"].begin(t)
+	s.ready("front-2")
+	assert.Equal(t, s.ask("front-2", "/book/2", "t2", nil).status, 200)
+}
--- /dev/null
+++ b/prover/platform_test.go
@@ -0,0 +1,332 @@
+package prover_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// platformServer is a stand-in for one server of the platform: a model engine
+// that takes orders, or a plain service.
+type platformServer struct {
+	id      string
+	service string
+	address string
+	born    int64
+
+	mutex    sync.Mutex
+	models   []string
+	adapters []string
+	sequence int
+	state    string
+	// runs counts the requests that were run, by ID.
+	runs map[string]int
+	// breaks is how many streams break off after two events.
+	breaks int
+	orders []string
+}
+
+func (s *platformServer) describe() map[string]any {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	models := []map[string]any{}
+	for _, name := range s.models {
+		models = append(models, map[string]any{"name": name, "version": 1, "adapters": s.adapters})
+	}
+	return map[string]any{
+		"id": s.id, "service": s.service, "address": s.address, "zone": "z1", "version": "v1", "slots": 8,
+		"state": s.state, "coldRemainingMs": 0, "born": s.born, "models": models,
+		"sequence": s.sequence, "busy": false, "queued": 0, "running": 0,
+		"cachedModels": map[string]any{"inMemory": []string{}, "onDisk": s.models},
+	}
+}
+
+func (s *platformServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if expected := r.Header.Get("Burdocklink-Expect-Instance"); expected != "" && expected != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case "/api/report":
+		_ = json.NewEncoder(w).Encode(s.describe())
+	case "/api/order":
+		s.order(w, body)
+	default:
+		s.run(w, r, string(body))
+	}
+}
+
+func (s *platformServer) order(w http.ResponseWriter, body []byte) {
+	var order struct {
+		Operation, Model, Adapter, Holder string
+		FencingToken, Expect              int
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if json.Unmarshal(body, &order) != nil || order.Holder == "" || order.FencingToken == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.orders = append(s.orders, string(body))
+	if order.Expect != s.sequence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.sequence++
+	if order.Operation == "load" && order.Adapter != "" {
+		s.adapters = append(s.adapters, order.Adapter)
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// holds says whether the server has what a request asks for.
+func (s *platformServer) holds(model string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	name, adapter, _ := strings.Cut(model, "/")
+	if model == "" {
+		return true
+	}
+	held := false
+	for _, one := range s.models {
+		held = held || one == name
+	}
+	for _, one := range s.adapters {
+		if one == adapter {
+			return held
+		}
+	}
+	return held && adapter == ""
+}
+
+func (s *platformServer) run(w http.ResponseWriter, r *http.Request, body string) {
+	id := r.Header.Get("Burdocklink-Request-Id")
+	if !s.holds(r.Header.Get("Burdocklink-Model")) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.mutex.Lock()
+	s.runs[id]++
+	breaks := s.breaks > 0
+	if breaks {
+		s.breaks--
+	}
+	s.mutex.Unlock()
+	w.Header().Set("Burdocklink-Request-Id", id)
+	w.Header().Set("Burdocklink-Server-Signature", "signed-by-"+s.id)
+	if !strings.HasPrefix(r.URL.Path, "/draft/") {
+		_, _ = io.WriteString(w, r.Method+" "+r.RequestURI+" "+body)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for event := after + 1; event <= 5; event++ {
+		if breaks && event > 2 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", event, event)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// platformSite is a small installation of the platform: its list, servers, and
+// the real programs of the system.
+type platformSite struct {
+	t       *testing.T
+	list    string
+	port    int
+	root    string
+	servers []*platformServer
+	nodes   map[string]*process
+	hosts   map[string]string
+}
+
+// offsets of the ports of a VM.
+const (
+	controlOffset = iota
+	frontOffset
+	readyOffset
+	rangeOffset
+	portsOfVM = 16
+)
+
+func newPlatformSite(t *testing.T) *platformSite {
+	t.Helper()
+	s := &platformSite{t: t, root: t.TempDir(), nodes: map[string]*process{}, hosts: map[string]string{}}
+	// the ports are the same on all VMs, as each has an address of its own
+	s.port = 20_000 + os.Getpid()%1000*portsOfVM
+	s.add("engine-1", "engines", "m1")
+	s.add("engine-2", "engines", "m1", "m2")
+	s.add("calendar-1", "calendar")
+	s.list = s.listen(http.HandlerFunc(s.answerList))
+	return s
+}
+
+func (s *platformSite) listen(handler http.Handler) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func (s *platformSite) add(id, service string, models ...string) *platformServer {
+	server := &platformServer{id: id, service: service, models: models, state: "ready", born: 7, runs: map[string]int{}}
+	server.address = s.listen(server)
+	s.servers = append(s.servers, server)
+	return server
+}
+
+func (s *platformSite) answerList(w http.ResponseWriter, _ *http.Request) {
+	lines := []any{map[string]any{"id": "spoiled", "state": 7}}
+	for _, server := range s.servers {
+		lines = append(lines, server.describe())
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"instances": lines, "nextToken": nil})
+}
+
+// address is that of a VM at an offset of its ports.
+func (s *platformSite) address(host string, offset int) string {
+	return net.JoinHostPort(host, strconv.Itoa(s.port+offset))
+}
+
+// node starts a process on a VM of its own.
+func (s *platformSite) node(role, name, host string, first bool) {
+	s.t.Helper()
+	s.hosts[name] = host
+	listen := map[string]string{"front": s.address(host, frontOffset), "ready": s.address(host, readyOffset)}
+	folder := ""
+	if role == "control" {
+		listen = map[string]string{"control": s.address(host, controlOffset)}
+		folder = filepath.Join(s.root, name+"-data")
+	}
+	var seeds []string
+	for at := range 3 {
+		seeds = append(seeds, s.address(coreHost(at), controlOffset))
+	}
+	text, err := json.Marshal(map[string]any{
+		"node": name, "role": role, "ip": host, "zone": "z1", "listen": listen, "seeds": seeds, "bootstrap": first,
+		"portRange": []int{s.port + rangeOffset, s.port + portsOfVM - 1}, "dataDir": folder,
+		"faultTolerance": map[string]any{"machines": 1},
+		"cloud":          map[string]any{"address": s.list, "ratePerS": 40, "lagMs": 100},
+		"bounds": map[string]any{
+			"drainMs": 3000, "graceS": 8, "leaseMs": 300, "retryBudgetRatio": 0.2, "budgetSlack": 50,
+			"budgetWindowS": 10, "ceilingWindowS": 5, "ceilingOverage": 1.1,
+		},
+	})
+	assert.NilError(s.t, err)
+	path := filepath.Join(s.root, name+".json")
+	assert.NilError(s.t, os.WriteFile(path, text, 0o600))
+	s.nodes[name] = startProgram(s.t, nodeBinary, name, role, "--settings", path)
+}
+
+func coreHost(at int) string { return "127.81.0." + strconv.Itoa(at+1) }
+
+// start starts three control members and two entries, and waits until these
+// are ready.
+func (s *platformSite) start() {
+	s.t.Helper()
+	for at := range 3 {
+		s.node("control", "core-"+strconv.Itoa(at+1), coreHost(at), true)
+	}
+	s.node("entry", "front-1", "127.81.1.1", true)
+	s.node("entry", "front-2", "127.81.1.2", true)
+	eventually(s.t, "a configuration is acknowledged", func() bool { return s.put(3, "calendar") == http.StatusOK })
+	for _, name := range []string{"front-1", "front-2"} {
+		s.ready(name)
+	}
+}
+
+func (s *platformSite) ready(name string) {
+	s.t.Helper()
+	eventually(s.t, name+" is ready", func() bool {
+		response, err := http.Get("http://" + s.address(s.hosts[name], readyOffset) + "/api/readiness")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
+// put puts a configuration whose bookings go to a service, and returns the
+// status.
+func (s *platformSite) put(version int, bookings string) int {
+	text := fmt.Sprintf(`{"version":%d,"routes":[
+{"name":"draft","host":"a.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":500,"gapTargetMs":250,"service":"engines","maxAttempts":2,"resumable":true},
+{"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":3000,"service":"%s","maxAttempts":1}],
+"services":[{"name":"engines","engine":{"slots":8,"kvCapacity":100000,"stride":1,"weightsMb":200,"adapterSlots":4,"loadsPerS":1,
+"models":[{"name":"m1","weightsMb":70,"loadTimeS":1,"adapters":3,"adapterMb":1},{"name":"m2","weightsMb":70,"loadTimeS":1}]}},{"name":"calendar"}],
+"limits":{"maxBodyBytes":1000}}`, version, bookings)
+	for at := range 3 {
+		response, err := http.Post("http://"+s.address(coreHost(at), controlOffset)+"/api/Config.Put", "application/json", strings.NewReader(text))
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable {
+			return response.StatusCode
+		}
+	}
+	return 0
+}
+
+// answered is what a caller gets.
+type answered struct {
+	status    int
+	signature string
+	body      string
+	header    http.Header
+}
+
+func (s *platformSite) ask(name, path, id string, header map[string]string) answered {
+	s.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.address(s.hosts[name], frontOffset)+path, strings.NewReader("body"))
+	assert.NilError(s.t, err)
+	request.Host = "a.example"
+	request.Header.Set("Burdocklink-Request-Id", id)
+	for key, value := range header {
+		request.Header.Set(key, value)
+	}
+	client := &http.Client{Timeout: testEnd, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return answered{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answered{status: -1, body: string(body)}
+	}
+	return answered{response.StatusCode, response.Header.Get("Burdocklink-Server-Signature"), string(body), response.Header}
+}
+
+// decisions returns the log lines of a process with a message.
+func (s *platformSite) decisions(name, message string) []map[string]any {
+	var lines []map[string]any
+	for _, text := range strings.Split(s.nodes[name].output.String(), "\n") {
+		var line map[string]any
+		if json.Unmarshal([]byte(text), &line) == nil && line["msg"] == message {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+const wholeStream = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\n"
+
+// shortTime is a pause in which several heartbeats pass.
+const shortTime = time.Second
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -56,6 +56,7 @@
 // process is one started program.
 type process struct {
 	name      string
+	program   string
 	arguments []string
 	command   *exec.Cmd
 	output    *output
@@ -65,7 +66,13 @@
 // start runs the program and ends it with the test.
 func start(t *testing.T, name string, arguments ...string) *process {
 	t.Helper()
-	p := &process{name: name, arguments: arguments, output: &output{}}
+	return startProgram(t, binary, name, arguments...)
+}
+
+// startProgram runs a program and ends it with the test.
+func startProgram(t *testing.T, program, name string, arguments ...string) *process {
+	t.Helper()
+	p := &process{name: name, program: program, arguments: arguments, output: &output{}}
 	t.Cleanup(func() { p.report(t) })
 	p.begin(t)
 	return p
@@ -74,7 +81,7 @@
 // begin starts the program anew, with the same arguments.
 func (p *process) begin(t *testing.T) {
 	t.Helper()
-	p.command = exec.Command(binary, p.arguments...)
+	p.command = exec.Command(p.program, p.arguments...)
 	p.command.Stdout = p.output
 	p.command.Stderr = p.output
 	p.ended = make(chan struct{})
