--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -27,9 +27,6 @@
 	// victimWeight is what it costs that a copy which is in use makes way: its
 	// runs end first, and nothing is served there meanwhile.
 	victimWeight = 1.0
-	// lastWeight is what it costs that a model has no copy left though nobody
-	// asks for it now: it takes two seconds to come back.
-	lastWeight = 0.15
 	// leastPressure is the work of a holder from which on a model is thought of
 	// as pressed.
 	leastPressure = 0.4
@@ -221,8 +218,7 @@
 // relief is the best way to add a copy of a model that has some.
 func (p *planner) relief(model *Model, before float64) (option, bool) {
 	return p.search(model, false, func(engine string, victims []string) float64 {
-		return before - p.painWith(model.Name, engine, victims) - p.disturbance(victims) -
-			lastWeight*p.lastCopies(engine, victims)
+		return before - p.painWith(model.Name, engine, victims) - p.disturbance(victims)
 	})
 }
 
@@ -393,7 +389,7 @@
 		return true
 	}
 	quiet := !model.Wanted && p.view.Now.Sub(model.AskedAt) >= quietTime
-	return quiet && !engine.stored(name)
+	return pressing && quiet && !engine.stored(name)
 }
 
 // servedElsewhere says whether another engine serves a model now. A copy that is
--- a/allocator/plan_test.go
+++ b/allocator/plan_test.go
@@ -128,6 +128,19 @@
 	}
 }
 
+// Found on an incident of cukorvirag-foglalo: two silent models rose together,
+// neither had a copy, and they were waited for ten seconds.
+func TestDemandAloneTakesNoLastCopy(t *testing.T) {
+	f := newFleet("busy", "silent", "other")
+	f.engine("e1", "busy", "other")
+	f.engine("e2", "silent", "other")
+	f.busy("busy", 2.5)
+	f.busy("other", 0.1)
+	for _, drop := range ofType[allocator.Drop](allocator.Plan(f.View)) {
+		assert.Assert(t, drop.Model != "silent", "%v", drop)
+	}
+}
+
 // Found on cukorvirag-foglalo quiet-1: a model lost its only serving copy while
 // another one was still loading.
 func TestACopyToComeDoesNotMakeTheLastOneSpare(t *testing.T) {
--- a/configurator/configurator_test.go
+++ b/configurator/configurator_test.go
@@ -94,13 +94,16 @@
 	return response.StatusCode, string(data), response.Header
 }
 
+// putStep is one call of an operator, and what is held after it.
+type putStep struct {
+	put    string
+	status int
+	held   string
+}
+
 func TestTheHighestVersionWins(t *testing.T) {
 	url := serve(t, leading())
-	steps := []struct {
-		put    string
-		status int
-		held   string
-	}{
+	steps := []putStep{
 		{"5 valid", 200, "5 valid"},
 		{"5 valid", 200, "5 valid"},
 		{"3 valid", 200, "5 valid"},
--- a/router/table.go
+++ b/router/table.go
@@ -40,7 +40,7 @@
 	if !ok || known.about.Incarnation != about.Incarnation || known.about.Address != about.Address {
 		return newUpstream(about, entries)
 	}
-	known.measured.resize(about)
+	known.resize(about)
 	return &upstream{about: about, measured: known.measured}
 }
 
