--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -78,12 +78,12 @@
 
 // read finds out what is asked for.
 func (x *exchange) read() error {
+	request, err := x.Codec.DecodeRequest(x.r, x.arrived)
+	x.request = request
 	x.table = x.Table()
 	if x.table == nil {
 		return &NoConfigurationError{}
 	}
-	request, err := x.Codec.DecodeRequest(x.r, x.arrived)
-	x.request = request
 	if err != nil {
 		return err
 	}
@@ -219,7 +219,7 @@
 
 // usefulMargin is left between a dispatch and the caller's leaving: a prompt is
 // read meanwhile.
-const usefulMargin = 100 * time.Millisecond
+const usefulMargin = 250 * time.Millisecond
 
 // holderBy is when a holder of what the request asks for must be there: later,
 // the caller will have left.
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -112,7 +112,9 @@
 		zap.Int("runs", x.tries.runs),
 		zap.Int("events", x.events),
 		zap.Duration("took", now.Sub(x.arrived)),
-		zap.Duration("left", x.deadline.Sub(now)),
+	}
+	if !x.deadline.IsZero() {
+		fields = append(fields, zap.Duration("left", x.deadline.Sub(now)))
 	}
 	if x.table != nil {
 		fields = append(fields, zap.Uint64("configuration", x.table.Configuration.Version))
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -21,7 +21,7 @@
 		if engine := m.engineOf(service); engine != nil {
 			view := m.view(service, engine, now)
 			for _, move := range allocator.Plan(view) {
-				m.begin(move, view, now)
+				m.begin(move, now)
 			}
 		}
 	}
@@ -96,14 +96,14 @@
 }
 
 // begin carries out the first step of a move.
-func (m *Mover) begin(move allocator.Move, view *allocator.View, now time.Time) {
+func (m *Mover) begin(move allocator.Move, now time.Time) {
 	switch move := move.(type) {
 	case allocator.Load:
 		one := m.engines[move.Engine]
 		if move.FromStore {
 			m.storeLoads = append(m.storeLoads, now)
 		}
-		one.loadedAt = now.Add(loadTime(view, one, move.Model))
+		one.loadedAt = now.Add(one.loadTime(m.engineOf(one.upstream.Service).Models[move.Model]))
 		m.send(one, Order{Action: ActionLoad, Model: move.Model}, move.Reason)
 	case allocator.Drop:
 		one := m.engines[move.Engine]
@@ -116,15 +116,3 @@
 		m.send(m.engines[move.Engine], Order{Action: ActionUnload, Model: move.Model}, "makes way")
 	}
 }
-
-func loadTime(view *allocator.View, one *engine, model string) time.Duration {
-	about := view.Models[model]
-	switch {
-	case one.warm[model]:
-		return about.WarmTime
-	case one.disk[model]:
-		return about.DiskTime
-	default:
-		return about.LoadTime
-	}
-}
--- a/mover/want.go
+++ b/mover/want.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdocklink/allocator"
+	"burdocklink/matcher"
 	"burdocklink/surveyor"
 )
 
@@ -74,12 +75,24 @@
 			return max(tick, one.loadedAt.Sub(now)) + reportSoon, true
 		}
 		if one.intended == want.Model {
-			return roomTime + about.DiskTime, true
+			return roomTime + one.loadTime(about), true
 		}
 	}
 	return roomTime + about.LoadTime, true
 }
 
+// loadTime is how long the engine takes to load a model.
+func (e *engine) loadTime(model matcher.Model) time.Duration {
+	switch {
+	case e.warm[model.Name]:
+		return model.WarmTime
+	case e.disk[model.Name]:
+		return model.DiskTime
+	default:
+		return model.LoadTime
+	}
+}
+
 // roomTime is how long a copy takes to make way: its runs end first.
 const roomTime = 2 * time.Second
 
--- a/prover/node_test.go
+++ b/prover/node_test.go
@@ -49,6 +49,11 @@
 	assert.Equal(t, continued.body, wholeStream)
 
 	assert.Equal(t, s.ask("front-1", "/nowhere/", "n1", nil).status, 404)
+	for _, name := range []string{"front-1", "front-2"} {
+		for _, line := range s.decisions(name, "request") {
+			assert.Assert(t, line["request-id"] != "", "%v", line)
+		}
+	}
 
 	// a change of the configuration is in force within two seconds
 	assert.Equal(t, s.put(5, "engines"), 200)
