--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -51,6 +51,7 @@
 	p.serveWanted()
 	p.follow()
 	p.fill()
+	p.spreadOut()
 	return p.moves
 }
 
@@ -160,6 +161,59 @@
 	}
 }
 
+// spreadOut brings a model that only one engine keeps to a second one, before
+// anybody needs it there: from the store it would take longest just when its
+// demand rises.
+func (p *planner) spreadOut() {
+	on := p.view.balance(p.holders)
+	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
+		if len(p.moves) > 0 || p.view.StoreLoads <= storeReserve || p.keepers(name) >= leastKeepers {
+			continue
+		}
+		before := on.pain()
+		option, found := p.search(p.view.Models[name], false, func(engine string, victims []string) float64 {
+			if !p.ample(victims) {
+				return -spreadGain
+			}
+			return spreadGain + before - p.painWith(name, engine, victims) - p.disturbance(victims)
+		})
+		if found && option.gain > 0 {
+			p.begin(option, "second copy")
+			return
+		}
+	}
+}
+
+const (
+	// leastKeepers is how many engines should keep a copy of each model, in
+	// memory or on disk.
+	leastKeepers = 2
+	// storeReserve is how many loads from the store are left for demand.
+	storeReserve = 2
+	// spreadGain is the worth of a second keeper: more than a load from the
+	// store costs, and less than any harm to models that are in use.
+	spreadGain = 0.5
+)
+
+// ample says whether victims have copies enough for one to be lent.
+func (p *planner) ample(victims []string) bool {
+	return !slices.ContainsFunc(victims, func(name string) bool { return len(p.holders[name]) < ampleCopies })
+}
+
+// ampleCopies is how many copies a model has that lends a place.
+const ampleCopies = 3
+
+// keepers counts the engines that keep a copy of a model or will.
+func (p *planner) keepers(model string) int {
+	count := 0
+	for _, engine := range p.view.Engines {
+		if !engine.Leaving && (!engine.stored(model) || engine.Copies[model] != nil || engine.Intended == model) {
+			count++
+		}
+	}
+	return count
+}
+
 // firstGain is the worth of a first copy that nobody waits for yet.
 const firstGain = 0.3
 
