--- a/mover/demand.go
+++ b/mover/demand.go
@@ -12,12 +12,7 @@
 const (
 	// rateTime is how long demand is averaged over. Demand moves to other
 	// models within seconds; a shorter time would follow single requests.
-	rateTime = 1200 * time.Millisecond
-	// trendTime is the longer time that shows where demand is heading, and
-	// trendWeight how far ahead that is followed: a copy takes two to three
-	// seconds to come.
-	trendTime   = 3600 * time.Millisecond
-	trendWeight = 0.5
+	rateTime = 1600 * time.Millisecond
 	// lastingTime is the longer time that decides what makes way: a model that
 	// is asked for rarely must not look idle between two requests.
 	lastingTime = 8 * time.Second
@@ -37,7 +32,6 @@
 type asked struct {
 	// rate is requests per second by class; lasting follows it more slowly.
 	rate    map[string]float64
-	trend   map[string]float64
 	lasting map[string]float64
 	// at is when it was last asked for.
 	at time.Time
@@ -72,7 +66,6 @@
 		for class := range one.rate {
 			fresh := arrivals[name][class] / passed.Seconds()
 			one.rate[class] = follow(one.rate[class], fresh, passed, rateTime)
-			one.trend[class] = follow(one.trend[class], fresh, passed, trendTime)
 			one.lasting[class] = follow(one.lasting[class], fresh, passed, lastingTime)
 		}
 	}
@@ -117,7 +110,7 @@
 func (m *meter) find(name, class string) *asked {
 	one := m.names[name]
 	if one == nil {
-		one = &asked{rate: map[string]float64{}, trend: map[string]float64{}, lasting: map[string]float64{}}
+		one = &asked{rate: map[string]float64{}, lasting: map[string]float64{}}
 		m.names[name] = one
 	}
 	if _, known := one.rate[class]; !known {
@@ -157,8 +150,7 @@
 			if !known {
 				cost = defaultCost
 			}
-			ahead := rate + trendWeight*max(0, rate-one.trend[class])
-			target.Work += ahead * cost
+			target.Work += rate * cost
 			target.Lasting += one.lasting[class] * cost
 		}
 	}
