test(prover): cut an entry off from the leader's own address too

The check passed by a moment without a heartbeat: the entry, cut off at the address of its settings, had learned the leader's own address and went on there. Now that entries are told at once when they connect, that moment is gone, and the check was red each time. It cuts both addresses now and is stricter: the entry must stay unready.

--- a/prover/entry_test.go
+++ b/prover/entry_test.go
@@ -128,9 +128,15 @@
 	alone := f.addCutOffEntry()
 	eventually(t, "it is ready", alone.entry.ready)
 
+	// the entry has learned the leader's own address, which must be silent too
 	alone.control.silence(t, toClient)
+	f.members[0].link.silence(t, toClient)
 
 	eventually(t, "it is not ready", func() bool { return !alone.entry.ready() })
+	for range 50 {
+		time.Sleep(testPause)
+		assert.Assert(t, !alone.entry.ready(), "it stays cut off")
+	}
 	for range 3 {
 		f.book(alone.entry, f.newKey())
 	}
