--- a/follower/errors.go
+++ b/follower/errors.go
@@ -12,6 +12,13 @@
 // Error names the leader.
 func (e *ElsewhereError) Error() string { return "the leader is at " + e.Leader }
 
+// LeaderlessError says that a member knows no leader, so that another one is
+// asked.
+type LeaderlessError struct{ Address string }
+
+// Error names the member.
+func (e *LeaderlessError) Error() string { return "no leader is known at " + e.Address }
+
 // UpdateError says that a member sent an update this version does not know.
 type UpdateError struct{}
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -159,3 +159,23 @@
 		})
 	}
 }
+
+// Found on the users' bench, core-behind, seed 843520578850: entries stayed
+// with a member that was cut off from the others, and missed two changes.
+func TestAMemberWithoutALeaderIsLeft(t *testing.T) {
+	f := newTestFollower(func(*cataloger.Catalog) {})
+	cases := map[string]struct {
+		beat *wire.Heartbeat
+		left bool
+	}{
+		"leads":          {&wire.Heartbeat{Leader: "a", Leading: true}, false},
+		"leads alone":    {&wire.Heartbeat{Leading: true}, false},
+		"knows the lead": {&wire.Heartbeat{Leader: "b"}, true},
+		"knows no lead":  {&wire.Heartbeat{}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, f.takeHeartbeat("a", newSentReports(), c.beat) != nil, c.left)
+		})
+	}
+}
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -193,7 +193,15 @@
 	}
 	leader := beat.GetLeader()
 	f.leader.Store(&leader)
-	if leader != "" && leader != address && !beat.GetLeading() {
+	if beat.GetLeading() {
+		return nil
+	}
+	// a member that is cut off from the others goes on sending heartbeats, and
+	// knows of no change
+	if leader == "" {
+		return &LeaderlessError{Address: address}
+	}
+	if leader != address {
 		return &ElsewhereError{Leader: leader}
 	}
 	return nil
