--- a/mover/plan.go
+++ b/mover/plan.go
@@ -16,7 +16,7 @@
 	if !m.mayOrder(now) || now.Before(m.planAt) {
 		return
 	}
-	defer m.rest(now)
+	defer m.rest(now, time.Now())
 	for _, service := range sortedNames(m.configuration.Services) {
 		if engine := m.engineOf(service); engine != nil {
 			view := m.view(service, engine, now)
@@ -31,9 +31,9 @@
 const planShare = 0.1
 
 // rest puts the next plan off after one that took long.
-func (m *Mover) rest(began time.Time) {
+func (m *Mover) rest(now, began time.Time) {
 	took := time.Since(began)
-	m.planAt = began.Add(time.Duration(float64(took) / planShare))
+	m.planAt = now.Add(time.Duration(float64(took) / planShare))
 }
 
 // view is the service as plans see it.
