refactor: one copy of what stood twice, dead code out, entry node in parts

receiver and forwarder each told the cause of an error: linker.CauseOf serves both. A planned load time stood in the mover and the allocator: Engine.LoadTime. The mover's list of adapter jobs never held more than one: it is one want. Settings nobody read, an error nobody made and two methods nobody called are gone. provisioner.NewEntryNode is in parts; the control node has its own file.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -46,10 +46,9 @@
 
 // Engine is one engine.
 type Engine struct {
-	Name             string
-	AvailabilityZone string
-	MemoryBytes      int64
-	AdapterSlots     int
+	Name         string
+	MemoryBytes  int64
+	AdapterSlots int
 	// Copies are by model. A copy that is still loading is among them.
 	Copies map[string]*Copy
 	// Loading is the model whose load is under way; empty for none.
@@ -138,8 +137,8 @@
 	return held != nil && !held.Dropping && e.Loading != model && !e.Leaving
 }
 
-// loadTime is how long an engine takes to load a model.
-func (e *Engine) loadTime(model *Model) time.Duration {
+// LoadTime is how long an engine takes to load a model.
+func (e *Engine) LoadTime(model *Model) time.Duration {
 	switch {
 	case e.Warm[model.Name]:
 		return model.WarmTime
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -12,12 +12,11 @@
 	engines map[string]float64
 }
 
-// rounds and steps of the spreading. Each round gives every model a share of
-// its demand in equal steps, each to the holder with the least work.
+// steps is in how many equal parts a model's demand is spread, each to the holder
+// with the least work.
 const steps = 8
 
-// balance spreads the demand over holders. Extra names a further holder for
-// one model, and without a holder that is to go; both may be empty.
+// balance spreads the demand of each model over its holders.
 func (v *View) balance(holders map[string][]string) spread {
 	s := spread{engines: make(map[string]float64, len(v.Engines))}
 	for name, engine := range v.Engines {
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -133,7 +133,7 @@
 		if !model.Wanted || len(p.holders[name]) > 0 {
 			continue
 		}
-		if option, found := p.best(model, wantedGain); found {
+		if option, found := p.best(model); found {
 			p.begin(option, "wanted")
 		}
 	}
@@ -296,10 +296,10 @@
 }
 
 // best is the best place for the first copy of a model.
-func (p *planner) best(model *Model, worth float64) (option, bool) {
+func (p *planner) best(model *Model) (option, bool) {
 	before := p.view.balance(p.holders).pain()
 	return p.search(model, true, func(engine string, victims []string) float64 {
-		return worth + before - p.painWith(model.Name, engine, victims) - p.lastCopies(engine, victims)
+		return wantedGain + before - p.painWith(model.Name, engine, victims) - p.lastCopies(engine, victims)
 	})
 }
 
@@ -372,7 +372,7 @@
 
 // timeTo is how long it takes until an engine serves a model.
 func (p *planner) timeTo(engine *Engine, model *Model, victims []string) time.Duration {
-	total := engine.loadTime(model)
+	total := engine.LoadTime(model)
 	for _, victim := range victims {
 		if engine.Copies[victim].InFlight > 0 {
 			return total + runTime
--- a/forwarder/errors.go
+++ b/forwarder/errors.go
@@ -101,12 +101,6 @@
 // Error names the status.
 func (e *FailedError) Error() string { return "the upstream answered " + strconv.Itoa(e.Status) }
 
-// HeaderTimeoutError says that a caller took too long to send a request.
-type HeaderTimeoutError struct{}
-
-// Error describes the delay.
-func (e *HeaderTimeoutError) Error() string { return "the request took too long to arrive" }
-
 // statuses that keep a promise: the request has not run and never will.
 func promises(status int) bool {
 	switch status {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -13,6 +13,7 @@
 	"burdocklink/admitter"
 	"burdocklink/classifier"
 	"burdocklink/dispatcher"
+	"burdocklink/linker"
 	"burdocklink/matcher"
 	"burdocklink/reporter"
 	"burdocklink/router"
@@ -181,7 +182,7 @@
 	release := context.AfterFunc(x.admitting, func() { cancel(context.Cause(x.admitting)) })
 	defer release()
 	if err := x.choose(ctx); err != nil {
-		return causeOf(ctx, err)
+		return linker.CauseOf(ctx, err)
 	}
 	return nil
 }
@@ -372,11 +373,3 @@
 func (x *exchange) settle(outcome router.Outcome) {
 	x.grant.Done(admitter.Result{Ended: time.Now(), Tokens: x.tokens(), Outcome: outcome})
 }
-
-// causeOf returns why a context ended in place of a failure that it caused.
-func causeOf(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return err
-}
--- a/linker/retry.go
+++ b/linker/retry.go
@@ -31,3 +31,11 @@
 		return false
 	}
 }
+
+// CauseOf returns why a context ended in place of a failure that it caused.
+func CauseOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
--- a/mover/engine.go
+++ b/mover/engine.go
@@ -50,13 +50,10 @@
 	restUntil   time.Time
 	intended    string
 	intendedBy  time.Time
-	// jobs are adapters to load, in order of arrival.
-	jobs []adapterJob
+	// adapter is what the last order about an adapter was given for.
+	adapter Want
 }
 
-// adapterJob is an adapter that requests wait for.
-type adapterJob struct{ want Want }
-
 func newEngine(upstream surveyor.Upstream, now time.Time) *engine {
 	return &engine{
 		upstream: upstream,
@@ -144,17 +141,16 @@
 // view is the engine as plans see it.
 func (e *engine) view(service *matcher.Engine, now time.Time, inFlight int) *allocator.Engine {
 	return &allocator.Engine{
-		Name:             e.upstream.Name,
-		AvailabilityZone: e.upstream.AvailabilityZone,
-		MemoryBytes:      service.MemoryBytes,
-		AdapterSlots:     service.AdapterSlots,
-		Copies:           e.copies,
-		Loading:          e.loading,
-		Intended:         e.intended,
-		Free:             e.free(now),
-		Leaving:          e.upstream.State == surveyor.Leaving || !e.reported,
-		Warm:             e.warm,
-		OnDisk:           e.disk,
-		InFlight:         inFlight,
+		Name:         e.upstream.Name,
+		MemoryBytes:  service.MemoryBytes,
+		AdapterSlots: service.AdapterSlots,
+		Copies:       e.copies,
+		Loading:      e.loading,
+		Intended:     e.intended,
+		Free:         e.free(now),
+		Leaving:      e.upstream.State == surveyor.Leaving || !e.reported,
+		Warm:         e.warm,
+		OnDisk:       e.disk,
+		InFlight:     inFlight,
 	}
 }
--- a/mover/events.go
+++ b/mover/events.go
@@ -231,7 +231,6 @@
 		one.believeFrom = now.Add(reportLag)
 		one.restUntil = now.Add(retryAfter)
 		one.askAt = one.believeFrom
-		one.jobs = nil
 	}
 }
 
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -45,15 +45,8 @@
 		StoreLoads: m.storeRoom(can, now),
 	}
 	for name, model := range can.Models {
-		view.Models[name] = &allocator.Model{
-			Name:               name,
-			MemoryBytes:        model.MemoryBytes,
-			AdapterMemoryBytes: model.AdapterMemoryBytes,
-			LoadTime:           model.LoadTime,
-			DiskTime:           model.DiskTime,
-			WarmTime:           model.WarmTime,
-			Wanted:             now.Before(m.wanted[surveyor.HeldName(service, name, "")]),
-		}
+		view.Models[name] = planned(model)
+		view.Models[name].Wanted = now.Before(m.wanted[surveyor.HeldName(service, name, "")])
 	}
 	m.meter.apply(service, view.Models)
 	loads := m.settings.Loads()
@@ -71,6 +64,18 @@
 	return view
 }
 
+// planned is a model as plans see it, without its demand.
+func planned(model matcher.Model) *allocator.Model {
+	return &allocator.Model{
+		Name:               model.Name,
+		MemoryBytes:        model.MemoryBytes,
+		AdapterMemoryBytes: model.AdapterMemoryBytes,
+		LoadTime:           model.LoadTime,
+		DiskTime:           model.DiskTime,
+		WarmTime:           model.WarmTime,
+	}
+}
+
 // markAdapters notes when adapters were last asked for.
 func (m *Mover) markAdapters(one *engine, service string) {
 	for model, held := range one.copies {
--- a/mover/want.go
+++ b/mover/want.go
@@ -83,14 +83,8 @@
 
 // loadTime is how long the engine takes to load a model.
 func (e *engine) loadTime(model matcher.Model) time.Duration {
-	switch {
-	case e.warm[model.Name]:
-		return model.WarmTime
-	case e.disk[model.Name]:
-		return model.DiskTime
-	default:
-		return model.LoadTime
-	}
+	keeps := allocator.Engine{Warm: e.warm, OnDisk: e.disk}
+	return keeps.LoadTime(planned(model))
 }
 
 // roomTime is how long a copy takes to make way: its runs end first.
@@ -155,10 +149,10 @@
 	return &ready
 }
 
-// onItsWay is true while an order for an adapter is being given.
+// onItsWay is true while an order towards an adapter is being given.
 func (m *Mover) onItsWay(want Want) bool {
 	for _, one := range m.engines {
-		if one.sending && slices.Contains(one.jobs, adapterJob{want: want}) {
+		if one.sending && one.adapter == want {
 			return true
 		}
 	}
@@ -169,7 +163,7 @@
 // for the adapter itself.
 func (m *Mover) loadAdapter(want Want, place allocator.AdapterPlace) {
 	one := m.engines[place.Engine]
-	one.jobs = []adapterJob{{want: want}}
+	one.adapter = want
 	if place.Evict != "" {
 		m.send(one, Order{Action: ActionUnload, Model: place.EvictModel, Adapter: place.Evict}, "adapter makes way")
 		return
--- /dev/null
+++ b/provisioner/control.go
@@ -0,0 +1,143 @@
+package provisioner
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"burdocklink/conductor"
+	"burdocklink/configurator"
+	"burdocklink/dispatcher"
+	"burdocklink/linker"
+	"burdocklink/mover"
+	"burdocklink/placer"
+	"burdocklink/platform"
+	"burdocklink/prober"
+	"burdocklink/registrar"
+	"burdocklink/reporter"
+	"burdocklink/responder"
+	"burdocklink/router"
+)
+
+// NewControlNode puts a control member on the platform together.
+func NewControlNode(settings Settings) (*Node, error) {
+	metrics := reporter.New(reporter.Settings{})
+	member, err := newMember(settings, metrics)
+	if err != nil {
+		return nil, err
+	}
+	answers, moves := newLeaderDuties(settings, member, metrics)
+	_, operatorsPort, err := net.SplitHostPort(settings.Operators)
+	if err != nil {
+		return nil, &AddressError{Address: settings.Operators, Cause: err}
+	}
+	operators := configurator.New(configurator.Settings{
+		Listen:    settings.Operators,
+		Group:     member,
+		Codec:     platform.OperatorCodec(),
+		Operators: func(name string) string { return withPort(name, operatorsPort) },
+		Log:       settings.Log,
+	})
+	health := prober.New(prober.Settings{
+		Listen:   settings.Metrics,
+		Ready:    member.Led,
+		Reporter: metrics,
+		Log:      settings.Log,
+	})
+	return &Node{
+		Services: []registrar.Service{answers, member, moves, operators, health},
+		Reload:   func(changed platform.Settings) { member.Meet(links(changed.SeedLinks())) },
+	}, nil
+}
+
+func newMember(settings Settings, metrics *reporter.Reporter) (*conductor.Conductor, error) {
+	return conductor.New(conductor.Config{
+		Name:      settings.Links,
+		Address:   settings.Links,
+		Folder:    settings.Folder,
+		Peers:     links(settings.SeedLinks()),
+		Voters:    votersFor(settings.Losses),
+		Joins:     !settings.First,
+		LostAfter: lostAfter,
+		Timing: conductor.Timing{
+			Heartbeat:   heartbeat,
+			ElectionMin: electionMin,
+			ElectionMax: electionMax,
+			Lease:       leaderLease,
+		},
+		Codec:   responder.Codec(),
+		Metrics: metrics.Registry(),
+		Log:     settings.Log,
+		Fatal:   settings.Fatal,
+	})
+}
+
+// newLeaderDuties returns what answers entries and what gives orders while the
+// member leads. Each needs the other.
+func newLeaderDuties(settings Settings, member *conductor.Conductor, metrics *reporter.Reporter) (*responder.Responder, *mover.Mover) {
+	calls := dispatcher.New(dispatcher.Settings{Dial: dialTime})
+	client := platform.NewClient(settings.List.Address, calls)
+	var answers *responder.Responder
+	moves := mover.New(mover.Settings{
+		Holder:       settings.Node,
+		Group:        member,
+		Fetch:        client.FetchList,
+		Engines:      client,
+		Unpack:       unpack,
+		Demands:      func() map[string]placer.Demand { return answers.Demands() },
+		Loads:        func() map[string]router.Load { return answers.Loads() },
+		Lease:        settings.Bounds.Lease,
+		StoreWindow:  settings.Bounds.StoreWindow,
+		StoreOverage: settings.Bounds.StoreOverage,
+		Log:          settings.Log,
+	})
+	answers = responder.New(responder.Settings{
+		Listen:   settings.Links,
+		Operator: noOperator,
+		Group:    member,
+		Holdings: moves,
+		Pulse:    pulse,
+		Meter:    linker.NewMeter(metrics.Registry()),
+		Log:      settings.Log,
+	})
+	return answers, moves
+}
+
+// Timing of the control group. A member that has just started waits for
+// electionMin at least, since it may have vouched for a leader before; callers
+// wait with it where all members were lost at once.
+const (
+	heartbeat   = 100 * time.Millisecond
+	electionMin = 500 * time.Millisecond
+	electionMax = 900 * time.Millisecond
+	leaderLease = 400 * time.Millisecond
+)
+
+// lostAfter is how long a voter may be silent before a learner that has caught
+// up takes its place: a restart of its process takes less.
+const lostAfter = 2 * time.Second
+
+// noOperator refuses the product's own operators' calls, which have no keys on
+// the platform.
+func noOperator(context.Context) (string, error) { return "", &NoOperatorsError{} }
+
+// NoOperatorsError says that the product's own operators have no access.
+type NoOperatorsError struct{}
+
+// Error describes the refusal.
+func (e *NoOperatorsError) Error() string { return "operators use the platform's interface" }
+
+// AddressError says that an address of the settings can't be used.
+type AddressError struct {
+	Address string
+	Cause   error
+}
+
+// Error describes the fault.
+func (e *AddressError) Error() string {
+	return "address " + strconv.Quote(e.Address) + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *AddressError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/provisioner/entry.go
@@ -0,0 +1,146 @@
+package provisioner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"burdocklink/admitter"
+	"burdocklink/broadcaster"
+	"burdocklink/cataloger"
+	"burdocklink/dispatcher"
+	"burdocklink/follower"
+	"burdocklink/forwarder"
+	"burdocklink/linker"
+	"burdocklink/platform"
+	"burdocklink/prober"
+	"burdocklink/registrar"
+	"burdocklink/reporter"
+	"burdocklink/router"
+	"burdocklink/seeker"
+	"burdocklink/surveyor"
+)
+
+const (
+	// listInterval is the time between two readings of the platform's list. Two
+	// of them and the list's lag pass before a leaving upstream may get no more
+	// work.
+	listInterval = 1200 * time.Millisecond
+	// tellDemand is the time between two reports of demand.
+	tellDemand = 500 * time.Millisecond
+	// crossZoneCost is what a call to another availability zone costs beside
+	// the wait for a first token: the way there and back.
+	crossZoneCost = 4 * time.Millisecond
+)
+
+// NewEntryNode puts an entry on the platform together.
+func NewEntryNode(settings Settings) (*Node, error) {
+	parts := newEntryParts(settings)
+	catalogs := parts.newFollower()
+	callers := parts.newForwarder(catalogs.Leader)
+	health := prober.New(prober.Settings{
+		Listen:    settings.Readiness,
+		ReadyPath: platform.PathReady,
+		Ready:     callers.Accepting,
+		Reporter:  parts.metrics,
+		Log:       settings.Log,
+	})
+	return &Node{
+		Services: []registrar.Service{health, parts.admission, parts.notes, parts.upstreams, catalogs, callers},
+		Reload:   func(changed platform.Settings) { catalogs.Meet(changed.SeedLinks()) },
+	}, nil
+}
+
+// entryParts are what several services of an entry share.
+type entryParts struct {
+	settings      Settings
+	metrics       *reporter.Reporter
+	routes        *router.Router
+	retries       *retryShare
+	admission     *admitter.Admitter
+	calls         *dispatcher.Dispatcher
+	links         *linker.Linker
+	notes         *broadcaster.Broadcaster
+	upstreams     *surveyor.Surveyor
+	configuration *configured
+}
+
+func newEntryParts(settings Settings) *entryParts {
+	p := &entryParts{settings: settings, metrics: reporter.New(reporter.Settings{})}
+	p.routes = router.New(router.Settings{
+		AvailabilityZone: settings.AvailabilityZone,
+		Seed:             xxhash.Sum64String(settings.Node),
+		CrossZone:        crossZoneCost,
+	})
+	p.retries = newRetryShare(settings.Bounds)
+	p.admission = admitter.New(p.routes, admitter.Settings{Retries: p.retries.budget()})
+	p.retries.apply = p.admission.SetReserve
+	p.calls = dispatcher.New(dispatcher.Settings{Dial: dialTime})
+	p.links = linker.New(nil, linker.NewMeter(p.metrics.Registry()))
+	p.notes = broadcaster.New(broadcaster.Settings{
+		Entry:  settings.Node,
+		Listen: settings.Links,
+		Links:  p.links,
+		Router: p.routes,
+		Wake:   p.admission.Wake,
+		Log:    settings.Log,
+	})
+	p.upstreams = surveyor.New(surveyor.Settings{
+		Fetch:    platform.NewClient(settings.List.Address, p.calls).FetchList,
+		Interval: listInterval,
+		Notify:   p.notify,
+		Log:      settings.Log,
+	})
+	p.configuration = newConfigured(p.upstreams, settings.Log)
+	return p
+}
+
+// notify brings a new picture of the upstreams to those who decide by it.
+func (p *entryParts) notify(catalog *cataloger.Catalog) {
+	p.routes.Update(catalog)
+	p.admission.Wake()
+}
+
+// meet takes in the addresses of the other entries.
+func (p *entryParts) meet(peers []string) {
+	p.notes.Meet(peers)
+	p.retries.share(len(peers) + 1)
+}
+
+func (p *entryParts) newFollower() *follower.Follower {
+	return follower.New(follower.Settings{
+		Entry:            p.settings.Node,
+		Incarnation:      uuid.NewString(),
+		AvailabilityZone: p.settings.AvailabilityZone,
+		Control:          p.settings.SeedLinks(),
+		Links:            p.links,
+		Notify:           p.configuration.take,
+		Demand:           p.admission.Demand,
+		Loads:            p.routes.Loads,
+		NotesAddress:     p.settings.Links,
+		Peers:            p.meet,
+		Held:             p.upstreams.Tell,
+		Tell:             pulse,
+		TellDemand:       tellDemand,
+		Log:              p.settings.Log,
+	})
+}
+
+func (p *entryParts) newForwarder(leader func() string) *forwarder.Forwarder {
+	return forwarder.New(forwarder.Config{
+		Listen:           p.settings.Callers,
+		AvailabilityZone: p.settings.AvailabilityZone,
+		Linger:           lingerTime,
+		Codec:            platform.Codec(),
+		Table:            p.configuration.table.Load,
+		Ready:            func() error { return nil },
+		Admitter:         p.admission,
+		Holders: seeker.New(seeker.Settings{
+			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Log: p.settings.Log,
+		}),
+		Calls:    p.calls,
+		Reporter: p.metrics,
+		Log:      p.settings.Log,
+	})
+}
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -12,6 +12,7 @@
 	"burdocklink/admitter"
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
+	"burdocklink/linker"
 	"burdocklink/relayer"
 	"burdocklink/router"
 )
@@ -56,7 +57,7 @@
 func (e *engines) Open(ctx context.Context, from relayer.Prefix) (relayer.Source, error) {
 	for tries := 1; ; tries++ {
 		if err := e.place(ctx, from); err != nil {
-			return nil, causeOf(ctx, err)
+			return nil, linker.CauseOf(ctx, err)
 		}
 		source, err := e.start(ctx, from)
 		if err == nil {
@@ -65,7 +66,7 @@
 		e.settle(outcomeOf(err))
 		var refused *answeredError
 		if ctx.Err() != nil || errors.As(err, &refused) || tries >= openTries {
-			return nil, causeOf(ctx, err)
+			return nil, linker.CauseOf(ctx, err)
 		}
 	}
 }
@@ -312,14 +313,6 @@
 	}
 }
 
-// causeOf returns why a context ended in place of a failure that it caused.
-func causeOf(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return err
-}
-
 func sleep(ctx context.Context, length time.Duration) error {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
--- a/receiver/once.go
+++ b/receiver/once.go
@@ -11,6 +11,7 @@
 	"burdocklink/claimer"
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
+	"burdocklink/linker"
 	"burdocklink/reporter"
 )
 
@@ -61,7 +62,7 @@
 func (x *exchange) dispatchOnce(asked work, by time.Time) (string, dispatcher.Answer, error) {
 	grant, err := x.Admitter.Acquire(x.ctx, x.admission(asked.route))
 	if err != nil {
-		return "", dispatcher.Answer{}, causeOf(x.ctx, err)
+		return "", dispatcher.Answer{}, linker.CauseOf(x.ctx, err)
 	}
 	for tries := 1; ; tries++ {
 		answer, err := x.tryOnce(asked, grant, by)
@@ -85,7 +86,7 @@
 	defer cancel()
 	if ctx.Err() != nil || x.ctx.Err() != nil {
 		grant.Done(admitter.Result{Ended: time.Now(), Outcome: wholeOutcome(dispatcher.Answer{}, ctx.Err())})
-		return dispatcher.Answer{}, causeOf(x.ctx, &DeadlinePassedError{})
+		return dispatcher.Answer{}, linker.CauseOf(x.ctx, &DeadlinePassedError{})
 	}
 	answer, err := x.Calls.Once(ctx, x.call(asked, grant))
 	grant.Done(admitter.Result{Ended: time.Now(), Outcome: wholeOutcome(answer, err)})
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -13,6 +13,7 @@
 	"burdocklink/cataloger"
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
+	"burdocklink/linker"
 	"burdocklink/router"
 )
 
@@ -115,7 +116,7 @@
 func (x *exchange) whole(asked work) error {
 	grant, err := x.Admitter.Acquire(x.ctx, x.admission(asked.route))
 	if err != nil {
-		return causeOf(x.ctx, err)
+		return linker.CauseOf(x.ctx, err)
 	}
 	for {
 		answer, failure := x.tryWhole(asked, grant)
@@ -123,14 +124,14 @@
 			return x.passAnswer(grant.Choice.Upstream, answer)
 		}
 		if x.ctx.Err() != nil {
-			return causeOf(x.ctx, failure)
+			return linker.CauseOf(x.ctx, failure)
 		}
 		next, err := x.Admitter.Again(x.ctx, grant)
 		if err != nil && failure == nil {
 			return x.passAnswer(grant.Choice.Upstream, answer)
 		}
 		if err != nil {
-			return causeOf(x.ctx, failure)
+			return linker.CauseOf(x.ctx, failure)
 		}
 		grant = next
 	}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -182,14 +182,6 @@
 	s.update()
 }
 
-// Upstream returns an upstream of the list by name.
-func (s *Surveyor) Upstream(name string) (Upstream, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	upstream, known := s.listed[name]
-	return upstream, known
-}
-
 // update makes a new picture where something changed. The mutex is held.
 func (s *Surveyor) update() {
 	catalog := s.catalog()
