--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -366,7 +366,7 @@
 			}
 		}
 		// 1 a second for 5 s, times 1.1, less the spare one
-assert.Assert(t, within <= 4, "%d loads in the window from %s", within, from)
+		assert.Assert(t, within <= 4, "%d loads in the window from %s", within, from)
 	}
 }
 
