fix(forwarder,mover): count a request once, and silent engines for nothing

Cause: where a model's only holder had crashed, control went on naming it as holder while entries could not reach it. Each time counted as new demand, up to 1,400 engines' work for one model, so that plans followed noise for half a minute; each second dispatch spent the retry budget anew.

Now a request counts once and a failed dispatch spends the budget once; a holder that can't be reached is looked for with pauses; an engine that misses two reports in a row counts for nothing in plans until it answers.

Ruled out: the time over which demand is averaged; the weight store's bound (it had room).

Tests are red without the change.

--- a/admitter/grant.go
+++ b/admitter/grant.go
@@ -18,6 +18,9 @@
 
 	request  Request
 	admitter *Admitter
+	// retried is true once the retry budget was spent on another dispatch. The
+	// queue owns it.
+	retried bool
 	mutex    sync.Mutex
 	first    time.Time
 	done     bool
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -215,12 +215,17 @@
 	return at
 }
 
-// count earns or spends retry budget. It returns false for a retry that the
-// budget does not cover.
+// count earns or spends retry budget, once for each request and for each
+// dispatch that failed. It returns false for a retry that the budget does not
+// cover.
 func (q *Queue) count(t *Ticket) bool {
 	budget := q.budgets.of(t.request.Route.Service)
-	if t.retry {
-		return budget.Spend()
+	switch {
+	case t.after != nil:
+		t.after.retried = t.after.retried || budget.Spend()
+		return t.after.retried
+	case t.request.Counted:
+		return true
 	}
 	q.demand.arrived(&t.request)
 	budget.Earn()
@@ -267,7 +272,9 @@
 	if t.waitsForHolder(now) {
 		return false
 	}
-	q.demand.refused(&t.request)
+	if !t.request.Counted {
+		q.demand.refused(&t.request)
+	}
 	q.decide(Decision{Ticket: t, Err: err})
 	return true
 }
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -10,6 +10,7 @@
 	"burdocklink/cataloger"
 	"burdocklink/classifier"
 	"burdocklink/estimator"
+	"burdocklink/limiter"
 	"burdocklink/router"
 )
 
@@ -153,3 +154,37 @@
 	assert.Equal(t, q.Waiting(), 2)
 	assert.Assert(t, q.Next().After(late), "%s", q.Next())
 }
+
+// Found on the users' bench, cpf-verifica scale-1: requests for a model whose
+// only holder was unreachable asked again and again. Each time counted as new
+// demand, and each second dispatch spent the retry budget anew.
+func TestAskingAgainForAHolderCountsOnce(t *testing.T) {
+	q, _ := queueOf(t, 1)
+	lost := at(epoch, "caller")
+	lost.Route.Holds = "held by nobody"
+	for range 50 {
+		q.Arrive(epoch, lost)
+		lost.Counted = true
+	}
+	count := q.Demand().Counts["held by nobody"][lost.Class.Name]
+	assert.Equal(t, count.Arrivals, uint64(1))
+}
+
+func TestASecondDispatchSpendsTheBudgetOnce(t *testing.T) {
+	q, _ := queueOf(t, 1)
+	q.budgets = newBudgets(limiter.BudgetSettings{Fraction: 0, Reserve: 1})
+	q.Arrive(epoch, at(epoch, "caller"))
+	grant := granted(q)[0]
+	for range 50 {
+		q.ArriveAgain(epoch, grant)
+		for _, decision := range q.Take() {
+			var spent *BudgetError
+			assert.Assert(t, !errors.As(decision.Err, &spent))
+		}
+	}
+	// another request's second dispatch finds nothing left
+	other := &Grant{Choice: grant.Choice, request: grant.request}
+	q.ArriveAgain(epoch, other)
+	var spent *BudgetError
+	assert.Assert(t, errors.As(q.Take()[0].Err, &spent))
+}
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -25,6 +25,9 @@
 	// Route is what the choice of the upstream depends on. Its FirstTokenBy
 	// and Avoid are filled in by the admitter.
 	Route router.Request
+	// Counted is true where the request has been admitted before and nobody held
+	// what it asks for. It is one request still.
+	Counted bool
 }
 
 // targetBy returns when the class promises the first token, or the whole
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -15,8 +15,9 @@
 	// holderBy is how long a patient request waits for an upstream that holds
 	// what it asks for; zero while one does.
 	holderBy time.Time
-	// retry is true for a second dispatch, which needs the retry budget.
-	retry bool
+	// after is the grant that failed before a second dispatch, which needs the
+	// retry budget; nil for a first one.
+	after *Grant
 	// group numbers the tickets that need the same room.
 	group int
 	// waited is true once the ticket has been in the queue.
@@ -48,7 +49,7 @@
 // newRetry returns a ticket for another upstream after a grant that failed.
 func newRetry(grant *Grant) *Ticket {
 	t := newTicket(grant.request)
-	t.retry = true
+	t.after = grant
 	t.request.Route.Avoid = append([]string{grant.Choice.Upstream}, grant.request.Route.Avoid...)
 	return t
 }
@@ -92,7 +93,7 @@
 // waiting for one.
 func (t *Ticket) waitsForHolder(now time.Time) bool {
 	promised := !t.request.Route.FirstTokenBy.IsZero()
-	if t.holderBy.IsZero() && promised && t.key.After(now.Add(holderTime)) && !t.retry {
+	if t.holderBy.IsZero() && promised && t.key.After(now.Add(holderTime)) && t.after == nil {
 		t.holderBy = now.Add(holderTime)
 	}
 	return now.Before(t.holderBy)
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -187,12 +187,26 @@
 	return nil
 }
 
+// holderPause is the wait before a holder is looked for again that the control
+// group knows of and that can't be reached, and holderRetry the time in which
+// the group notices that.
+const (
+	holderPause = 50 * time.Millisecond
+	holderRetry = time.Second
+)
+
 // choose waits for an upstream, and for one that holds what is asked for.
 func (x *exchange) choose(ctx context.Context) error {
-	for {
-		grant, err := x.acquire(ctx)
+	for looks := 0; ; looks++ {
+		grant, err := x.acquire(ctx, looks > 0)
 		var nowhere *router.NoUpstreamError
 		if errors.As(err, &nowhere) && x.request.Model != "" {
+			if looks > 0 && !linker.Pause(ctx, holderPause) {
+				return context.Cause(ctx)
+			}
+			if time.Now().After(x.holderBy()) {
+				return &AbsentError{Model: x.request.Model, Retry: time.Now().Add(holderRetry)}
+			}
 			if err := x.Holders.Want(ctx, x.service, x.request.Model, x.request.Adapter, x.holderBy()); err != nil {
 				return err
 			}
@@ -232,11 +246,15 @@
 	return x.deadline
 }
 
-func (x *exchange) acquire(ctx context.Context) (*admitter.Grant, error) {
+// acquire asks for an upstream. A request that looks for one again is counted
+// already.
+func (x *exchange) acquire(ctx context.Context, counted bool) (*admitter.Grant, error) {
 	if x.tries.sends > 0 {
 		return x.Admitter.Again(ctx, x.grant)
 	}
-	return x.Admitter.Acquire(ctx, x.admission())
+	request := x.admission()
+	request.Counted = counted
+	return x.Admitter.Acquire(ctx, request)
 }
 
 func (x *exchange) admission() admitter.Request {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -72,15 +72,21 @@
 	// err answers where no upstream is left; block lets Acquire wait.
 	err   error
 	block bool
+	// asked counts the calls of Acquire, counted those for new requests.
+	asked, counted int
 }
 
-func (a *admission) Acquire(ctx context.Context, _ admitter.Request) (*admitter.Grant, error) {
+func (a *admission) Acquire(ctx context.Context, request admitter.Request) (*admitter.Grant, error) {
 	if a.block {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.asked++
+	if !request.Counted {
+		a.counted++
+	}
 	if a.next >= len(a.upstreams) {
 		return nil, a.err
 	}
@@ -92,12 +98,15 @@
 	return a.Acquire(ctx, admitter.Request{})
 }
 
-// noHolders knows of no model.
-type noHolders struct{}
+// holders knows of no model but for those that are held.
+type holders struct{ held string }
 
-func (noHolders) Name(service, model, _ string) string { return service + model }
+func (*holders) Name(service, model, _ string) string { return service + model }
 
-func (noHolders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
+func (h *holders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
+	if model == h.held {
+		return nil
+	}
 	return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(7 * time.Second)}
 }
 
@@ -132,7 +141,7 @@
 	t.Cleanup(calls.Close)
 	r.forwarder = forwarder.New(forwarder.Config{
 		Listen: "127.0.0.1:0", Codec: codec(), Table: r.table.Load, Ready: func() error { return nil },
-		Admitter: r.admission, Holders: noHolders{}, Calls: calls,
+		Admitter: r.admission, Holders: &holders{held: "unreachable"}, Calls: calls,
 		Reporter: reporter.New(reporter.Settings{}), Log: zap.NewNop(),
 	})
 	assert.NilError(t, r.forwarder.Start(t.Context(), nil))
@@ -315,6 +324,19 @@
 	}
 }
 
+// Found on the users' bench, cpf-verifica scale-1: while a model's only holder
+// was unreachable, each request asked for it thousands of times.
+func TestAHolderThatCannotBeReachedIsAskedForWithPauses(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, whole(200, "ok"))
+	r.admission.upstreams, r.admission.err = nil, &router.NoUpstreamError{}
+	got := r.ask(http.MethodPost, "/x/1", "", map[string]string{"Model": "unreachable", "Wait": "300ms"})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, r.admission.asked <= 300/50+2, "asked %d times", r.admission.asked)
+	assert.Equal(t, r.admission.counted, 1)
+}
+
 func TestTimeouts(t *testing.T) {
 	slow := func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
 	cases := map[string]struct {
--- a/mover/engine.go
+++ b/mover/engine.go
@@ -47,6 +47,8 @@
 	believeFrom time.Time
 	asking      bool
 	askAt       time.Time
+	// unanswered counts the reports in a row that did not come.
+	unanswered int
 	restUntil   time.Time
 	intended    string
 	intendedBy  time.Time
@@ -80,6 +82,14 @@
 	return true
 }
 
+// silentReports is how many reports in a row may fail to come before an engine
+// counts as silent: one may fall victim to a lost packet.
+const silentReports = 2
+
+// silent is true for an engine that does not answer. What it holds serves
+// nobody until it answers again.
+func (e *engine) silent() bool { return e.unanswered >= silentReports }
+
 func (e *engine) takeHolds(report Report, now time.Time) {
 	copies := map[string]*allocator.Copy{}
 	for _, held := range report.Holds {
@@ -148,7 +158,7 @@
 		Loading:      e.loading,
 		Intended:     e.intended,
 		Free:         e.free(now),
-		Leaving:      e.upstream.State == surveyor.Leaving || !e.reported,
+		Leaving:      e.upstream.State == surveyor.Leaving || !e.reported || e.silent(),
 		Warm:         e.warm,
 		OnDisk:       e.disk,
 		InFlight:     inFlight,
--- a/mover/events.go
+++ b/mover/events.go
@@ -160,10 +160,19 @@
 	}
 	one.asking = false
 	if read.err != nil {
+		one.unanswered++
+		one.askAt = now.Add(reportSoon)
 		one.restUntil = now.Add(retryAfter)
-		m.settings.Log.Info("no report", zap.String("upstream", read.engine.Name), zap.Error(read.err))
+		if one.unanswered <= silentReports {
+			m.settings.Log.Info("no report", zap.String("upstream", read.engine.Name),
+				zap.Bool("silent", one.silent()), zap.Error(read.err))
+		}
 		return
 	}
+	if one.silent() {
+		m.settings.Log.Info("reports again", zap.String("upstream", read.engine.Name))
+	}
+	one.unanswered = 0
 	first := !one.reported
 	if one.take(read.report, read.askedAt, now) && first {
 		m.settings.Log.Info("engine known", zap.String("upstream", read.engine.Name),
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -55,8 +56,15 @@
 
 type yardEngine struct {
 	report Report
+	// silent engines answer nothing.
+	silent bool
 }
 
+// silentError says that an engine of the yard does not answer.
+type silentError struct{}
+
+func (*silentError) Error() string { return "no answer" }
+
 type given struct {
 	engine string
 	order  Order
@@ -66,6 +74,9 @@
 func (y *yard) Report(_ context.Context, engine surveyor.Upstream) (Report, error) {
 	y.mutex.Lock()
 	defer y.mutex.Unlock()
+	if y.engines[engine.Name].silent {
+		return Report{}, &silentError{}
+	}
 	return y.engines[engine.Name].report, nil
 }
 
@@ -247,6 +258,37 @@
 	return orders
 }
 
+// silence has an engine of the yard answer nothing, or again.
+func (s *stage) silence(name string, silent bool) {
+	s.yard.mutex.Lock()
+	defer s.yard.mutex.Unlock()
+	s.yard.engines[name].silent = silent
+}
+
+// Found on the users' bench, cpf-verifica scale-1: an engine that had crashed
+// was listed for some seconds more, and counted as a holder meanwhile.
+func TestASilentEngineCountsForNothing(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m", "o"}, "e2": {"m", "n"}})
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	counts := func(engine string) bool {
+		wanted := <-s.want(Want{Service: "s", Model: "m"})
+		named := slices.ContainsFunc(wanted.Holders, func(one surveyor.Told) bool { return one.Upstream == engine })
+		planned := !s.mover.view("s", s.mover.engineOf("s"), s.now).Engines[engine].Leaving
+		assert.Equal(t, named, planned)
+		return named
+	}
+	assert.Assert(t, counts("e1"))
+	s.silence("e1", true)
+	s.play(2 * reportEvery)
+	assert.Assert(t, !counts("e1"))
+	assert.Assert(t, counts("e2"))
+	// one that answers again counts at once
+	s.silence("e1", false)
+	s.play(reportEvery)
+	assert.Assert(t, counts("e1"))
+}
+
 func TestANewLeaderWaitsForTheLeaseOfTheOneBefore(t *testing.T) {
 	cases := map[string]struct {
 		term uint64
