fix(allocator): a rare model that is waited for does not displace a pressed one

Its worth now rises with the time that it was waited for, and the harm to others counts against it.

Ruled out: leaving such models unserved (they would starve).

The test is red without the change.

--- a/admitter/grant.go
+++ b/admitter/grant.go
@@ -21,9 +21,9 @@
 	// retried is true once the retry budget was spent on another dispatch. The
 	// queue owns it.
 	retried bool
-	mutex    sync.Mutex
-	first    time.Time
-	done     bool
+	mutex   sync.Mutex
+	first   time.Time
+	done    bool
 }
 
 // FirstToken records when the first token came. Only the first call counts,
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -24,12 +24,16 @@
 	// Work is the demand, in engines kept busy. Lasting follows it more slowly.
 	Work    float64
 	Lasting float64
-	// Wanted is true where requests wait for a holder.
-	Wanted bool
+	// WantedSince is from when on requests have waited for a holder; zero where
+	// none do.
+	WantedSince time.Time
 	// AskedAt is when the model was last asked for; zero for never.
 	AskedAt time.Time
 }
 
+// wanted says whether requests wait for a holder.
+func (m *Model) wanted() bool { return !m.WantedSince.IsZero() }
+
 // Copy is a model on an engine.
 type Copy struct {
 	// Adapters by name, with the time at which each was last asked for.
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -130,10 +130,10 @@
 func (p *planner) serveWanted() {
 	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
 		model := p.view.Models[name]
-		if !model.Wanted || len(p.holders[name]) > 0 {
+		if !model.wanted() || len(p.holders[name]) > 0 {
 			continue
 		}
-		if option, found := p.best(model); found {
+		if option, found := p.best(model); found && option.gain > 0 {
 			p.begin(option, "wanted")
 		}
 	}
@@ -217,8 +217,15 @@
 // firstGain is the worth of a first copy that nobody waits for yet.
 const firstGain = 0.3
 
-// wantedGain is the worth of the first copy of a model that requests wait for.
-const wantedGain = 10.0
+// wantedGain is the worth of the first copy of a model that requests wait for:
+// more than the longest load costs. wantedRise is what it gains with each second
+// of waiting. A model that is asked
+// for rarely waits a little rather than take the place of one that is pressed,
+// and not for long.
+const (
+	wantedGain = 4.0
+	wantedRise = 2.0
+)
 
 // option is a way to add a copy of a model.
 type option struct {
@@ -298,8 +305,9 @@
 // best is the best place for the first copy of a model.
 func (p *planner) best(model *Model) (option, bool) {
 	before := p.view.balance(p.holders).pain()
+	gain := wantedGain + wantedRise*p.view.Now.Sub(model.WantedSince).Seconds()
 	return p.search(model, true, func(engine string, victims []string) float64 {
-		return wantedGain + before - p.painWith(model.Name, engine, victims) - p.lastCopies(engine, victims)
+		return gain + before - p.painWith(model.Name, engine, victims) - p.lastCopies(engine, victims)
 	})
 }
 
@@ -442,7 +450,7 @@
 	if p.servedElsewhere(name, engine.Name) {
 		return true
 	}
-	quiet := !model.Wanted && p.view.Now.Sub(model.AskedAt) >= quietTime
+	quiet := !model.wanted() && p.view.Now.Sub(model.AskedAt) >= quietTime
 	return pressing && quiet && !engine.stored(name)
 }
 
--- a/allocator/plan_test.go
+++ b/allocator/plan_test.go
@@ -77,12 +77,41 @@
 	assert.Equal(t, loads[0].FromStore, false)
 }
 
+// Found on the users' bench, cukorvirag-foglalo scale-1: a model that is asked
+// for once a second took the place of one that kept four engines busy.
+func TestARareModelWaitsRatherThanDisplaceAPressedOne(t *testing.T) {
+	f := newFleet("pressed", "other", "wanted")
+	f.engine("e1", "pressed", "other")
+	f.engine("e2", "pressed", "other")
+	f.busy("pressed", 4.4)
+	f.busy("other", 0.2)
+	f.busy("wanted", 0.05)
+	for _, one := range f.Engines {
+		one.Copies["other"].Since = now
+		one.OnDisk["wanted"] = true
+	}
+	waits := map[string]struct {
+		wait  time.Duration
+		drops int
+	}{
+		"just asked for": {0, 0},
+		"a second later": {time.Second, 0},
+		"a while later":  {10 * time.Second, 1},
+	}
+	for name, c := range waits {
+		t.Run(name, func(t *testing.T) {
+			f.Models["wanted"].WantedSince = now.Add(-c.wait)
+			assert.Equal(t, len(ofType[allocator.Drop](allocator.Plan(f.View))), c.drops)
+		})
+	}
+}
+
 func TestACopyOnDiskIsPreferredToTheStore(t *testing.T) {
 	f := newFleet("wanted", "a", "b", "c")
 	f.engine("e1", "a")
 	f.engine("e2", "b").OnDisk["wanted"] = true
 	f.engine("e3", "c")
-	f.Models["wanted"].Wanted = true
+	f.Models["wanted"].WantedSince = now
 	loads := ofType[allocator.Load](allocator.Plan(f.View))
 	assert.Assert(t, len(loads) > 0)
 	assert.Equal(t, loads[0], allocator.Load{Engine: "e2", Model: "wanted", Reason: "wanted"})
@@ -114,7 +143,7 @@
 	}
 	f.StoreLoads = 2
 	for _, model := range f.Models {
-		model.Wanted = true
+		model.WantedSince = now
 	}
 	loads := ofType[allocator.Load](allocator.Plan(f.View))
 	assert.Equal(t, len(loads), 2)
@@ -140,7 +169,7 @@
 			engine.OnDisk["last"], engine.OnDisk["other"] = c.onDisk, false
 			f.busy("other", 0.3)
 			f.Models["last"].AskedAt = now.Add(-c.askedAgo)
-			f.Models["wanted"].Wanted = true
+			f.Models["wanted"].WantedSince = now
 			drops := ofType[allocator.Drop](allocator.Plan(f.View))
 			assert.Equal(t, len(drops) == 1 && drops[0].Model == "last", c.goes, "%v", drops)
 		})
@@ -187,7 +216,7 @@
 	f.engine("e3", "b", "c")
 	f.busy("b", 1)
 	f.busy("c", 0.1)
-	f.Models["wanted"].Wanted = true
+	f.Models["wanted"].WantedSince = now
 	drops := ofType[allocator.Drop](allocator.Plan(f.View))
 	assert.Equal(t, len(drops), 1)
 	assert.Equal(t, drops[0].Engine, "e2")
@@ -229,7 +258,7 @@
 func TestEnginesThatLeaveGetNothing(t *testing.T) {
 	f := newFleet("wanted")
 	f.engine("e1").Leaving = true
-	f.Models["wanted"].Wanted = true
+	f.Models["wanted"].WantedSince = now
 	assert.Equal(t, len(allocator.Plan(f.View)), 0)
 }
 
@@ -330,7 +359,9 @@
 		case 1:
 			f.Models[name].Work = 0
 		}
-		f.Models[name].Wanted = random.IntN(20) == 0
+		if random.IntN(20) == 0 {
+			f.Models[name].WantedSince = now
+		}
 	}
 }
 
--- a/mover/engine.go
+++ b/mover/engine.go
@@ -49,9 +49,9 @@
 	askAt       time.Time
 	// unanswered counts the reports in a row that did not come.
 	unanswered int
-	restUntil   time.Time
-	intended    string
-	intendedBy  time.Time
+	restUntil  time.Time
+	intended   string
+	intendedBy time.Time
 	// adapter is what the last order about an adapter was given for.
 	adapter Want
 }
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -60,8 +60,10 @@
 	// leaseMargin is added to the wait of a new leader: two clocks may differ in
 	// pace.
 	leaseMargin = 200 * time.Millisecond
-	// wantTime is how long a model counts as wanted after it was asked for.
+	// wantTime is how long a model counts as wanted after it was asked for, and
+	// wantGap the longest time between two questions about the same want.
 	wantTime = 2 * time.Second
+	wantGap  = 15 * time.Second
 	// eventQueue is how many events may wait for the loop.
 	eventQueue = 256
 )
@@ -86,8 +88,8 @@
 	planAt  time.Time
 	listAt  time.Time
 	listing bool
-	// wanted is until when a model counts as wanted, by the router's name.
-	wanted  map[string]time.Time
+	// wanted are the models that entries asked for in vain, by the router's name.
+	wanted  map[string]wanted
 	waiters []waiter
 	// storeLoads are the times of loads from the weight store.
 	storeLoads []time.Time
@@ -103,6 +105,9 @@
 	fenced bool
 }
 
+// wanted is a model that entries asked for in vain from one time to another.
+type wanted struct{ since, last time.Time }
+
 // waiter is an entry that waits for an adapter.
 type waiter struct {
 	want   Want
@@ -204,7 +209,7 @@
 	m.waiters = nil
 	m.engines = map[string]*engine{}
 	m.meter = newMeter()
-	m.wanted = map[string]time.Time{}
+	m.wanted = map[string]wanted{}
 	m.listAt, m.demandAt = time.Time{}, time.Time{}
 	m.listing = false
 	m.table.clear()
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -390,7 +390,7 @@
 	s.play(time.Second)
 	for range 20 {
 		for _, model := range []string{"m", "n", "o"} {
-			s.mover.wanted[surveyor.HeldName("s", model, "")] = s.now.Add(time.Hour)
+			s.mover.noteWanted(surveyor.HeldName("s", model, ""), s.now)
 		}
 		s.play(250 * time.Millisecond)
 	}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -46,7 +46,7 @@
 	}
 	for name, model := range can.Models {
 		view.Models[name] = planned(model)
-		view.Models[name].Wanted = now.Before(m.wanted[surveyor.HeldName(service, name, "")])
+		view.Models[name].WantedSince = m.wantedSince(surveyor.HeldName(service, name, ""), now)
 	}
 	m.meter.apply(service, view.Models)
 	loads := m.settings.Loads()
--- a/mover/want.go
+++ b/mover/want.go
@@ -27,12 +27,31 @@
 		m.waiters = append(m.waiters, waiter{want: want, answer: call.answer, until: now.Add(waitTime)})
 		return
 	}
-	m.wanted[surveyor.HeldName(want.Service, want.Model, "")] = now.Add(wantTime)
+	m.noteWanted(surveyor.HeldName(want.Service, want.Model, ""), now)
 	m.plan(now)
 	readyIn, known := m.readyIn(want, now)
 	call.answer <- Wanted{ReadyIn: readyIn, Known: known}
 }
 
+// noteWanted notes that a model was asked for in vain.
+func (m *Mover) noteWanted(name string, now time.Time) {
+	one, known := m.wanted[name]
+	if !known || now.Sub(one.last) > wantGap {
+		one.since = now
+	}
+	one.last = now
+	m.wanted[name] = one
+}
+
+// wantedSince is from when on a model has been wanted; zero where it is not.
+func (m *Mover) wantedSince(name string, now time.Time) time.Time {
+	one := m.wanted[name]
+	if now.Sub(one.last) >= wantTime {
+		return time.Time{}
+	}
+	return one.since
+}
+
 // holders are the engines that hold what is wanted.
 func (m *Mover) holders(want Want) []surveyor.Told {
 	var holders []surveyor.Told
