feat(surveyor): the leader reads the platform's list for all

Cause: each entry read the list every 1.2 s.

The leader reads it every 0.6 s and tells followers what changed, with the age of its reading. An entry that has heard of no reading for 1.5 s reads the list itself, so that news of a leaving upstream needs no leader; a reading that failed is tried again soon.

Ruled out: digests among entries (each would have to be told by all others).

--- a/encoder/holding.go
+++ b/encoder/holding.go
@@ -63,15 +63,11 @@
 func EncodeHoldings(told []surveyor.Told) []*wire.Holding {
 	var messages []*wire.Holding
 	for _, one := range told {
-		message := &wire.Holding{Upstream: one.Upstream, Incarnation: one.Incarnation}
-		for _, held := range one.Holds {
-			message.Models = append(message.Models, &wire.HeldModel{
-				Model:    held.Model,
-				Version:  int64(held.Version),
-				Adapters: held.Adapters,
-			})
-		}
-		messages = append(messages, message)
+		messages = append(messages, &wire.Holding{
+			Upstream:    one.Upstream,
+			Incarnation: one.Incarnation,
+			Models:      encodeHeld(one.Holds),
+		})
 	}
 	return messages
 }
@@ -80,19 +76,12 @@
 func DecodeHoldings(messages []*wire.Holding, now time.Time) []surveyor.Told {
 	var told []surveyor.Told
 	for _, message := range messages {
-		one := surveyor.Told{
+		told = append(told, surveyor.Told{
 			Upstream:    message.GetUpstream(),
 			Incarnation: message.GetIncarnation(),
+			Holds:       decodeHeld(message.GetModels()),
 			Until:       now.Add(toldTime),
-		}
-		for _, held := range message.GetModels() {
-			one.Holds = append(one.Holds, surveyor.Held{
-				Model:    held.GetModel(),
-				Version:  int(held.GetVersion()),
-				Adapters: held.GetAdapters(),
-			})
-		}
-		told = append(told, one)
+		})
 	}
 	return told
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -45,6 +45,10 @@
 	Peers func([]string)
 	// Held takes in what engines hold; nil for nobody.
 	Held func([]surveyor.Told)
+	// Listed takes in what changed in the platform's list, and ListRead when the
+	// list was read that was taken in so far; nil for nobody.
+	Listed   func(surveyor.Changes)
+	ListRead func(at time.Time)
 	// Tell is the time between two reports of the entry, TellDemand between two
 	// of demand. Zero takes the standard ones.
 	Tell       time.Duration
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -145,6 +145,11 @@
 			f.settings.Held(encoder.DecodeHoldings(update.Holdings.GetHoldings(), time.Now()))
 		}
 		return nil
+	case *wire.FollowReply_Listing:
+		if f.settings.Listed != nil {
+			f.settings.Listed(encoder.DecodeListing(update.Listing))
+		}
+		return nil
 	default:
 		return &UpdateError{}
 	}
@@ -187,6 +192,9 @@
 func (f *Follower) takeHeartbeat(address string, sent *sentReports, beat *wire.Heartbeat) error {
 	if at, ok := sent.at(beat.GetEcho()); ok {
 		f.confirm(Confirmation{Revision: beat.GetRevision(), At: at})
+		if f.settings.ListRead != nil && beat.GetListAgeMs() >= 0 {
+			f.settings.ListRead(at.Add(-time.Duration(beat.GetListAgeMs()) * time.Millisecond))
+		}
 	}
 	if f.settings.Peers != nil {
 		f.settings.Peers(beat.GetPeers())
--- a/mover/events.go
+++ b/mover/events.go
@@ -17,9 +17,10 @@
 
 // listRead is the platform's list, or why it could not be read.
 type listRead struct {
-	term   uint64
-	listed map[string]surveyor.Upstream
-	err    error
+	term    uint64
+	askedAt time.Time
+	listed  map[string]surveyor.Upstream
+	err     error
 }
 
 // reportRead is an engine's report.
@@ -85,15 +86,15 @@
 	m.listing = true
 	m.listAt = now.Add(listEvery)
 	m.calls.Add(1)
-	go m.runList(m.lead.term)
+	go m.runList(m.lead.term, now)
 }
 
-func (m *Mover) runList(term uint64) {
+func (m *Mover) runList(term uint64, now time.Time) {
 	defer m.calls.Done()
 	ctx, cancel := context.WithTimeout(m.ctx, callTime)
 	defer cancel()
 	listed, err := surveyor.ReadList(ctx, m.settings.Fetch)
-	m.tell(listRead{term: term, listed: listed, err: err})
+	m.tell(listRead{term: term, askedAt: now, listed: listed, err: err})
 }
 
 // takeList keeps the engines of the list. One that has started anew is a new
@@ -107,6 +108,7 @@
 		m.settings.Log.Info("platform's list not read", zap.Error(read.err))
 		return
 	}
+	m.settings.Listed.Put(read.listed, read.askedAt)
 	for name, upstream := range read.listed {
 		if m.engineOf(upstream.Service) == nil {
 			continue
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -40,6 +40,8 @@
 	// flight by upstream.
 	Demands func() map[string]placer.Demand
 	Loads   func() map[string]router.Load
+	// Listed takes in the list as read, for those who follow this member.
+	Listed *surveyor.Journal
 	// Lease is the shortest time between orders of two holders.
 	Lease time.Duration
 	// StoreWindow and StoreOverage bound the loads from the weight store.
@@ -51,8 +53,9 @@
 const (
 	// tick is the time between two looks at what is due.
 	tick = 100 * time.Millisecond
-	// listEvery is the time between two readings of the platform's list.
-	listEvery = time.Second
+	// listEvery is the time between two readings of the platform's list. A
+	// leaving upstream must get no more work within three seconds.
+	listEvery = 600 * time.Millisecond
 	// demandEvery is the time between two readings of demand.
 	demandEvery = 500 * time.Millisecond
 	// callTime is the longest that a call may take.
@@ -213,6 +216,7 @@
 	m.listAt, m.demandAt = time.Time{}, time.Time{}
 	m.listing = false
 	m.table.clear()
+	m.settings.Listed.Forget()
 }
 
 // round does what is due.
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -165,6 +165,7 @@
 		},
 		Demands: func() map[string]placer.Demand { return nil },
 		Loads:   func() map[string]router.Load { return nil },
+		Listed:  surveyor.NewJournal(),
 		Lease:   lease, StoreWindow: 5 * time.Second, StoreOverage: 1.1, Log: zap.NewNop(),
 	})
 	return s
--- a/provisioner/control.go
+++ b/provisioner/control.go
@@ -18,6 +18,7 @@
 	"burdocklink/reporter"
 	"burdocklink/responder"
 	"burdocklink/router"
+	"burdocklink/surveyor"
 )
 
 // NewControlNode puts a control member on the platform together.
@@ -78,6 +79,7 @@
 func newLeaderDuties(settings Settings, member *conductor.Conductor, metrics *reporter.Reporter) (*responder.Responder, *mover.Mover) {
 	calls := dispatcher.New(dispatcher.Settings{Dial: dialTime})
 	client := platform.NewClient(settings.List.Address, calls)
+	listed := surveyor.NewJournal()
 	var answers *responder.Responder
 	moves := mover.New(mover.Settings{
 		Holder:       settings.Node,
@@ -87,6 +89,7 @@
 		Unpack:       unpack,
 		Demands:      func() map[string]placer.Demand { return answers.Demands() },
 		Loads:        func() map[string]router.Load { return answers.Loads() },
+		Listed:       listed,
 		Lease:        settings.Bounds.Lease,
 		StoreWindow:  settings.Bounds.StoreWindow,
 		StoreOverage: settings.Bounds.StoreOverage,
@@ -97,6 +100,7 @@
 		Operator: noOperator,
 		Group:    member,
 		Holdings: moves,
+		Listed:   listed,
 		Pulse:    pulse,
 		Meter:    linker.NewMeter(metrics.Registry()),
 		Log:      settings.Log,
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -23,10 +23,10 @@
 )
 
 const (
-	// listInterval is the time between two readings of the platform's list. Two
-	// of them and the list's lag pass before a leaving upstream may get no more
-	// work.
-	listInterval = 1200 * time.Millisecond
+	// listInterval is how old the last reading of the platform's list may be,
+	// the leader's or the own one. With a reading that takes long, it passes
+	// before a leaving upstream may get no more work.
+	listInterval = 1500 * time.Millisecond
 	// tellDemand is the time between two reports of demand.
 	tellDemand = 500 * time.Millisecond
 	// crossZoneCost is what a call to another availability zone costs beside
@@ -121,6 +121,8 @@
 		NotesAddress:     p.settings.Links,
 		Peers:            p.meet,
 		Held:             p.upstreams.Tell,
+		Listed:           p.upstreams.Learn,
+		ListRead:         p.upstreams.Confirm,
 		Tell:             pulse,
 		TellDemand:       tellDemand,
 		Log:              p.settings.Log,
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -29,6 +29,10 @@
 	// again at repeatAt.
 	heldSerial uint64
 	repeatAt   time.Time
+	// listSerial is the newest change of the platform's list that was told, and
+	// listReadAt when the list was read that is told so far.
+	listSerial uint64
+	listReadAt time.Time
 
 	mu sync.Mutex
 	// reports are the last reports received, oldest first.
@@ -150,7 +154,14 @@
 			if err := s.sendHoldings(time.Now()); err != nil {
 				return err
 			}
+		case <-s.listChanged():
+			if err := s.sendListing(time.Now()); err != nil {
+				return err
+			}
 		case <-ticker.C:
+			if err := s.sendListing(time.Now()); err != nil {
+				return err
+			}
 			if err := s.stream.Send(s.heartbeat(time.Now())); err != nil {
 				return err
 			}
@@ -201,6 +212,47 @@
 	}})
 }
 
+// listFresh is how old the leader's reading of the platform's list may be for it
+// to be told.
+const listFresh = 2 * time.Second
+
+// listChanged returns a channel that is closed at the next change of the
+// platform's list; nil where this member reads none.
+func (s *session) listChanged() <-chan struct{} {
+	if s.responder.settings.Listed == nil {
+		return nil
+	}
+	return s.responder.settings.Listed.Changed()
+}
+
+// sendListing tells what changed in the platform's list.
+func (s *session) sendListing(now time.Time) error {
+	if s.responder.settings.Listed == nil || !s.responder.settings.Group.Status().Leading {
+		return nil
+	}
+	changes := s.responder.settings.Listed.After(s.listSerial)
+	if now.Sub(changes.ReadAt) > listFresh {
+		return nil
+	}
+	news := changes.Serial != s.listSerial
+	s.listSerial, s.listReadAt = changes.Serial, changes.ReadAt
+	if !news {
+		return nil
+	}
+	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Listing{
+		Listing: encoder.EncodeListing(changes),
+	}})
+}
+
+// listAge is how long ago the list was read that was told, in milliseconds;
+// negative where none was.
+func (s *session) listAge(now time.Time) int64 {
+	if s.listReadAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.listReadAt).Milliseconds()
+}
+
 // heartbeat tells the leader, what the quorum vouched for last and who the
 // other entries are.
 func (s *session) heartbeat(now time.Time) *wire.FollowReply {
@@ -213,6 +265,7 @@
 		Leader:   leaderAddress(state),
 		Leading:  state.Leading,
 
-		Peers: peers,
+		Peers:     peers,
+		ListAgeMs: s.listAge(now),
 	}}}
 }
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -65,6 +65,9 @@
 	Group    Group
 	// Holdings tells what engines hold; nil where this member does not know.
 	Holdings Holdings
+	// Listed is the platform's list as the leader reads it; nil where it reads
+	// none.
+	Listed *surveyor.Journal
 	// Pulse is the time between two heartbeats; zero takes the standard one.
 	Pulse time.Duration
 	Meter *linker.Meter
--- a/responder/responder_test.go
+++ b/responder/responder_test.go
@@ -25,6 +25,7 @@
 	"burdocklink/encoder/wire"
 	"burdocklink/linker"
 	"burdocklink/responder"
+	"burdocklink/surveyor"
 )
 
 // endOfWait is a generous end of a wait for a condition.
@@ -56,8 +57,7 @@
 // serve starts a responder whose only operator is the one given, if any.
 func serve(t *testing.T, transport credentials.TransportCredentials, operator string) *responder.Responder {
 	t.Helper()
-	r := responder.New(responder.Settings{
-		Listen:      "127.0.0.1:0",
+	return serveWith(t, responder.Settings{
 		Credentials: transport,
 		Operator: func(context.Context) (string, error) {
 			if operator == "" {
@@ -65,10 +65,15 @@
 			}
 			return operator, nil
 		},
-		Group: newGroup(t),
-		Meter: linker.NewMeter(metrics.NewRegistry()),
-		Log:   zap.NewNop(),
 	})
+}
+
+// serveWith fills in what all responders of these tests share.
+func serveWith(t *testing.T, settings responder.Settings) *responder.Responder {
+	t.Helper()
+	settings.Listen, settings.Group = "127.0.0.1:0", newGroup(t)
+	settings.Meter, settings.Log = linker.NewMeter(metrics.NewRegistry()), zap.NewNop()
+	r := responder.New(settings)
 	assert.NilError(t, r.Start(context.Background(), nil))
 	t.Cleanup(func() { assert.NilError(t, r.Stop(time.Now().Add(endOfWait))) })
 	return r
@@ -236,6 +241,29 @@
 	}
 }
 
+func TestAFollowerIsToldThePlatformsList(t *testing.T) {
+	listed := surveyor.NewJournal()
+	listed.Put(map[string]surveyor.Upstream{"u-1": {Name: "u-1", State: surveyor.Live}}, time.Now())
+	r := serveWith(t, responder.Settings{Listed: listed})
+	stream, err := wire.NewControlClient(dial(t, r, nil)).Follow(limited(t))
+	assert.NilError(t, err)
+	assert.NilError(t, stream.Send(&wire.FollowRequest{Entry: "e-1", Number: 1}))
+	var told []surveyor.Changes
+	for aged := false; !aged; {
+		reply, err := stream.Recv()
+		assert.NilError(t, err)
+		if listing := reply.GetListing(); listing != nil {
+			told = append(told, encoder.DecodeListing(listing))
+			listed.Put(map[string]surveyor.Upstream{"u-1": {Name: "u-1", State: surveyor.Leaving}}, time.Now())
+		}
+		aged = len(told) == 2 && reply.GetHeartbeat() != nil && reply.GetHeartbeat().GetListAgeMs() >= 0
+	}
+	assert.Assert(t, told[0].Whole)
+	assert.Equal(t, told[0].Upstreams[0].State, surveyor.Live)
+	assert.Assert(t, !told[1].Whole)
+	assert.Equal(t, told[1].Upstreams[0].State, surveyor.Leaving)
+}
+
 func TestListenAtATakenAddressIsATypedError(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- /dev/null
+++ b/surveyor/journal_test.go
@@ -0,0 +1,117 @@
+package surveyor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+)
+
+func listing(upstreams ...Upstream) map[string]Upstream {
+	listed := map[string]Upstream{}
+	for _, upstream := range upstreams {
+		listed[upstream.Name] = upstream
+	}
+	return listed
+}
+
+func names(changes Changes) []string {
+	var found []string
+	for _, upstream := range changes.Upstreams {
+		found = append(found, upstream.Name)
+	}
+	return found
+}
+
+func TestAJournalTellsWhatChanged(t *testing.T) {
+	first := listing(engine("e1", Live, "m"), engine("e2", Live))
+	cases := map[string]struct {
+		next  map[string]Upstream
+		whole bool
+		names []string
+	}{
+		"nothing":                  {first, false, nil},
+		"other models are no news": {listing(engine("e1", Live, "n"), engine("e2", Live, "m")), false, nil},
+		"one leaves":               {listing(engine("e1", Leaving, "m"), engine("e2", Live)), false, []string{"e1"}},
+		"one comes":                {listing(engine("e1", Live, "m"), engine("e2", Live), engine("e3", Live)), false, []string{"e3"}},
+		"one is gone":              {listing(engine("e2", Live)), true, []string{"e2"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			j := NewJournal()
+			at := time.Now()
+			j.Put(first, at)
+			before := j.After(0)
+			assert.Assert(t, before.Whole)
+			assert.DeepEqual(t, names(before), []string{"e1", "e2"})
+			j.Put(c.next, at.Add(time.Second))
+			after := j.After(before.Serial)
+			assert.Equal(t, after.Whole, c.whole)
+			assert.DeepEqual(t, names(after), c.names)
+			assert.Equal(t, after.ReadAt, at.Add(time.Second))
+		})
+	}
+}
+
+func TestAJournalThatForgetsSaysSo(t *testing.T) {
+	j := NewJournal()
+	j.Put(listing(engine("e1", Live)), time.Now())
+	serial := j.After(0).Serial
+	j.Forget()
+	j.Put(listing(engine("e1", Live), engine("e2", Live)), time.Now())
+	assert.Assert(t, j.After(serial).Whole)
+}
+
+func TestLearnedChangesJoinWhatIsKnown(t *testing.T) {
+	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "m"), engine("e2", Leaving)}}}}
+	cases := map[string]struct {
+		changes Changes
+		states  map[string]cataloger.UpstreamState
+	}{
+		"a newcomer":       {Changes{Upstreams: []Upstream{engine("e3", Live)}}, states(cataloger.UpstreamLive, cataloger.UpstreamLeaving, cataloger.UpstreamLive)},
+		"one leaves":       {Changes{Upstreams: []Upstream{engine("e1", Leaving)}}, states(cataloger.UpstreamLeaving, cataloger.UpstreamLeaving, 0)},
+		"leaving is final": {Changes{Upstreams: []Upstream{engine("e2", Live)}}, states(cataloger.UpstreamLive, cataloger.UpstreamLeaving, 0)},
+		"one is gone":      {Changes{Whole: true, Upstreams: []Upstream{engine("e2", Leaving)}}, states(0, cataloger.UpstreamLeaving, 0)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, last, _ := survey(l)
+			assert.NilError(t, s.read())
+			s.Learn(c.changes)
+			found := map[string]cataloger.UpstreamState{}
+			for name, upstream := range last().Upstreams {
+				found[name] = upstream.State
+			}
+			assert.DeepEqual(t, found, c.states)
+			if found["e1"] != 0 {
+				// what is held is known from the own reading
+				assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "m", "")})
+			}
+		})
+	}
+}
+
+// states are those of e1, e2 and e3; zero for one that is not listed.
+func states(e1, e2, e3 cataloger.UpstreamState) map[string]cataloger.UpstreamState {
+	found := map[string]cataloger.UpstreamState{}
+	for name, state := range map[string]cataloger.UpstreamState{"e1": e1, "e2": e2, "e3": e3} {
+		if state != 0 {
+			found[name] = state
+		}
+	}
+	return found
+}
+
+func TestAConfirmedListIsNotReadAgain(t *testing.T) {
+	l := &lister{pages: map[string]Page{"": {}}}
+	s, _, _ := survey(l)
+	assert.NilError(t, s.read())
+	later := time.Now().Add(time.Hour)
+	s.Confirm(later)
+	assert.Equal(t, s.age(later.Add(time.Second)), time.Second)
+	// an older word changes nothing
+	s.Confirm(later.Add(-time.Minute))
+	assert.Equal(t, s.age(later.Add(time.Second)), time.Second)
+}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/cataloger"
+	"burdocklink/linker"
 	"burdocklink/matcher"
 	"burdocklink/registrar"
 )
@@ -21,7 +22,8 @@
 type Settings struct {
 	// Fetch reads a page of the platform's list; empty names the first one.
 	Fetch func(ctx context.Context, page string) (Page, error)
-	// Interval is the time between two readings of the list.
+	// Interval is how old the last reading may be, the own one or another
+	// process's, before the list is read.
 	Interval time.Duration
 	// Notify is called with each new picture, on any goroutine, one call at a
 	// time.
@@ -39,6 +41,8 @@
 	mutex sync.Mutex
 	// listed are the upstreams by name, as last read.
 	listed map[string]Upstream
+	// readAt is when the list was read, here or by another process.
+	readAt time.Time
 	// told are what the control group says that engines hold.
 	told map[string]Told
 	// configuration is the one in force, nil before there is any.
@@ -55,6 +59,10 @@
 // don't read the list at the same time.
 const jitter = 0.2
 
+// retryPart is the part of the interval after which a reading that failed is
+// tried again.
+const retryPart = 4
+
 // New returns a surveyor that has not started.
 func New(settings Settings) *Surveyor {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -96,24 +104,43 @@
 			failed = err != nil
 			s.settings.Log.Info("platform's list", zap.Bool("readable", !failed), zap.Error(err))
 		}
-		timer := time.NewTimer(s.wait())
-		select {
-		case <-s.ctx.Done():
-			timer.Stop()
+		if !s.rest(err != nil) {
 			return
-		case <-timer.C:
 		}
 	}
 }
 
-func (s *Surveyor) wait() time.Duration {
-	spread := 1 + jitter*(rand.Float64()-0.5)
-	return time.Duration(float64(s.settings.Interval) * spread)
+// rest waits until the list must be read again. It returns false once the
+// surveyor stops.
+func (s *Surveyor) rest(failed bool) bool {
+	wait := spread(s.settings.Interval)
+	if failed {
+		wait = spread(s.settings.Interval / retryPart)
+	}
+	for wait > 0 {
+		if !linker.Pause(s.ctx, wait) {
+			return false
+		}
+		wait = spread(s.settings.Interval) - s.age(time.Now())
+	}
+	return true
+}
+
+// age is how long ago the list was read.
+func (s *Surveyor) age(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Sub(s.readAt)
+}
+
+func spread(wait time.Duration) time.Duration {
+	return time.Duration(float64(wait) * (1 + jitter*(rand.Float64()-0.5)))
 }
 
 // read takes in the whole list. A list that can't be read in full changes
 // nothing.
 func (s *Surveyor) read() error {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(s.ctx, fetchTime)
 	defer cancel()
 	listed, err := ReadList(ctx, s.settings.Fetch)
@@ -123,7 +150,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.logNews(listed)
-	s.listed = listed
+	s.listed, s.readAt = listed, began
 	s.update()
 	return nil
 }
--- a/surveyor/upstream.go
+++ b/surveyor/upstream.go
@@ -1,6 +1,7 @@
 // Package surveyor keeps an entry's picture of the upstreams: which there are,
-// whether they leave, and what they hold. The platform's list is read by each
-// entry itself, so that news of a leaving upstream depends on no other process.
+// whether they leave, and what they hold. The control group's leader reads the
+// platform's list for all. An entry that hears nothing of it for a moment reads
+// it itself, so that news of a leaving upstream depends on no other process.
 package surveyor
 
 import (
