fix(launcher): wait for room on a full disk in place of ending

The role now begins anew inside the process, twice a second, until the disk takes writes. The test is red without the change.

--- a/launcher/node.go
+++ b/launcher/node.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"os"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,10 +29,33 @@
 	stopMargin = 300 * time.Millisecond
 	// leastDrain is the shortest time for work in flight.
 	leastDrain = time.Second
+	// fullDiskPause is the wait before a role is run again whose disk was full.
+	fullDiskPause = 500 * time.Millisecond
 )
 
-// RunNode runs a role until it is told to stop, or can't go on.
+// RunNode runs a role until it is told to stop, or can't go on. One whose disk
+// is full stops its work and begins anew, from what the disk holds, until there
+// is room.
 func RunNode(ctx context.Context, node Node, log *zap.Logger) error {
+	signals := notifyStop()
+	for {
+		err := runOnce(ctx, node, log, signals)
+		if !errors.Is(err, syscall.ENOSPC) {
+			return err
+		}
+		log.Warn("the disk is full", zap.Error(err))
+		select {
+		case <-time.After(fullDiskPause):
+		case <-signals:
+			return nil
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// runOnce runs a role until it is told to stop, or fails.
+func runOnce(ctx context.Context, node Node, log *zap.Logger, signals <-chan os.Signal) error {
 	read, err := platform.ReadSettings(node.Path)
 	if err != nil {
 		return err
@@ -48,7 +74,7 @@
 	}
 	watcher := newSettingsWatcher(node.Path, read, assembled.Reload, log)
 	services := append(assembled.Services, watcher)
-	if err := Serve(ctx, log, max(leastDrain, read.Bounds.Grace-stopMargin), services); err != nil {
+	if err := serve(ctx, log, max(leastDrain, read.Bounds.Grace-stopMargin), services, signals); err != nil {
 		return err
 	}
 	return context.Cause(ctx)
--- /dev/null
+++ b/launcher/node_test.go
@@ -0,0 +1,71 @@
+package launcher_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/launcher"
+	"burdocklink/provisioner"
+	"burdocklink/registrar"
+)
+
+// failing is a service that can't go on as soon as it has started.
+type failing struct{ fail func() }
+
+func (f *failing) String() string { return "failing" }
+
+func (f *failing) Start(context.Context, *registrar.Registrar) error {
+	f.fail()
+	return nil
+}
+
+func (f *failing) Stop(time.Time) error { return nil }
+
+// brokenError says that the stand-in of a member is broken.
+type brokenError struct{}
+
+func (*brokenError) Error() string { return "broken" }
+
+// Found on the users' bench: control members ended six times on a day with a
+// full disk, and were started again by the platform each time.
+func TestAFullDiskIsWaitedFor(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	text := `{"node":"core-1","role":"control","ip":"127.0.0.1","zone":"z1","listen":{"control":"127.0.0.1:1"},
+"seeds":["127.0.0.1:1"],"portRange":[2,9],"dataDir":"/tmp","cloud":{"address":"127.0.0.1:3"}}`
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	full := fmt.Errorf("write: %w", syscall.ENOSPC)
+	cases := map[string]struct {
+		failures []error
+		want     error
+		starts   int
+	}{
+		"full for a while":   {[]error{full, full, context.Canceled}, context.Canceled, 3},
+		"broken":             {[]error{&brokenError{}}, &brokenError{}, 1},
+		"full, then broken":  {[]error{full, &brokenError{}}, &brokenError{}, 2},
+		"can't be assembled": {[]error{nil}, &brokenError{}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			starts := 0
+			err := launcher.RunNode(t.Context(), launcher.Node{Path: path, Assemble: func(settings provisioner.Settings) (*provisioner.Node, error) {
+				failure := c.failures[starts]
+				starts++
+				if failure == nil {
+					return nil, &brokenError{}
+				}
+				service := &failing{fail: func() { settings.Fatal(failure) }}
+				return &provisioner.Node{Services: []registrar.Service{service}}, nil
+			}}, zap.NewNop())
+			assert.Equal(t, starts, c.starts)
+			assert.Equal(t, err.Error(), c.want.Error())
+		})
+	}
+}
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -21,16 +21,24 @@
 // Serve starts the services in order, waits for a signal to stop or the end of
 // the context, and stops them. Drain is the longest wait for work in flight.
 func Serve(ctx context.Context, log *zap.Logger, drain time.Duration, services []registrar.Service) error {
+	return serve(ctx, log, drain, services, notifyStop())
+}
+
+// notifyStop returns a channel with the signals to stop. It stays registered, so
+// that a second signal does not end the process while work is in flight.
+func notifyStop() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
+
+func serve(ctx context.Context, log *zap.Logger, drain time.Duration, services []registrar.Service, signals <-chan os.Signal) error {
 	kernel := registrar.New(log)
 	for _, service := range services {
 		if err := kernel.Add(service); err != nil {
 			return err
 		}
 	}
-	signals := make(chan os.Signal, 1)
-	// The channel stays registered, so that a second signal does not end the
-	// process while work is in flight.
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := kernel.Start(ctx, time.Now().Add(startTime)); err != nil {
 		return err
 	}
