perf(allocator): value a change by the demand that it moves

Cause: each candidate of a plan spread the demand of all models anew.

Only the demand of the models that a change concerns is spread anew, and holders and the order of the engines are found once a plan.

--- a/admitter/grant.go
+++ b/admitter/grant.go
@@ -18,12 +18,12 @@
 
 	request  Request
 	admitter *Admitter
-	// retried is true once the retry budget was spent on another dispatch. The
-	// queue owns it.
-	retried bool
-	mutex   sync.Mutex
-	first   time.Time
-	done    bool
+	// paid is true once another dispatch needs no more of the retry budget. The
+	// queue owns it after Again.
+	paid  bool
+	mutex sync.Mutex
+	first time.Time
+	done  bool
 }
 
 // FirstToken records when the first token came. Only the first call counts,
@@ -94,3 +94,7 @@
 	gap := e.sample().Gap()
 	return target.BetweenTokens > 0 && gap > target.BetweenTokens
 }
+
+// NotSent says, before Again, that the dispatch reached nobody: another one is
+// no retry.
+func (g *Grant) NotSent() { g.paid = true }
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -222,8 +222,8 @@
 	budget := q.budgets.of(t.request.Route.Service)
 	switch {
 	case t.after != nil:
-		t.after.retried = t.after.retried || budget.Spend()
-		return t.after.retried
+		t.after.paid = t.after.paid || budget.Spend()
+		return t.after.paid
 	case t.request.Counted:
 		return true
 	}
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -188,3 +188,19 @@
 	var spent *BudgetError
 	assert.Assert(t, errors.As(q.Take()[0].Err, &spent))
 }
+
+// Found on the users' bench, grown cukorvirag-foglalo scale-1: when a third of
+// the engines had crashed, dispatches that reached nobody spent the budget, and
+// 850 requests were refused for it within four seconds.
+func TestADispatchThatReachedNobodyCostsNoRetry(t *testing.T) {
+	q, _ := queueOf(t, 1)
+	q.budgets = newBudgets(limiter.BudgetSettings{Fraction: 0, Reserve: 0})
+	q.Arrive(epoch, at(epoch, "caller"))
+	grant := granted(q)[0]
+	grant.NotSent()
+	q.ArriveAgain(epoch, grant)
+	for _, decision := range q.Take() {
+		var spent *BudgetError
+		assert.Assert(t, !errors.As(decision.Err, &spent))
+	}
+}
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -6,8 +6,6 @@
 package allocator
 
 import (
-	"maps"
-	"slices"
 	"time"
 )
 
@@ -88,15 +86,24 @@
 	Engine, Model string
 	// FromStore is true where the engine keeps no copy.
 	FromStore bool
-	Reason    string
+	Why       Why
 }
 
 // Drop stops requests for a model at an engine, so that it can be unloaded.
 type Drop struct {
 	Engine, Model string
 	// For is the model that is to be loaded in its place.
-	For    string
-	Reason string
+	For string
+	Why Why
+}
+
+// Why is what decided a move: the demand for the model that gets a copy, in
+// engines kept busy, how many engines hold it, and the move's worth.
+type Why struct {
+	Reason  string
+	Work    float64
+	Holders int
+	Gain    float64
 }
 
 // Unload has an engine unload a model that gets no more requests.
@@ -156,19 +163,25 @@
 // stored says whether a load of a model would come from the weight store.
 func (e *Engine) stored(model string) bool { return !e.Warm[model] && !e.OnDisk[model] }
 
-// holders lists the engines that serve a model or will soon, in ascending
-// order.
-func (v *View) holders(model string) []string {
-	var names []string
-	for _, name := range slices.Sorted(maps.Keys(v.Engines)) {
+// holders lists the engines that serve each model or will soon, in the order
+// given.
+func (v *View) holders(engines []string) map[string][]string {
+	holders := make(map[string][]string, len(v.Models))
+	for _, name := range engines {
 		engine := v.Engines[name]
-		held := engine.Copies[model]
-		coming := engine.Intended == model
-		if (coming || (held != nil && !held.Dropping)) && !engine.Leaving {
-			names = append(names, name)
+		if engine.Leaving {
+			continue
+		}
+		for model, held := range engine.Copies {
+			if !held.Dropping && v.Models[model] != nil && model != engine.Intended {
+				holders[model] = append(holders[model], name)
+			}
+		}
+		if v.Models[engine.Intended] != nil {
+			holders[engine.Intended] = append(holders[engine.Intended], name)
 		}
 	}
-	return names
+	return holders
 }
 
 // dropping is true while something is about to make way.
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -10,6 +10,8 @@
 type spread struct {
 	// engines is the work on each engine, in engines kept busy.
 	engines map[string]float64
+	// shares are each model's parts of it, by model and engine.
+	shares map[string]map[string]float64
 }
 
 // steps is in how many equal parts a model's demand is spread, each to the holder
@@ -18,7 +20,10 @@
 
 // balance spreads the demand of each model over its holders.
 func (v *View) balance(holders map[string][]string) spread {
-	s := spread{engines: make(map[string]float64, len(v.Engines))}
+	s := spread{
+		engines: make(map[string]float64, len(v.Engines)),
+		shares:  make(map[string]map[string]float64, len(holders)),
+	}
 	for name, engine := range v.Engines {
 		if !engine.Leaving {
 			s.engines[name] = 0
@@ -27,19 +32,29 @@
 	models := v.byChoice(holders)
 	for range steps {
 		for _, model := range models {
-			names := holders[model]
-			least := names[0]
-			for _, name := range names[1:] {
-				if s.engines[name] < s.engines[least] {
-					least = name
-				}
+			least := s.least(holders[model])
+			part := v.Models[model].Work / steps
+			s.engines[least] += part
+			if s.shares[model] == nil {
+				s.shares[model] = map[string]float64{}
 			}
-			s.engines[least] += v.Models[model].Work / steps
+			s.shares[model][least] += part
 		}
 	}
 	return s
 }
 
+// least returns the engine with the least work.
+func (s spread) least(names []string) string {
+	least := names[0]
+	for _, name := range names[1:] {
+		if s.engines[name] < s.engines[least] {
+			least = name
+		}
+	}
+	return least
+}
+
 // byChoice lists the models that are asked for and held, those with the fewest
 // holders first, since the others can give way to them.
 func (v *View) byChoice(holders map[string][]string) []string {
@@ -53,15 +68,56 @@
 	return models
 }
 
-// pain grows faster than the work on an engine: the wait for a first token
+// painOf grows faster than the work on an engine: the wait for a first token
 // does so too.
-func (s spread) pain() float64 {
+func painOf(work float64) float64 {
+	pain := work * work
+	if work > fullWork {
+		pain += overWeight * (work - fullWork)
+	}
+	return pain
+}
+
+// change is a spread in which the demand of a few models is spread anew. All
+// others stay as they are, so that a plan for a large fleet stays short.
+type change struct {
+	from spread
+	// to holds the engines whose work is another one.
+	to spread
+}
+
+func (s spread) change() change {
+	return change{from: s, to: spread{engines: map[string]float64{}}}
+}
+
+// move spreads a model's demand over other holders; over none, it is lost.
+func (c change) move(model *Model, holders []string) {
+	for name, work := range c.from.shares[model.Name] {
+		c.add(name, -work)
+	}
+	if len(holders) == 0 {
+		return
+	}
+	for _, name := range holders {
+		c.add(name, 0)
+	}
+	for range steps {
+		c.add(c.to.least(holders), model.Work/steps)
+	}
+}
+
+func (c change) add(engine string, work float64) {
+	if _, known := c.to.engines[engine]; !known {
+		c.to.engines[engine] = c.from.engines[engine]
+	}
+	c.to.engines[engine] += work
+}
+
+// fall is by how much the pain falls.
+func (c change) fall() float64 {
 	total := 0.0
-	for _, work := range s.engines {
-		total += work * work
-		if work > fullWork {
-			total += overWeight * (work - fullWork)
-		}
+	for name, work := range c.to.engines {
+		total += painOf(c.from.engines[name]) - painOf(work)
 	}
 	return total
 }
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -42,10 +42,8 @@
 
 // Plan returns the moves to begin now, the most urgent first.
 func Plan(view *View) []Move {
-	p := planner{view: view, holders: map[string][]string{}}
-	for name := range view.Models {
-		p.holders[name] = view.holders(name)
-	}
+	p := planner{view: view, engines: slices.Sorted(maps.Keys(view.Engines))}
+	p.holders = view.holders(p.engines)
 	p.finishDrops()
 	p.loadIntended()
 	p.serveWanted()
@@ -56,13 +54,28 @@
 }
 
 type planner struct {
-	view    *View
+	view *View
+	// engines are the names of all engines, in ascending order.
+	engines []string
 	holders map[string][]string
-	moves   []Move
+	// balanced is the demand spread over the holders, and byWork the engines in
+	// the order of their work; nil after a change.
+	balanced *spread
+	byWork   []string
+	moves    []Move
 	// taken are engines that a move of this plan concerns.
 	taken map[string]bool
 }
 
+// spread returns how the demand falls on the holders.
+func (p *planner) spread() spread {
+	if p.balanced == nil {
+		balanced := p.view.balance(p.holders)
+		p.balanced = &balanced
+	}
+	return *p.balanced
+}
+
 func (p *planner) take(engine string, move Move) {
 	if p.taken == nil {
 		p.taken = map[string]bool{}
@@ -73,7 +86,7 @@
 
 // finishDrops unloads what gets no more requests.
 func (p *planner) finishDrops() {
-	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+	for _, name := range p.engines {
 		engine := p.view.Engines[name]
 		if !engine.Free || engine.Leaving {
 			continue
@@ -102,20 +115,20 @@
 
 // loadIntended loads what others have made way for.
 func (p *planner) loadIntended() {
-	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+	for _, name := range p.engines {
 		engine := p.view.Engines[name]
 		model := p.view.Models[engine.Intended]
 		if model == nil || !engine.Free || engine.Leaving || p.taken[name] || engine.dropping() {
 			continue
 		}
 		if engine.Copies[model.Name] == nil && engine.free(p.view.Models) >= model.MemoryBytes {
-			p.load(name, model.Name, "room was made")
+			p.load(name, model.Name, p.why(model, "room was made", 0))
 		}
 	}
 }
 
 // load begins a load where the weight store has no say or room for it.
-func (p *planner) load(engine, model, reason string) {
+func (p *planner) load(engine, model string, why Why) {
 	fromStore := p.view.Engines[engine].stored(model)
 	if fromStore && p.view.StoreLoads <= 0 {
 		return
@@ -123,7 +136,7 @@
 	if fromStore {
 		p.view.StoreLoads--
 	}
-	p.take(engine, Load{Engine: engine, Model: model, FromStore: fromStore, Reason: reason})
+	p.take(engine, Load{Engine: engine, Model: model, FromStore: fromStore, Why: why})
 }
 
 // serveWanted loads models that requests wait for and that nobody holds.
@@ -151,9 +164,8 @@
 		if looked++; looked > fillsAtOnce {
 			return
 		}
-		before := p.view.balance(p.holders).pain()
 		option, found := p.search(model, false, func(engine string, victims []string) float64 {
-			return firstGain + before - p.painWith(name, engine, victims)
+			return firstGain + p.fall(model, engine, victims)
 		})
 		if found && option.gain > 0 {
 			p.begin(option, "first copy")
@@ -165,17 +177,16 @@
 // anybody needs it there: from the store it would take longest just when its
 // demand rises.
 func (p *planner) spreadOut() {
-	on := p.view.balance(p.holders)
 	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
 		if len(p.moves) > 0 || p.view.StoreLoads <= storeReserve || p.keepers(name) >= leastKeepers {
 			continue
 		}
-		before := on.pain()
-		option, found := p.search(p.view.Models[name], false, func(engine string, victims []string) float64 {
+		model := p.view.Models[name]
+		option, found := p.search(model, false, func(engine string, victims []string) float64 {
 			if !p.ample(victims) {
 				return -spreadGain
 			}
-			return spreadGain + before - p.painWith(name, engine, victims) - p.disturbance(victims)
+			return spreadGain + p.fall(model, engine, victims) - p.disturbance(victims)
 		})
 		if found && option.gain > 0 {
 			p.begin(option, "second copy")
@@ -239,12 +250,10 @@
 // follow adds copies of models whose holders have too much to do.
 func (p *planner) follow() {
 	for range movesAtOnce {
-		spread := p.view.balance(p.holders)
-		before := spread.pain()
 		var chosen option
 		found := false
-		for _, model := range p.pressed(spread) {
-			if candidate, ok := p.relief(model, before); ok && (!found || candidate.gain > chosen.gain) {
+		for _, model := range p.pressed(p.spread()) {
+			if candidate, ok := p.relief(model); ok && (!found || candidate.gain > chosen.gain) {
 				chosen, found = candidate, true
 			}
 		}
@@ -277,9 +286,9 @@
 }
 
 // relief is the best way to add a copy of a model that has some.
-func (p *planner) relief(model *Model, before float64) (option, bool) {
+func (p *planner) relief(model *Model) (option, bool) {
 	return p.search(model, false, func(engine string, victims []string) float64 {
-		return before - p.painWith(model.Name, engine, victims) - p.disturbance(victims)
+		return p.fall(model, engine, victims) - p.disturbance(victims)
 	})
 }
 
@@ -292,22 +301,24 @@
 	return total
 }
 
-// painWith is the pain after a change of the holders.
-func (p *planner) painWith(model, engine string, victims []string) float64 {
-	changed := maps.Clone(p.holders)
-	changed[model] = append(slices.Clone(changed[model]), engine)
+// fall is by how much the pain falls where a model gets another holder and
+// victims lose theirs.
+func (p *planner) fall(model *Model, engine string, victims []string) float64 {
+	changed := p.spread().change()
 	for _, victim := range victims {
-		changed[victim] = without(changed[victim], engine)
+		if other := p.view.Models[victim]; other != nil {
+			changed.move(other, without(p.holders[victim], engine))
+		}
 	}
-	return p.view.balance(changed).pain()
+	changed.move(model, append(slices.Clone(p.holders[model.Name]), engine))
+	return changed.fall()
 }
 
 // best is the best place for the first copy of a model.
 func (p *planner) best(model *Model) (option, bool) {
-	before := p.view.balance(p.holders).pain()
 	gain := wantedGain + wantedRise*p.view.Now.Sub(model.WantedSince).Seconds()
 	return p.search(model, true, func(engine string, victims []string) float64 {
-		return gain + before - p.painWith(model.Name, engine, victims) - p.lastCopies(engine, victims)
+		return gain + p.fall(model, engine, victims) - p.lastCopies(engine, victims)
 	})
 }
 
@@ -346,32 +357,31 @@
 // candidates lists the engines that could take a copy of a model: those that
 // keep one first, then those with the least to do.
 func (p *planner) candidates(model *Model) []string {
-	var names []string
-	for _, name := range slices.Sorted(maps.Keys(p.view.Engines)) {
+	var kept, others []string
+	for _, name := range p.leastFirst() {
 		engine := p.view.Engines[name]
 		if !engine.Free || engine.Leaving || p.taken[name] || engine.Intended != "" || engine.Copies[model.Name] != nil {
 			continue
 		}
-		if !engine.stored(model.Name) || p.view.StoreLoads > 0 {
-			names = append(names, name)
+		switch {
+		case !engine.stored(model.Name):
+			kept = append(kept, name)
+		case p.view.StoreLoads > 0 && len(others) < mostEngines:
+			others = append(others, name)
 		}
 	}
-	if len(names) <= mostEngines {
-		return names
+	names := append(kept, others...)
+	return names[:min(len(names), mostEngines)]
+}
+
+// leastFirst lists all engines, those with the least to do first.
+func (p *planner) leastFirst() []string {
+	on := p.spread()
+	if p.byWork == nil {
+		p.byWork = slices.Clone(p.engines)
+		slices.SortStableFunc(p.byWork, func(a, b string) int { return compare(on.engines[a], on.engines[b]) })
 	}
-	on := p.view.balance(p.holders)
-	slices.SortStableFunc(names, func(a, b string) int {
-		first, second := p.view.Engines[a].stored(model.Name), p.view.Engines[b].stored(model.Name)
-		switch {
-		case first == second:
-			return compare(on.engines[a], on.engines[b])
-		case second:
-			return -1
-		default:
-			return 1
-		}
-	})
-	return names[:mostEngines]
+	return p.byWork
 }
 
 // runTime is how long the requests of a copy that makes way run on: as long as a
@@ -465,16 +475,22 @@
 // begin begins an option: with the drop of its victims, or with the load.
 func (p *planner) begin(chosen option, reason string) {
 	name := chosen.model.Name
+	why := p.why(chosen.model, reason, chosen.gain)
+	p.balanced, p.byWork = nil, nil
 	for _, victim := range chosen.victims {
-		p.take(chosen.engine, Drop{Engine: chosen.engine, Model: victim, For: name, Reason: reason})
+		p.take(chosen.engine, Drop{Engine: chosen.engine, Model: victim, For: name, Why: why})
 		p.holders[victim] = without(p.holders[victim], chosen.engine)
 	}
 	p.holders[name] = append(p.holders[name], chosen.engine)
 	if len(chosen.victims) == 0 {
-		p.load(chosen.engine, name, reason)
+		p.load(chosen.engine, name, why)
 	}
 }
 
+func (p *planner) why(model *Model, reason string, gain float64) Why {
+	return Why{Reason: reason, Work: model.Work, Holders: len(p.holders[model.Name]), Gain: gain}
+}
+
 func without(names []string, name string) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(one string) bool { return one == name })
 }
--- a/allocator/plan_test.go
+++ b/allocator/plan_test.go
@@ -114,7 +114,12 @@
 	f.Models["wanted"].WantedSince = now
 	loads := ofType[allocator.Load](allocator.Plan(f.View))
 	assert.Assert(t, len(loads) > 0)
-	assert.Equal(t, loads[0], allocator.Load{Engine: "e2", Model: "wanted", Reason: "wanted"})
+	assert.Equal(t, loads[0].Engine, "e2")
+	assert.Equal(t, loads[0].Model, "wanted")
+	assert.Equal(t, loads[0].FromStore, false)
+	assert.Equal(t, loads[0].Why.Reason, "wanted")
+	assert.Equal(t, loads[0].Why.Holders, 0)
+	assert.Assert(t, loads[0].Why.Gain > 0)
 }
 
 // Found on cukorvirag-foglalo scale-1: a model whose only copy was on one engine
@@ -251,7 +256,7 @@
 	f.engine("e2")
 	loads := ofType[allocator.Load](allocator.Plan(f.View))
 	assert.Assert(t, slices.Contains(loads, allocator.Load{
-		Engine: "e1", Model: "coming", FromStore: true, Reason: "room was made",
+		Engine: "e1", Model: "coming", FromStore: true, Why: allocator.Why{Reason: "room was made", Holders: 1},
 	}), "%v", loads)
 }
 
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -30,9 +30,6 @@
 	flushTime = 10 * time.Millisecond
 	// repeatTime is the time between two notes with all shares.
 	repeatTime = 500 * time.Millisecond
-	// mostPeers bounds the entries that are told. Beyond it, each is told of
-	// by a part of the others only.
-	mostPeers = 24
 	// noteQueue is how many notes may wait for a peer before the oldest are left
 	// out.
 	noteQueue = 16
@@ -120,7 +117,7 @@
 
 // Meet sets the addresses of the other entries.
 func (b *Broadcaster) Meet(addresses []string) {
-	addresses = addresses[:min(len(addresses), mostPeers)]
+	addresses = subset(b.settings.Listen, addresses, mostPeers)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	wanted := make(map[string]bool, len(addresses))
--- /dev/null
+++ b/broadcaster/subset.go
@@ -0,0 +1,23 @@
+package broadcaster
+
+import "slices"
+
+// mostPeers bounds the entries that are told: all of a fleet of a hundred. At
+// five requests a second each, telling them takes an entry about a twentieth of
+// a core.
+const mostPeers = 96
+
+// subset returns the peers that an entry tells: those that follow it when all
+// entries stand in a ring by address, so that each entry is told by as many.
+func subset(own string, peers []string, most int) []string {
+	ring := slices.DeleteFunc(slices.Sorted(slices.Values(peers)), func(address string) bool { return address == own })
+	if len(ring) <= most {
+		return ring
+	}
+	first, _ := slices.BinarySearch(ring, own)
+	chosen := make([]string, 0, most)
+	for at := range most {
+		chosen = append(chosen, ring[(first+at)%len(ring)])
+	}
+	return chosen
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -204,10 +204,10 @@
 			if looks > 0 && !linker.Pause(ctx, holderPause) {
 				return context.Cause(ctx)
 			}
-			if time.Now().After(x.holderBy()) {
+			if time.Now().After(x.usefulUntil()) {
 				return &AbsentError{Model: x.request.Model, Retry: time.Now().Add(holderRetry)}
 			}
-			if err := x.Holders.Want(ctx, x.service, x.request.Model, x.request.Adapter, x.holderBy()); err != nil {
+			if err := x.Holders.Want(ctx, x.service, x.request.Model, x.request.Adapter, x.usefulUntil()); err != nil {
 				return err
 			}
 			continue
@@ -357,6 +357,7 @@
 	var unsent *dispatcher.NotSentError
 	if errors.As(err, &unsent) {
 		x.settle(router.OutcomeUnreachable)
+		x.grant.NotSent()
 		return &NotRunError{Retry: time.Now().Add(shortRetry)}
 	}
 	x.tries.runs++
--- a/mover/events.go
+++ b/mover/events.go
@@ -183,13 +183,13 @@
 	}
 }
 
-// send gives an order to an engine.
-func (m *Mover) send(one *engine, order Order, reason string) {
+// send gives an order to an engine. The fields say what decided it.
+func (m *Mover) send(one *engine, order Order, why ...zap.Field) {
 	order.Holder, order.Fence, order.Expected = m.settings.Holder, m.lead.term, one.sequence
 	one.sending = true
-	m.settings.Log.Info("order", zap.String("upstream", one.upstream.Name), zap.Int("action", int(order.Action)),
-		zap.String("model", order.Model), zap.String("adapter", order.Adapter),
-		zap.Uint64("expected", order.Expected), zap.Uint64("fence", order.Fence), zap.String("reason", reason))
+	m.settings.Log.Info("order", append(why, zap.String("upstream", one.upstream.Name),
+		zap.Int("action", int(order.Action)), zap.String("model", order.Model), zap.String("adapter", order.Adapter),
+		zap.Uint64("expected", order.Expected), zap.Uint64("fence", order.Fence))...)
 	m.calls.Add(1)
 	go m.runOrder(m.lead.term, one.upstream, order)
 }
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -109,15 +109,23 @@
 			m.storeLoads = append(m.storeLoads, now)
 		}
 		one.loadedAt = now.Add(one.loadTime(m.engineOf(one.upstream.Service).Models[move.Model]))
-		m.send(one, Order{Action: ActionLoad, Model: move.Model}, move.Reason)
+		m.send(one, Order{Action: ActionLoad, Model: move.Model}, m.inputs(move.Why, now)...)
 	case allocator.Drop:
 		one := m.engines[move.Engine]
 		held := one.copies[move.Model]
 		held.Dropping, held.Dropped = true, now.Add(dropTime)
 		one.intended, one.intendedBy = move.For, now.Add(intendedTime)
-		m.settings.Log.Info("copy makes way", zap.String("upstream", move.Engine),
-			zap.String("model", move.Model), zap.String("for", move.For), zap.String("reason", move.Reason))
+		m.settings.Log.Info("copy makes way", append(m.inputs(move.Why, now), zap.String("upstream", move.Engine),
+			zap.String("model", move.Model), zap.String("for", move.For))...)
 	case allocator.Unload:
-		m.send(m.engines[move.Engine], Order{Action: ActionUnload, Model: move.Model}, "makes way")
+		m.send(m.engines[move.Engine], Order{Action: ActionUnload, Model: move.Model}, zap.String("reason", "makes way"))
+	}
+}
+
+// inputs are what decided a move, for the log.
+func (m *Mover) inputs(why allocator.Why, now time.Time) []zap.Field {
+	return []zap.Field{
+		zap.String("reason", why.Reason), zap.Float64("work", why.Work), zap.Int("held-by", why.Holders),
+		zap.Float64("gain", why.Gain), zap.Duration("demand-age", now.Sub(m.meter.at)),
 	}
 }
--- a/mover/want.go
+++ b/mover/want.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"burdocklink/allocator"
 	"burdocklink/matcher"
 	"burdocklink/surveyor"
@@ -141,11 +143,13 @@
 		return
 	}
 	views := map[string]*allocator.View{}
+	looked := map[Want]bool{}
 	for _, one := range m.waiters {
 		want := one.want
-		if m.onItsWay(want) {
+		if looked[want] || m.onItsWay(want) {
 			continue
 		}
+		looked[want] = true
 		view := views[want.Service]
 		if view == nil {
 			view = m.view(want.Service, m.engineOf(want.Service), now)
@@ -187,8 +191,8 @@
 	one := m.engines[place.Engine]
 	one.adapter = want
 	if place.Evict != "" {
-		m.send(one, Order{Action: ActionUnload, Model: place.EvictModel, Adapter: place.Evict}, "adapter makes way")
+		m.send(one, Order{Action: ActionUnload, Model: place.EvictModel, Adapter: place.Evict}, zap.String("reason", "adapter makes way"))
 		return
 	}
-	m.send(one, Order{Action: ActionLoad, Model: want.Model, Adapter: want.Adapter}, "adapter wanted")
+	m.send(one, Order{Action: ActionLoad, Model: want.Model, Adapter: want.Adapter}, zap.String("reason", "adapter wanted"))
 }
--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -70,7 +70,7 @@
 // error.
 func (s *Seeker) Want(ctx context.Context, service, model, adapter string, by time.Time) error {
 	for {
-		reply, err := s.ask(ctx, service, model, adapter)
+		reply, err := s.askUntil(ctx, service, model, adapter, by)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -95,6 +95,13 @@
 	}
 }
 
+// askUntil is ask with an end. The question itself goes on for others.
+func (s *Seeker) askUntil(ctx context.Context, service, model, adapter string, by time.Time) (*wire.WantReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	return s.ask(ctx, service, model, adapter)
+}
+
 // ask joins the question for a name that is under way, or begins one.
 func (s *Seeker) ask(ctx context.Context, service, model, adapter string) (*wire.WantReply, error) {
 	name := s.Name(service, model, adapter)
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -25,9 +25,15 @@
 	wire.UnimplementedControlServer
 	asked atomic.Int32
 	reply func(asked int32) *wire.WantReply
+	// hold keeps an answer back where it is not nil.
+	hold func(ctx context.Context)
 }
 
-func (l *leader) Want(context.Context, *wire.WantRequest) (*wire.WantReply, error) {
+func (l *leader) Want(ctx context.Context, _ *wire.WantRequest) (*wire.WantReply, error) {
+	if l.hold != nil {
+		l.hold(ctx)
+		return nil, ctx.Err()
+	}
 	return l.reply(l.asked.Add(1)), nil
 }
 
@@ -89,3 +95,19 @@
 	var absent *forwarder.AbsentError
 	assert.Assert(t, errors.As(err, &absent))
 }
+
+// Found on the users' bench, grown cukorvirag-foglalo scale-1: callers left while
+// their requests waited for the leader's answer, and were never told to come
+// back.
+func TestWantDoesNotWaitForASlowLeader(t *testing.T) {
+	var ended atomic.Int32
+	s, l, _ := seek(t, nil)
+	l.hold = func(ctx context.Context) {
+		<-ctx.Done()
+		ended.Add(1)
+	}
+	err := s.Want(t.Context(), "s", "m", "a1", time.Now().Add(50*time.Millisecond))
+	var absent *forwarder.AbsentError
+	assert.Assert(t, errors.As(err, &absent))
+	assert.Equal(t, ended.Load(), int32(0))
+}
