--- a/broadcaster/subset.go
+++ b/broadcaster/subset.go
@@ -6,14 +6,6 @@
 // the grown sites half of its share of a core.
 const mostPeers = 24
 
-// Told returns which part of the other entries each entry hears.
-func Told(peers int) float64 {
-	if peers <= mostPeers {
-		return 1
-	}
-	return float64(mostPeers) / float64(peers)
-}
-
 // subset returns the peers that an entry tells: those that follow it when all
 // entries stand in a ring by address, so that each entry is told by as many.
 func subset(own string, peers []string, most int) []string {
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -105,7 +105,6 @@
 // meet takes in the addresses of the other entries.
 func (p *entryParts) meet(peers []string) {
 	p.notes.Meet(peers)
-	p.routes.SetHeard(broadcaster.Told(len(peers)))
 	p.retries.share(len(peers) + 1)
 }
 
--- a/router/loads.go
+++ b/router/loads.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"time"
 
 	"burdocklink/estimator"
@@ -49,12 +48,11 @@
 // upstreams that are not listed are idle for it.
 func (r *Router) TakeNews(now time.Time, entry string, loads []Load, whole bool) {
 	upstreams := r.current.Load().upstreams
-	heard := r.heard()
 	listed := make(map[string]bool, len(loads))
 	for _, load := range loads {
 		listed[load.Upstream] = true
 		if u := upstreams[load.Upstream]; u != nil && u.about.Incarnation == load.Incarnation {
-			u.others(now, entry, load.Share, heard)
+			u.others(now, entry, load.Share)
 		}
 	}
 	if !whole {
@@ -62,7 +60,7 @@
 	}
 	for name, u := range upstreams {
 		if !listed[name] {
-			u.others(now, entry, estimator.Share{}, heard)
+			u.others(now, entry, estimator.Share{})
 		}
 	}
 }
@@ -96,22 +94,11 @@
 	return share, true
 }
 
-// SetHeard sets which part of the other entries is heard. Those that are stand
-// for the rest, too.
-func (r *Router) SetHeard(part float64) { r.heardPart.Store(math.Float64bits(part)) }
-
-func (r *Router) heard() float64 {
-	if bits := r.heardPart.Load(); bits != 0 {
-		return math.Float64frombits(bits)
-	}
-	return 1
-}
-
-// others takes in the share of another entry, of which a part is heard.
-func (m *measured) others(now time.Time, entry string, share estimator.Share, heard float64) {
+// others takes in the share of another entry.
+func (m *measured) others(now time.Time, entry string, share estimator.Share) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.engine.Dispatched(now, int(float64(share.PromptTokens)/heard))
+	m.engine.Dispatched(now, share.PromptTokens)
 	if m.peers == nil {
 		m.peers = map[string]peerShare{}
 	}
@@ -125,8 +112,6 @@
 		sum.Requests += peer.Requests
 		sum.Tokens += peer.Tokens
 	}
-	sum.Requests = int(float64(sum.Requests) / heard)
-	sum.Tokens = int(float64(sum.Tokens) / heard)
 	m.engine.Others(now, sum)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -16,9 +16,6 @@
 	current  atomic.Pointer[table]
 	// control orders the writers of the table.
 	control sync.Mutex
-	// heardPart is which part of the other entries is heard, as the bits of a
-	// float64; zero for all.
-	heardPart atomic.Uint64
 }
 
 // New returns a router that knows no upstream.
