--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -223,15 +223,16 @@
 	}
 }
 
-// mostHeld is the part of the caller's time for which a request may wait before
-// it is refused: one that comes back has little time left, and needs the rest to
-// be told and to try elsewhere.
+// mostHeld is the part of the caller's time for which a stream's request may wait
+// before it is refused: one that comes back has little time left, and needs the
+// rest for its answer. Short answers can still be given near the end.
 const mostHeld = 0.5
 
 // usefulUntil is when the caller must have a first event, or the whole answer.
 func (x *exchange) usefulUntil() time.Time {
 	until := x.holderBy()
-	if half := x.arrived.Add(time.Duration(mostHeld * float64(x.deadline.Sub(x.arrived)))); half.Before(until) {
+	half := x.arrived.Add(time.Duration(mostHeld * float64(x.deadline.Sub(x.arrived))))
+	if x.route.Kind == matcher.Streaming && half.Before(until) {
 		return half
 	}
 	if margin := until.Add(-usefulMargin); margin.After(x.arrived) {
