--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -230,9 +230,8 @@
 
 // wantedGain is the worth of the first copy of a model that requests wait for:
 // more than the longest load costs. wantedRise is what it gains with each second
-// of waiting. A model that is asked
-// for rarely waits a little rather than take the place of one that is pressed,
-// and not for long.
+// of waiting. A model that is asked for rarely waits a little rather than take
+// the place of one that is pressed, and not for long.
 const (
 	wantedGain = 4.0
 	wantedRise = 2.0
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -239,7 +239,7 @@
 func (m *Mover) leading(now time.Time) bool {
 	status := m.settings.Group.Status()
 	switch {
-	case m.lead.term != 0 && status.Term != m.lead.term && !status.Leading:
+	case m.lead.term != 0 && !status.Leading && status.Term != m.lead.term:
 		m.settings.Log.Info("gives no more orders", zap.Uint64("term", m.lead.term))
 		m.lead = lead{}
 		m.reset()
