--- a/mover/events.go
+++ b/mover/events.go
@@ -64,7 +64,7 @@
 		m.takeWant(happened, now)
 	}
 	if m.lead.term != 0 && m.configuration != nil {
-		m.table.put(m.engines)
+		m.publish()
 		// those that are served need no order
 		m.answerWaiters()
 		m.loadAdapters(now)
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"time"
 
@@ -79,7 +80,8 @@
 	ended    chan struct{}
 	events   chan event
 	calls    sync.WaitGroup
-	table    *heldTable
+	// told is what entries are told that engines hold.
+	told *surveyor.Changelog[surveyor.Told]
 
 	// what follows belongs to run.
 	lead          lead
@@ -129,7 +131,7 @@
 		cancel:   cancel,
 		ended:    make(chan struct{}),
 		events:   make(chan event, eventQueue),
-		table:    newHeldTable(),
+		told:     surveyor.NewChangelog(func(a, b surveyor.Told) bool { return reflect.DeepEqual(a, b) }),
 	}
 	m.reset()
 	return m
@@ -163,10 +165,13 @@
 
 // Held returns what engines hold after a serial number, and the number of the
 // newest change.
-func (m *Mover) Held(after uint64) ([]surveyor.Told, uint64) { return m.table.after(after) }
+func (m *Mover) Held(after uint64) ([]surveyor.Told, uint64) {
+	told, newest, _ := m.told.After(after)
+	return told, newest
+}
 
 // Changed returns a channel that is closed when engines hold something else.
-func (m *Mover) Changed() <-chan struct{} { return m.table.next() }
+func (m *Mover) Changed() <-chan struct{} { return m.told.Changed() }
 
 // Want returns the engines that hold a model or adapter, or when one is
 // expected to. It waits for an adapter that is on its way.
@@ -214,7 +219,7 @@
 	m.wanted = map[string]wanted{}
 	m.listAt, m.demandAt = time.Time{}, time.Time{}
 	m.listing = false
-	m.table.clear()
+	m.told.Clear()
 	m.settings.Listed.Forget()
 }
 
@@ -232,7 +237,7 @@
 	m.readDemand(now)
 	m.expireWaiters(now)
 	m.plan(now)
-	m.table.put(m.engines)
+	m.publish()
 }
 
 // leading is true while this member leads, and notes when that changes.
@@ -317,3 +322,13 @@
 	m.demandAt = now.Add(demandEvery)
 	m.meter.observe(now, m.settings.Demands())
 }
+
+// publish tells entries what engines hold.
+func (m *Mover) publish() {
+	for name, one := range m.engines {
+		if one.reported {
+			m.told.Set(name, one.told())
+		}
+	}
+	m.told.Retain(func(name string) bool { return m.engines[name] != nil })
+}
--- /dev/null
+++ b/surveyor/changelog.go
@@ -0,0 +1,113 @@
+package surveyor
+
+import (
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Changelog keeps named values and numbers their changes, so that each follower
+// is told what is new to it. It is safe for concurrent use.
+type Changelog[V any] struct {
+	// same says whether a value is no news after another one.
+	same func(a, b V) bool
+
+	mutex   sync.Mutex
+	serial  uint64
+	entries map[string]changelogEntry[V]
+	// removed is the serial number of the last change that took a value away.
+	removed uint64
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+type changelogEntry[V any] struct {
+	value  V
+	serial uint64
+}
+
+// NewChangelog returns an empty changelog.
+func NewChangelog[V any](same func(a, b V) bool) *Changelog[V] {
+	return &Changelog[V]{same: same, entries: map[string]changelogEntry[V]{}, changed: make(chan struct{})}
+}
+
+// Put takes in all values; those that are not among them are removed.
+func (c *Changelog[V]) Put(values map[string]V) {
+	c.change(func() {
+		for name, value := range values {
+			c.set(name, value)
+		}
+		c.retain(func(name string) bool { _, still := values[name]; return still })
+	})
+}
+
+// Set takes in one value.
+func (c *Changelog[V]) Set(name string, value V) {
+	c.change(func() { c.set(name, value) })
+}
+
+// Retain removes the values whose names are not kept.
+func (c *Changelog[V]) Retain(keep func(name string) bool) {
+	c.change(func() { c.retain(keep) })
+}
+
+// Clear removes all values.
+func (c *Changelog[V]) Clear() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	clear(c.entries)
+	c.serial++
+	c.removed = c.serial
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Changelog[V]) Changed() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.changed
+}
+
+// After returns the values that changed after a serial number, in ascending
+// order of name, and the number of the newest change. Removed is true where
+// values were taken away since; those are not told.
+func (c *Changelog[V]) After(serial uint64) (values []V, newest uint64, removed bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(c.entries)) {
+		if entry := c.entries[name]; entry.serial > serial {
+			values = append(values, entry.value)
+		}
+	}
+	return values, c.serial, serial < c.removed
+}
+
+// change wakes those who wait where an alteration is news.
+func (c *Changelog[V]) change(alter func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before := c.serial
+	alter()
+	if c.serial != before {
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+}
+
+// set and retain alter the entries. The mutex is held.
+func (c *Changelog[V]) set(name string, value V) {
+	if last, known := c.entries[name]; known && c.same(last.value, value) {
+		return
+	}
+	c.serial++
+	c.entries[name] = changelogEntry[V]{value: value, serial: c.serial}
+}
+
+func (c *Changelog[V]) retain(keep func(name string) bool) {
+	for name := range c.entries {
+		if !keep(name) {
+			delete(c.entries, name)
+			c.serial++
+			c.removed = c.serial
+		}
+	}
+}
--- a/surveyor/journal.go
+++ b/surveyor/journal.go
@@ -1,8 +1,6 @@
 package surveyor
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 )
@@ -21,53 +19,22 @@
 // Journal numbers the changes of the platform's list, so that one process reads
 // it for many. It is safe for concurrent use.
 type Journal struct {
-	mutex   sync.Mutex
-	serial  uint64
-	readAt  time.Time
-	entries map[string]journalEntry
-	// removed is the serial number of the last change that took an upstream off
-	// the list.
-	removed uint64
-	// changed is closed at the next change.
-	changed chan struct{}
-}
-
-type journalEntry struct {
-	upstream Upstream
-	serial   uint64
+	log *Changelog[Upstream]
+	// mutex keeps readAt and the log in step.
+	mutex  sync.Mutex
+	readAt time.Time
 }
 
 // NewJournal returns a journal of a list that was not read yet.
-func NewJournal() *Journal {
-	return &Journal{entries: map[string]journalEntry{}, changed: make(chan struct{})}
-}
+func NewJournal() *Journal { return &Journal{log: NewChangelog(sameEntry)} }
 
 // Put takes in a reading of the list. What upstreams hold is no news: the
 // control group knows it better.
 func (j *Journal) Put(listed map[string]Upstream, at time.Time) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	before := j.serial
 	j.readAt = at
-	for name, upstream := range listed {
-		last, known := j.entries[name]
-		if known && sameEntry(last.upstream, upstream) {
-			continue
-		}
-		j.serial++
-		j.entries[name] = journalEntry{upstream: upstream, serial: j.serial}
-	}
-	for name := range j.entries {
-		if _, still := listed[name]; !still {
-			delete(j.entries, name)
-			j.serial++
-			j.removed = j.serial
-		}
-	}
-	if j.serial != before {
-		close(j.changed)
-		j.changed = make(chan struct{})
-	}
+	j.log.Put(listed)
 }
 
 // sameEntry compares what decides whether and where an upstream is sent work.
@@ -80,28 +47,20 @@
 func (j *Journal) Forget() {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	clear(j.entries)
 	j.readAt = time.Time{}
-	j.serial++
-	j.removed = j.serial
+	j.log.Clear()
 }
 
 // Changed returns a channel that is closed at the next change.
-func (j *Journal) Changed() <-chan struct{} {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	return j.changed
-}
+func (j *Journal) Changed() <-chan struct{} { return j.log.Changed() }
 
 // After returns what changed after a serial number.
 func (j *Journal) After(serial uint64) Changes {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	changes := Changes{Whole: serial < j.removed || serial == 0, Serial: j.serial, ReadAt: j.readAt}
-	for _, name := range slices.Sorted(maps.Keys(j.entries)) {
-		if entry := j.entries[name]; changes.Whole || entry.serial > serial {
-			changes.Upstreams = append(changes.Upstreams, entry.upstream)
-		}
+	upstreams, newest, removed := j.log.After(serial)
+	if removed {
+		upstreams, newest, _ = j.log.After(0)
 	}
-	return changes
+	return Changes{Whole: removed || serial == 0, Upstreams: upstreams, Serial: newest, ReadAt: j.readAt}
 }
