--- a/replicator/receive.go
+++ b/replicator/receive.go
@@ -29,12 +29,15 @@
 func (c *Core) takeHigherTerm(envelope Envelope) bool {
 	switch message := envelope.Message.(type) {
 	case VoteRequest:
-		if !message.Handover && c.loyal() && (message.Pre || !c.mayVoteEarly(envelope)) {
-			c.refuseLoyally(envelope, message)
-			return false
-		}
+		loyal := !message.Handover && c.loyal()
 		if message.Pre {
-			return true
+			if loyal {
+				c.tellFresh(envelope)
+			}
+			return !loyal
+		}
+		if loyal && !c.mayVoteEarly(envelope) {
+			return false
 		}
 		c.follow(envelope.Term, Identity{})
 	case VoteReply:
@@ -50,14 +53,6 @@
 	return true
 }
 
-// refuseLoyally keeps silent towards a candidate, but for a canvass after a
-// restart.
-func (c *Core) refuseLoyally(envelope Envelope, request VoteRequest) {
-	if request.Pre {
-		c.tellFresh(envelope)
-	}
-}
-
 // answerLowerTerm tells the sender of the newer term.
 func (c *Core) answerLowerTerm(envelope Envelope) {
 	switch message := envelope.Message.(type) {
