--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -375,8 +375,8 @@
 
 // leastFirst lists all engines, those with the least to do first.
 func (p *planner) leastFirst() []string {
-	on := p.spread()
 	if p.byWork == nil {
+		on := p.spread()
 		p.byWork = slices.Clone(p.engines)
 		slices.SortStableFunc(p.byWork, func(a, b string) int { return compare(on.engines[a], on.engines[b]) })
 	}
