--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -230,7 +230,7 @@
 
 // usefulUntil is when the caller must have a first event, or the whole answer.
 func (x *exchange) usefulUntil() time.Time {
-	until := x.holderBy()
+	until := x.leavesAt()
 	half := x.arrived.Add(time.Duration(mostHeld * float64(x.deadline.Sub(x.arrived))))
 	if x.route.Kind == matcher.Streaming && half.Before(until) {
 		return half
@@ -245,9 +245,8 @@
 // read meanwhile.
 const usefulMargin = 250 * time.Millisecond
 
-// holderBy is when a holder of what the request asks for must be there: later,
-// the caller will have left.
-func (x *exchange) holderBy() time.Time {
+// leavesAt is when the caller will have left without a first event.
+func (x *exchange) leavesAt() time.Time {
 	patient := x.arrived.Add(x.route.Patience())
 	if patient.Before(x.deadline) {
 		return patient
