--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -46,7 +46,7 @@
 // one and all at once. Callers and upstreams see whether the promises hold.
 // Faults come in series and overlap. Fifty fresh seeds by hand:
 //
-//	BURDOCKLINK_SOAK_SEEDS=50 go test -run TestSoak -timeout 1h -v ./prover
+//	BURDOCKLINK_SOAK_SEEDS=50 go test -count=1 -run TestSoak -timeout 1h -v ./prover
 func TestSoak(t *testing.T) {
 	seeds := soakSeeds
 	if one := os.Getenv(soakSeedVariable); one != "" {
