feat(mover): a line a second and metrics tell how the leader keeps up

One line a second of the leader now gives the processor time that it used, the events handled and the most that waited, the longest gap between two rounds, the time spent on plans, orders and refused ones, and what became of entries' questions. Too little processor time (gap, queue, processor near the share), plans far apart (plans, planning) and entries that give up while the leader is idle (wants expired, no gap) look different in it. The same as counters and histograms at /metrics.

--- a/mover/events.go
+++ b/mover/events.go
@@ -53,6 +53,8 @@
 func (wantCalled) event()    {}
 
 func (m *Mover) handle(happened event, now time.Time) {
+	m.tally.events++
+	m.tally.mostQueued = max(m.tally.mostQueued, len(m.events))
 	switch happened := happened.(type) {
 	case listRead:
 		m.takeList(happened, now)
@@ -189,6 +191,7 @@
 func (m *Mover) send(one *engine, order Order, why ...zap.Field) {
 	order.Holder, order.Fence, order.Expected = m.settings.Holder, m.lead.term, one.sequence
 	one.sending = true
+	m.tally.orders++
 	m.settings.Log.Info("order", append(why, zap.String("upstream", one.upstream.Name),
 		zap.Int("action", int(order.Action)), zap.String("model", order.Model), zap.String("adapter", order.Adapter),
 		zap.Uint64("expected", order.Expected), zap.Uint64("fence", order.Fence))...)
@@ -229,6 +232,7 @@
 	one.sending = false
 	order := answered.order
 	if answered.outcome != Accepted && answered.outcome != Done {
+		m.tally.refused++
 		m.settings.Log.Info("order not taken", zap.String("upstream", answered.engine.Name),
 			zap.String("model", order.Model), zap.String("adapter", order.Adapter),
 			zap.Stringer("outcome", answered.outcome), zap.Error(answered.err))
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"burdocklink/applier"
@@ -48,7 +49,9 @@
 	// StoreWindow and StoreOverage bound the loads from the weight store.
 	StoreWindow  time.Duration
 	StoreOverage float64
-	Log          *zap.Logger
+	// Metrics takes the leader's counters and histograms; nil for none.
+	Metrics metrics.Registry
+	Log     *zap.Logger
 }
 
 const (
@@ -98,6 +101,7 @@
 	waiters []waiter
 	// storeLoads are the times of loads from the weight store.
 	storeLoads []time.Time
+	tally      tally
 }
 
 // lead is one time of leading.
@@ -125,6 +129,9 @@
 // New returns a mover that has not started.
 func New(settings Settings) *Mover {
 	ctx, cancel := context.WithCancel(context.Background())
+	if settings.Metrics == nil {
+		settings.Metrics = metrics.NewRegistry()
+	}
 	m := &Mover{
 		settings: settings,
 		ctx:      ctx,
@@ -232,6 +239,7 @@
 	if m.configuration == nil {
 		return
 	}
+	m.report(now)
 	m.askList(now)
 	m.askReports(now)
 	m.readDemand(now)
@@ -276,6 +284,7 @@
 
 // dismissWaiters answers all that wait for an adapter.
 func (m *Mover) dismissWaiters() {
+	m.tally.dismissed += len(m.waiters)
 	for _, one := range m.waiters {
 		one.answer <- Wanted{}
 	}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -33,6 +33,8 @@
 // rest puts the next plan off after one that took long.
 func (m *Mover) rest(now, began time.Time) {
 	took := time.Since(began)
+	m.tally.plans++
+	m.tally.planTime += took
 	m.planAt = now.Add(time.Duration(float64(took) / planShare))
 }
 
--- /dev/null
+++ b/mover/tally.go
@@ -0,0 +1,110 @@
+package mover
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+)
+
+// tallyEvery is the time between two lines that say how the leader keeps up.
+const tallyEvery = time.Second
+
+// tally is what the leader did since the line before, and how it kept up.
+type tally struct {
+	since     time.Time
+	processor time.Duration
+	events    int
+	// mostQueued is the most events that waited at once, longestGap the longest
+	// time between two rounds.
+	mostQueued int
+	roundAt    time.Time
+	longestGap time.Duration
+	plans      int
+	planTime   time.Duration
+	orders     int
+	refused    int
+	// wants are questions of entries: held had a holder at once, served after a
+	// wait, expired none in time, and dismissed those of a lapsed lease.
+	wants, held, served, expired, dismissed int
+}
+
+// round notes that the loop came round.
+func (t *tally) round(now time.Time) {
+	if !t.roundAt.IsZero() {
+		t.longestGap = max(t.longestGap, now.Sub(t.roundAt))
+	}
+	t.roundAt = now
+}
+
+// due is true once a line is to be written.
+func (t *tally) due(now time.Time) bool { return now.Sub(t.since) >= tallyEvery }
+
+// fields are the line's.
+func (t *tally) fields(now time.Time, processor time.Duration) []zap.Field {
+	return []zap.Field{
+		zap.Duration("over", now.Sub(t.since)), zap.Duration("processor", processor-t.processor),
+		zap.Int("events", t.events), zap.Int("most-queued", t.mostQueued), zap.Duration("longest-gap", t.longestGap),
+		zap.Int("plans", t.plans), zap.Duration("planning", t.planTime),
+		zap.Int("orders", t.orders), zap.Int("orders-refused", t.refused),
+		zap.Int("wants", t.wants), zap.Int("wants-held", t.held), zap.Int("wants-served", t.served),
+		zap.Int("wants-expired", t.expired), zap.Int("wants-dismissed", t.dismissed),
+	}
+}
+
+// Names of the leader's metrics. The histograms are of each second's longest gap
+// and of its planning, in milliseconds.
+const (
+	metricOrders    = "leader-orders"
+	metricRefused   = "leader-orders-refused"
+	metricHeld      = "leader-wants-held"
+	metricServed    = "leader-wants-served"
+	metricExpired   = "leader-wants-expired"
+	metricDismissed = "leader-wants-dismissed"
+	metricGap       = "leader-longest-gap-ms"
+	metricPlanning  = "leader-planning-ms"
+)
+
+// sampleSize is how many seconds the histograms remember.
+const sampleSize = 300
+
+// count adds the tally to the metrics.
+func (t *tally) count(registry metrics.Registry) {
+	counters := map[string]int{
+		metricOrders: t.orders, metricRefused: t.refused, metricHeld: t.held,
+		metricServed: t.served, metricExpired: t.expired, metricDismissed: t.dismissed,
+	}
+	for name, number := range counters {
+		metrics.GetOrRegisterCounter(name, registry).Inc(int64(number))
+	}
+	samples := map[string]time.Duration{metricGap: t.longestGap, metricPlanning: t.planTime}
+	for name, length := range samples {
+		metrics.GetOrRegisterHistogram(name, registry, metrics.NewUniformSample(sampleSize)).Update(length.Milliseconds())
+	}
+}
+
+// report writes the line of the last second and begins the next one.
+func (m *Mover) report(now time.Time) {
+	m.tally.round(now)
+	if !m.tally.due(now) {
+		return
+	}
+	processor := processorTime()
+	if !m.tally.since.IsZero() {
+		m.settings.Log.Info("leading", append(m.tally.fields(now, processor),
+			zap.Int("engines", len(m.engines)), zap.Int("waiters", len(m.waiters)))...)
+	}
+	m.tally.count(m.settings.Metrics)
+	m.tally = tally{since: now, processor: processor, roundAt: now}
+}
+
+// processorTime is what the process has used so far; zero where the system
+// does not tell.
+func processorTime() time.Duration {
+	var used unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &used); err != nil {
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
--- a/mover/want.go
+++ b/mover/want.go
@@ -16,11 +16,13 @@
 
 // takeWant answers an entry, or lets it wait for an adapter.
 func (m *Mover) takeWant(call wantCalled, now time.Time) {
+	m.tally.wants++
 	if m.lead.term == 0 || m.lead.suspended || m.configuration == nil || m.engineOf(call.want.Service) == nil {
 		call.answer <- Wanted{}
 		return
 	}
 	if holders := m.holders(call.want); len(holders) > 0 {
+		m.tally.held++
 		call.answer <- Wanted{Holders: holders, Known: true}
 		return
 	}
@@ -121,6 +123,7 @@
 		if len(holders) == 0 {
 			return false
 		}
+		m.tally.served++
 		one.answer <- Wanted{Holders: holders, Known: true}
 		return true
 	})
@@ -131,6 +134,7 @@
 		if now.Before(one.until) {
 			return false
 		}
+		m.tally.expired++
 		one.answer <- Wanted{}
 		return true
 	})
--- a/provisioner/control.go
+++ b/provisioner/control.go
@@ -93,6 +93,7 @@
 		Lease:        settings.Bounds.Lease,
 		StoreWindow:  settings.Bounds.StoreWindow,
 		StoreOverage: settings.Bounds.StoreOverage,
+		Metrics:      metrics.Registry(),
 		Log:          settings.Log,
 	})
 	answers = responder.New(responder.Settings{
