--- /dev/null
+++ b/prover/grown_test.go
@@ -0,0 +1,312 @@
+package prover_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/follower"
+	"burdocklink/linker"
+	"burdocklink/placer"
+	"burdocklink/router"
+	"burdocklink/seeker"
+	"burdocklink/surveyor"
+)
+
+// Sizes of the larger grown site.
+const (
+	grownEngines = 140
+	grownEntries = 67
+	// busyModels have many copies and adapters each; rareModels one copy.
+	busyModels   = 18
+	rareModels   = 122
+	adaptersEach = 24
+	engineSlots  = 8
+	// controlShare is the part of a core that a control VM has there.
+	controlShare = 0.12
+	// asksPerSecond are for adapters, by all entries together.
+	asksPerSecond = 142
+	// askTime is how long a caller waits for a first event.
+	askTime = 2 * time.Second
+	// grownTime is how long adapters are asked for.
+	grownTime = 12 * time.Second
+)
+
+// grownEngine is a stand-in for a model engine that keeps each adapter with its
+// model.
+type grownEngine struct {
+	id      string
+	address string
+
+	mutex    sync.Mutex
+	models   map[string]map[string]bool
+	sequence int
+}
+
+func (e *grownEngine) describe() map[string]any {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	models := []map[string]any{}
+	for name, adapters := range e.models {
+		held := []string{}
+		for adapter := range adapters {
+			held = append(held, adapter)
+		}
+		models = append(models, map[string]any{"name": name, "version": 1, "adapters": held})
+	}
+	return map[string]any{
+		"id": e.id, "service": "engines", "address": e.address, "zone": "z1", "version": "v1", "slots": 12,
+		"state": "ready", "coldRemainingMs": 0, "born": 7, "models": models,
+		"sequence": e.sequence, "busy": false, "queued": 0, "running": 0,
+		"cachedModels": map[string]any{"inMemory": []string{}, "onDisk": []string{}},
+	}
+}
+
+func (e *grownEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if r.URL.Path != "/api/order" {
+		_ = json.NewEncoder(w).Encode(e.describe())
+		return
+	}
+	var order struct {
+		Operation, Model, Adapter string
+		Expect                    int
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if json.Unmarshal(body, &order) != nil || order.Expect != e.sequence || order.Adapter == "" {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.sequence++
+	if order.Operation == "unload" {
+		delete(e.models[order.Model], order.Adapter)
+		return
+	}
+	e.models[order.Model][order.Adapter] = true
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// grownSite is a site of many engines whose entries are played by the test: they
+// follow the leader and ask it for adapters, as real ones do.
+type grownSite struct {
+	*platformSite
+	engines []*grownEngine
+	entries []*grownEntry
+	// asked and served are by adapter.
+	mutex  sync.Mutex
+	asked  map[string]int
+	served map[string]int
+}
+
+type grownEntry struct {
+	site     *grownSite
+	number   int
+	follower *follower.Follower
+	seeker   *seeker.Seeker
+	told     atomic.Int64
+	counts   sync.Map
+	since    time.Time
+}
+
+func newGrownSite(t *testing.T) *grownSite {
+	t.Helper()
+	s := &grownSite{
+		platformSite: &platformSite{t: t, root: t.TempDir(), nodes: map[string]*process{}, hosts: map[string]string{}},
+		asked:        map[string]int{}, served: map[string]int{},
+	}
+	s.port = 20_000 + os.Getpid()%1000*portsOfVM
+	for at := range grownEngines {
+		engine := &grownEngine{id: "engine-" + strconv.Itoa(at), models: map[string]map[string]bool{
+			busyModel(at): {}, rareModel(at): {},
+		}}
+		engine.address = s.listen(engine)
+		s.engines = append(s.engines, engine)
+	}
+	s.list = s.listen(http.HandlerFunc(s.answerGrownList))
+	for at := range 3 {
+		s.node("control", "core-"+strconv.Itoa(at+1), s.coreHost(at), true)
+	}
+	eventually(t, "a configuration is acknowledged", s.configured)
+	for at := range grownEntries {
+		s.entries = append(s.entries, s.newEntry(at))
+	}
+	return s
+}
+
+func busyModel(at int) string { return "busy-" + strconv.Itoa(at%busyModels) }
+func rareModel(at int) string { return "rare-" + strconv.Itoa(at%rareModels) }
+
+func (s *grownSite) answerGrownList(w http.ResponseWriter, _ *http.Request) {
+	lines := []any{}
+	for _, engine := range s.engines {
+		lines = append(lines, engine.describe())
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"instances": lines, "nextToken": nil})
+}
+
+func (s *grownSite) configured() bool {
+	models := []map[string]any{}
+	for at := range busyModels {
+		models = append(models, map[string]any{"name": busyModel(at), "weightsMb": 70, "loadTimeS": 1, "adapters": adaptersEach, "adapterMb": 1})
+	}
+	for at := range rareModels {
+		models = append(models, map[string]any{"name": rareModel(at), "weightsMb": 70, "loadTimeS": 1})
+	}
+	text, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes":  []any{map[string]any{"name": "draft", "host": "a.example", "pathPrefix": "/", "kind": "streaming", "timeoutMs": 8000, "service": "engines", "maxAttempts": 1}},
+		"services": []any{map[string]any{"name": "engines", "engine": map[string]any{
+			"slots": 12, "kvCapacity": 47431, "stride": 5, "weightsMb": 200, "adapterSlots": engineSlots, "loadsPerS": 20, "models": models,
+		}}},
+		"limits": map[string]any{"maxBodyBytes": 1000},
+	})
+	assert.NilError(s.t, err)
+	response, err := http.Post("http://"+s.address(s.coreHost(0), controlOffset)+"/api/Config.Put", "application/json", strings.NewReader(string(text)))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (s *grownSite) newEntry(number int) *grownEntry {
+	s.t.Helper()
+	e := &grownEntry{site: s, number: number, since: time.Now()}
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
+	s.t.Cleanup(links.Close)
+	control := []string{}
+	for at := range 3 {
+		control = append(control, s.address(s.coreHost(at), rangeOffset))
+	}
+	e.follower = follower.New(follower.Settings{
+		Entry: "front-" + strconv.Itoa(number), Incarnation: strconv.Itoa(number), AvailabilityZone: "z1",
+		Control: control, Links: links, Notify: func(*cataloger.Catalog) {}, Demand: e.demand, Loads: e.loads,
+		NotesAddress: fmt.Sprintf("127.0.0.1:%d", 1+number), Held: e.hold,
+		Tell: 250 * time.Millisecond, TellDemand: 500 * time.Millisecond, Log: zap.NewNop(),
+	})
+	e.seeker = seeker.New(seeker.Settings{Links: links, Leader: e.follower.Leader, Tell: e.hold, Log: zap.NewNop()})
+	assert.NilError(s.t, e.follower.Start(context.Background(), nil))
+	s.t.Cleanup(func() { assert.NilError(s.t, e.follower.Stop(time.Now().Add(testEnd))) })
+	return e
+}
+
+func (e *grownEntry) hold(told []surveyor.Told) { e.told.Add(int64(len(told))) }
+
+// loads are a dozen requests in flight, spread over the engines.
+func (e *grownEntry) loads() []router.Load {
+	var loads []router.Load
+	for at := range 12 {
+		engine := e.site.engines[(e.number*12+at)%grownEngines]
+		load := router.Load{Upstream: engine.id, Incarnation: engine.id + "@7", Models: map[string]int{"engines/busy-0": 1}}
+		load.Requests, load.Tokens = 1, 1500
+		loads = append(loads, load)
+	}
+	return loads
+}
+
+func (e *grownEntry) demand() placer.Demand {
+	counts := map[string]map[string]placer.Count{}
+	e.counts.Range(func(name, count any) bool {
+		counts[name.(string)] = map[string]placer.Count{"draft": {Arrivals: count.(uint64)}}
+		return true
+	})
+	return placer.Demand{Since: e.since, Counts: counts}
+}
+
+// ask asks for an adapter as a request that waits for it does.
+func (e *grownEntry) ask(model, adapter string) {
+	name := e.seeker.Name("engines", model, adapter)
+	count, _ := e.counts.LoadOrStore(name, uint64(0))
+	e.counts.Store(name, count.(uint64)+1)
+	err := e.seeker.Want(context.Background(), "engines", model, adapter, time.Now().Add(askTime))
+	e.site.mutex.Lock()
+	defer e.site.mutex.Unlock()
+	e.site.asked[name]++
+	if err == nil {
+		e.site.served[name]++
+	}
+}
+
+// run asks for adapters at this entry's share of the site's rate.
+func (e *grownEntry) run(until time.Time, ended *sync.WaitGroup) {
+	defer ended.Done()
+	draw := rand.New(rand.NewPCG(15, uint64(e.number)))
+	pause := time.Second * grownEntries / asksPerSecond
+	for next := time.Now().Add(time.Duration(draw.Float64() * float64(pause))); next.Before(until); next = next.Add(pause) {
+		time.Sleep(time.Until(next))
+		ended.Add(1)
+		go e.runAsk(busyModel(draw.IntN(busyModels)), "a"+strconv.Itoa(draw.IntN(adaptersEach)), ended)
+	}
+}
+
+func (e *grownEntry) runAsk(model, adapter string, ended *sync.WaitGroup) {
+	defer ended.Done()
+	e.ask(model, adapter)
+}
+
+// processorTime is what the control members have used so far, the most of one.
+func (s *grownSite) processorTime() time.Duration {
+	var most time.Duration
+	for at := range 3 {
+		p := s.nodes["core-"+strconv.Itoa(at+1)]
+		most = max(most, processorTime(s.t, p.command.Process.Pid))
+	}
+	return most
+}
+
+// processorTime reads how much processor time a process has used.
+func processorTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	const ticksPerSecond = 100
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	assert.NilError(t, err)
+	// the fields after the command, which ends with the last bracket
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	user, err := strconv.Atoi(fields[11])
+	assert.NilError(t, err)
+	system, err := strconv.Atoi(fields[12])
+	assert.NilError(t, err)
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+func TestAdaptersStarveOnAGrownSiteWithASmallLeader(t *testing.T) {
+	s := newGrownSite(t)
+	eventually(t, "all engines are known", func() bool { return s.entries[0].told.Load() >= grownEngines })
+	before, began := s.processorTime(), time.Now()
+	var ended sync.WaitGroup
+	for _, entry := range s.entries {
+		ended.Add(1)
+		go entry.run(began.Add(grownTime), &ended)
+	}
+	ended.Wait()
+	used := (s.processorTime() - before).Seconds() / time.Since(began).Seconds()
+
+	never := 0
+	asks, served := 0, 0
+	for name, count := range s.asked {
+		asks, served = asks+count, served+s.served[name]
+		if s.served[name] == 0 {
+			never++
+		}
+	}
+	t.Logf("%d adapters asked for, %d never served; %d of %d requests served; leader %.3f of a core",
+		len(s.asked), never, served, asks, used)
+	assert.Assert(t, never <= 1+len(s.asked)/10, "%d of %d adapters never served", never, len(s.asked))
+	assert.Assert(t, used <= controlShare, "the leader used %.3f of a core, of %.2f", used, controlShare)
+}
