fix(surveyor): asking a changelog for news costs the news

Cause, one of several: after each change of one engine, each of 67 followers had the leader sort the names of all 140 engines to find it; 0.93 of 4.30 s of the leader's processor time in the profile of the grown site's test. The changelog keeps its changes in order and looks only at those after the follower's serial number. Test red before: allocations at 7,400 kept values differ from those at 100. A random history against a plain map holds before and after.

--- a/surveyor/changelog.go
+++ b/surveyor/changelog.go
@@ -1,7 +1,7 @@
 package surveyor
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"sync"
 )
@@ -15,12 +15,21 @@
 	mutex   sync.Mutex
 	serial  uint64
 	entries map[string]changelogEntry[V]
+	// changes are in ascending order of serial number. Those of values that have
+	// changed again since, or were removed, stay until they outnumber the rest.
+	changes []change
 	// removed is the serial number of the last change that took a value away.
 	removed uint64
 	// changed is closed at the next change.
 	changed chan struct{}
 }
 
+// change names the value that changed at a serial number.
+type change struct {
+	serial uint64
+	name   string
+}
+
 type changelogEntry[V any] struct {
 	value  V
 	serial uint64
@@ -33,7 +42,7 @@
 
 // Put takes in all values; those that are not among them are removed.
 func (c *Changelog[V]) Put(values map[string]V) {
-	c.change(func() {
+	c.alter(func() {
 		for name, value := range values {
 			c.set(name, value)
 		}
@@ -43,12 +52,12 @@
 
 // Set takes in one value.
 func (c *Changelog[V]) Set(name string, value V) {
-	c.change(func() { c.set(name, value) })
+	c.alter(func() { c.set(name, value) })
 }
 
 // Retain removes the values whose names are not kept.
 func (c *Changelog[V]) Retain(keep func(name string) bool) {
-	c.change(func() { c.retain(keep) })
+	c.alter(func() { c.retain(keep) })
 }
 
 // Clear removes all values.
@@ -56,6 +65,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	clear(c.entries)
+	c.changes = nil
 	c.serial++
 	c.removed = c.serial
 }
@@ -69,24 +79,33 @@
 
 // After returns the values that changed after a serial number, in ascending
 // order of name, and the number of the newest change. Removed is true where
-// values were taken away since; those are not told.
+// values were taken away since; those are not told. It costs what changed, not
+// what is kept: many followers ask after each change.
 func (c *Changelog[V]) After(serial uint64) (values []V, newest uint64, removed bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(c.entries)) {
-		if entry := c.entries[name]; entry.serial > serial {
-			values = append(values, entry.value)
+	first, _ := slices.BinarySearchFunc(c.changes, serial, func(at change, serial uint64) int {
+		return cmp.Compare(at.serial, serial+1)
+	})
+	var names []string
+	for _, at := range c.changes[first:] {
+		if c.entries[at.name].serial == at.serial {
+			names = append(names, at.name)
 		}
 	}
+	slices.Sort(names)
+	for _, name := range names {
+		values = append(values, c.entries[name].value)
+	}
 	return values, c.serial, serial < c.removed
 }
 
-// change wakes those who wait where an alteration is news.
-func (c *Changelog[V]) change(alter func()) {
+// alter wakes those who wait where an alteration is news.
+func (c *Changelog[V]) alter(how func()) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	before := c.serial
-	alter()
+	how()
 	if c.serial != before {
 		close(c.changed)
 		c.changed = make(chan struct{})
@@ -100,6 +119,19 @@
 	}
 	c.serial++
 	c.entries[name] = changelogEntry[V]{value: value, serial: c.serial}
+	c.changes = append(c.changes, change{serial: c.serial, name: name})
+	c.compact()
+}
+
+// mostStale is how many changes may be kept for each value, on average.
+const mostStale = 2
+
+// compact drops the changes that later ones have made void.
+func (c *Changelog[V]) compact() {
+	if len(c.changes) <= mostStale*len(c.entries) {
+		return
+	}
+	c.changes = slices.DeleteFunc(c.changes, func(at change) bool { return c.entries[at.name].serial != at.serial })
 }
 
 func (c *Changelog[V]) retain(keep func(name string) bool) {
