fix(allocator): no model starves behind others that can't be placed

Causes in plans, whose bounds don't grow with the fleet: - a model that requests wait for was looked for among the 16 engines with the least to do. On a grown site those hold last copies, which may not go, so that no engine was found though others had copies to lend. Engines that can't make room no longer count. - the first four models without a copy were tried, in the order of their names, by each plan; four that fit nowhere kept all others from a first copy. Plans begin elsewhere as time passes. - loads from the store went to wanted models by name; now to the one that has been waited for longest.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -163,6 +163,27 @@
 // stored says whether a load of a model would come from the weight store.
 func (e *Engine) stored(model string) bool { return !e.Warm[model] && !e.OnDisk[model] }
 
+// eachKept calls a function once with each model that the engine keeps a copy of
+// or is about to load.
+func (e *Engine) eachKept(tell func(model string)) {
+	for model := range e.Copies {
+		tell(model)
+	}
+	for model := range e.Warm {
+		if e.Copies[model] == nil {
+			tell(model)
+		}
+	}
+	for model := range e.OnDisk {
+		if e.Copies[model] == nil && !e.Warm[model] {
+			tell(model)
+		}
+	}
+	if e.Intended != "" && e.Copies[e.Intended] == nil && e.stored(e.Intended) {
+		tell(e.Intended)
+	}
+}
+
 // holders lists the engines that serve each model or will soon, in the order
 // given.
 func (v *View) holders(engines []string) map[string][]string {
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -31,10 +31,12 @@
 	// as pressed.
 	leastPressure = 0.4
 	// mostModels and mostEngines bound what one change is chosen among, so that a
-	// plan for a large fleet stays short.
+	// plan for a large fleet stays short. Engines that can't make room don't
+	// count.
 	mostModels  = 8
 	mostEngines = 16
-	// fillsAtOnce bounds the first copies that one plan looks for.
+	// fillsAtOnce bounds the first copies that one plan looks for, and the second
+	// ones.
 	fillsAtOnce = 4
 	// movesAtOnce bounds the changes that one plan begins.
 	movesAtOnce = 3
@@ -42,7 +44,11 @@
 
 // Plan returns the moves to begin now, the most urgent first.
 func Plan(view *View) []Move {
-	p := planner{view: view, engines: slices.Sorted(maps.Keys(view.Engines))}
+	p := planner{
+		view:    view,
+		engines: slices.Sorted(maps.Keys(view.Engines)),
+		models:  slices.Sorted(maps.Keys(view.Models)),
+	}
 	p.holders = view.holders(p.engines)
 	p.finishDrops()
 	p.loadIntended()
@@ -55,13 +61,16 @@
 
 type planner struct {
 	view *View
-	// engines are the names of all engines, in ascending order.
+	// engines and models are all names, in ascending order.
 	engines []string
+	models  []string
 	holders map[string][]string
-	// balanced is the demand spread over the holders, and byWork the engines in
-	// the order of their work; nil after a change.
+	// balanced is the demand spread over the holders, byWork the engines in the
+	// order of their work, and uses what the engines hold in the order of its use;
+	// nil after a change.
 	balanced *spread
 	byWork   []string
+	uses     map[string][]string
 	moves    []Move
 	// taken are engines that a move of this plan concerns.
 	taken map[string]bool
@@ -139,13 +148,17 @@
 	p.take(engine, Load{Engine: engine, Model: model, FromStore: fromStore, Why: why})
 }
 
-// serveWanted loads models that requests wait for and that nobody holds.
+// serveWanted loads models that requests wait for and that nobody holds, those
+// that have been waited for longest first.
 func (p *planner) serveWanted() {
-	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
-		model := p.view.Models[name]
-		if !model.wanted() || len(p.holders[name]) > 0 {
-			continue
+	var wanted []*Model
+	for _, name := range p.models {
+		if model := p.view.Models[name]; model.wanted() && len(p.holders[name]) == 0 {
+			wanted = append(wanted, model)
 		}
+	}
+	slices.SortStableFunc(wanted, func(a, b *Model) int { return a.WantedSince.Compare(b.WantedSince) })
+	for _, model := range wanted {
 		if option, found := p.best(model); found && option.gain > 0 {
 			p.begin(option, "wanted")
 		}
@@ -153,10 +166,11 @@
 }
 
 // fill gives each model a first copy before anybody asks for it, where that
-// hurts no other much.
+// hurts no other much. One plan looks for a few; the next ones begin elsewhere,
+// so that models which fit nowhere keep no other from its turn.
 func (p *planner) fill() {
 	looked := 0
-	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
+	for _, name := range p.inTurn() {
 		model := p.view.Models[name]
 		if len(p.holders[name]) > 0 {
 			continue
@@ -173,14 +187,34 @@
 	}
 }
 
+// turnTime is after how long the next model comes first.
+const turnTime = 100 * time.Millisecond
+
+// inTurn lists all models, in an order that begins elsewhere as time passes.
+func (p *planner) inTurn() []string {
+	if len(p.models) == 0 {
+		return nil
+	}
+	first := int(p.view.Now.UnixMilli()/turnTime.Milliseconds()) % len(p.models)
+	return append(slices.Clone(p.models[first:]), p.models[:first]...)
+}
+
 // spreadOut brings a model that only one engine keeps to a second one, before
 // anybody needs it there: from the store it would take longest just when its
 // demand rises.
 func (p *planner) spreadOut() {
-	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
-		if len(p.moves) > 0 || p.view.StoreLoads <= storeReserve || p.keepers(name) >= leastKeepers {
+	if len(p.moves) > 0 || p.view.StoreLoads <= storeReserve {
+		return
+	}
+	keepers := p.view.keepers()
+	looked := 0
+	for _, name := range p.inTurn() {
+		if keepers[name] >= leastKeepers {
 			continue
 		}
+		if looked++; looked > fillsAtOnce {
+			return
+		}
 		model := p.view.Models[name]
 		option, found := p.search(model, false, func(engine string, victims []string) float64 {
 			if !p.ample(victims) {
@@ -214,12 +248,12 @@
 // ampleCopies is how many copies a model has that lends a place.
 const ampleCopies = 3
 
-// keepers counts the engines that keep a copy of a model or will.
-func (p *planner) keepers(model string) int {
-	count := 0
-	for _, engine := range p.view.Engines {
-		if !engine.Leaving && (!engine.stored(model) || engine.Copies[model] != nil || engine.Intended == model) {
-			count++
+// keepers counts the engines that keep a copy of each model or will.
+func (v *View) keepers() map[string]int {
+	count := make(map[string]int, len(v.Models))
+	for _, engine := range v.Engines {
+		if !engine.Leaving {
+			engine.eachKept(func(model string) { count[model]++ })
 		}
 	}
 	return count
@@ -268,7 +302,7 @@
 func (p *planner) pressed(on spread) []*Model {
 	pressure := map[*Model]float64{}
 	var models []*Model
-	for _, name := range slices.Sorted(maps.Keys(p.view.Models)) {
+	for _, name := range p.models {
 		model := p.view.Models[name]
 		if model.Work < leastWork || len(p.holders[name]) == 0 {
 			continue
@@ -334,13 +368,17 @@
 
 // search looks at all engines that can take a copy of a model.
 func (p *planner) search(model *Model, pressing bool, worth func(engine string, victims []string) float64) (option, bool) {
-	best, found := option{}, false
+	best, found, fitting := option{}, false, 0
 	for _, name := range p.candidates(model) {
+		if fitting >= mostEngines {
+			break
+		}
 		engine := p.view.Engines[name]
 		victims, fits := p.victims(engine, model, pressing)
 		if !fits {
 			continue
 		}
+		fitting++
 		penalty := loadPenalty
 		if pressing {
 			penalty = waitPenalty
@@ -365,12 +403,11 @@
 		switch {
 		case !engine.stored(model.Name):
 			kept = append(kept, name)
-		case p.view.StoreLoads > 0 && len(others) < mostEngines:
+		case p.view.StoreLoads > 0:
 			others = append(others, name)
 		}
 	}
-	names := append(kept, others...)
-	return names[:min(len(names), mostEngines)]
+	return append(kept, others...)
 }
 
 // leastFirst lists all engines, those with the least to do first.
@@ -422,10 +459,17 @@
 
 // byUse lists what an engine holds, the least asked for per copy first.
 func (p *planner) byUse(engine *Engine) []string {
+	if names, known := p.uses[engine.Name]; known {
+		return names
+	}
 	names := slices.Sorted(maps.Keys(engine.Copies))
 	slices.SortStableFunc(names, func(a, b string) int {
 		return compare(p.perCopy(a), p.perCopy(b))
 	})
+	if p.uses == nil {
+		p.uses = make(map[string][]string, len(p.engines))
+	}
+	p.uses[engine.Name] = names
 	return names
 }
 
@@ -475,7 +519,7 @@
 func (p *planner) begin(chosen option, reason string) {
 	name := chosen.model.Name
 	why := p.why(chosen.model, reason, chosen.gain)
-	p.balanced, p.byWork = nil, nil
+	p.balanced, p.byWork, p.uses = nil, nil, nil
 	for _, victim := range chosen.victims {
 		p.take(chosen.engine, Drop{Engine: chosen.engine, Model: victim, For: name, Why: why})
 		p.holders[victim] = without(p.holders[victim], chosen.engine)
