--- a/encoder/holding.go
+++ b/encoder/holding.go
@@ -55,9 +55,10 @@
 	return loads
 }
 
-// toldTime is how long the control group's word of what an engine holds goes
-// before the platform's list. It spans several repeats of the word.
-const toldTime = 5 * time.Second
+// ToldTime is how long the control group's word of what an engine holds goes
+// before the platform's list. It spans two repeats of the word that it
+// stands.
+const ToldTime = 5 * time.Second
 
 // EncodeHoldings writes what engines hold.
 func EncodeHoldings(told []surveyor.Told) []*wire.Holding {
@@ -80,7 +81,7 @@
 			Upstream:    message.GetUpstream(),
 			Incarnation: message.GetIncarnation(),
 			Holds:       decodeHeld(message.GetModels()),
-			Until:       now.Add(toldTime),
+			Until:       now.Add(ToldTime),
 		})
 	}
 	return told
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -43,8 +43,10 @@
 	// Peers takes in the addresses at which the other entries take notes; nil for
 	// nobody.
 	Peers func([]string)
-	// Held takes in what engines hold; nil for nobody.
-	Held func([]surveyor.Told)
+	// Held takes in what engines hold, and Stand until when what was taken in
+	// stands at least; nil for nobody.
+	Held  func([]surveyor.Told)
+	Stand func(until time.Time)
 	// Listed takes in what changed in the platform's list, and ListRead when the
 	// list was read that was taken in so far; nil for nobody.
 	Listed   func(surveyor.Changes)
--- /dev/null
+++ b/follower/holdings_test.go
@@ -0,0 +1,44 @@
+package follower
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder/wire"
+	"burdocklink/surveyor"
+)
+
+func TestHoldingsThatNameNoneStand(t *testing.T) {
+	cases := map[string]struct {
+		holdings []*wire.Holding
+		held     int
+		stands   bool
+	}{
+		"none": {nil, 0, true},
+		"one":  {[]*wire.Holding{{Upstream: "u"}}, 1, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			held, until := 0, time.Time{}
+			f := New(Settings{
+				Held:  func(told []surveyor.Told) { held += len(told) },
+				Stand: func(at time.Time) { until = at },
+			})
+			f.takeHoldings(c.holdings, time.Now())
+			assert.Equal(t, held, c.held)
+			assert.Equal(t, until.After(time.Now()), c.stands)
+		})
+	}
+}
+
+func TestAHeartbeatWithoutPeersChangesNone(t *testing.T) {
+	var met [][]string
+	f := New(Settings{NotesAddress: "own", Peers: func(peers []string) { met = append(met, peers) }})
+	for _, peers := range [][]string{{"other", "own"}, nil, {"own"}} {
+		beat := &wire.Heartbeat{Leading: true, Peers: peers}
+		assert.NilError(t, f.takeHeartbeat("m", newSentReports(), beat))
+	}
+	assert.DeepEqual(t, met, [][]string{{"other"}, {}})
+}
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -141,9 +142,7 @@
 	case *wire.FollowReply_Heartbeat:
 		return f.takeHeartbeat(address, sent, update.Heartbeat)
 	case *wire.FollowReply_Holdings:
-		if f.settings.Held != nil {
-			f.settings.Held(encoder.DecodeHoldings(update.Holdings.GetHoldings(), time.Now()))
-		}
+		f.takeHoldings(update.Holdings.GetHoldings(), time.Now())
 		return nil
 	case *wire.FollowReply_Listing:
 		if f.settings.Listed != nil {
@@ -196,8 +195,8 @@
 			f.settings.ListRead(at.Add(-time.Duration(beat.GetListAgeMs()) * time.Millisecond))
 		}
 	}
-	if f.settings.Peers != nil {
-		f.settings.Peers(beat.GetPeers())
+	if others := beat.GetPeers(); f.settings.Peers != nil && len(others) > 0 {
+		f.settings.Peers(slices.DeleteFunc(others, func(one string) bool { return one == f.settings.NotesAddress }))
 	}
 	leader := beat.GetLeader()
 	f.leader.Store(&leader)
@@ -215,6 +214,17 @@
 	return nil
 }
 
+// takeHoldings takes in what engines hold. A message that names none says that
+// what was told stands.
+func (f *Follower) takeHoldings(holdings []*wire.Holding, now time.Time) {
+	switch {
+	case len(holdings) == 0 && f.settings.Stand != nil:
+		f.settings.Stand(now.Add(encoder.ToldTime))
+	case len(holdings) > 0 && f.settings.Held != nil:
+		f.settings.Held(encoder.DecodeHoldings(holdings, now))
+	}
+}
+
 // takeOffer applies what a peer offers.
 func (f *Follower) takeOffer(offer Offer) {
 	if offer.Catalog != nil {
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -121,6 +121,7 @@
 		NotesAddress:     p.settings.Links,
 		Peers:            p.meet,
 		Held:             p.upstreams.Tell,
+		Stand:            p.upstreams.Stand,
 		Listed:           p.upstreams.Learn,
 		ListRead:         p.upstreams.Confirm,
 		Tell:             pulse,
--- a/responder/entries.go
+++ b/responder/entries.go
@@ -19,6 +19,11 @@
 type entryTable struct {
 	mu      sync.Mutex
 	entries map[string]entryRecord
+	// addresses are those at which entries that were heard of lately take notes,
+	// in ascending order, as of lookedAt. The serial number counts their changes.
+	addresses []string
+	lookedAt  time.Time
+	serial    uint64
 }
 
 // entryRecord is the last word of one entry.
@@ -43,11 +48,6 @@
 		record.demand = *demand
 	}
 	t.entries[said.GetEntry()] = record
-	for name, record := range t.entries {
-		if now.Sub(record.heard) > entryForget {
-			delete(t.entries, name)
-		}
-	}
 }
 
 func (t *entryTable) list() map[string]entryRecord {
@@ -68,19 +68,48 @@
 // loadsTime is how long what an entry has in flight counts after it was told.
 const loadsTime = 2 * time.Second
 
-// peers returns the addresses of all entries but one that were heard of lately
-// and take notes, in ascending order.
-func (t *entryTable) peers(entry string, now time.Time) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var peers []string
+// lookEvery is the time between two looks at who is heard of: all followers ask
+// within one pulse.
+const lookEvery = 100 * time.Millisecond
+
+// look brings the addresses up to date and forgets entries that are long silent.
+// The mutex is held.
+func (t *entryTable) look(now time.Time) {
+	if now.Sub(t.lookedAt) < lookEvery {
+		return
+	}
+	t.lookedAt = now
+	var addresses []string
 	for name, record := range t.entries {
-		if name != entry && now.Sub(record.heard) <= loadsTime && record.said.GetAddress() != "" {
-			peers = append(peers, record.said.GetAddress())
+		silent := now.Sub(record.heard)
+		if silent <= loadsTime && record.said.GetAddress() != "" {
+			addresses = append(addresses, record.said.GetAddress())
+		}
+		if silent > entryForget {
+			delete(t.entries, name)
 		}
 	}
-	slices.Sort(peers)
-	return peers
+	slices.Sort(addresses)
+	if !slices.Equal(addresses, t.addresses) {
+		t.addresses = addresses
+		t.serial++
+	}
+}
+
+// peers returns the addresses of all entries that were heard of lately and take
+// notes, in ascending order, and the number of the list. It is not to be changed.
+func (t *entryTable) peers(now time.Time) ([]string, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.look(now)
+	return t.addresses, t.serial
+}
+
+// following is how many entries were heard of lately.
+func (t *entryTable) following() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.addresses)
 }
 
 // Loads returns what all entries together have in flight, by upstream.
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -24,11 +24,14 @@
 	ended     chan struct{}
 	// demand belongs to the goroutine that receives.
 	demand *encoder.DemandDecoder
-	entry  string
-	// heldSerial is the newest change of holdings that was told; all are told
-	// again at repeatAt.
+	// heldSerial is the newest change of holdings that was told. At standAt the
+	// entry is told that all of them stand, and the next change not before
+	// tellAt.
 	heldSerial uint64
-	repeatAt   time.Time
+	standAt    time.Time
+	tellAt     time.Time
+	// peersSerial is the number of the list of entries that was told.
+	peersSerial uint64
 	// listSerial is the newest change of the platform's list that was told, and
 	// listReadAt when the list was read that is told so far.
 	listSerial uint64
@@ -59,7 +62,6 @@
 		stream:    stream,
 		ended:     make(chan struct{}),
 		demand:    encoder.NewDemandDecoder(),
-		entry:     first.GetEntry(),
 	}
 	if err := s.note(first, time.Now()); err != nil {
 		return status.Error(codes.InvalidArgument, err.Error())
@@ -137,6 +139,10 @@
 func (s *session) send(deltas <-chan cataloger.Delta) error {
 	ticker := time.NewTicker(s.responder.settings.Pulse)
 	defer ticker.Stop()
+	// gathering is running while changes are gathered for the next message
+	gathering := time.NewTimer(0)
+	defer gathering.Stop()
+	changed := s.holdingsChanged()
 	for {
 		select {
 		case <-s.responder.stopping:
@@ -150,7 +156,13 @@
 			if err := s.sendDelta(delta); err != nil {
 				return err
 			}
-		case <-s.holdingsChanged():
+		case <-changed:
+			changed = nil
+			if s.responder.TellTime() < s.responder.settings.Pulse {
+				gathering.Reset(time.Until(s.tellAt))
+			}
+		case <-gathering.C:
+			changed = s.holdingsChanged()
 			if err := s.sendHoldings(time.Now()); err != nil {
 				return err
 			}
@@ -165,6 +177,7 @@
 			if err := s.stream.Send(s.heartbeat(time.Now())); err != nil {
 				return err
 			}
+			changed = s.holdingsChanged()
 			if err := s.sendHoldings(time.Now()); err != nil {
 				return err
 			}
@@ -180,38 +193,6 @@
 	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Delta{Delta: data}})
 }
 
-// repeatInterval is the time after which all holdings are told again, so that
-// entries know that the word still stands.
-const repeatInterval = 2 * time.Second
-
-// holdingsChanged returns a channel that is closed at the next change; nil where
-// this member does not know what engines hold.
-func (s *session) holdingsChanged() <-chan struct{} {
-	if s.responder.settings.Holdings == nil {
-		return nil
-	}
-	return s.responder.settings.Holdings.Changed()
-}
-
-// sendHoldings tells what engines hold where that changed, and all of it from
-// time to time.
-func (s *session) sendHoldings(now time.Time) error {
-	if s.responder.settings.Holdings == nil || !s.responder.settings.Group.Status().Leading {
-		return nil
-	}
-	if !now.Before(s.repeatAt) {
-		s.heldSerial, s.repeatAt = 0, now.Add(repeatInterval)
-	}
-	told, serial := s.responder.settings.Holdings.Held(s.heldSerial)
-	s.heldSerial = serial
-	if len(told) == 0 {
-		return nil
-	}
-	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Holdings{
-		Holdings: &wire.Holdings{Holdings: encoder.EncodeHoldings(told)},
-	}})
-}
-
 // listFresh is how old the leader's reading of the platform's list may be for it
 // to be told.
 const listFresh = 2 * time.Second
@@ -258,7 +239,10 @@
 func (s *session) heartbeat(now time.Time) *wire.FollowReply {
 	last := s.responder.pulse.read()
 	state := s.responder.settings.Group.Status()
-	peers := s.responder.entries.peers(s.entry, now)
+	var peers []string
+	if all, serial := s.responder.entries.peers(now); serial != s.peersSerial {
+		peers, s.peersSerial = all, serial
+	}
 	return &wire.FollowReply{Update: &wire.FollowReply_Heartbeat{Heartbeat: &wire.Heartbeat{
 		Echo:     s.echo(last.began),
 		Revision: last.revision,
--- /dev/null
+++ b/responder/holdings.go
@@ -0,0 +1,69 @@
+package responder
+
+import (
+	"time"
+
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/surveyor"
+)
+
+// standInterval is the time after which an entry is told that what engines hold
+// still is what it was told: less than half of the time for which the word
+// counts.
+const standInterval = 2 * time.Second
+
+// holdingsRate is how many messages about holdings all entries together are sent
+// in a second at most. Each takes a leader about 40 µs, so that a tenth of the
+// smallest control VM's share of a core goes into them.
+const holdingsRate = 300
+
+// TellTime is the time in which entries hear of a change: changes are gathered
+// for a time that grows with the number of entries, and where that is long they
+// go with the next heartbeat.
+func (r *Responder) TellTime() time.Duration {
+	gathered := time.Duration(r.entries.following()) * time.Second / holdingsRate
+	if gathered > r.settings.Pulse/2 {
+		return r.settings.Pulse
+	}
+	return gathered
+}
+
+// holdingsChanged returns a channel that is closed at the next change; nil where
+// this member does not know what engines hold.
+func (s *session) holdingsChanged() <-chan struct{} {
+	if s.responder.settings.Holdings == nil {
+		return nil
+	}
+	return s.responder.settings.Holdings.Changed()
+}
+
+// sendHoldings tells what engines hold where that changed. Once in a while it
+// says that the rest stands, by a message that names nothing.
+func (s *session) sendHoldings(now time.Time) error {
+	if s.responder.settings.Holdings == nil || !s.responder.settings.Group.Status().Leading {
+		return nil
+	}
+	told, serial := s.responder.settings.Holdings.Held(s.heldSerial)
+	s.heldSerial = serial
+	if len(told) == 0 && now.Before(s.standAt) {
+		return nil
+	}
+	if !now.Before(s.standAt) {
+		s.standAt = now.Add(standInterval)
+		if err := s.sendHeld(nil); err != nil {
+			return err
+		}
+	}
+	s.tellAt = now.Add(s.responder.TellTime())
+	if len(told) == 0 {
+		return nil
+	}
+	return s.sendHeld(told)
+}
+
+func (s *session) sendHeld(told []surveyor.Told) error {
+	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Holdings{
+		Holdings: &wire.Holdings{Holdings: encoder.EncodeHoldings(told)},
+	}})
+}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -209,6 +209,19 @@
 	s.update()
 }
 
+// Stand notes that what the control group told of engines stands until a time.
+func (s *Surveyor) Stand(until time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	for name, told := range s.told {
+		if now.Before(told.Until) && told.Until.Before(until) {
+			told.Until = until
+			s.told[name] = told
+		}
+	}
+}
+
 // update makes a new picture where something changed. The mutex is held.
 func (s *Surveyor) update() {
 	catalog := s.catalog()
