--- a/mover/engine.go
+++ b/mover/engine.go
@@ -22,8 +22,8 @@
 	// intendedTime is how long room may take to be made for a model. Unloading
 	// waits for the runs of the model that makes way.
 	intendedTime = 20 * time.Second
-	// dropTime is how long entries may take to learn that a copy gets no more
-	// requests. They are told at once.
+	// dropTime is how long the word that a copy gets no more requests may be on
+	// its way to entries.
 	dropTime = 200 * time.Millisecond
 )
 
--- a/mover/events.go
+++ b/mover/events.go
@@ -58,20 +58,23 @@
 	switch happened := happened.(type) {
 	case listRead:
 		m.takeList(happened, now)
-		m.publishAll()
 	case reportRead:
 		m.takeReport(happened, now)
-		m.publish(happened.engine.Name)
+		m.changed(happened.engine.Name)
 	case orderAnswered:
 		m.takeAnswer(happened, now)
-		m.publish(happened.engine.Name)
+		m.changed(happened.engine.Name)
+		m.loadNext(happened.engine.Name, now)
 	case wantCalled:
 		m.takeWant(happened, now)
 	}
+}
+
+// changed tells those whom the change of an engine concerns.
+func (m *Mover) changed(name string) {
+	m.publish(name)
 	if m.lead.term != 0 && m.configuration != nil {
-		// those that are served need no order
-		m.answerWaiters()
-		m.loadAdapters(now)
+		m.answerWaiters(name)
 	}
 }
 
@@ -129,6 +132,7 @@
 			delete(m.engines, name)
 		}
 	}
+	m.told.Retain(func(name string) bool { return m.engines[name] != nil })
 }
 
 // askReports asks the engines whose report is due.
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -42,6 +42,9 @@
 	// flight by upstream.
 	Demands func() map[string]placer.Demand
 	Loads   func() map[string]router.Load
+	// TellTime is the time in which entries hear of a change beside the way
+	// there; nil for none.
+	TellTime func() time.Duration
 	// Listed takes in the list as read, for those who follow this member.
 	Listed *surveyor.Journal
 	// Lease is the shortest time between orders of two holders.
@@ -62,6 +65,9 @@
 	listEvery = 600 * time.Millisecond
 	// demandEvery is the time between two readings of demand.
 	demandEvery = 500 * time.Millisecond
+	// loadsEvery is the time between two sums of what entries have in flight,
+	// which they tell as often.
+	loadsEvery = 250 * time.Millisecond
 	// callTime is the longest that a call may take.
 	callTime = time.Second
 	// leaseMargin is added to the wait of a new leader: two clocks may differ in
@@ -101,7 +107,10 @@
 	waiters []waiter
 	// storeLoads are the times of loads from the weight store.
 	storeLoads []time.Time
-	tally      tally
+	// loads are what all entries have in flight by upstream, as of loadsAt.
+	loads   map[string]router.Load
+	loadsAt time.Time
+	tally   tally
 }
 
 // lead is one time of leading.
@@ -224,7 +233,7 @@
 	m.engines = map[string]*engine{}
 	m.meter = newMeter()
 	m.wanted = map[string]wanted{}
-	m.listAt, m.demandAt = time.Time{}, time.Time{}
+	m.listAt, m.demandAt, m.loadsAt = time.Time{}, time.Time{}, time.Time{}
 	m.listing = false
 	m.told.Clear()
 	m.settings.Listed.Forget()
@@ -243,9 +252,10 @@
 	m.askList(now)
 	m.askReports(now)
 	m.readDemand(now)
+	m.readLoads(now)
 	m.expireWaiters(now)
+	m.loadAdapters(now)
 	m.plan(now)
-	m.publishAll()
 }
 
 // leading is true while this member leads, and notes when that changes.
@@ -332,17 +342,18 @@
 	m.meter.observe(now, m.settings.Demands())
 }
 
+// readLoads adds up what entries have in flight.
+func (m *Mover) readLoads(now time.Time) {
+	if now.Sub(m.loadsAt) < loadsEvery {
+		return
+	}
+	m.loadsAt = now
+	m.loads = m.settings.Loads()
+}
+
 // publish tells entries what an engine holds.
 func (m *Mover) publish(name string) {
 	if one := m.engines[name]; one != nil && one.reported {
 		m.told.Set(name, one.told())
 	}
 }
-
-// publishAll tells what all engines hold, and forgets those that are gone.
-func (m *Mover) publishAll() {
-	for name := range m.engines {
-		m.publish(name)
-	}
-	m.told.Retain(func(name string) bool { return m.engines[name] != nil })
-}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -51,16 +51,15 @@
 		view.Models[name].WantedSince = m.wantedSince(surveyor.HeldName(service, name, ""), now)
 	}
 	m.meter.apply(service, view.Models)
-	loads := m.settings.Loads()
 	for name, one := range m.engines {
 		if one.upstream.Service != service {
 			continue
 		}
 		m.markAdapters(one, service)
 		for model, held := range one.copies {
-			held.InFlight = loads[name].Models[surveyor.HeldName(service, model, "")]
+			held.InFlight = m.loads[name].Models[surveyor.HeldName(service, model, "")]
 		}
-		view.Engines[name] = one.view(can, now, loads[name].Requests)
+		view.Engines[name] = one.view(can, now, m.loads[name].Requests)
 	}
 	assume(view)
 	return view
@@ -115,7 +114,7 @@
 	case allocator.Drop:
 		one := m.engines[move.Engine]
 		held := one.copies[move.Model]
-		held.Dropping, held.Dropped = true, now.Add(dropTime)
+		held.Dropping, held.Dropped = true, now.Add(m.tellTime())
 		one.intended, one.intendedBy = move.For, now.Add(intendedTime)
 		m.publish(move.Engine)
 		m.settings.Log.Info("copy makes way", append(m.inputs(move.Why, now), zap.String("upstream", move.Engine),
@@ -125,6 +124,14 @@
 	}
 }
 
+// tellTime is how long entries may take to hear of a change.
+func (m *Mover) tellTime() time.Duration {
+	if m.settings.TellTime == nil {
+		return dropTime
+	}
+	return dropTime + m.settings.TellTime()
+}
+
 // inputs are what decided a move, for the log.
 func (m *Mover) inputs(why allocator.Why, now time.Time) []zap.Field {
 	return []zap.Field{
--- a/mover/want.go
+++ b/mover/want.go
@@ -1,11 +1,8 @@
 package mover
 
 import (
-	"slices"
 	"time"
 
-	"go.uber.org/zap"
-
 	"burdocklink/allocator"
 	"burdocklink/matcher"
 	"burdocklink/surveyor"
@@ -29,6 +26,7 @@
 	want := call.want
 	if m.served(want.Service, want.Model) {
 		m.waiters = append(m.waiters, waiter{want: want, answer: call.answer, until: now.Add(waitTime)})
+		m.loadAdapter(want, now)
 		return
 	}
 	m.noteWanted(surveyor.HeldName(want.Service, want.Model, ""), now)
@@ -59,12 +57,10 @@
 // holders are the engines that hold what is wanted.
 func (m *Mover) holders(want Want) []surveyor.Told {
 	var holders []surveyor.Told
-	for _, name := range sortedNames(m.engines) {
-		one := m.engines[name]
-		if one.upstream.Service != want.Service || !one.holds(want) {
-			continue
+	for _, one := range m.engines {
+		if one.upstream.Service == want.Service && one.holds(want) {
+			holders = append(holders, one.told())
 		}
-		holders = append(holders, one.told())
 	}
 	return holders
 }
@@ -87,7 +83,13 @@
 
 // served says whether some engine serves a model.
 func (m *Mover) served(service, model string) bool {
-	return len(m.holders(Want{Service: service, Model: model})) > 0
+	want := Want{Service: service, Model: model}
+	for _, one := range m.engines {
+		if one.upstream.Service == service && one.holds(want) {
+			return true
+		}
+	}
+	return false
 }
 
 // readyIn estimates when a model that nobody holds will be held.
@@ -115,88 +117,3 @@
 
 // roomTime is how long a copy takes to make way: its runs end first.
 const roomTime = 2 * time.Second
-
-// answerWaiters answers those whose adapter has come.
-func (m *Mover) answerWaiters() {
-	m.waiters = slices.DeleteFunc(m.waiters, func(one waiter) bool {
-		holders := m.holders(one.want)
-		if len(holders) == 0 {
-			return false
-		}
-		m.tally.served++
-		one.answer <- Wanted{Holders: holders, Known: true}
-		return true
-	})
-}
-
-func (m *Mover) expireWaiters(now time.Time) {
-	m.waiters = slices.DeleteFunc(m.waiters, func(one waiter) bool {
-		if now.Before(one.until) {
-			return false
-		}
-		m.tally.expired++
-		one.answer <- Wanted{}
-		return true
-	})
-}
-
-// loadAdapters begins to load the adapters that entries wait for, one order at
-// a time on each engine.
-func (m *Mover) loadAdapters(now time.Time) {
-	if !m.mayOrder(now) {
-		return
-	}
-	views := map[string]*allocator.View{}
-	looked := map[Want]bool{}
-	for _, one := range m.waiters {
-		want := one.want
-		if looked[want] || m.onItsWay(want) {
-			continue
-		}
-		looked[want] = true
-		view := views[want.Service]
-		if view == nil {
-			view = m.view(want.Service, m.engineOf(want.Service), now)
-			views[want.Service] = view
-		}
-		if place, found := allocator.PlaceAdapter(m.ready(view, now), want.Model); found {
-			m.loadAdapter(want, place)
-			views[want.Service] = nil
-		}
-	}
-}
-
-// ready leaves out the engines that can't take an order about an adapter now.
-func (m *Mover) ready(view *allocator.View, now time.Time) *allocator.View {
-	ready := *view
-	ready.Engines = map[string]*allocator.Engine{}
-	for name, engine := range view.Engines {
-		one := m.engines[name]
-		if one.reported && !one.sending && !one.busy && !now.Before(one.restUntil) {
-			ready.Engines[name] = engine
-		}
-	}
-	return &ready
-}
-
-// onItsWay is true while an order towards an adapter is being given.
-func (m *Mover) onItsWay(want Want) bool {
-	for _, one := range m.engines {
-		if one.sending && one.adapter == want {
-			return true
-		}
-	}
-	return false
-}
-
-// loadAdapter gives the first order towards an adapter: for what makes way, or
-// for the adapter itself.
-func (m *Mover) loadAdapter(want Want, place allocator.AdapterPlace) {
-	one := m.engines[place.Engine]
-	one.adapter = want
-	if place.Evict != "" {
-		m.send(one, Order{Action: ActionUnload, Model: place.EvictModel, Adapter: place.Evict}, zap.String("reason", "adapter makes way"))
-		return
-	}
-	m.send(one, Order{Action: ActionLoad, Model: want.Model, Adapter: want.Adapter}, zap.String("reason", "adapter wanted"))
-}
--- a/provisioner/control.go
+++ b/provisioner/control.go
@@ -89,6 +89,7 @@
 		Unpack:       unpack,
 		Demands:      func() map[string]placer.Demand { return answers.Demands() },
 		Loads:        func() map[string]router.Load { return answers.Loads() },
+		TellTime:     func() time.Duration { return answers.TellTime() },
 		Listed:       listed,
 		Lease:        settings.Bounds.Lease,
 		StoreWindow:  settings.Bounds.StoreWindow,
