--- a/burdocklink-node/main.go
+++ b/burdocklink-node/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/integrii/flaggy"
 	"go.uber.org/zap/zapcore"
@@ -28,16 +29,31 @@
 type role struct {
 	command  *flaggy.Subcommand
 	assemble func(provisioner.Settings) (*provisioner.Node, error)
+	// collectAt is by how much of its live size the heap may grow before it is
+	// collected, in percent.
+	collectAt int
 }
 
+const (
+	// entryCollectAt is the runtime's own. There are many entries, and their
+	// memory has a price.
+	entryCollectAt = 100
+	// controlCollectAt spares the processor of control VMs: a leader of a large
+	// fleet lives on a few megabytes, and would collect several times a second.
+	controlCollectAt = 400
+	// softMemory is the memory from which on the heap is collected sooner, in
+	// bytes: below that of the smallest VMs.
+	softMemory = 120 << 20
+)
+
 func run(arguments []string) int {
 	path, level, check := os.Getenv(platform.SettingsVariable), "info", false
 	parser := flaggy.NewParser("burdocklink-node")
 	parser.Description = "Runs a part of burdocklink on the users' platform."
 	parser.ShowVersionWithVersionFlag = false
 	roles := []role{
-		{command: subcommand("entry", "run an entry, which takes callers' requests"), assemble: provisioner.NewEntryNode},
-		{command: subcommand("control", "run a control member"), assemble: provisioner.NewControlNode},
+		{command: subcommand("entry", "run an entry, which takes callers' requests"), assemble: provisioner.NewEntryNode, collectAt: entryCollectAt},
+		{command: subcommand("control", "run a control member"), assemble: provisioner.NewControlNode, collectAt: controlCollectAt},
 	}
 	for _, one := range roles {
 		one.command.String(&path, "", "settings", "path of the platform's settings file ["+platform.SettingsVariable+"]")
@@ -54,6 +70,8 @@
 	}
 	for _, one := range roles {
 		if one.command.Used {
+			debug.SetGCPercent(one.collectAt)
+			debug.SetMemoryLimit(softMemory)
 			return start(launcher.Node{Path: path, Assemble: one.assemble, CheckOnly: check}, least)
 		}
 	}
--- a/prover/grown_test.go
+++ b/prover/grown_test.go
@@ -126,6 +126,8 @@
 
 func newGrownSite(t *testing.T) *grownSite {
 	t.Helper()
+	// a control VM has one core
+	t.Setenv("GOMAXPROCS", "1")
 	s := &grownSite{
 		platformSite: &platformSite{t: t, root: t.TempDir(), nodes: map[string]*process{}, hosts: map[string]string{}},
 		asked:        map[string]int{}, served: map[string]int{},
