fix(seeker): entries don't press a leader that can't answer

Cause, one of several, and what keeps an overload going once it began: each entry asked a member that did not lead again every 50 ms for each model and adapter that it waited for, asked every 250 ms for what was on its way, and asked at each try of a request for a holder that it could not reach.

--- /dev/null
+++ b/seeker/gate.go
@@ -0,0 +1,55 @@
+package seeker
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// longestPause is the longest wait between two questions while nobody answers
+// as the leader. An election takes about as long.
+const longestPause = 400 * time.Millisecond
+
+// gate holds questions back while no leader answers: one question after the
+// other is let through until one does, so that entries don't press a group that
+// is about to elect.
+type gate struct {
+	mutex sync.Mutex
+	// pause is zero while the leader answers; openAt is when the next question
+	// may pass, and trying is true while one is under way.
+	pause  time.Duration
+	openAt time.Time
+	trying bool
+}
+
+// enter returns how long a question has to wait; zero lets it pass.
+func (g *gate) enter(now time.Time) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	switch {
+	case g.pause == 0:
+		return 0
+	case now.Before(g.openAt):
+		return g.openAt.Sub(now)
+	case g.trying:
+		return retryPause
+	default:
+		g.trying = true
+		return 0
+	}
+}
+
+// leave notes whether a question was answered by the leader.
+func (g *gate) leave(led bool, now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.trying = false
+	switch {
+	case led:
+		g.pause = 0
+	case g.pause == 0 || !now.Before(g.openAt):
+		g.pause = min(longestPause, max(retryPause, 2*g.pause))
+		// entries that lost the same leader come back at different times
+		g.openAt = now.Add(g.pause/2 + rand.N(g.pause))
+	}
+}
--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -19,11 +20,12 @@
 const (
 	// answerTime is the longest wait for the leader's answer.
 	answerTime = time.Second
-	// retryPause is the wait before the leader is asked again after no answer.
+	// retryPause is the wait before the leader is asked again after no answer, and
+	// between two looks at what this entry was told meanwhile.
 	retryPause = 50 * time.Millisecond
 	// lookPause is the longest wait before the leader is asked again for what is
-	// on its way.
-	lookPause = 250 * time.Millisecond
+	// on its way. It forgets what nobody asked for in two seconds.
+	lookPause = time.Second
 	// unknownRetry is when a caller should come back for what nobody promises:
 	// after the time in which a group elects a leader.
 	unknownRetry = time.Second
@@ -36,16 +38,22 @@
 	Leader func() string
 	// Tell takes in what engines hold.
 	Tell func([]surveyor.Told)
+	// Held says whether this entry knows a holder by the router's name; nil where
+	// it can't tell.
+	Held func(name string) bool
 	Log  *zap.Logger
 }
 
 // Seeker is safe for concurrent use.
 type Seeker struct {
 	settings Settings
+	gate     gate
 
 	mutex sync.Mutex
-	// asking are the questions under way, by the router's name.
+	// asking are the questions under way, by the router's name, and found is until
+	// when the leader's word of a holder counts.
 	asking map[string]*question
+	found  map[string]time.Time
 }
 
 // question is one call that several requests wait for.
@@ -57,7 +65,7 @@
 
 // New returns a seeker.
 func New(settings Settings) *Seeker {
-	return &Seeker{settings: settings, asking: map[string]*question{}}
+	return &Seeker{settings: settings, asking: map[string]*question{}, found: map[string]time.Time{}}
 }
 
 // Name is what the router calls a model or adapter of a service.
@@ -69,8 +77,19 @@
 // *forwarder.AbsentError where none will be there by a time, or the context's
 // error.
 func (s *Seeker) Want(ctx context.Context, service, model, adapter string, by time.Time) error {
+	name := s.Name(service, model, adapter)
+	if s.foundLately(name, time.Now()) {
+		return nil
+	}
 	for {
+		if wait := s.gate.enter(time.Now()); wait > 0 {
+			if err := s.rest(ctx, model, wait, by); err != nil {
+				return err
+			}
+			continue
+		}
 		reply, err := s.askUntil(ctx, service, model, adapter, by)
+		s.gate.leave(err == nil && reply.GetLeading(), time.Now())
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -78,6 +97,7 @@
 		switch {
 		case err == nil && len(reply.GetHoldings()) > 0:
 			s.settings.Tell(encoder.DecodeHoldings(reply.GetHoldings(), time.Now()))
+			s.noteFound(name, time.Now())
 			return nil
 		case err == nil && reply.GetLeading() && reply.GetReadyInMs() >= 0:
 			ready := time.Duration(reply.GetReadyInMs()) * time.Millisecond
@@ -86,13 +106,55 @@
 			}
 			pause = min(lookPause, max(retryPause, ready))
 		}
-		if time.Now().Add(pause).After(by) {
-			return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(unknownRetry)}
+		if told, err := s.look(ctx, name, model, pause, by); told || err != nil {
+			return err
 		}
-		if !linker.Pause(ctx, pause) {
-			return context.Cause(ctx)
+	}
+}
+
+// foundTime is how long the leader's word of a holder counts: a holder that can't
+// be reached is asked for again and again, and the leader hears of its loss no
+// sooner.
+const foundTime = 250 * time.Millisecond
+
+func (s *Seeker) foundLately(name string, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Before(s.found[name])
+}
+
+func (s *Seeker) noteFound(name string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	maps.DeleteFunc(s.found, func(_ string, until time.Time) bool { return !now.Before(until) })
+	s.found[name] = now.Add(foundTime)
+}
+
+// look rests for a pause, and returns true once this entry is told of a holder.
+func (s *Seeker) look(ctx context.Context, name, model string, pause time.Duration, by time.Time) (bool, error) {
+	for until := time.Now().Add(pause); ; {
+		if s.settings.Held != nil && s.settings.Held(name) {
+			return true, nil
+		}
+		left := time.Until(until)
+		if left <= 0 {
+			return false, nil
 		}
+		if err := s.rest(ctx, model, min(left, retryPause), by); err != nil {
+			return false, err
+		}
+	}
+}
+
+// rest waits. It returns an error where the time is over first.
+func (s *Seeker) rest(ctx context.Context, model string, pause time.Duration, by time.Time) error {
+	if time.Now().Add(pause).After(by) {
+		return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(unknownRetry)}
+	}
+	if !linker.Pause(ctx, pause) {
+		return context.Cause(ctx)
 	}
+	return nil
 }
 
 // askUntil is ask with an end. The question itself goes on for others.
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -39,6 +41,12 @@
 
 // seek returns a seeker before a leader, and what it was told.
 func seek(t *testing.T, reply func(asked int32) *wire.WantReply) (*seeker.Seeker, *leader, *[]surveyor.Told) {
+	t.Helper()
+	return seekHeld(t, nil, reply)
+}
+
+// seekHeld is seek for an entry that may know holders itself.
+func seekHeld(t *testing.T, held func(string) bool, reply func(asked int32) *wire.WantReply) (*seeker.Seeker, *leader, *[]surveyor.Told) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -51,7 +59,7 @@
 	t.Cleanup(links.Close)
 	var told []surveyor.Told
 	return seeker.New(seeker.Settings{
-		Links: links, Leader: listener.Addr().String, Log: zap.NewNop(),
+		Links: links, Leader: listener.Addr().String, Held: held, Log: zap.NewNop(),
 		Tell: func(got []surveyor.Told) { told = append(told, got...) },
 	}), l, &told
 }
@@ -111,3 +119,33 @@
 	assert.Assert(t, errors.As(err, &absent))
 	assert.Equal(t, ended.Load(), int32(0))
 }
+
+func TestQuestionsDoNotPressAMemberThatDoesNotLead(t *testing.T) {
+	s, l, _ := seek(t, func(int32) *wire.WantReply { return &wire.WantReply{ReadyInMs: -1} })
+	by := time.Now().Add(2 * time.Second)
+	var ended sync.WaitGroup
+	for at := range 50 {
+		ended.Go(func() { _ = s.Want(t.Context(), "s", "m", strconv.Itoa(at), by) })
+	}
+	ended.Wait()
+	// the first ones at once, then one after the other
+	assert.Assert(t, l.asked.Load() <= 50+20, "%d questions in two seconds", l.asked.Load())
+}
+
+func TestWhatAnEntryIsToldEndsItsWait(t *testing.T) {
+	told := time.Now().Add(300 * time.Millisecond)
+	held := func(name string) bool { return name == surveyor.HeldName("s", "m", "") && time.Now().After(told) }
+	s, l, _ := seekHeld(t, held, func(int32) *wire.WantReply { return &wire.WantReply{Leading: true, ReadyInMs: 5000} })
+	assert.NilError(t, s.Want(t.Context(), "s", "m", "", time.Now().Add(20*time.Second)))
+	assert.Assert(t, time.Since(told) < time.Second)
+	assert.Equal(t, l.asked.Load(), int32(1))
+}
+
+func TestAHolderThatCannotBeReachedIsNotAskedForAtEachTry(t *testing.T) {
+	held := &wire.WantReply{Leading: true, Holdings: []*wire.Holding{{Upstream: "e1", Incarnation: "e1@1"}}}
+	s, l, _ := seek(t, func(int32) *wire.WantReply { return held })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		assert.NilError(t, s.Want(t.Context(), "s", "m", "a1", end.Add(time.Second)))
+	}
+	assert.Assert(t, l.asked.Load() <= 5, "%d questions in a second", l.asked.Load())
+}
