perf(responder,follower,mover): a leader's messages and reports have a rate

What remained after the costs of each change were down: 268 heartbeats and 268 reports a second with 67 entries, and 93 reports of engines, whatever happens. They now come at 140 a second each over all entries and 70 over all engines, so that the time between two grows with the fleet (70 entries: 0.5 s, at most 0.75 s; 140 engines: 2 s); small sites keep theirs. What is told of holdings goes with heartbeats there. Ruled out: a longer time between readings of the platform's list; an entry must know of a reading within 1.5 s.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -85,6 +85,8 @@
 	inForce   atomic.Pointer[cataloger.Catalog]
 	confirmed atomic.Pointer[Confirmation]
 	leader    atomic.Pointer[string]
+	// entries is how many entries there are, as last heard.
+	entries atomic.Int64
 	// control lists the control members' addresses.
 	control atomic.Pointer[[]string]
 }
--- a/follower/holdings_test.go
+++ b/follower/holdings_test.go
@@ -42,3 +42,22 @@
 	}
 	assert.DeepEqual(t, met, [][]string{{"other"}, {}})
 }
+
+func TestReportsOfManyEntriesDoNotPressTheLeader(t *testing.T) {
+	cases := map[string]struct {
+		entries int64
+		want    time.Duration
+	}{
+		"unknown": {0, 250 * time.Millisecond},
+		"few":     {7, 250 * time.Millisecond},
+		"seventy": {70, 500 * time.Millisecond},
+		"many":    {890, longestTell},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := New(Settings{Tell: 250 * time.Millisecond})
+			f.entries.Store(c.entries)
+			assert.Equal(t, f.tellTime(), c.want)
+		})
+	}
+}
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -80,7 +80,8 @@
 	go s.runReceive()
 	silence := time.NewTimer(silenceLimit)
 	defer silence.Stop()
-	tell := time.NewTicker(f.settings.Tell)
+	every := f.tellTime()
+	tell := time.NewTicker(every)
 	defer tell.Stop()
 	told := newTold()
 	s.tell(f.report(told))
@@ -91,6 +92,10 @@
 		case offer := <-f.offers:
 			f.takeOffer(offer)
 		case <-tell.C:
+			if now := f.tellTime(); now != every {
+				every = now
+				tell.Reset(every)
+			}
 			s.tell(f.report(told))
 		case <-silence.C:
 			f.settings.Links.Drop(address, link)
@@ -106,6 +111,20 @@
 	}
 }
 
+// reportRate is how many reports all entries together make in a second at most.
+// Each takes a leader about 60 µs.
+const reportRate = 140
+
+// longestTell is the longest time between two reports: what an entry has in
+// flight counts for two seconds.
+const longestTell = 750 * time.Millisecond
+
+// tellTime is the time between two reports, longer with more entries.
+func (f *Follower) tellTime() time.Duration {
+	shared := time.Duration(f.entries.Load()) * time.Second / reportRate
+	return max(f.settings.Tell, min(longestTell, shared))
+}
+
 // report returns what the entry has in force, with the demand that changed
 // where it is time to tell it.
 func (f *Follower) report(told *told) *wire.FollowRequest {
@@ -195,7 +214,11 @@
 			f.settings.ListRead(at.Add(-time.Duration(beat.GetListAgeMs()) * time.Millisecond))
 		}
 	}
-	if others := beat.GetPeers(); f.settings.Peers != nil && len(others) > 0 {
+	others := beat.GetPeers()
+	if len(others) > 0 {
+		f.entries.Store(int64(len(others)))
+	}
+	if f.settings.Peers != nil && len(others) > 0 {
 		f.settings.Peers(slices.DeleteFunc(others, func(one string) bool { return one == f.settings.NotesAddress }))
 	}
 	leader := beat.GetLeader()
--- a/mover/engine.go
+++ b/mover/engine.go
@@ -10,9 +10,11 @@
 
 const (
 	// reportEvery is the time between two reports of an idle engine, and
-	// reportSoon while an order is under way.
+	// reportSoon while an order is under way. reportRate is how many reports of
+	// idle engines are asked for in a second at most: each takes about 100 µs.
 	reportEvery = 1500 * time.Millisecond
 	reportSoon  = 250 * time.Millisecond
+	reportRate  = 70
 	// reportLag is how old a report may be. One that was asked for sooner after
 	// an order may not know of it.
 	reportLag = 400 * time.Millisecond
--- a/mover/events.go
+++ b/mover/events.go
@@ -142,17 +142,18 @@
 			continue
 		}
 		one.asking = true
-		one.askAt = now.Add(one.reportPause())
+		one.askAt = now.Add(m.reportPause(one))
 		m.calls.Add(1)
 		go m.runReport(m.lead.term, one.upstream, now)
 	}
 }
 
-func (e *engine) reportPause() time.Duration {
-	if e.busy || !e.reported {
+// reportPause is the time until an engine's next report.
+func (m *Mover) reportPause(one *engine) time.Duration {
+	if one.busy || !one.reported {
 		return reportSoon
 	}
-	return reportEvery
+	return max(reportEvery, time.Duration(len(m.engines))*time.Second/reportRate)
 }
 
 func (m *Mover) runReport(term uint64, engine surveyor.Upstream, now time.Time) {
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -137,7 +137,8 @@
 }
 
 func (s *session) send(deltas <-chan cataloger.Delta) error {
-	ticker := time.NewTicker(s.responder.settings.Pulse)
+	every := s.responder.beatTime()
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	// gathering is running while changes are gathered for the next message
 	gathering := time.NewTimer(0)
@@ -158,7 +159,7 @@
 			}
 		case <-changed:
 			changed = nil
-			if s.responder.TellTime() < s.responder.settings.Pulse {
+			if s.responder.TellTime() < every {
 				gathering.Reset(time.Until(s.tellAt))
 			}
 		case <-gathering.C:
@@ -171,6 +172,10 @@
 				return err
 			}
 		case <-ticker.C:
+			if now := s.responder.beatTime(); now != every {
+				every = now
+				ticker.Reset(every)
+			}
 			if err := s.sendListing(time.Now()); err != nil {
 				return err
 			}
--- a/responder/holdings.go
+++ b/responder/holdings.go
@@ -13,18 +13,32 @@
 // counts.
 const standInterval = 2 * time.Second
 
-// holdingsRate is how many messages about holdings all entries together are sent
-// in a second at most. Each takes a leader about 40 µs, so that a tenth of the
-// smallest control VM's share of a core goes into them.
-const holdingsRate = 300
+// messageRate is how many heartbeats all entries together are sent in a second at
+// most, and how many messages about holdings. Each takes a leader about 60 µs, so
+// that with the entries' reports a fifth of the smallest control VM's share of a
+// core goes into them.
+const messageRate = 140
 
-// TellTime is the time in which entries hear of a change: changes are gathered
-// for a time that grows with the number of entries, and where that is long they
-// go with the next heartbeat.
+// gatherTime is for how long messages are gathered: longer with more entries.
+func (r *Responder) gatherTime() time.Duration {
+	return time.Duration(r.entries.following()) * time.Second / messageRate
+}
+
+// longestBeat is the longest time between two heartbeats: an entry leaves a member
+// that it has not heard of for two seconds.
+const longestBeat = 750 * time.Millisecond
+
+// beatTime is the time between two heartbeats to an entry.
+func (r *Responder) beatTime() time.Duration {
+	return max(r.settings.Pulse, min(longestBeat, r.gatherTime()))
+}
+
+// TellTime is the time in which entries hear of a change. Changes that are
+// gathered for long go with the next heartbeat.
 func (r *Responder) TellTime() time.Duration {
-	gathered := time.Duration(r.entries.following()) * time.Second / holdingsRate
+	gathered := r.gatherTime()
 	if gathered > r.settings.Pulse/2 {
-		return r.settings.Pulse
+		return r.beatTime()
 	}
 	return gathered
 }
