fix(responder): a report costs what it tells, not all that was ever asked for

Reports tell what changed; the leader now adds up just that. A class's cost is learned once a reading from all entries together, in place of once for each entry. Red before (does not compile there; the former copy is maps.Clone of all names for each report): TestAReportDoesNotCostAllThatWasEverAskedFor. What the mover's test held of entries that start anew moved to the responder, which counts now (TestFreshDemandIsCountedOnce).

--- a/encoder/demand.go
+++ b/encoder/demand.go
@@ -63,47 +63,36 @@
 	return message
 }
 
-// DemandDecoder rebuilds an entry's demand from the reports of one stream.
+// DemandDecoder reads an entry's demand from the reports of one stream.
 type DemandDecoder struct {
-	keys   map[uint32]demandKey
-	counts map[string]map[string]placer.Count
+	keys map[uint32]demandKey
 }
 
 // NewDemandDecoder returns a decoder for a new stream.
 func NewDemandDecoder() *DemandDecoder {
-	return &DemandDecoder{
-		keys:   map[uint32]demandKey{},
-		counts: map[string]map[string]placer.Count{},
-	}
+	return &DemandDecoder{keys: map[uint32]demandKey{}}
 }
 
-// Decode takes a report and returns the whole demand so far, which the caller
-// may keep. It returns *UnknownDemandError for an ID that was not spelled
+// Decode takes a report and returns the counts that it tells, which are those
+// that changed. It returns *UnknownDemandError for an ID that was not spelled
 // before.
-func (d *DemandDecoder) Decode(report *wire.FollowRequest) (placer.Demand, error) {
+func (d *DemandDecoder) Decode(report *wire.FollowRequest) ([]placer.Counted, error) {
+	counted := make([]placer.Counted, 0, len(report.GetDemand()))
 	for _, told := range report.GetDemand() {
 		if told.GetName() != "" {
 			d.keys[told.GetId()] = demandKey{name: told.GetName(), class: told.GetClass()}
 		}
 		key, known := d.keys[told.GetId()]
 		if !known {
-			return placer.Demand{}, &UnknownDemandError{ID: told.GetId()}
+			return nil, &UnknownDemandError{ID: told.GetId()}
 		}
-		d.put(key, told)
+		counted = append(counted, placer.Counted{Name: key.name, Class: key.class, Count: decodeCount(told)})
 	}
-	return placer.Demand{
-		Since:  time.UnixMilli(report.GetSinceUnixMs()),
-		Counts: d.copy(),
-	}, nil
+	return counted, nil
 }
 
-func (d *DemandDecoder) put(key demandKey, told *wire.Demand) {
-	classes, ok := d.counts[key.name]
-	if !ok {
-		classes = map[string]placer.Count{}
-		d.counts[key.name] = classes
-	}
-	classes[key.class] = placer.Count{
+func decodeCount(told *wire.Demand) placer.Count {
+	return placer.Count{
 		Arrivals:     told.GetArrivals(),
 		Ended:        told.GetEnded(),
 		PromptTokens: told.GetPromptTokens(),
@@ -114,14 +103,6 @@
 	}
 }
 
-func (d *DemandDecoder) copy() map[string]map[string]placer.Count {
-	copied := make(map[string]map[string]placer.Count, len(d.counts))
-	for name, classes := range d.counts {
-		copied[name] = maps.Clone(classes)
-	}
-	return copied
-}
-
 // UnknownDemandError says that a report uses an ID that was not spelled on its
 // stream.
 type UnknownDemandError struct{ ID uint32 }
--- a/mover/demand.go
+++ b/mover/demand.go
@@ -37,9 +37,8 @@
 	at time.Time
 }
 
-// meter turns the entries' cumulative counts into rates.
+// meter turns what entries were asked for into rates.
 type meter struct {
-	last map[string]placer.Demand
 	// names are by the router's name.
 	names map[string]*asked
 	// costs are by class, in seconds of a whole engine.
@@ -48,25 +47,29 @@
 }
 
 func newMeter() *meter {
-	return &meter{last: map[string]placer.Demand{}, names: map[string]*asked{}, costs: map[string]float64{}}
+	return &meter{names: map[string]*asked{}, costs: map[string]float64{}}
 }
 
-// observe takes in the counts of all entries.
-func (m *meter) observe(now time.Time, demands map[string]placer.Demand) {
+// observe takes in what all entries were asked for since the call before.
+func (m *meter) observe(now time.Time, fresh map[string]map[string]placer.Count) {
 	passed := now.Sub(m.at)
 	if m.at.IsZero() {
 		passed = rateTime
 	}
 	m.at = now
-	arrivals := map[string]map[string]float64{}
-	for entry, demand := range demands {
-		m.add(entry, demand, arrivals, now)
+	for name, classes := range fresh {
+		for class, count := range classes {
+			m.learn(class, count)
+			if count.Arrivals > 0 {
+				m.find(name, class).at = now
+			}
+		}
 	}
 	for name, one := range m.names {
 		for class := range one.rate {
-			fresh := arrivals[name][class] / passed.Seconds()
-			one.rate[class] = follow(one.rate[class], fresh, passed, rateTime)
-			one.lasting[class] = follow(one.lasting[class], fresh, passed, lastingTime)
+			rate := float64(fresh[name][class].Arrivals) / passed.Seconds()
+			one.rate[class] = follow(one.rate[class], rate, passed, rateTime)
+			one.lasting[class] = follow(one.lasting[class], rate, passed, lastingTime)
 		}
 	}
 }
@@ -77,36 +80,6 @@
 	return keep*mean + (1-keep)*fresh
 }
 
-// add counts what is new since an entry's last counts. An entry that has just
-// started begins at zero; one that is heard of for the first time may have
-// counted for long, so that its past is left out.
-func (m *meter) add(entry string, demand placer.Demand, arrivals map[string]map[string]float64, now time.Time) {
-	before, known := m.last[entry]
-	m.last[entry] = demand
-	if !known {
-		return
-	}
-	restarted := !before.Since.Equal(demand.Since)
-	for name, classes := range demand.Counts {
-		for class, count := range classes {
-			var past placer.Count
-			if !restarted {
-				past = before.Counts[name][class]
-			}
-			m.learn(class, past, count)
-			fresh := float64(count.Arrivals - min(count.Arrivals, past.Arrivals))
-			if fresh == 0 {
-				continue
-			}
-			m.find(name, class).at = now
-			if arrivals[name] == nil {
-				arrivals[name] = map[string]float64{}
-			}
-			arrivals[name][class] += fresh
-		}
-	}
-}
-
 func (m *meter) find(name, class string) *asked {
 	one := m.names[name]
 	if one == nil {
@@ -120,14 +93,12 @@
 }
 
 // learn corrects the cost of a class by requests that have ended.
-func (m *meter) learn(class string, past, count placer.Count) {
-	ended := float64(count.Ended) - float64(past.Ended)
-	if ended <= 0 {
+func (m *meter) learn(class string, count placer.Count) {
+	if count.Ended == 0 {
 		return
 	}
-	prompt := float64(count.PromptTokens-past.PromptTokens) / ended
-	answer := float64(count.AnswerTokens-past.AnswerTokens) / ended
-	cost := prompt/prefillRate + answer/decodeRate
+	ended := float64(count.Ended)
+	cost := float64(count.PromptTokens)/ended/prefillRate + float64(count.AnswerTokens)/ended/decodeRate
 	if before, known := m.costs[class]; known {
 		cost = before + costWeight*(cost-before)
 	}
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -38,10 +38,11 @@
 	Engines Engines
 	// Unpack reads a stored configuration.
 	Unpack func(content []byte) (*matcher.Configuration, error)
-	// Demands returns the entries' cumulative counts, Loads what they have in
-	// flight by upstream.
-	Demands func() map[string]placer.Demand
-	Loads   func() map[string]router.Load
+	// Fresh returns what entries were asked for since the call before, by the
+	// router's name and by class. Loads returns what they have in flight by
+	// upstream.
+	Fresh func() map[string]map[string]placer.Count
+	Loads func() map[string]router.Load
 	// TellTime is the time in which entries hear of a change beside the way
 	// there; nil for none.
 	TellTime func() time.Duration
@@ -339,7 +340,7 @@
 		return
 	}
 	m.demandAt = now.Add(demandEvery)
-	m.meter.observe(now, m.settings.Demands())
+	m.meter.observe(now, m.settings.Fresh())
 }
 
 // readLoads adds up what entries have in flight.
--- a/placer/demand.go
+++ b/placer/demand.go
@@ -26,6 +26,26 @@
 	Missed  uint64
 }
 
+// Counted is the count of one model or adapter in one class.
+type Counted struct {
+	Name, Class string
+	Count       Count
+}
+
+// After returns what was counted after an earlier count. Counts that have begun
+// anew have no earlier one.
+func (c Count) After(past Count) Count {
+	return Count{
+		Arrivals:     c.Arrivals - min(c.Arrivals, past.Arrivals),
+		Ended:        c.Ended - min(c.Ended, past.Ended),
+		Busy:         max(0, c.Busy-past.Busy),
+		PromptTokens: c.PromptTokens - min(c.PromptTokens, past.PromptTokens),
+		AnswerTokens: c.AnswerTokens - min(c.AnswerTokens, past.AnswerTokens),
+		Refused:      c.Refused - min(c.Refused, past.Refused),
+		Missed:       c.Missed - min(c.Missed, past.Missed),
+	}
+}
+
 // Add returns the sum of two counts.
 func (c Count) Add(other Count) Count {
 	return Count{
--- a/provisioner/control.go
+++ b/provisioner/control.go
@@ -87,7 +87,7 @@
 		Fetch:        client.FetchList,
 		Engines:      client,
 		Unpack:       unpack,
-		Demands:      func() map[string]placer.Demand { return answers.Demands() },
+		Fresh:        func() map[string]map[string]placer.Count { return answers.Fresh() },
 		Loads:        func() map[string]router.Load { return answers.Loads() },
 		TellTime:     func() time.Duration { return answers.TellTime() },
 		Listed:       listed,
--- /dev/null
+++ b/responder/demand.go
@@ -0,0 +1,53 @@
+package responder
+
+import (
+	"maps"
+	"time"
+
+	"burdocklink/placer"
+)
+
+// demandCounts are counts by model or adapter, then by class.
+type demandCounts map[string]map[string]placer.Count
+
+// put sets a count and returns the one before.
+func (c demandCounts) put(counted placer.Counted) placer.Count {
+	classes := c[counted.Name]
+	if classes == nil {
+		classes = map[string]placer.Count{}
+		c[counted.Name] = classes
+	}
+	past := classes[counted.Class]
+	classes[counted.Class] = counted.Count
+	return past
+}
+
+// add adds to a count.
+func (c demandCounts) add(name, class string, count placer.Count) {
+	c.put(placer.Counted{Name: name, Class: class, Count: c[name][class].Add(count)})
+}
+
+// Demands returns the cumulative demand that each entry told last, by entry.
+func (r *Responder) Demands() map[string]placer.Demand {
+	r.entries.mu.Lock()
+	defer r.entries.mu.Unlock()
+	demands := make(map[string]placer.Demand, len(r.entries.entries))
+	for name, record := range r.entries.entries {
+		copied := make(map[string]map[string]placer.Count, len(record.counts))
+		for asked, classes := range record.counts {
+			copied[asked] = maps.Clone(classes)
+		}
+		demands[name] = placer.Demand{Since: time.UnixMilli(record.since), Counts: copied}
+	}
+	return demands
+}
+
+// Fresh returns what entries were asked for since the call before, by model or
+// adapter and by class. It costs what is new, however much was asked for before.
+func (r *Responder) Fresh() map[string]map[string]placer.Count {
+	r.entries.mu.Lock()
+	defer r.entries.mu.Unlock()
+	fresh := r.entries.fresh
+	r.entries.fresh = demandCounts{}
+	return fresh
+}
--- a/responder/entries.go
+++ b/responder/entries.go
@@ -19,6 +19,8 @@
 type entryTable struct {
 	mu      sync.Mutex
 	entries map[string]entryRecord
+	// fresh is what entries were asked for since it was last taken.
+	fresh demandCounts
 	// addresses are those at which entries that were heard of lately take notes,
 	// in ascending order, as of lookedAt. The serial number counts their changes.
 	addresses []string
@@ -28,24 +30,33 @@
 
 // entryRecord is the last word of one entry.
 type entryRecord struct {
-	said   *wire.FollowRequest
-	demand placer.Demand
-	heard  time.Time
+	said  *wire.FollowRequest
+	heard time.Time
+	// counts are cumulative since the start of the entry.
+	counts demandCounts
+	since  int64
 }
 
 func newEntryTable() *entryTable {
-	return &entryTable{entries: map[string]entryRecord{}}
+	return &entryTable{entries: map[string]entryRecord{}, fresh: demandCounts{}}
 }
 
-// put notes a report. A nil demand leaves the one before.
-func (t *entryTable) put(said *wire.FollowRequest, demand *placer.Demand, now time.Time) {
+// put notes a report and the counts that it tells.
+func (t *entryTable) put(said *wire.FollowRequest, counted []placer.Counted, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	record := t.entries[said.GetEntry()]
+	record, known := t.entries[said.GetEntry()]
 	record.said = said
 	record.heard = now
-	if demand != nil {
-		record.demand = *demand
+	if len(counted) > 0 && (record.counts == nil || record.since != said.GetSinceUnixMs()) {
+		record.counts, record.since = demandCounts{}, said.GetSinceUnixMs()
+	}
+	for _, one := range counted {
+		past := record.counts.put(one)
+		// one that is heard of for the first time may have counted for long
+		if known {
+			t.fresh.add(one.Name, one.Class, one.Count.After(past))
+		}
 	}
 	t.entries[said.GetEntry()] = record
 }
@@ -56,15 +67,6 @@
 	return maps.Clone(t.entries)
 }
 
-// Demands returns the cumulative demand that each entry told last, by entry.
-func (r *Responder) Demands() map[string]placer.Demand {
-	demands := map[string]placer.Demand{}
-	for name, record := range r.entries.list() {
-		demands[name] = record.demand
-	}
-	return demands
-}
-
 // loadsTime is how long what an entry has in flight counts after it was told.
 const loadsTime = 2 * time.Second
 
--- a/responder/entries_test.go
+++ b/responder/entries_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"burdocklink/encoder/wire"
+	"burdocklink/placer"
 )
 
 func TestMessagesToManyEntriesDoNotPressTheLeader(t *testing.T) {
@@ -34,3 +35,40 @@
 		})
 	}
 }
+
+func TestFreshDemandIsCountedOnce(t *testing.T) {
+	r := New(Settings{})
+	now := time.Now()
+	report := func(since int64, arrivals uint64) {
+		said := &wire.FollowRequest{Entry: "e", SinceUnixMs: since}
+		r.entries.put(said, []placer.Counted{{Name: "m", Class: "draft", Count: placer.Count{Arrivals: arrivals}}}, now)
+	}
+	fresh := func() uint64 { return r.Fresh()["m"]["draft"].Arrivals }
+	report(1, 100)
+	assert.Equal(t, fresh(), uint64(0), "the past of an entry that was not heard of before")
+	report(1, 105)
+	report(1, 107)
+	assert.Equal(t, fresh(), uint64(7))
+	assert.Equal(t, fresh(), uint64(0))
+	report(2, 5)
+	assert.Equal(t, fresh(), uint64(5), "an entry that starts anew counts from zero")
+	demand := r.Demands()["e"]
+	assert.Equal(t, demand.Counts["m"]["draft"].Arrivals, uint64(5))
+	assert.Assert(t, demand.Since.Equal(time.UnixMilli(2)))
+}
+
+func TestAReportDoesNotCostAllThatWasEverAskedFor(t *testing.T) {
+	allocations := func(names int) float64 {
+		r := New(Settings{})
+		said := &wire.FollowRequest{Entry: "e", SinceUnixMs: 1}
+		for at := range names {
+			r.entries.put(said, []placer.Counted{{Name: fmt.Sprint(at), Class: "draft"}}, time.Now())
+		}
+		changed := []placer.Counted{{Name: "0", Class: "draft", Count: placer.Count{Arrivals: 1}}}
+		return testing.AllocsPerRun(50, func() {
+			r.entries.put(said, changed, time.Now())
+			r.Fresh()
+		})
+	}
+	assert.Equal(t, allocations(700), allocations(10))
+}
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -11,7 +11,6 @@
 	"burdocklink/cataloger"
 	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
-	"burdocklink/placer"
 )
 
 // followStream is the server's side of one follower's stream.
@@ -93,15 +92,11 @@
 
 // note keeps a report of the entry.
 func (s *session) note(said *wire.FollowRequest, now time.Time) error {
-	var demand *placer.Demand
-	if len(said.GetDemand()) > 0 {
-		decoded, err := s.demand.Decode(said)
-		if err != nil {
-			return err
-		}
-		demand = &decoded
+	counted, err := s.demand.Decode(said)
+	if err != nil {
+		return err
 	}
-	s.responder.entries.put(said, demand, now)
+	s.responder.entries.put(said, counted, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports = append(s.reports, received{number: said.GetNumber(), at: now})
--- a/responder/status.go
+++ b/responder/status.go
@@ -142,7 +142,7 @@
 }
 
 func (r *Responder) describeEntries(reply *wire.StatusReply, now time.Time) {
-	entries := r.entries.list()
+	entries, demands := r.entries.list(), r.Demands()
 	counts := map[string]*wire.ClassState{}
 	for _, class := range reply.Classes {
 		counts[class.GetName()] = class
@@ -156,7 +156,7 @@
 			InForce:          record.said.GetInForce(),
 			SilentMs:         now.Sub(record.heard).Milliseconds(),
 		})
-		addCounts(counts, record.demand)
+		addCounts(counts, demands[name])
 	}
 }
 
