fix(forwarder): nothing but a stream is joined to a stream that broke

Cause: a resumable stream that broke goes on at another engine. Where that engine answered with anything but a 200, the answer took the way of whole answers, which wrote its body behind the events and ended the caller's answer properly. That way never looked at whether the answer had begun.

Three new cases of TestStreams were red.

Why it works: once an answer has begun, an answer that is no stream is a break. The request goes on at a further engine where it may, and else the caller's connection is closed in the middle of the answer.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -386,6 +386,7 @@
 
 func TestStreams(t *testing.T) {
 	resumable := matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}
+	thrice := matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 3}
 	plain := matcher.Route{Kind: matcher.Streaming, MaxAttempts: 2}
 	cases := map[string]struct {
 		route     matcher.Route
@@ -400,6 +401,10 @@
 		"broken, no attempts left":   {resumable, []http.HandlerFunc{events(1, 2, false), events(1, 4, false), events(1, 5, true)}, eventText(1, 4), false, 2},
 		"a gap is not passed on":     {resumable, []http.HandlerFunc{events(1, 2, false), events(4, 5, true)}, eventText(1, 2), false, 2},
 		"not run before first event": {plain, []http.HandlerFunc{notRun, events(1, 2, true)}, eventText(1, 2), true, 2},
+		"a failure is not joined":    {resumable, []http.HandlerFunc{events(1, 2, false), whole(500, "no")}, eventText(1, 2), false, 2},
+		"a refusal is not joined":    {resumable, []http.HandlerFunc{events(1, 2, false), whole(404, "no")}, eventText(1, 2), false, 2},
+		"a success is not joined":    {resumable, []http.HandlerFunc{events(1, 2, false), whole(201, "no")}, eventText(1, 2), false, 2},
+		"resumed after a failure":    {thrice, []http.HandlerFunc{events(1, 2, false), whole(500, "no"), events(1, 5, true)}, eventText(1, 5), true, 3},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -32,6 +32,10 @@
 		return fault
 	}
 	x.settle(router.OutcomeFinished)
+	if x.tries.begun {
+		// only a stream can go on where another broke
+		return &BrokenStreamError{Cause: &FailedError{Status: got.status}}
+	}
 	if got.status >= http.StatusInternalServerError && x.tries.mayAgain(x.route, time.Now(), x.deadline) {
 		x.failure = got
 		return &FailedError{Status: got.status}
