--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -396,3 +396,27 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(segments) < 5)
 }
+
+// catchUpTime is how long a member may be back before it must count again.
+const catchUpTime = 4 * time.Second
+
+// TestAWipedMemberIsNotTakenInWhileTheLeaseLapses plays a leader that is too slow
+// to keep its lease without a gap.
+func TestAWipedMemberIsNotTakenInWhileTheLeaseLapses(t *testing.T) {
+	g := newCluster(t, func(c *conductor.Config) {
+		c.Timing = conductor.StandardTiming()
+		c.Timing.Lease = c.Timing.Heartbeat + time.Millisecond
+	}, "a", "b", "c")
+	g.commit()
+	leader := g.leader()
+	var wiped *process
+	for _, p := range g.processes {
+		if p != leader {
+			wiped = p
+		}
+	}
+	g.wipe(wiped)
+	began := time.Now()
+	g.voters(3)
+	assert.Assert(t, time.Since(began) <= catchUpTime, "the member votes again after %v", time.Since(began))
+}
