feat(conductor): log lines tell why a group has no leader and who waits outside

Once a second a member now tells how long no leader has been known and which votes are missing, and a member outside of the group that it waits and when it was taken in. Too few members (votes missing from identities that are gone), slow members (terms rise, missing votes change) and a member that nobody takes in look different in it.

--- a/conductor/announce.go
+++ b/conductor/announce.go
@@ -115,7 +115,9 @@
 // a group with a leader, and again whenever it is not.
 func (c *Conductor) runAnnouncements() {
 	told := map[string]Member{}
+	var outside absence
 	for {
+		c.logOutside(&outside)
 		select {
 		case <-c.stopped:
 			return
@@ -131,12 +133,13 @@
 
 // belongs says whether the member is in the group as it knows it and hears a
 // leader.
-func (c *Conductor) belongs() bool {
-	status := c.status.Load()
-	at := slices.IndexFunc(status.Members, func(m Member) bool {
+func (c *Conductor) belongs() bool { return c.listed() && c.status.Load().Leader != "" }
+
+// listed says whether the member is in the group as it knows it.
+func (c *Conductor) listed() bool {
+	return slices.ContainsFunc(c.status.Load().Members, func(m Member) bool {
 		return m.Name == c.self.Name && m.Disk == c.self.Disk
 	})
-	return at >= 0 && status.Leader != ""
 }
 
 // announce introduces this member to all that it knows, and to those that
--- a/conductor/announce_test.go
+++ b/conductor/announce_test.go
@@ -12,7 +12,7 @@
 )
 
 // join starts a member that only knows some others and is known to nobody.
-func (g *cluster) join(name string, known ...string) *process {
+func (g *cluster) join(name string, change func(*conductor.Config), known ...string) *process {
 	g.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(g.t, err)
@@ -24,6 +24,9 @@
 		p.config.Peers = append(p.config.Peers, conductor.Member{Name: other, Address: g.processes[other].config.Address})
 	}
 	p.config.Credentials = newGateCredentials(&p.gate)
+	if change != nil {
+		change(&p.config)
+	}
 	g.processes[name] = p
 	g.start(p)
 	return p
@@ -55,7 +58,7 @@
 	}
 	g.kill(g.processes[lost])
 	// it knows one member that is lost and one that may not lead
-	g.join("d", lost, g.leader().config.Name)
+	g.join("d", nil, lost, g.leader().config.Name)
 	g.eventually("the newcomer votes", func() bool { return g.voterNames()["d"] && !g.voterNames()[lost] })
 	// the group bears another loss, and what was accepted stays
 	for name, p := range g.processes {
@@ -80,7 +83,7 @@
 func TestNewcomersFindTheGroupThroughNewSeeds(t *testing.T) {
 	g := newCluster(t, small, "a", "b", "c")
 	g.commit()
-	p := g.join("d")
+	p := g.join("d", nil)
 	assert.Equal(t, len(p.Status().Members), 0)
 	// the settings name another member than before
 	p.Meet([]conductor.Member{{Name: "b", Address: g.processes["b"].config.Address}})
--- a/conductor/loop.go
+++ b/conductor/loop.go
@@ -145,4 +145,5 @@
 	c.forgetOldTerms(status)
 	c.takeSnapshot(status)
 	c.publish(status)
+	c.logLeaderless(status)
 }
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -56,7 +56,9 @@
 	waiting   []waitingRead
 	followers map[*follower]struct{}
 	members   []replicator.Member
-	failure   error
+	// leaderless is how long no leader has been known.
+	leaderless absence
+	failure    error
 }
 
 // inboxQueue is how many messages may wait for the loop before links wait.
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -11,6 +11,8 @@
 	// Leading is true while this member is the leader of its term, with or
 	// without a lease.
 	Leading bool
+	// Elected is when this member won its term; zero where it does not lead.
+	Elected time.Time
 	// LeaseUntil is the end of the lease; zero where there is none.
 	LeaseUntil    time.Time
 	Committed     uint64
@@ -39,6 +41,7 @@
 		Leader:                 c.leader,
 		Term:                   c.hard.Term,
 		Leading:                c.position == leading,
+		Elected:                c.lead.elected,
 		LeaseUntil:             c.leaseUntil(),
 		Committed:              c.committed,
 		Applied:                c.applied,
@@ -65,6 +68,21 @@
 	return peers
 }
 
+// MissingVotes lists the other voters whose vote a candidate lacks, in the
+// configuration's order; nil where the member is no candidate.
+func (c *Core) MissingVotes() []Identity {
+	if c.position != canvassing && c.position != standing {
+		return nil
+	}
+	var missing []Identity
+	for _, member := range c.configuration().Members {
+		if member.Role == Voter && member.ID != c.id && !c.votes[member.ID] {
+			missing = append(missing, member.ID)
+		}
+	}
+	return missing
+}
+
 // Found returns what the first member of a new group starts from. Exactly one
 // member of the list may do this.
 func Found(group string, members []Member, now time.Time) (HardState, []Entry) {
