fix(conductor): a member with an empty disk is taken in though the lease lapses

Callers of a grown site got nothing but 503 after two members had lost their disks, since a member that lost its disk half a minute before still did not vote: two of five voters were left.

A leader asked a returned member who it is only once it had led for three seconds without a gap in its lease and had not heard the old disk for as long. A slow leader's lease lapses about twice a second, and each lapse that the repair saw began the three seconds anew.

A member tells its new disk when it announces itself. The leader now notes it and asks at once; it needs no lease for a change, which is made only once a quorum has it. Silence is counted from the election up to the last answers of a quorum, so that a leader that was stalled itself takes nobody for silent. The steps of a repair follow each other without a pause, those that are lost are asked last, and a member without a group announces itself at its start.

--- a/conductor/announce.go
+++ b/conductor/announce.go
@@ -32,8 +32,9 @@
 	announced map[string]announcement
 }
 
-// announcement is where a member said that it is reached.
+// announcement is what a member said of itself.
 type announcement struct {
+	disk    string
 	address string
 	until   time.Time
 }
@@ -51,29 +52,30 @@
 		return
 	}
 	a.announced[member.ID.Name] = announcement{
+		disk:    member.ID.Disk,
 		address: member.Address,
 		until:   timekeeper.Now().Add(metTime),
 	}
 }
 
 // list returns the acquaintances at a time, without one of the name, in
-// ascending order.
+// ascending order. Disk is empty for those that have not announced themselves.
 func (a *acquaintances) list(without string, now time.Time) []Member {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	var members []Member
-	for name, member := range a.given {
-		if name != without {
-			members = append(members, member)
-		}
-	}
 	for name, said := range a.announced {
 		if now.After(said.until) {
 			delete(a.announced, name)
 			continue
 		}
-		if _, given := a.given[name]; !given && name != without {
-			members = append(members, Member{Name: name, Address: said.address})
+		if name != without {
+			members = append(members, Member{Name: name, Disk: said.disk, Address: said.address})
+		}
+	}
+	for name, member := range a.given {
+		if _, announced := a.announced[name]; !announced && name != without {
+			members = append(members, member)
 		}
 	}
 	slices.SortFunc(members, byName)
@@ -112,10 +114,14 @@
 }
 
 // runAnnouncements tells others that this member is there until it is part of
-// a group with a leader, and again whenever it is not.
+// a group with a leader, and again whenever it is not. One without a group has
+// nothing to wait for.
 func (c *Conductor) runAnnouncements() {
 	told := map[string]Member{}
 	var outside absence
+	if c.groupName() == "" {
+		c.announce(told)
+	}
 	for {
 		c.logOutside(&outside)
 		select {
@@ -151,8 +157,9 @@
 	for _, member := range c.status.Load().Members {
 		told[member.Name] = member
 	}
-	delete(told, c.config.Name)
-	for _, address := range addresses(told) {
+	asked := map[string]bool{c.config.Address: true}
+	for address := unasked(told, asked); address != ""; address = unasked(told, asked) {
+		asked[address] = true
 		known, err := c.messenger.Introduce(context.Background(), address)
 		if err != nil {
 			continue
@@ -163,18 +170,16 @@
 	}
 }
 
-func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
-
-// addresses returns the addresses of members in ascending order of name.
-func addresses(members map[string]Member) []string {
-	listed := make([]Member, 0, len(members))
-	for _, member := range members {
-		listed = append(listed, member)
-	}
-	slices.SortFunc(listed, byName)
-	list := make([]string, 0, len(listed))
-	for _, member := range listed {
-		list = append(list, member.Address)
+// unasked returns the address of the first member in ascending order of name
+// that was not asked; empty where all were.
+func unasked(members map[string]Member, asked map[string]bool) string {
+	var first Member
+	for name, member := range members {
+		if !asked[member.Address] && (first.Address == "" || name < first.Name) {
+			first = member
+		}
 	}
-	return list
+	return first.Address
 }
+
+func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
--- a/conductor/call.go
+++ b/conductor/call.go
@@ -1,6 +1,8 @@
 package conductor
 
 import (
+	"time"
+
 	"burdocklink/applier"
 	"burdocklink/replicator"
 )
@@ -55,6 +57,8 @@
 type coreView struct {
 	replicator.Status
 	Peers map[replicator.Identity]replicator.PeerStatus
+	// Reached is when a quorum was last sent what it has answered.
+	Reached time.Time
 }
 
 // foundCall begins a new group.
--- a/conductor/repair.go
+++ b/conductor/repair.go
@@ -23,9 +23,6 @@
 type repairView struct {
 	Self   replicator.Identity
 	Status coreView
-	// Since is when this member began to lead.
-	Since time.Time
-	Now   time.Time
 	// Introduced are the identities that peers have just given, and their
 	// addresses.
 	Introduced []replicator.Member
@@ -92,75 +89,96 @@
 	return false
 }
 
-// silent is how long a member has not answered this leader.
+// silent is how long a member has not answered this leader while a quorum has.
+// What a leader misses while it is stalled itself is no silence of others.
 func (v repairView) silent(id replicator.Identity) time.Duration {
 	if id == v.Self {
 		return 0
 	}
 	heard := v.Status.Peers[id].Heard
-	if heard.Before(v.Since) {
-		heard = v.Since
+	if heard.Before(v.Status.Elected) {
+		heard = v.Status.Elected
 	}
-	return v.Now.Sub(heard)
+	return v.Status.Reached.Sub(heard)
 }
 
-// runRepair looks after the group while this member leads.
+// runRepair looks after the group while this member leads. A leader needs no
+// lease for that: a change is made once a quorum has it.
 func (c *Conductor) runRepair() {
-	var since time.Time
 	for {
 		select {
 		case <-c.stopped:
 			return
 		case <-time.After(repairInterval):
 		}
-		if !c.Status().Leading {
-			since = time.Time{}
+		for c.status.Load().Leading && c.repair() {
 			continue
 		}
-		if since.IsZero() {
-			since = timekeeper.Now()
-		}
-		c.repair(since)
 	}
 }
 
-// repair makes one change where one is needed.
-func (c *Conductor) repair(since time.Time) {
+// repair makes one change where one is needed, and says whether it did.
+func (c *Conductor) repair() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), changeTime)
 	defer cancel()
 	status, err := c.coreStatus(ctx)
 	if err != nil || !status.Leading || !status.ConfigurationCommitted {
-		return
+		return false
 	}
 	view := repairView{
 		Self:      c.self,
 		Status:    status,
-		Since:     since,
-		Now:       timekeeper.Now(),
 		Voters:    c.wantedVoters(),
 		LostAfter: c.config.LostAfter,
 	}
-	view.Introduced = c.introduce(ctx, view)
-	change := planRepair(view)
+	change := c.planChange(ctx, view)
 	if change == nil {
-		return
+		return false
 	}
 	err = c.changeGroup(ctx, change)
 	c.config.Log.Info("repair of the group", zap.Any("change", change), zap.Error(err))
+	return err == nil
 }
 
-// introduce asks the peers that are missing or silent who they are.
-func (c *Conductor) introduce(ctx context.Context, view repairView) []replicator.Member {
-	var introduced []replicator.Member
-	for _, peer := range c.acquaintances.list(c.config.Name, view.Now) {
-		if c.present(peer.Name, view) {
-			continue
+// planChange asks others only where what is known asks for no change, since
+// those that are lost answer late.
+func (c *Conductor) planChange(ctx context.Context, view repairView) replicator.Change {
+	change := planRepair(view)
+	strangers, silent := view.unsettled(c.acquaintances.list(c.config.Name, timekeeper.Now()))
+	for _, peers := range [][]Member{strangers, silent} {
+		if change != nil {
+			break
+		}
+		view.Introduced = c.introduce(ctx, peers, view.Status.Group)
+		change = planRepair(view)
+	}
+	return change
+}
+
+// unsettled returns the peers that have announced a disk which the group does
+// not know, and those of which the group hears nothing.
+func (v repairView) unsettled(peers []Member) (strangers, silent []Member) {
+	for _, peer := range peers {
+		_, known := v.Status.Configuration.Find(replicator.Identity{Name: peer.Name, Disk: peer.Disk})
+		switch {
+		case peer.Disk != "" && !known:
+			strangers = append(strangers, peer)
+		case !v.present(peer.Name):
+			silent = append(silent, peer)
 		}
+	}
+	return strangers, silent
+}
+
+// introduce asks peers who they are.
+func (c *Conductor) introduce(ctx context.Context, peers []Member, group string) []replicator.Member {
+	var introduced []replicator.Member
+	for _, peer := range peers {
 		known, err := c.messenger.Introduce(ctx, peer.Address)
 		if err != nil || known.ID.Name != peer.Name {
 			continue
 		}
-		if known.Group != "" && known.Group != view.Status.Group {
+		if known.Group != "" && known.Group != group {
 			c.config.Log.Error("peer belongs to another group", zap.String("member", peer.Name))
 			continue
 		}
@@ -170,9 +188,9 @@
 }
 
 // present says whether a member of the name answers.
-func (c *Conductor) present(name string, view repairView) bool {
-	for _, member := range view.Status.Configuration.Members {
-		if member.ID.Name == name && view.silent(member.ID) < silentAfter {
+func (v repairView) present(name string) bool {
+	for _, member := range v.Status.Configuration.Members {
+		if member.ID.Name == name && v.silent(member.ID) < silentAfter {
 			return true
 		}
 	}
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -68,6 +68,15 @@
 	return peers
 }
 
+// Reached is when the latest messages were sent that a quorum has answered;
+// zero where none has, or the member does not lead.
+func (c *Core) Reached() time.Time {
+	if c.position != leading {
+		return time.Time{}
+	}
+	return c.quorumContact()
+}
+
 // MissingVotes lists the other voters whose vote a candidate lacks, in the
 // configuration's order; nil where the member is no candidate.
 func (c *Core) MissingVotes() []Identity {
