--- /dev/null
+++ b/router/news_test.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"burdocklink/estimator"
+)
+
+// BenchmarkNews gives what it costs to look for own dispatches to tell.
+func BenchmarkNews(b *testing.B) {
+	for _, size := range []int{140, 1400, 7400} {
+		r := New(Settings{})
+		r.Update(fleet(b, size))
+		request := ask(1)
+		choice, err := r.Choose(epoch, request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("none/servers-%d", size), func(b *testing.B) {
+			r.News()
+			b.ReportAllocs()
+			for b.Loop() {
+				r.News()
+			}
+		})
+		b.Run(fmt.Sprintf("one dispatch/servers-%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Started(choice, request, epoch)
+				r.News()
+				r.Finished(choice, Sample{Ended: epoch, Work: request.Work(), Outcome: OutcomeFinished})
+			}
+		})
+		b.Run(fmt.Sprintf("loads/servers-%d", size), func(b *testing.B) {
+			r.Started(choice, request, epoch)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Loads()
+			}
+		})
+	}
+}
+
+// BenchmarkTakeNews gives what the word of one of 24 other entries costs.
+func BenchmarkTakeNews(b *testing.B) {
+	const peers, busy = 24, 10
+	for _, size := range []int{140, 1400, 7400} {
+		for name, whole := range map[string]bool{"one": false, "whole": true} {
+			b.Run(fmt.Sprintf("%s/servers-%d", name, size), func(b *testing.B) {
+				r := New(Settings{})
+				r.Update(fleet(b, size))
+				var loads []Load
+				for at := range busy {
+					loads = append(loads, Load{Upstream: fmt.Sprintf("e%d", at), Incarnation: "1", Share: estimator.Share{Requests: 1, Tokens: 100}})
+				}
+				if !whole {
+					loads = loads[:1]
+				}
+				now := time.Now()
+				turn := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					turn++
+					r.TakeNews(now, fmt.Sprintf("entry-%d", turn%peers), loads, whole)
+				}
+			})
+		}
+	}
+}
