perf(router): news costs what it changes, not what the fleet is large

Callers on the grown sites waited for entries that had no processor time left: each change of one engine's holdings rebuilt the index of all upstreams, each look for own dispatches to tell (every 10 ms) visited all upstreams, and so did each full word of another entry (24 entries, twice a second).

The table is now changed in place under a read-write lock: Apply takes in changes of upstreams and placements; Update still takes in a whole catalog. Own dispatches and the word of each other entry are noted by upstream, so that News, Loads and TakeNews visit only upstreams with requests. An upstream at which no other entry has requests now counts as one of which none tells; with one entry in the settings, as on the platform, both mean no load of others.

TestChangesLeadToTheTableOfTheirCatalog compares 300 random histories with tables made anew.

--- a/router/choose.go
+++ b/router/choose.go
@@ -32,7 +32,9 @@
 // upstream holds what is asked for and *SaturatedError where all candidates
 // are at their limits.
 func (r *Router) Choose(now time.Time, request *Request) (Choice, error) {
-	candidates := r.candidates(request)
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	candidates := r.table.candidates(request)
 	s := search{now: now, request: request, cost: math.MaxInt64}
 	s.random = mix(r.settings.Seed ^ mix(request.Seed))
 	s.patient = request.patient(now)
@@ -56,8 +58,7 @@
 	}, nil
 }
 
-func (r *Router) candidates(request *Request) []*upstream {
-	t := r.current.Load()
+func (t *table) candidates(request *Request) []*upstream {
 	if request.Holds != "" {
 		return t.holders[request.Holds]
 	}
--- a/router/loads.go
+++ b/router/loads.go
@@ -19,56 +19,62 @@
 // Loads returns all that this entry has in flight. Idle upstreams are left
 // out. What it returns was not yet told as dispatched.
 func (r *Router) Loads() []Load {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
 	var loads []Load
-	for name, u := range r.current.Load().upstreams {
+	r.own.visitBusy(func(name string) bool {
+		u := r.table.upstreams[name]
+		if u == nil {
+			return false
+		}
 		share := u.own()
 		if share.Requests == 0 {
-			continue
+			return false
 		}
 		loads = append(loads, Load{
 			Upstream: name, Incarnation: u.about.Incarnation, Share: share, Models: u.byModel(),
 		})
-	}
+		return true
+	})
 	return loads
 }
 
 // News returns the upstreams at which this entry's share changed since the
 // news before, with the prompts dispatched meanwhile.
 func (r *Router) News() []Load {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
 	var loads []Load
-	for name, u := range r.current.Load().upstreams {
+	r.own.takeChanged(func(name string) {
+		u := r.table.upstreams[name]
+		if u == nil {
+			return
+		}
 		if share, changed := u.news(); changed {
 			loads = append(loads, Load{Upstream: name, Incarnation: u.about.Incarnation, Share: share})
 		}
-	}
+	})
 	return loads
 }
 
 // TakeNews takes in what another entry has in flight. Where whole is true,
 // upstreams that are not listed are idle for it.
 func (r *Router) TakeNews(now time.Time, entry string, loads []Load, whole bool) {
-	upstreams := r.current.Load().upstreams
-	listed := make(map[string]bool, len(loads))
+	idle := r.peers.take(now, entry, loads, whole)
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
 	for _, load := range loads {
-		listed[load.Upstream] = true
-		if u := upstreams[load.Upstream]; u != nil && u.about.Incarnation == load.Incarnation {
+		if u := r.table.upstreams[load.Upstream]; u != nil && u.about.Incarnation == load.Incarnation {
 			u.others(now, entry, load.Share)
 		}
 	}
-	if !whole {
-		return
-	}
-	for name, u := range upstreams {
-		if !listed[name] {
+	for _, name := range idle {
+		if u := r.table.upstreams[name]; u != nil {
 			u.others(now, entry, estimator.Share{})
 		}
 	}
 }
 
-// peerTime is how long the word of another entry counts: it repeats it more
-// often.
-const peerTime = 2 * time.Second
-
 // peerShare is what one other entry has in flight.
 type peerShare struct {
 	estimator.Share
@@ -102,7 +108,11 @@
 	if m.peers == nil {
 		m.peers = map[string]peerShare{}
 	}
-	m.peers[entry] = peerShare{Share: share, until: now.Add(peerTime)}
+	if share.Requests == 0 {
+		delete(m.peers, entry)
+	} else {
+		m.peers[entry] = peerShare{Share: share, until: now.Add(peerTime)}
+	}
 	var sum estimator.Share
 	for name, peer := range m.peers {
 		if now.After(peer.until) {
--- a/router/router.go
+++ b/router/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"burdocklink/cataloger"
@@ -13,24 +12,39 @@
 // a choice are safe for many goroutines.
 type Router struct {
 	settings Settings
-	current  atomic.Pointer[table]
-	// control orders the writers of the table.
-	control sync.Mutex
+	// mutex guards the table, which Choose reads and news changes.
+	mutex sync.RWMutex
+	table *table
+	own   *dispatches
+	peers *peers
 }
 
 // New returns a router that knows no upstream.
 func New(settings Settings) *Router {
-	r := &Router{settings: settings}
-	r.current.Store(&table{})
-	return r
+	return &Router{
+		settings: settings,
+		table:    emptyTable(settings.Entries),
+		own:      newDispatches(),
+		peers:    newPeers(),
+	}
 }
 
 // Update takes in a new catalog. What was measured of upstream incarnations
 // that stay is kept.
 func (r *Router) Update(catalog *cataloger.Catalog) {
-	r.control.Lock()
-	defer r.control.Unlock()
-	r.current.Store(newTable(r.current.Load(), catalog, r.settings.Entries))
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.table = newTable(r.table, catalog)
+}
+
+// Apply takes in changes of upstreams and placements; others are passed over.
+// It costs as much as the changes are large, however many upstreams there are.
+func (r *Router) Apply(changes []cataloger.Change) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, change := range changes {
+		r.table.apply(change)
+	}
 }
 
 // Observe takes in a load report that has arrived. A report of another
@@ -45,6 +59,7 @@
 func (r *Router) Started(choice Choice, request *Request, now time.Time) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
 		u.started(now, request, choice.CachedTokens)
+		r.own.changedAt(choice.Upstream)
 	}
 }
 
@@ -52,6 +67,7 @@
 func (r *Router) Finished(choice Choice, sample Sample) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
 		u.finished(&sample, choice.Predicted)
+		r.own.changedAt(choice.Upstream)
 	}
 }
 
@@ -63,7 +79,9 @@
 }
 
 func (r *Router) find(name, incarnation string) *upstream {
-	u := r.current.Load().upstreams[name]
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	u := r.table.upstreams[name]
 	if u == nil || u.about.Incarnation != incarnation {
 		return nil
 	}
--- a/router/table.go
+++ b/router/table.go
@@ -1,27 +1,44 @@
 package router
 
 import (
+	"cmp"
+	"slices"
+
 	"burdocklink/cataloger"
 )
 
-// table is the immutable index that traffic reads.
+// table is the index that traffic reads.
 type table struct {
+	// entries is how many entries share the upstreams.
+	entries   int
 	upstreams map[string]*upstream
-	// holders lists by model or adapter, services by service.
+	// placements are what the upstreams hold, by upstream.
+	placements map[string]cataloger.Placement
+	// holders lists the live upstreams by model or adapter, services by service,
+	// in ascending order of name.
 	holders  map[string][]*upstream
 	services map[string][]*upstream
 }
 
+func emptyTable(entries int) *table {
+	return &table{
+		entries:    entries,
+		upstreams:  map[string]*upstream{},
+		placements: map[string]cataloger.Placement{},
+		holders:    map[string][]*upstream{},
+		services:   map[string][]*upstream{},
+	}
+}
+
 // newTable indexes the live upstreams of a catalog and keeps the state of the
 // incarnations that the table before it knew.
-func newTable(before *table, catalog *cataloger.Catalog, entries int) *table {
-	t := &table{
-		upstreams: make(map[string]*upstream, len(catalog.Upstreams)),
-		holders:   make(map[string][]*upstream, len(catalog.Holders)),
-		services:  make(map[string][]*upstream, len(catalog.Services)),
-	}
+func newTable(before *table, catalog *cataloger.Catalog) *table {
+	t := emptyTable(before.entries)
 	for name, about := range catalog.Upstreams {
-		t.upstreams[name] = before.keep(about, entries)
+		t.upstreams[name] = before.keep(about)
+	}
+	for name, placement := range catalog.Placements {
+		t.placements[name] = placement
 	}
 	for name, holders := range catalog.Holders {
 		t.holders[name] = t.live(catalog, holders)
@@ -32,13 +49,13 @@
 	return t
 }
 
-func (t *table) keep(about cataloger.Upstream, entries int) *upstream {
+func (t *table) keep(about cataloger.Upstream) *upstream {
 	known, ok := t.upstreams[about.Name]
 	if ok && known.about == about {
 		return known
 	}
 	if !ok || known.about.Incarnation != about.Incarnation || known.about.Address != about.Address {
-		return newUpstream(about, entries)
+		return newUpstream(about, t.entries)
 	}
 	known.resize(about)
 	return &upstream{about: about, measured: known.measured}
@@ -54,3 +71,86 @@
 	}
 	return live
 }
+
+func (t *table) apply(change cataloger.Change) {
+	switch change := change.(type) {
+	case cataloger.PutUpstream:
+		t.put(change.Upstream)
+	case cataloger.RemoveUpstream:
+		t.remove(change.Name)
+	case cataloger.PutPlacement:
+		t.place(change.Placement)
+	}
+}
+
+func (t *table) put(about cataloger.Upstream) {
+	t.unlist(t.upstreams[about.Name])
+	t.upstreams[about.Name] = t.keep(about)
+	t.list(t.upstreams[about.Name])
+}
+
+func (t *table) remove(name string) {
+	t.unlist(t.upstreams[name])
+	delete(t.upstreams, name)
+	delete(t.placements, name)
+}
+
+func (t *table) place(placement cataloger.Placement) {
+	t.unlist(t.upstreams[placement.Upstream])
+	t.placements[placement.Upstream] = placement
+	t.list(t.upstreams[placement.Upstream])
+}
+
+// list enters a live upstream under its service and all that it holds.
+func (t *table) list(u *upstream) {
+	if u == nil || u.about.State != cataloger.UpstreamLive {
+		return
+	}
+	include(t.services, u.about.Service, u)
+	placement := t.placements[u.about.Name]
+	for _, name := range placement.Models {
+		include(t.holders, name, u)
+	}
+	for _, name := range placement.Adapters {
+		include(t.holders, name, u)
+	}
+}
+
+// unlist takes back what list entered.
+func (t *table) unlist(u *upstream) {
+	if u == nil || u.about.State != cataloger.UpstreamLive {
+		return
+	}
+	exclude(t.services, u.about.Service, u)
+	placement := t.placements[u.about.Name]
+	for _, name := range placement.Models {
+		exclude(t.holders, name, u)
+	}
+	for _, name := range placement.Adapters {
+		exclude(t.holders, name, u)
+	}
+}
+
+func include(lists map[string][]*upstream, name string, u *upstream) {
+	if at, found := position(lists[name], u); !found {
+		lists[name] = slices.Insert(lists[name], at, u)
+	}
+}
+
+func exclude(lists map[string][]*upstream, name string, u *upstream) {
+	at, found := position(lists[name], u)
+	if !found {
+		return
+	}
+	lists[name] = slices.Delete(lists[name], at, at+1)
+	if len(lists[name]) == 0 {
+		delete(lists, name)
+	}
+}
+
+// position returns where an upstream stands in a list, or where it belongs.
+func position(list []*upstream, u *upstream) (int, bool) {
+	return slices.BinarySearchFunc(list, u, func(a, b *upstream) int {
+		return cmp.Compare(a.about.Name, b.about.Name)
+	})
+}
--- /dev/null
+++ b/router/table_test.go
@@ -0,0 +1,191 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/estimator"
+)
+
+// randomChange draws a change of one of few upstreams, so that changes meet.
+func randomChange(random *rand.Rand) cataloger.Change {
+	name := fmt.Sprintf("e%d", random.IntN(5))
+	switch random.IntN(4) {
+	case 0:
+		return cataloger.RemoveUpstream{Name: name}
+	case 1:
+		placement := cataloger.Placement{Upstream: name}
+		for model := range 4 {
+			if random.IntN(2) == 0 {
+				placement.Models = append(placement.Models, fmt.Sprintf("m%d", model))
+				placement.Adapters = append(placement.Adapters, fmt.Sprintf("a%d", random.IntN(3)))
+			}
+		}
+		return cataloger.PutPlacement{Placement: placement}
+	default:
+		return cataloger.PutUpstream{Upstream: cataloger.Upstream{
+			Name: name, Incarnation: fmt.Sprint(random.IntN(2)), Address: "10.0.0.1:1", Slots: 1 + random.IntN(2),
+			Service: fmt.Sprintf("s%d", random.IntN(2)),
+			State:   cataloger.UpstreamLive + cataloger.UpstreamState(random.IntN(2)),
+		}}
+	}
+}
+
+// shown is a table as a test compares it.
+type shown struct {
+	Upstreams         map[string]cataloger.Upstream
+	Holders, Services map[string][]string
+}
+
+func show(t *table) shown {
+	s := shown{Upstreams: map[string]cataloger.Upstream{}, Holders: names(t.holders), Services: names(t.services)}
+	for name, u := range t.upstreams {
+		s.Upstreams[name] = u.about
+	}
+	return s
+}
+
+// names leaves out empty lists, which are no difference.
+func names(lists map[string][]*upstream) map[string][]string {
+	found := map[string][]string{}
+	for name, list := range lists {
+		for _, u := range list {
+			found[name] = append(found[name], u.about.Name)
+		}
+	}
+	return found
+}
+
+func TestChangesLeadToTheTableOfTheirCatalog(t *testing.T) {
+	const histories, steps = 300, 30
+	for seed := range uint64(histories) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		catalog, changed := cataloger.New(), New(Settings{})
+		for range steps {
+			changes := []cataloger.Change{randomChange(random), randomChange(random)}
+			next, err := catalog.With(cataloger.Delta{From: catalog.Revision, To: catalog.Revision + 1, Changes: changes})
+			assert.NilError(t, err)
+			catalog = next
+			changed.Apply(changes)
+			rebuilt := New(Settings{})
+			rebuilt.Update(catalog)
+			assert.DeepEqual(t, show(changed.table), show(rebuilt.table))
+		}
+	}
+}
+
+func TestAChangeKeepsWhatWasMeasured(t *testing.T) {
+	about := fleet(t, 1).Upstreams["e0"]
+	restarted, moved := about, about
+	restarted.Incarnation, moved.Address = "2", "127.0.0.1:2"
+	leaving := about
+	leaving.State = cataloger.UpstreamLeaving
+	cases := map[string]struct {
+		change cataloger.Change
+		kept   bool
+	}{
+		"the same again": {cataloger.PutUpstream{Upstream: about}, true},
+		"leaves":         {cataloger.PutUpstream{Upstream: leaving}, true},
+		"holds nothing":  {cataloger.PutPlacement{Placement: cataloger.Placement{Upstream: "e0"}}, true},
+		"restarted":      {cataloger.PutUpstream{Upstream: restarted}, false},
+		"moved":          {cataloger.PutUpstream{Upstream: moved}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			r.Update(fleet(t, 1))
+			before := r.table.upstreams["e0"].measured
+			r.Apply([]cataloger.Change{c.change})
+			assert.Equal(t, r.table.upstreams["e0"].measured == before, c.kept)
+		})
+	}
+}
+
+// fleetGrowth is by how much the larger fleet of a cost test is larger, and
+// costGrowth how much more a step may cost there: caches hold less of it.
+const (
+	fleetGrowth = 50
+	costGrowth  = 8
+)
+
+// quickest is the shortest of many measured times, which other work on the
+// machine does not lengthen.
+func quickest(step func()) time.Duration {
+	const rounds, steps = 300, 20
+	least := time.Hour
+	for range rounds {
+		began := time.Now()
+		for range steps {
+			step()
+		}
+		least = min(least, time.Since(began)/steps)
+	}
+	return least
+}
+
+// Found on the grown cpf-verifica, trouble-1: the work that an entry does for
+// each piece of news grew with the number of upstreams, and took its whole share
+// of a core.
+func TestNewsCostsNoMoreInALargeFleet(t *testing.T) {
+	const engines = 140
+	cases := map[string]func(r *Router) func(){
+		"a change of holdings": func(r *Router) func() {
+			turn := 0
+			return func() {
+				turn++
+				r.Apply([]cataloger.Change{cataloger.PutPlacement{Placement: cataloger.Placement{
+					Upstream: "e1", Incarnation: "1", Models: []string{"n" + fmt.Sprint(turn%2)},
+				}}})
+			}
+		},
+		"no own dispatch to tell": func(r *Router) func() {
+			return func() { r.News() }
+		},
+		"all own dispatches": func(r *Router) func() {
+			r.Started(Choice{Upstream: "e1", Incarnation: "1"}, ask(1), epoch)
+			return func() { r.Loads() }
+		},
+		"another entry's full word": func(r *Router) func() {
+			loads := []Load{{Upstream: "e1", Incarnation: "1", Share: estimator.Share{Requests: 1}}}
+			return func() { r.TakeNews(epoch, "other", loads, true) }
+		},
+	}
+	for name, prepare := range cases {
+		t.Run(name, func(t *testing.T) {
+			cost := func(size int) time.Duration {
+				r := New(Settings{})
+				r.Update(fleet(t, size))
+				return quickest(prepare(r))
+			}
+			small, large := cost(engines), cost(fleetGrowth*engines)
+			assert.Assert(t, large < costGrowth*small+time.Microsecond, "%v at %d upstreams, %v at %d",
+				small, engines, large, fleetGrowth*engines)
+		})
+	}
+}
+
+func TestAnotherEntrysFullWordTakesBackWhatItLeavesOut(t *testing.T) {
+	r := New(Settings{})
+	r.Update(fleet(t, 2))
+	tell := func(whole bool, upstreams ...string) {
+		var loads []Load
+		for _, name := range upstreams {
+			loads = append(loads, Load{Upstream: name, Incarnation: "1", Share: estimator.Share{Requests: 3}})
+		}
+		r.TakeNews(epoch, "other", loads, whole)
+	}
+	load := func(name string) float64 { return r.table.upstreams[name].engine.Load(epoch) }
+	tell(false, "e0", "e1")
+	assert.Equal(t, load("e0"), 3.0)
+	assert.Equal(t, load("e1"), 3.0)
+	tell(true, "e1")
+	assert.Equal(t, load("e0"), 0.0)
+	assert.Equal(t, load("e1"), 3.0)
+	tell(true)
+	assert.Equal(t, load("e1"), 0.0)
+}
