perf(surveyor): a word on one engine renews one upstream

Callers on the grown sites waited for, and were refused by, entries whose share of a core went into pictures of the fleet: each word of the leader on one engine, each answer to a question and each repetition of what stands described, sorted, indexed and compared all upstreams, models and adapters anew, and the router then indexed them once more.

A surveyor now keeps what it has published of each upstream, renews only the upstreams that it is told of, and tells the router the changes. A word that only stands allocates nothing and notifies nobody. Own readings and configurations still look at all upstreams, without allocating for those that are the same.

--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -96,9 +96,9 @@
 	return p
 }
 
-// notify brings a new picture of the upstreams to those who decide by it.
-func (p *entryParts) notify(catalog *cataloger.Catalog) {
-	p.routes.Update(catalog)
+// notify brings what changed of the upstreams to those who decide by it.
+func (p *entryParts) notify(changes []cataloger.Change) {
+	p.routes.Apply(changes)
 	p.admission.Wake()
 }
 
--- a/surveyor/fleet_test.go
+++ b/surveyor/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -74,9 +75,9 @@
 	return e
 }
 
-func (e *entry) take(catalog *cataloger.Catalog) {
+func (e *entry) take(changes []cataloger.Change) {
 	e.pictures++
-	e.router.Update(catalog)
+	e.router.Apply(changes)
 }
 
 func grownHoldings(engines, turn int) []surveyor.Told {
@@ -136,6 +137,72 @@
 	}
 }
 
+// sizeOf returns the bytes and allocations of one step.
+func sizeOf(step func()) (bytes, allocations uint64) {
+	const rounds = 100
+	var before, after runtime.MemStats
+	step()
+	runtime.ReadMemStats(&before)
+	for range rounds {
+		step()
+	}
+	runtime.ReadMemStats(&after)
+	return (after.TotalAlloc - before.TotalAlloc) / rounds, (after.Mallocs - before.Mallocs) / rounds
+}
+
+// One change may allocate no more than this; half of it is a new incarnation's
+// estimate of its load. A hundred changes a second are then under a megabyte.
+const (
+	mostBytes       = 8 << 10
+	mostAllocations = 50
+)
+
+// Found on the grown cpf-verifica, trouble-1: each word on one engine made an
+// entry describe, compare and index all upstreams anew, 2 to 4 ms each time.
+func TestOneChangeCostsNoMoreInALargeFleet(t *testing.T) {
+	turns := [][]surveyor.Told{{grownTold(1, 0)}, {grownTold(1, 1)}}
+	restarted := grownUpstream(2)
+	cases := map[string]func(e *entry, turn int){
+		"holdings of one engine": func(e *entry, turn int) { e.Tell(turns[turn%2]) },
+		"one engine restarted": func(e *entry, turn int) {
+			restarted.Incarnation = fmt.Sprint("again-", turn)
+			e.Learn(surveyor.Changes{Upstreams: []surveyor.Upstream{restarted}})
+		},
+	}
+	for name, change := range cases {
+		for _, engines := range []int{grownEngines, 10 * grownEngines} {
+			t.Run(fmt.Sprintf("%s of %d", name, engines), func(t *testing.T) {
+				e := newEntry(t, engines)
+				turn, pictures := 0, e.pictures
+				bytes, allocations := sizeOf(func() { turn++; change(e, turn) })
+				assert.Assert(t, bytes <= mostBytes, "%d bytes", bytes)
+				assert.Assert(t, allocations <= mostAllocations, "%d allocations", allocations)
+				assert.Equal(t, e.pictures-pictures, turn)
+			})
+		}
+	}
+}
+
+func TestWhatIsNoNewsCostsNothing(t *testing.T) {
+	all := grownHoldings(grownEngines, 0)
+	cases := map[string]func(e *entry){
+		"nothing told":                func(e *entry) { e.Tell(nil) },
+		"one engine's holdings stand": func(e *entry) { e.Tell(all[:1]) },
+		"all holdings stand":          func(e *entry) { e.Tell(all) },
+		"nothing learned":             func(e *entry) { e.Learn(surveyor.Changes{}) },
+		"the list was read again":     func(e *entry) { e.Confirm(time.Now()) },
+	}
+	for name, tell := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := newEntry(t, grownEngines)
+			pictures := e.pictures
+			_, allocations := sizeOf(func() { tell(e) })
+			assert.Equal(t, e.pictures, pictures)
+			assert.Equal(t, allocations, uint64(0))
+		})
+	}
+}
+
 func TestAnEntryRoutesByWhatItIsTold(t *testing.T) {
 	e := newEntry(t, 3)
 	request := router.Request{Service: "chat", Holds: surveyor.HeldName("chat", "model-002", "")}
--- a/surveyor/learn.go
+++ b/surveyor/learn.go
@@ -1,24 +1,38 @@
 package surveyor
 
 import (
-	"maps"
 	"time"
+
+	"burdocklink/cataloger"
 )
 
 // Learn takes in what another process has read of the platform's list.
 func (s *Surveyor) Learn(changes Changes) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	listed := map[string]Upstream{}
-	if !changes.Whole {
-		listed = maps.Clone(s.listed)
+	if changes.Whole {
+		s.learnWhole(changes.Upstreams)
+		return
 	}
+	var news []cataloger.Change
 	for _, upstream := range changes.Upstreams {
+		upstream = s.merge(upstream)
+		s.logListed(upstream)
+		s.listed[upstream.Name] = upstream
+		news = s.renew(news, upstream.Name)
+	}
+	s.publish(news)
+}
+
+// learnWhole takes in a whole list. The mutex is held.
+func (s *Surveyor) learnWhole(upstreams []Upstream) {
+	listed := make(map[string]Upstream, len(upstreams))
+	for _, upstream := range upstreams {
 		listed[upstream.Name] = s.merge(upstream)
 	}
 	s.logNews(listed)
 	s.listed = listed
-	s.update()
+	s.renewAll()
 }
 
 // merge keeps what an own reading says beside the other process's: what is held,
--- a/surveyor/picture.go
+++ b/surveyor/picture.go
@@ -18,18 +18,64 @@
 	Until time.Time
 }
 
-// catalog makes the picture of all upstreams. The mutex is held.
-func (s *Surveyor) catalog() *cataloger.Catalog {
+// pictured is what the picture says of one upstream.
+type pictured struct {
+	upstream cataloger.Upstream
+	holds    []Held
+}
+
+// renew adds to changes what became different for one upstream since it was
+// published. The mutex is held.
+func (s *Surveyor) renew(changes []cataloger.Change, name string) []cataloger.Change {
+	before, known := s.pictured[name]
+	upstream, listed := s.listed[name]
+	if !listed {
+		if !known {
+			return changes
+		}
+		delete(s.pictured, name)
+		return append(changes, cataloger.RemoveUpstream{Name: name})
+	}
+	now := pictured{upstream: s.describe(upstream), holds: s.holds(upstream)}
+	if !known || before.upstream != now.upstream {
+		changes = append(changes, cataloger.PutUpstream{Upstream: now.upstream})
+	}
+	if !before.placedAs(now) {
+		changes = append(changes, cataloger.PutPlacement{Placement: placement(upstream, now.holds)})
+	}
+	s.pictured[name] = now
+	return changes
+}
+
+// placedAs says whether two upstreams have the same placement.
+func (p pictured) placedAs(other pictured) bool {
+	return p.upstream.Service == other.upstream.Service &&
+		p.upstream.Incarnation == other.upstream.Incarnation && slices.EqualFunc(p.holds, other.holds, sameHeld)
+}
+
+func sameHeld(a, b Held) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// renewAll publishes what became different for any upstream. The mutex is held.
+func (s *Surveyor) renewAll() {
 	var changes []cataloger.Change
-	for _, upstream := range s.listed {
-		changes = append(changes, cataloger.PutUpstream{Upstream: s.describe(upstream)})
-		if holds := s.holds(upstream); len(holds) > 0 {
-			changes = append(changes, cataloger.PutPlacement{Placement: placement(upstream, holds)})
+	for name := range s.listed {
+		changes = s.renew(changes, name)
+	}
+	for name := range s.pictured {
+		if _, listed := s.listed[name]; !listed {
+			changes = s.renew(changes, name)
 		}
 	}
-	// a delta from revision zero always continues the empty catalog
-	catalog, _ := cataloger.New().With(cataloger.Delta{To: 1, Changes: changes})
-	return catalog
+	s.publish(changes)
+}
+
+// publish tells what became different. The mutex is held.
+func (s *Surveyor) publish(changes []cataloger.Change) {
+	if len(changes) > 0 {
+		s.settings.Notify(changes)
+	}
 }
 
 // describe gives an upstream in the catalog's terms.
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"reflect"
 	"sync"
 	"time"
 
@@ -25,9 +24,9 @@
 	// Interval is how old the last reading may be, the own one or another
 	// process's, before the list is read.
 	Interval time.Duration
-	// Notify is called with each new picture, on any goroutine, one call at a
-	// time.
-	Notify func(*cataloger.Catalog)
+	// Notify is called with what changed in the picture, on any goroutine, one
+	// call at a time. It must not call the surveyor.
+	Notify func([]cataloger.Change)
 	Log    *zap.Logger
 }
 
@@ -47,8 +46,8 @@
 	told map[string]Told
 	// configuration is the one in force, nil before there is any.
 	configuration *matcher.Configuration
-	current       *cataloger.Catalog
-	revision      uint64
+	// pictured is what Notify was told, by upstream.
+	pictured map[string]pictured
 }
 
 // fetchTime is the longest that one reading may take. A lost connection shows
@@ -73,6 +72,7 @@
 		ended:    make(chan struct{}),
 		listed:   map[string]Upstream{},
 		told:     map[string]Told{},
+		pictured: map[string]pictured{},
 	}
 }
 
@@ -151,7 +151,7 @@
 	defer s.mutex.Unlock()
 	s.logNews(listed)
 	s.listed, s.readAt = listed, began
-	s.update()
+	s.renewAll()
 	return nil
 }
 
@@ -175,14 +175,8 @@
 
 // logNews logs what changed in the list.
 func (s *Surveyor) logNews(listed map[string]Upstream) {
-	for name, upstream := range listed {
-		before, known := s.listed[name]
-		if known && before.State == upstream.State && before.Incarnation == upstream.Incarnation {
-			continue
-		}
-		s.settings.Log.Info("upstream listed", zap.String("upstream", name),
-			zap.String("service", upstream.Service), zap.String("address", upstream.Address),
-			zap.Bool("leaving", upstream.State == Leaving))
+	for _, upstream := range listed {
+		s.logListed(upstream)
 	}
 	for name := range s.listed {
 		if _, still := listed[name]; !still {
@@ -191,33 +185,32 @@
 	}
 }
 
+func (s *Surveyor) logListed(upstream Upstream) {
+	before, known := s.listed[upstream.Name]
+	if known && before.State == upstream.State && before.Incarnation == upstream.Incarnation {
+		return
+	}
+	s.settings.Log.Info("upstream listed", zap.String("upstream", upstream.Name),
+		zap.String("service", upstream.Service), zap.String("address", upstream.Address),
+		zap.Bool("leaving", upstream.State == Leaving))
+}
+
 // Configure takes in the configuration in force.
 func (s *Surveyor) Configure(configuration *matcher.Configuration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.configuration = configuration
-	s.update()
+	s.renewAll()
 }
 
 // Tell takes in what the control group says that engines hold.
 func (s *Surveyor) Tell(told []Told) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	var changes []cataloger.Change
 	for _, one := range told {
 		s.told[one.Upstream] = one
+		changes = s.renew(changes, one.Upstream)
 	}
-	s.update()
-}
-
-// update makes a new picture where something changed. The mutex is held.
-func (s *Surveyor) update() {
-	catalog := s.catalog()
-	if s.current != nil && reflect.DeepEqual(catalog.Upstreams, s.current.Upstreams) &&
-		reflect.DeepEqual(catalog.Placements, s.current.Placements) {
-		return
-	}
-	s.revision++
-	catalog.Revision = s.revision
-	s.current = catalog
-	s.settings.Notify(catalog)
+	s.publish(changes)
 }
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -36,9 +36,14 @@
 }
 
 func survey(l *lister) (*Surveyor, func() *cataloger.Catalog, *int) {
-	var last *cataloger.Catalog
+	last := cataloger.New()
 	told := 0
-	s := New(Settings{Fetch: l.fetch, Notify: func(c *cataloger.Catalog) { last, told = c, told+1 }, Log: zap.NewNop()})
+	notify := func(changes []cataloger.Change) {
+		told++
+		// a delta from the catalog's revision always continues it
+		last, _ = last.With(cataloger.Delta{From: last.Revision, To: last.Revision + 1, Changes: changes})
+	}
+	s := New(Settings{Fetch: l.fetch, Notify: notify, Log: zap.NewNop()})
 	return s, func() *cataloger.Catalog { return last }, &told
 }
 
@@ -121,3 +126,20 @@
 	_, _, _, ok := ParseHeldName("calendar")
 	assert.Assert(t, !ok)
 }
+
+// told returns the holdings of e1 that the control group tells.
+func held(model string) []Told {
+	return []Told{{Upstream: "e1", Incarnation: "e1@1", Holds: []Held{{Model: model}}, Until: time.Now().Add(time.Hour)}}
+}
+
+func TestAWordThatGrowsOldGivesWayToTheList(t *testing.T) {
+	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "listed")}}}}
+	s, last, _ := survey(l)
+	assert.NilError(t, s.read())
+	told := held("told")
+	s.Tell(told)
+	assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "told", "")})
+	told[0].Until = time.Now().Add(-time.Second)
+	s.Tell(told)
+	assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "listed", "")})
+}
