fix(surveyor): an own reading that another one has overtaken changes nothing

An entry that reads the platform's list itself may be told the leader's newer reading while its own is under way. It then put its own, older reading in place of the newer one: upstreams that were just told of were lost until the list was next read, and an incarnation that leaves took work again.

A reading during which another one was learned or confirmed is now given up, but for what it shows as leaving, and tried again after the time of a reading that failed. An incarnation that leaves stays leaving whichever way it was known. TestAPictureNeverGoesBack, TestAnIncarnationThatLeavesStaysLeaving and TestAnOvertakenReadingStillShowsWhatLeaves fail on the code before.

--- /dev/null
+++ b/surveyor/errors.go
@@ -0,0 +1,8 @@
+package surveyor
+
+// OvertakenError says that another process's reading of the list was taken in
+// while this one was under way. Which of them is newer is not known.
+type OvertakenError struct{}
+
+// Error describes the reading.
+func (e *OvertakenError) Error() string { return "another reading of the list came meanwhile" }
--- a/surveyor/learn.go
+++ b/surveyor/learn.go
@@ -10,6 +10,7 @@
 func (s *Surveyor) Learn(changes Changes) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.learnedAt = time.Now()
 	if changes.Whole {
 		s.learnWhole(changes.Upstreams)
 		return
@@ -43,12 +44,35 @@
 		return upstream
 	}
 	upstream.Holds = known.Holds
-	if known.State == Leaving {
+	return s.stayLeaving(upstream)
+}
+
+// stayLeaving keeps an incarnation leaving that was known to leave, whichever
+// reading is newer. The mutex is held.
+func (s *Surveyor) stayLeaving(upstream Upstream) Upstream {
+	known := s.listed[upstream.Name]
+	if known.State == Leaving && known.Incarnation == upstream.Incarnation {
 		upstream.State = Leaving
 	}
 	return upstream
 }
 
+// takeLeaving takes in only which known incarnations leave. The mutex is held.
+func (s *Surveyor) takeLeaving(listed map[string]Upstream) {
+	var news []cataloger.Change
+	for name, upstream := range listed {
+		known := s.listed[name]
+		if upstream.State != Leaving || known.State == Leaving || known.Incarnation != upstream.Incarnation {
+			continue
+		}
+		s.logListed(upstream)
+		known.State = Leaving
+		s.listed[name] = known
+		news = s.renew(news, name)
+	}
+	s.publish(news)
+}
+
 // Confirm notes that the other process's list was read at a time, and that all
 // of it has been learned. The own reading is put off.
 func (s *Surveyor) Confirm(at time.Time) {
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -40,8 +40,10 @@
 	mutex sync.Mutex
 	// listed are the upstreams by name, as last read.
 	listed map[string]Upstream
-	// readAt is when the list was read, here or by another process.
-	readAt time.Time
+	// readAt is when the list was read, here or by another process, and learnedAt
+	// when another one's reading was last taken in.
+	readAt    time.Time
+	learnedAt time.Time
 	// told are what the control group says that engines hold.
 	told map[string]Told
 	// configuration is the one in force, nil before there is any.
@@ -149,6 +151,13 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.readAt.After(began) || s.learnedAt.After(began) {
+		s.takeLeaving(listed)
+		return &OvertakenError{}
+	}
+	for name, upstream := range listed {
+		listed[name] = s.stayLeaving(upstream)
+	}
 	s.logNews(listed)
 	s.listed, s.readAt = listed, began
 	s.renewAll()
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -132,6 +132,103 @@
 	return []Told{{Upstream: "e1", Incarnation: "e1@1", Holds: []Held{{Model: model}}, Until: time.Now().Add(time.Hour)}}
 }
 
+func TestAPictureNeverGoesBack(t *testing.T) {
+	fresh := engine("e2", Live)
+	cases := map[string]struct {
+		// meanwhile is what another process tells while the list is read, in
+		// which e1 takes work and e2 is missing.
+		meanwhile func(s *Surveyor)
+		read      bool
+		e1        cataloger.UpstreamState
+		e2        bool
+	}{
+		"nothing": {func(*Surveyor) {}, true, cataloger.UpstreamLive, false},
+		"one more is listed": {func(s *Surveyor) {
+			s.Learn(Changes{Upstreams: []Upstream{fresh}})
+		}, false, cataloger.UpstreamLive, true},
+		"another list is whole": {func(s *Surveyor) {
+			s.Learn(Changes{Whole: true, Upstreams: []Upstream{engine("e1", Leaving), fresh}})
+		}, false, cataloger.UpstreamLeaving, true},
+		"the known list was read later": {func(s *Surveyor) {
+			s.Confirm(time.Now().Add(time.Minute))
+		}, false, cataloger.UpstreamLive, false},
+		"an older reading is confirmed": {func(s *Surveyor) {
+			s.Confirm(time.Now().Add(-time.Minute))
+		}, true, cataloger.UpstreamLive, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var s *Surveyor
+			l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "m")}}}}
+			s, last, _ := survey(l)
+			s.Learn(Changes{Whole: true, Upstreams: []Upstream{engine("e1", Live, "m")}})
+			s.settings.Fetch = func(ctx context.Context, page string) (Page, error) {
+				c.meanwhile(s)
+				return l.fetch(ctx, page)
+			}
+			err := s.read()
+			if c.read {
+				assert.NilError(t, err)
+			} else {
+				assert.ErrorType(t, err, &OvertakenError{})
+			}
+			assert.Equal(t, last().Upstreams["e1"].State, c.e1)
+			_, known := last().Upstreams["e2"]
+			assert.Equal(t, known, c.e2)
+		})
+	}
+}
+
+func TestAnIncarnationThatLeavesStaysLeaving(t *testing.T) {
+	restarted := engine("e1", Live)
+	restarted.Incarnation = "e1@2"
+	cases := map[string]struct {
+		next Upstream
+		want cataloger.UpstreamState
+	}{
+		"the same incarnation": {engine("e1", Live), cataloger.UpstreamLeaving},
+		"the next one":         {restarted, cataloger.UpstreamLive},
+	}
+	takeIn := map[string]func(s *Surveyor, next Upstream) error{
+		"read": func(s *Surveyor, next Upstream) error {
+			s.settings.Fetch = (&lister{pages: map[string]Page{"": {Upstreams: []Upstream{next}}}}).fetch
+			return s.read()
+		},
+		"learned": func(s *Surveyor, next Upstream) error {
+			s.Learn(Changes{Upstreams: []Upstream{next}})
+			return nil
+		},
+		"learned whole": func(s *Surveyor, next Upstream) error {
+			s.Learn(Changes{Whole: true, Upstreams: []Upstream{next}})
+			return nil
+		},
+	}
+	for name, c := range cases {
+		for way, take := range takeIn {
+			t.Run(name+" "+way, func(t *testing.T) {
+				s, last, _ := survey(&lister{})
+				s.Learn(Changes{Whole: true, Upstreams: []Upstream{engine("e1", Leaving)}})
+				assert.NilError(t, take(s, c.next))
+				assert.Equal(t, last().Upstreams["e1"].State, c.want)
+			})
+		}
+	}
+}
+
+// A leader may be lost while a reading is under way that shows a leaving
+// upstream: nothing may be sent there, whichever reading is newer.
+func TestAnOvertakenReadingStillShowsWhatLeaves(t *testing.T) {
+	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Leaving)}}}}
+	s, last, _ := survey(l)
+	s.Learn(Changes{Whole: true, Upstreams: []Upstream{engine("e1", Live)}})
+	s.settings.Fetch = func(ctx context.Context, page string) (Page, error) {
+		s.Learn(Changes{Upstreams: []Upstream{engine("e2", Live)}})
+		return l.fetch(ctx, page)
+	}
+	assert.ErrorType(t, s.read(), &OvertakenError{})
+	assert.Equal(t, last().Upstreams["e1"].State, cataloger.UpstreamLeaving)
+}
+
 func TestAWordThatGrowsOldGivesWayToTheList(t *testing.T) {
 	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "listed")}}}}
 	s, last, _ := survey(l)
