--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -23,6 +23,12 @@
 }
 
 func newEntry(t *testing.T, name string) *entry {
+	t.Helper()
+	return newEntryThat(t, name, func() {})
+}
+
+// newEntryThat wakes somebody when notes have arrived.
+func newEntryThat(t testing.TB, name string, wake func()) *entry {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -38,7 +44,7 @@
 	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
 	t.Cleanup(links.Close)
 	e.notes = broadcaster.New(broadcaster.Settings{
-		Entry: name, Listen: e.address, Links: links, Router: e.router, Wake: func() {}, Log: zap.NewNop(),
+		Entry: name, Listen: e.address, Links: links, Router: e.router, Wake: wake, Log: zap.NewNop(),
 	})
 	assert.NilError(t, e.notes.Start(t.Context(), nil))
 	t.Cleanup(func() { _ = e.notes.Stop(time.Now().Add(time.Second)) })
