feat(surveyor): neighbouring entries share readings of the platform's list

The cost grew with the number of entries times that of pages.

An entry whose last reading grows old now asks the first entry of its group of 16 before it reads for itself. That one answers from a reading that is newer by a quarter of the interval, or makes one for all that ask meanwhile. A digest in the question leaves the list out of the answer where both know the same. The age of an answer counts from when the question was sent, so that a slow way makes it older, never newer. Asking begins a fifth of the interval earlier than reading, and gives up in time for the own reading: news of a leaving upstream depends on no other process, as before. An entry that gave no reading is not asked for 3 s; the next of the group is.

Tests: TestEntriesShareReadingsWithoutALeader, TestAnEntryWhoseReaderIsSilent- ReadsInTime, TestOneOfEachGroupReads (5 readers of 67 entries, 56 of 890).

--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -1,7 +1,8 @@
 // Package broadcaster tells the other entries what this one dispatches, as it
 // happens, so that entries which see only a part of the requests don't send too
 // much to one upstream at the same moment. A note that is lost changes little:
-// shares are absolute and repeated.
+// shares are absolute and repeated. It also carries the readings of the
+// platform's list that neighbouring entries share.
 package broadcaster
 
 import (
@@ -19,6 +20,7 @@
 	"burdocklink/linker"
 	"burdocklink/registrar"
 	"burdocklink/router"
+	"burdocklink/surveyor"
 )
 
 // Name is the service's name in the kernel.
@@ -45,6 +47,9 @@
 	Listen string
 	Links  *linker.Linker
 	Router *router.Router
+	// Answer answers other entries that ask for a reading of the platform's
+	// list; nil where nobody does.
+	Answer func(ctx context.Context, question surveyor.Question) (surveyor.Reading, error)
 	// Wake is called when room at an upstream may have changed.
 	Wake func()
 	Log  *zap.Logger
@@ -63,6 +68,10 @@
 	mutex sync.Mutex
 	// peers are the entries that are told, by address.
 	peers map[string]*peer
+	// readers are the entries that may read the platform's list for this one,
+	// those in avoided not before a time.
+	readers []string
+	avoided map[string]time.Time
 }
 
 // peer is one entry that is told.
@@ -82,6 +91,7 @@
 		cancel:   cancel,
 		ended:    make(chan struct{}),
 		peers:    map[string]*peer{},
+		avoided:  map[string]time.Time{},
 	}
 }
 
@@ -96,6 +106,9 @@
 	}
 	b.server = grpc.NewServer(linker.ServerOptions()...)
 	wire.RegisterPeerServer(b.server, b)
+	if b.settings.Answer != nil {
+		wire.RegisterReadingsServer(b.server, &readings{answer: b.settings.Answer})
+	}
 	go b.runServer(listener)
 	go b.run()
 	return nil
@@ -117,9 +130,11 @@
 
 // Meet sets the addresses of the other entries.
 func (b *Broadcaster) Meet(addresses []string) {
+	readers := groupBefore(b.settings.Listen, addresses, entriesPerReader)
 	addresses = subset(b.settings.Listen, addresses, mostPeers)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.setReaders(readers)
 	wanted := make(map[string]bool, len(addresses))
 	for _, address := range addresses {
 		wanted[address] = true
--- a/broadcaster/subset.go
+++ b/broadcaster/subset.go
@@ -20,3 +20,11 @@
 	}
 	return chosen
 }
+
+// groupBefore returns the entries of the own group that come before the own
+// one, when all entries stand in order of address, in groups of a size.
+func groupBefore(own string, peers []string, size int) []string {
+	ordered := slices.DeleteFunc(slices.Sorted(slices.Values(peers)), func(address string) bool { return address == own })
+	at, _ := slices.BinarySearch(ordered, own)
+	return ordered[at-at%size : at]
+}
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -1,6 +1,7 @@
 package provisioner
 
 import (
+	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -78,20 +79,22 @@
 	p.retries.apply = p.admission.SetReserve
 	p.calls = dispatcher.New(dispatcher.Settings{Dial: dialTime})
 	p.links = linker.New(nil, linker.NewMeter(p.metrics.Registry()))
+	p.upstreams = surveyor.New(surveyor.Settings{
+		Fetch:    platform.NewClient(settings.List.Address, p.calls).FetchList,
+		Ask:      p.ask,
+		Interval: listInterval,
+		Notify:   p.notify,
+		Log:      settings.Log,
+	})
 	p.notes = broadcaster.New(broadcaster.Settings{
 		Entry:  settings.Node,
 		Listen: settings.Links,
 		Links:  p.links,
 		Router: p.routes,
+		Answer: p.upstreams.Answer,
 		Wake:   p.admission.Wake,
 		Log:    settings.Log,
 	})
-	p.upstreams = surveyor.New(surveyor.Settings{
-		Fetch:    platform.NewClient(settings.List.Address, p.calls).FetchList,
-		Interval: listInterval,
-		Notify:   p.notify,
-		Log:      settings.Log,
-	})
 	p.configuration = newConfigured(p.upstreams, settings.Log)
 	return p
 }
@@ -102,6 +105,11 @@
 	p.admission.Wake()
 }
 
+// ask asks another entry for its reading of the platform's list.
+func (p *entryParts) ask(ctx context.Context, question surveyor.Question) (surveyor.Reading, error) {
+	return p.notes.Ask(ctx, question)
+}
+
 // meet takes in the addresses of the other entries.
 func (p *entryParts) meet(peers []string) {
 	p.notes.Meet(peers)
--- a/surveyor/learn.go
+++ b/surveyor/learn.go
@@ -17,10 +17,7 @@
 	}
 	var news []cataloger.Change
 	for _, upstream := range changes.Upstreams {
-		upstream = s.merge(upstream)
-		s.logListed(upstream)
-		s.listed[upstream.Name] = upstream
-		news = s.renew(news, upstream.Name)
+		news = s.put(news, s.merge(upstream))
 	}
 	s.publish(news)
 }
@@ -31,9 +28,7 @@
 	for _, upstream := range upstreams {
 		listed[upstream.Name] = s.merge(upstream)
 	}
-	s.logNews(listed)
-	s.listed = listed
-	s.renewAll()
+	s.replace(listed)
 }
 
 // merge keeps what an own reading says beside the other process's: what is held,
@@ -65,14 +60,20 @@
 		if upstream.State != Leaving || known.State == Leaving || known.Incarnation != upstream.Incarnation {
 			continue
 		}
-		s.logListed(upstream)
 		known.State = Leaving
-		s.listed[name] = known
-		news = s.renew(news, name)
+		news = s.put(news, known)
 	}
 	s.publish(news)
 }
 
+// put lists one upstream and adds to news what became different. The mutex is
+// held.
+func (s *Surveyor) put(news []cataloger.Change, upstream Upstream) []cataloger.Change {
+	s.logListed(upstream)
+	s.listed[upstream.Name], s.digested = upstream, false
+	return s.renew(news, upstream.Name)
+}
+
 // Confirm notes that the other process's list was read at a time, and that all
 // of it has been learned. The own reading is put off.
 func (s *Surveyor) Confirm(at time.Time) {
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -21,6 +21,8 @@
 type Settings struct {
 	// Fetch reads a page of the platform's list; empty names the first one.
 	Fetch func(ctx context.Context, page string) (Page, error)
+	// Ask asks another entry for its reading of the list; nil for nobody.
+	Ask func(ctx context.Context, question Question) (Reading, error)
 	// Interval is how old the last reading may be, the own one or another
 	// process's, before the list is read.
 	Interval time.Duration
@@ -44,6 +46,11 @@
 	// when another one's reading was last taken in.
 	readAt    time.Time
 	learnedAt time.Time
+	// flight is the reading under way, nil for none.
+	flight *flight
+	// digestOfListed stands for the list where digested is true.
+	digestOfListed uint64
+	digested       bool
 	// told are what the control group says that engines hold.
 	told map[string]Told
 	// configuration is the one in force, nil before there is any.
@@ -64,6 +71,14 @@
 // tried again.
 const retryPart = 4
 
+// askPart is the part of the interval for which another entry's answer is
+// waited for, before the list must be read. newerPart is the part of it by which
+// that one's reading must be newer than what is known.
+const (
+	askPart   = 5
+	newerPart = 4
+)
+
 // New returns a surveyor that has not started.
 func New(settings Settings) *Surveyor {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -101,7 +116,7 @@
 	defer close(s.ended)
 	failed := false
 	for {
-		err := s.read()
+		err := s.refresh(failed)
 		if (err != nil) != failed {
 			failed = err != nil
 			s.settings.Log.Info("platform's list", zap.Bool("readable", !failed), zap.Error(err))
@@ -115,7 +130,7 @@
 // rest waits until the list must be read again. It returns false once the
 // surveyor stops.
 func (s *Surveyor) rest(failed bool) bool {
-	wait := spread(s.settings.Interval)
+	wait := s.untilDue(time.Now())
 	if failed {
 		wait = spread(s.settings.Interval / retryPart)
 	}
@@ -123,9 +138,19 @@
 		if !linker.Pause(s.ctx, wait) {
 			return false
 		}
-		wait = spread(s.settings.Interval) - s.age(time.Now())
+		wait = s.untilDue(time.Now())
+	}
+	return s.ctx.Err() == nil
+}
+
+// untilDue is how long the last reading is fresh enough, less the time to ask
+// for a newer one.
+func (s *Surveyor) untilDue(now time.Time) time.Duration {
+	fresh := spread(s.settings.Interval)
+	if s.settings.Ask != nil {
+		fresh -= s.settings.Interval / askPart
 	}
-	return true
+	return fresh - s.age(now)
 }
 
 // age is how long ago the list was read.
@@ -151,17 +176,29 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.readAt.After(began) || s.learnedAt.After(began) {
+	return s.take(listed, began, began)
+}
+
+// take takes in a whole list that was asked for at one time and read at another
+// one, unless a newer one came meanwhile. The mutex is held.
+func (s *Surveyor) take(listed map[string]Upstream, asked, at time.Time) error {
+	if s.readAt.After(at) || s.learnedAt.After(asked) {
 		s.takeLeaving(listed)
 		return &OvertakenError{}
 	}
 	for name, upstream := range listed {
 		listed[name] = s.stayLeaving(upstream)
 	}
+	s.readAt = at
+	s.replace(listed)
+	return nil
+}
+
+// replace puts another list in place. The mutex is held.
+func (s *Surveyor) replace(listed map[string]Upstream) {
 	s.logNews(listed)
-	s.listed, s.readAt = listed, began
+	s.listed, s.digested = listed, false
 	s.renewAll()
-	return nil
 }
 
 // ReadList reads all pages of the platform's list.
