feat(router): keep what upstreams say of leaving and pausing

A server's own word, heard beside an answer, now takes it out of the choice at this entry at once: leaving for the incarnation's life, a pause until its end. The word is kept for the incarnation, so that a change of the catalog or of the address doesn't lose it and a successor at the address starts clean. Where all that could serve have paused, the choice fails with the earliest end, spread over the callers; where some are only full, it waits as before.

--- a/router/choice.go
+++ b/router/choice.go
@@ -53,6 +53,16 @@
 // Error describes the refusal.
 func (e *NoUpstreamError) Error() string { return "no upstream can take the request" }
 
+// PausedError says that every upstream that could serve asked for a pause.
+type PausedError struct {
+	Service, Holds string
+	// Retry is after the end of the first pause, spread over the callers.
+	Retry time.Time
+}
+
+// Error describes the refusal.
+func (e *PausedError) Error() string { return "upstreams want no requests for a time" }
+
 // SaturatedError says that every upstream looked at is at its limit.
 type SaturatedError struct {
 	Service, Holds string
--- a/router/choose.go
+++ b/router/choose.go
@@ -25,12 +25,15 @@
 	cached int
 	// full counts the candidates that were at their limits.
 	full int
+	// pausedUntil is the earliest end of a candidate's pause, zero where none
+	// paused.
+	pausedUntil time.Time
 }
 
 // Choose returns the upstream for a request. It compares a few drawn
 // candidates, never the whole fleet. It returns *NoUpstreamError where no live
-// upstream holds what is asked for and *SaturatedError where all candidates
-// are at their limits.
+// upstream holds what is asked for, *PausedError where all that are live asked
+// for a pause and *SaturatedError where some of them are at their limits.
 func (r *Router) Choose(now time.Time, request *Request) (Choice, error) {
 	candidates := r.candidates(request)
 	s := search{now: now, request: request, cost: math.MaxInt64}
@@ -86,12 +89,17 @@
 // look compares one candidate with the best so far.
 func (r *Router) look(s *search, u *upstream) {
 	if slices.Contains(s.request.Avoid, u.about.Name) {
+		s.notePause(u)
 		return
 	}
 	prediction, cached, verdict := u.judge(s, s.request.Work())
 	if verdict == unusable {
 		return
 	}
+	if verdict == paused {
+		s.notePause(u)
+		return
+	}
 	if verdict == full {
 		s.full++
 		return
@@ -108,6 +116,14 @@
 	}
 }
 
+// notePause takes in the end of a candidate's pause.
+func (s *search) notePause(u *upstream) {
+	until := u.pausedUntil(s.now)
+	if !until.IsZero() && (s.pausedUntil.IsZero() || until.Before(s.pausedUntil)) {
+		s.pausedUntil = until
+	}
+}
+
 func (r *Router) refuse(s *search) error {
 	if s.full > 0 {
 		return &SaturatedError{
@@ -116,6 +132,14 @@
 			Retry:   s.now.Add(saturatedRetry),
 		}
 	}
+	if !s.pausedUntil.IsZero() {
+		spread := time.Duration(s.random % uint64(callerSpread))
+		return &PausedError{
+			Service: s.request.Service,
+			Holds:   s.request.Holds,
+			Retry:   s.pausedUntil.Add(spread),
+		}
+	}
 	return &NoUpstreamError{
 		Service: s.request.Service,
 		Holds:   s.request.Holds,
--- /dev/null
+++ b/router/notice_test.go
@@ -0,0 +1,232 @@
+package router
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/estimator"
+)
+
+// listed makes a catalog of one engine that holds m.
+func listed(t *testing.T, incarnation, address string, state cataloger.UpstreamState) *cataloger.Catalog {
+	t.Helper()
+	next, err := cataloger.New().With(cataloger.Delta{To: 1, Changes: []cataloger.Change{
+		cataloger.PutModel{Model: cataloger.Model{Name: "m", Service: "chat"}},
+		cataloger.PutUpstream{Upstream: cataloger.Upstream{
+			Name: "e0", Incarnation: incarnation, Address: address, Service: "chat",
+			Kind: cataloger.EngineUpstream, State: state, Slots: 16,
+		}},
+		cataloger.PutPlacement{Placement: cataloger.Placement{Upstream: "e0", Incarnation: incarnation, Models: []string{"m"}}},
+	}})
+	assert.NilError(t, err)
+	return next
+}
+
+// engine is the choice of one engine of a fleet.
+func engine(at int) Choice {
+	return Choice{Upstream: fmt.Sprintf("e%d", at), Incarnation: "1", Address: "127.0.0.1:1"}
+}
+
+func TestLeavingHeardInAnAnswerIsFinalForTheIncarnation(t *testing.T) {
+	const first, second = "127.0.0.1:1", "127.0.0.1:2"
+	live := cataloger.UpstreamLive
+	cases := map[string]struct {
+		after func(t *testing.T, r *Router)
+		used  bool
+	}{
+		"nothing else": {func(*testing.T, *Router) {}, false},
+		"a report that takes it back": {func(_ *testing.T, r *Router) {
+			r.Observe(estimator.Report{Upstream: "e0", Incarnation: "1", Sequence: 1, Models: []string{"m"}})
+		}, false},
+		"an answer without the word": {func(_ *testing.T, r *Router) { r.Heed(epoch, engine(0), Notice{}) }, false},
+		"the catalog lists it anew":  {func(t *testing.T, r *Router) { r.Update(listed(t, "1", first, live)) }, false},
+		"the catalog forgets it and lists it again": {func(t *testing.T, r *Router) {
+			r.Update(cataloger.New())
+			r.Update(listed(t, "1", first, live))
+		}, false},
+		"it has another address": {func(t *testing.T, r *Router) { r.Update(listed(t, "1", second, live)) }, false},
+		"another incarnation at the address": {func(t *testing.T, r *Router) {
+			r.Update(listed(t, "2", first, live))
+		}, true},
+		"a late answer of the one before": {func(t *testing.T, r *Router) {
+			r.Update(listed(t, "2", first, live))
+			r.Heed(epoch, engine(0), Notice{Leaving: true})
+		}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			r.Update(listed(t, "1", first, live))
+			assert.Assert(t, r.Heed(epoch, engine(0), Notice{Leaving: true}).Leaves)
+			assert.Assert(t, !r.Heed(epoch, engine(0), Notice{Leaving: true}).Leaves, "told once")
+			c.after(t, r)
+			assert.Equal(t, chosen(r, "e0", epoch) > 0, c.used)
+		})
+	}
+}
+
+func TestAPausedUpstreamGetsNothingUntilTheEnd(t *testing.T) {
+	r := New(Settings{})
+	r.Update(fleet(t, 2))
+	change := r.Heed(epoch, engine(0), Notice{PausedUntil: epoch.Add(3 * time.Second)})
+	assert.Assert(t, change.Pauses)
+	assert.Assert(t, !change.Until.Before(epoch.Add(3*time.Second)))
+	assert.Assert(t, change.Until.Before(epoch.Add(3*time.Second+entrySpread)))
+	// refusals that were on their way repeat the pause
+	assert.Assert(t, !r.Heed(epoch, engine(0), Notice{PausedUntil: epoch.Add(3010 * time.Millisecond)}).Pauses)
+	assert.Assert(t, !r.Heed(epoch, engine(0), Notice{PausedUntil: epoch.Add(time.Second)}).Pauses)
+	assert.Assert(t, r.Heed(epoch, engine(0), Notice{PausedUntil: epoch.Add(5 * time.Second)}).Pauses)
+	assert.Equal(t, chosen(r, "e0", epoch), 0)
+	assert.Equal(t, chosen(r, "e1", epoch), 200)
+	assert.Equal(t, chosen(r, "e0", epoch.Add(5*time.Second-1)), 0)
+	assert.Assert(t, chosen(r, "e0", epoch.Add(5*time.Second+entrySpread)) > 0)
+	// a new catalog changes nothing
+	r.Update(fleet(t, 3))
+	assert.Equal(t, chosen(r, "e0", epoch), 0)
+}
+
+func TestWhatIsToldWhereNobodyCanServe(t *testing.T) {
+	pause := func(seconds int) Notice {
+		return Notice{PausedUntil: epoch.Add(time.Duration(seconds) * time.Second)}
+	}
+	leaving := Notice{Leaving: true}
+	cases := map[string]struct {
+		notices []Notice
+		avoid   []string
+		full    bool
+		// least is the earliest return in seconds of one who is told of a pause.
+		least int
+		err   error
+	}{
+		"all paused":                     {notices: []Notice{pause(4), pause(2)}, least: 2, err: &PausedError{}},
+		"one paused, one leaving":        {notices: []Notice{pause(4), leaving}, least: 4, err: &PausedError{}},
+		"one paused and leaving":         {notices: []Notice{{Leaving: true, PausedUntil: epoch.Add(time.Second)}, pause(3)}, least: 3, err: &PausedError{}},
+		"one paused, one tried":          {notices: []Notice{pause(4)}, avoid: []string{"e1"}, least: 4, err: &PausedError{}},
+		"one paused and tried, one gone": {notices: []Notice{pause(4), leaving}, avoid: []string{"e0"}, least: 4, err: &PausedError{}},
+		"all leaving":                    {notices: []Notice{leaving, leaving}, err: &NoUpstreamError{}},
+		"one paused, one full":           {notices: []Notice{pause(4)}, full: true, err: &SaturatedError{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			r.Update(fleet(t, 2))
+			for at, notice := range c.notices {
+				r.Heed(epoch, engine(at), notice)
+			}
+			if c.full {
+				fill(t, r, epoch, ask(1))
+			}
+			retries := map[time.Time]bool{}
+			for seed := range uint64(50) {
+				request := ask(seed)
+				request.Avoid = c.avoid
+				_, err := r.Choose(epoch, request)
+				assert.Equal(t, fmt.Sprintf("%T", err), fmt.Sprintf("%T", c.err))
+				var paused *PausedError
+				if !errors.As(err, &paused) {
+					continue
+				}
+				end := epoch.Add(time.Duration(c.least) * time.Second)
+				assert.Assert(t, !paused.Retry.Before(end), "%v", paused.Retry.Sub(epoch))
+				assert.Assert(t, paused.Retry.Before(end.Add(entrySpread+callerSpread)), "%v", paused.Retry.Sub(epoch))
+				retries[paused.Retry] = true
+			}
+			assert.Equal(t, len(retries) > 40, c.least > 0, "returns are spread")
+		})
+	}
+}
+
+func TestAChoiceIsLookedAtAgainBeforeItIsUsed(t *testing.T) {
+	cases := map[string]struct {
+		change func(t *testing.T, r *Router)
+		want   bool
+	}{
+		"nothing new": {func(*testing.T, *Router) {}, true},
+		"leaving":     {func(_ *testing.T, r *Router) { r.Heed(epoch, engine(0), Notice{Leaving: true}) }, false},
+		"paused": {func(_ *testing.T, r *Router) {
+			r.Heed(epoch, engine(0), Notice{PausedUntil: epoch.Add(time.Second)})
+		}, false},
+		"the list says it leaves": {func(t *testing.T, r *Router) {
+			r.Update(listed(t, "1", "127.0.0.1:1", cataloger.UpstreamLeaving))
+		}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			r.Update(listed(t, "1", "127.0.0.1:1", cataloger.UpstreamLive))
+			choice, err := r.Choose(epoch, ask(1))
+			assert.NilError(t, err)
+			c.change(t, r)
+			assert.Equal(t, r.Allows(epoch, choice), c.want)
+		})
+	}
+}
+
+func TestCountsTellWhoLeavesAndPauses(t *testing.T) {
+	r := New(Settings{})
+	r.Update(fleet(t, 5))
+	r.Heed(epoch, engine(0), Notice{Leaving: true})
+	r.Heed(epoch, engine(1), Notice{PausedUntil: epoch.Add(time.Second)})
+	r.Observe(estimator.Report{Upstream: "e2", Incarnation: "1", Sequence: 1, Leaving: true})
+	assert.Equal(t, r.Counts(epoch), Counts{LeavingReported: 1, LeavingAnswered: 1, PausedAnswered: 1})
+	r.Update(listed(t, "1", "127.0.0.1:1", cataloger.UpstreamLeaving))
+	assert.Equal(t, r.Counts(epoch.Add(time.Minute)), Counts{LeavingListed: 1, LeavingAnswered: 1})
+}
+
+func TestNoticesAreKeptInBoundedMemory(t *testing.T) {
+	r := New(Settings{})
+	for at := range mostHeard + 100 {
+		r.Heed(epoch.Add(time.Duration(at)*time.Millisecond), engine(at), Notice{Leaving: true})
+	}
+	assert.Equal(t, len(r.heard), mostHeard)
+	_, kept := r.heard[incarnation{"e0", "1"}]
+	assert.Assert(t, !kept, "the oldest is forgotten first")
+}
+
+// TestAFleetHeedsItsServers lets 60 entries choose among 100 servers, each of
+// which pauses for all entries at the same moment, and counts what reaches the
+// servers.
+func TestAFleetHeedsItsServers(t *testing.T) {
+	const entries, servers, length = 60, 100, 2 * time.Second
+	routers := make([]*Router, entries)
+	for at := range routers {
+		routers[at] = New(Settings{Seed: uint64(at) + 1, Entries: entries})
+		routers[at].Update(fleet(t, servers))
+		for server := range servers {
+			notice := Notice{PausedUntil: epoch.Add(length)}
+			if server%10 == 0 {
+				notice.Leaving = true
+			}
+			routers[at].Heed(epoch, engine(server), notice)
+		}
+	}
+	const step = 10 * time.Millisecond
+	steps := map[time.Duration]int{}
+	for since := length - 100*time.Millisecond; since < length+entrySpread; since += step {
+		for at, r := range routers {
+			for try := range 10 {
+				request := ask(uint64(since) + uint64(at*1000+try))
+				choice, err := r.Choose(epoch.Add(since), request)
+				if err != nil {
+					continue
+				}
+				assert.Assert(t, since >= length, "%s was chosen %v before the end", choice.Upstream, length-since)
+				assert.Assert(t, choice.Upstream[len(choice.Upstream)-1] != '0', "%s leaves", choice.Upstream)
+				r.Started(choice, request, epoch.Add(since))
+				steps[since]++
+			}
+		}
+	}
+	// each entry sends one to each server while it returns, not all at once
+	total, most := 0, 0
+	for _, count := range steps {
+		total, most = total+count, max(most, count)
+	}
+	assert.Assert(t, total <= entries*servers*9/10, "%d", total)
+	assert.Assert(t, most < total/5, "%d of %d in one step", most, total)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -16,11 +16,14 @@
 	current  atomic.Pointer[table]
 	// control orders the writers of the table.
 	control sync.Mutex
+	// heard is kept under the mutex, for incarnations that the catalog may know
+	// again too.
+	heard map[incarnation]heard
 }
 
 // New returns a router that knows no upstream.
 func New(settings Settings) *Router {
-	r := &Router{settings: settings}
+	r := &Router{settings: settings, heard: map[incarnation]heard{}}
 	r.current.Store(&table{})
 	return r
 }
@@ -30,7 +33,13 @@
 func (r *Router) Update(catalog *cataloger.Catalog) {
 	r.control.Lock()
 	defer r.control.Unlock()
-	r.current.Store(newTable(r.current.Load(), catalog, r.settings.Entries))
+	next := newTable(r.current.Load(), catalog, r.settings.Entries)
+	for from, said := range r.heard {
+		if u := next.upstreams[from.name]; u != nil && u.about.Incarnation == from.start {
+			u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
+		}
+	}
+	r.current.Store(next)
 }
 
 // Observe takes in a load report that has arrived. A report of another
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -86,3 +86,20 @@
 		})
 	}
 }
+
+// BenchmarkChooseAmongPaused has half of the servers leave or pause.
+func BenchmarkChooseAmongPaused(b *testing.B) {
+	r := New(Settings{Entries: 8})
+	r.Update(fleet(b, 7400))
+	for at := range 3700 {
+		r.Heed(epoch, engine(2*at), Notice{Leaving: at%2 == 0, PausedUntil: epoch.Add(time.Hour)})
+	}
+	request := ask(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		request.Seed++
+		if _, err := r.Choose(epoch, request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -35,8 +35,11 @@
 	hurryUntil time.Time
 	// contendedUntil is how long yielding requests leave room for others.
 	contendedUntil time.Time
-	// leaving is final for an incarnation.
-	leaving bool
+	// reportedLeaving and answeredLeaving say that the upstream told that it
+	// leaves, in a report or beside an answer. Both are final for an incarnation.
+	reportedLeaving bool
+	answeredLeaving bool
+	pause           limiter.Pause
 	// reportedModels and reportedAdapters are what the last report lists.
 	reportedModels   []string
 	reportedAdapters []string
@@ -82,7 +85,7 @@
 	}
 	m.reportedModels = report.Models
 	m.reportedAdapters = report.Adapters
-	m.leaving = m.leaving || report.Leaving
+	m.reportedLeaving = m.reportedLeaving || report.Leaving
 }
 
 // verdict says whether an upstream can take a request now.
@@ -91,6 +94,7 @@
 const (
 	fits verdict = iota
 	full
+	paused
 	unusable
 )
 
@@ -98,9 +102,15 @@
 func (m *measured) judge(s *search, work estimator.Work) (estimator.Prediction, int, verdict) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.leaving || !m.circuit.Allows(s.now) {
+	if m.leaving() || !m.circuit.Allows(s.now) {
 		return estimator.Prediction{}, 0, unusable
 	}
+	if m.pause.Holds(s.now) {
+		return estimator.Prediction{}, 0, paused
+	}
+	if !m.pause.Allows(s.now) {
+		return estimator.Prediction{}, 0, full
+	}
 	work.CachedTokens = m.prefixes.cached(s.request.Parts)
 	prediction := m.engine.Predict(s.now, work)
 	if m.limit.Allows(prediction.Load/m.share(s)) && m.roomFor(s.now, work) {
@@ -165,6 +175,7 @@
 	m.models[request.Base]++
 	m.dispatched += work.PromptTokens - work.CachedTokens
 	m.circuit.Tried(now)
+	m.pause.Sent()
 }
 
 func (m *measured) unreachable(now time.Time) {
