feat(admitter): tell of a pause where a retry has no budget left

A request that was turned away and has no retry left came back after 200 ms, though the only servers that could take it had asked for a longer pause. The choice is looked at first, and the end of the pause is told.

Red before: TestARetryWithoutBudgetIsToldOfThePause: got retry budget is spent.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -166,7 +166,7 @@
 
 func (q *Queue) arrive(now time.Time, t *Ticket) {
 	if !q.count(t) {
-		q.decide(Decision{Ticket: t, Err: &BudgetError{}})
+		q.decide(Decision{Ticket: t, Err: q.unpaid(now, t)})
 		return
 	}
 	t.request.Route.Yields = q.shares.over(now, t.request.Subscriber)
@@ -232,6 +232,17 @@
 	return true
 }
 
+// unpaid says why a retry is refused that the budget does not cover. Where it
+// would find nothing but paused upstreams, their end tells when to come back.
+func (q *Queue) unpaid(now time.Time, t *Ticket) error {
+	_, err := q.router.Choose(now, &t.request.Route)
+	var paused *router.PausedError
+	if errors.As(err, &paused) {
+		return err
+	}
+	return &BudgetError{}
+}
+
 func (q *Queue) decide(d Decision) { q.decisions = append(q.decisions, d) }
 
 func (q *Queue) hopeless(now time.Time, t *Ticket) bool {
