feat(dispatcher): ask once more before a call is written

Between the choice of a server and the write lie a queue and a connection that may take seconds to come about. A call can now be withdrawn at the last moment; nothing was written then, and it counts as not sent.

Test: TestSendAsksBeforeItWrites.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -61,6 +61,9 @@
 	Owns func(header http.Header) bool
 	// Silence is the longest wait for progress; zero takes that of Settings.
 	Silence time.Duration
+	// Allowed says, once there is a connection, whether the call may still be
+	// made. Nil allows it. Only Send reads it.
+	Allowed func() bool
 }
 
 // Answer is a whole answer.
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -20,6 +20,13 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// DisallowedError says that a call was not allowed any more once there was a
+// connection for it.
+type DisallowedError struct{}
+
+// Error describes the failure.
+func (e *DisallowedError) Error() string { return "the call is not allowed any more" }
+
 // InterruptedError says that the call was sent, at least in part, and has no
 // whole answer: it may have run.
 type InterruptedError struct {
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -65,6 +65,10 @@
 		if err != nil {
 			return nil, &NotSentError{Address: call.Address, Cause: err}
 		}
+		if call.Allowed != nil && !call.Allowed() {
+			line.hangUp()
+			return nil, &NotSentError{Address: call.Address, Cause: &DisallowedError{}}
+		}
 		response, err := line.exchange(ctx, request, call, d.pool)
 		var unwritten *unwrittenError
 		if reused && errors.As(err, &unwritten) && ctx.Err() == nil {
--- a/dispatcher/pool_test.go
+++ b/dispatcher/pool_test.go
@@ -271,6 +271,23 @@
 	assert.Assert(t, <-read <= length)
 }
 
+func TestSendAsksBeforeItWrites(t *testing.T) {
+	tk := talk(t, echo)
+	d := New(Settings{})
+	defer d.Close()
+	allowed := true
+	call := tk.call(http.MethodGet)
+	call.Allowed = func() bool { return allowed }
+	_, err := send(t, d, call)
+	assert.NilError(t, err)
+	allowed = false
+	_, err = send(t, d, call)
+	var unsent *NotSentError
+	var disallowed *DisallowedError
+	assert.Assert(t, errors.As(err, &unsent) && errors.As(err, &disallowed), "got %v", err)
+	assert.Equal(t, tk.requests.Load(), int32(1))
+}
+
 func TestNotSentWhereNobodyListens(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
