feat(forwarder): heed servers that leave or ask for a pause

Callers were sent to servers that had said in their answers that they leave, as long as the platform's list did not say it, and to servers that had asked for a pause with 503 and Retry-After. No header of an answer was read for either.

The entry heeds them at the head of the answer, before a byte of the body, so an answer that is lost afterwards counts too. A grant given before is looked at again before it is written and goes elsewhere as not sent. Requests that wait are looked at again at once, unused connections to a leaving server are closed.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -327,11 +327,17 @@
 		Header:  x.Codec.EncodeSend(x.r.Header, x.sending(choice)),
 		Body:    x.body,
 		Owns:    func(header http.Header) bool { return x.Codec.Owns(x.request.ID, header) },
+		Allowed: func() bool { return x.Upstreams.Allows(choice) },
 	})
 	if err != nil {
 		return x.unanswered(err)
 	}
-	said := x.Codec.DecodeAnswer(response)
+	said := x.Codec.DecodeAnswer(response, time.Now())
+	x.Upstreams.Heed(choice, said.Notice, said.UnreadablePause)
+	if said.Notice.Leaving {
+		// the connection is not kept
+		response.Close = true
+	}
 	if said.NotRun {
 		return x.notRun(response, said)
 	}
@@ -364,7 +370,11 @@
 func (x *exchange) unanswered(err error) error {
 	var unsent *dispatcher.NotSentError
 	if errors.As(err, &unsent) {
-		x.settle(router.OutcomeUnreachable)
+		outcome := router.OutcomeUnreachable
+		if is[*dispatcher.DisallowedError](err) {
+			outcome = router.OutcomeCancelled
+		}
+		x.settle(outcome)
 		x.grant.NotSent()
 		return &NotRunError{Retry: time.Now().Add(shortRetry)}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"burdocklink/matcher"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
+	"burdocklink/router"
 )
 
 // Name is the service's name in the kernel.
@@ -38,6 +39,15 @@
 	Want(ctx context.Context, service, model, adapter string, by time.Time) error
 }
 
+// Upstreams knows what upstreams say of themselves.
+type Upstreams interface {
+	// Heed takes in what came with an answer of the upstream of a choice.
+	// Unreadable is a pause that can't be read, empty where there is none.
+	Heed(choice router.Choice, notice router.Notice, unreadable string)
+	// Allows says whether a request may still go to the upstream of a choice.
+	Allows(choice router.Choice) bool
+}
+
 // Config is what a forwarder needs.
 type Config struct {
 	// Listen is the IP address and port for callers.
@@ -47,13 +57,14 @@
 	Linger time.Duration
 	Codec  Codec
 	// Table returns the routes in force, nil before there are any.
-	Table    func() *matcher.Table
-	Ready    func() error
-	Admitter Admitter
-	Holders  Holders
-	Calls    *dispatcher.Dispatcher
-	Reporter *reporter.Reporter
-	Log      *zap.Logger
+	Table     func() *matcher.Table
+	Ready     func() error
+	Admitter  Admitter
+	Holders   Holders
+	Upstreams Upstreams
+	Calls     *dispatcher.Dispatcher
+	Reporter  *reporter.Reporter
+	Log       *zap.Logger
 }
 
 // bounds of callers' connections. What a configuration says of them is lower;
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -41,12 +41,18 @@
 		},
 		EncodeSend: func(from http.Header, send forwarder.Send) http.Header {
 			header := from.Clone()
+			header.Del("Connection")
 			header.Set("Upstream", send.Upstream)
 			header.Set("After", send.LastEvent)
 			return header
 		},
-		DecodeAnswer: func(response *http.Response) forwarder.Answer {
+		DecodeAnswer: func(response *http.Response, now time.Time) forwarder.Answer {
+			notice := router.Notice{Leaving: response.Header.Get("Leaving") != ""}
+			if pause, err := time.ParseDuration(response.Header.Get("Pause")); err == nil {
+				notice.PausedUntil = now.Add(pause)
+			}
 			return forwarder.Answer{
+				Notice: notice, UnreadablePause: response.Header.Get("Unreadable"),
 				NotRun: response.Header.Get("Not-Run") != "", Signed: response.Header.Get("Signed") != "",
 				Elsewhere: response.StatusCode == http.StatusMisdirectedRequest,
 			}
@@ -112,20 +118,42 @@
 	return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(7 * time.Second)}
 }
 
+// upstreams records notices, and disallows upstreams by name.
+type upstreams struct {
+	mutex      sync.Mutex
+	notices    []router.Notice
+	unreadable []string
+	disallowed string
+}
+
+func (u *upstreams) Heed(_ router.Choice, notice router.Notice, unreadable string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if notice != (router.Notice{}) {
+		u.notices = append(u.notices, notice)
+	}
+	if unreadable != "" {
+		u.unreadable = append(u.unreadable, unreadable)
+	}
+}
+
+func (u *upstreams) Allows(choice router.Choice) bool { return choice.Upstream != u.disallowed }
+
 // rig is a forwarder before upstreams.
 type rig struct {
 	t         *testing.T
 	forwarder *forwarder.Forwarder
 	admission *admission
+	upstreams *upstreams
 	table     atomic.Pointer[matcher.Table]
 	// runs counts what upstreams were sent.
 	runs atomic.Int32
 }
 
-func newRig(t *testing.T, route matcher.Route, upstreams ...http.HandlerFunc) *rig {
+func newRig(t *testing.T, route matcher.Route, handlers ...http.HandlerFunc) *rig {
 	t.Helper()
-	r := &rig{t: t, admission: &admission{err: &admitter.BudgetError{}}}
-	for _, handle := range upstreams {
+	r := &rig{t: t, admission: &admission{err: &admitter.BudgetError{}}, upstreams: &upstreams{}}
+	for _, handle := range handlers {
 		r.admission.upstreams = append(r.admission.upstreams, r.serve(handle))
 	}
 	route.Name, route.Host, route.Prefix = "route", "a.example", "/x/"
@@ -143,7 +171,7 @@
 	t.Cleanup(calls.Close)
 	r.forwarder = forwarder.New(forwarder.Config{
 		Listen: "127.0.0.1:0", Codec: codec(), Table: r.table.Load, Ready: func() error { return nil },
-		Admitter: r.admission, Holders: &holders{held: "unreachable"}, Calls: calls,
+		Admitter: r.admission, Holders: &holders{held: "unreachable"}, Calls: calls, Upstreams: r.upstreams,
 		Reporter: reporter.New(reporter.Settings{}), Log: zap.NewNop(),
 	})
 	assert.NilError(t, r.forwarder.Start(t.Context(), nil))
@@ -307,6 +335,9 @@
 		"overload": {path: "/x/1", change: func(r *rig) {
 			r.admission.upstreams, r.admission.err = nil, &admitter.OverloadError{Retry: time.Now().Add(time.Second)}
 		}, status: 503, retry: true},
+		"all paused": {path: "/x/1", header: map[string]string{"Model": "m"}, change: func(r *rig) {
+			r.admission.upstreams, r.admission.err = nil, &router.PausedError{Retry: time.Now().Add(3 * time.Second)}
+		}, status: 503, retry: true},
 		"model held nowhere": {path: "/x/1", header: map[string]string{"Model": "m"}, change: func(r *rig) {
 			r.admission.upstreams, r.admission.err = nil, &router.NoUpstreamError{}
 		}, status: 503, retry: true},
--- /dev/null
+++ b/forwarder/notice_test.go
@@ -0,0 +1,140 @@
+package forwarder_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/matcher"
+	"burdocklink/router"
+)
+
+// saying lets an upstream say something of itself before it answers.
+func saying(name, value string, handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(name, value)
+		handle(w, r)
+	}
+}
+
+// lost begins an answer and breaks it off.
+func lost(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Signed", "yes")
+	w.Header().Set("Content-Length", "9")
+	_, _ = w.Write([]byte("half"))
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func TestNoticesAreHeededWithAnyAnswer(t *testing.T) {
+	once := matcher.Route{Kind: matcher.NonIdempotent}
+	streaming := matcher.Route{Kind: matcher.Streaming}
+	elsewhere := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}
+	cases := map[string]struct {
+		route   matcher.Route
+		handle  http.HandlerFunc
+		leaving bool
+	}{
+		"a success":               {once, saying("Leaving", "1", whole(200, "ok")), true},
+		"a failure":               {once, saying("Leaving", "1", whole(500, "no")), true},
+		"a refusal":               {once, saying("Leaving", "1", notRun), true},
+		"a 421":                   {once, saying("Leaving", "1", elsewhere), true},
+		"an answer that is lost":  {once, saying("Leaving", "1", lost), true},
+		"a stream":                {streaming, saying("Leaving", "1", events(1, 3, true)), true},
+		"a stream that breaks":    {streaming, saying("Leaving", "1", events(1, 3, false)), true},
+		"a refusal with a pause":  {once, saying("Pause", "3s", notRun), false},
+		"a 503 that may have run": {once, saying("Pause", "3s", whole(503, "no")), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.route, c.handle)
+			before := time.Now()
+			r.ask(http.MethodPost, "/x/1", "body", nil)
+			assert.Equal(t, len(r.upstreams.notices), 1)
+			got := r.upstreams.notices[0]
+			assert.Equal(t, got.Leaving, c.leaving)
+			assert.Equal(t, got.PausedUntil.After(before.Add(3*time.Second)), !c.leaving)
+		})
+	}
+}
+
+func TestAStreamTellsThatItsUpstreamLeavesAtItsHead(t *testing.T) {
+	heeded := make(chan struct{})
+	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, saying("Leaving", "1", func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-heeded
+		events(1, 3, true)(w, r)
+	}))
+	ended := make(chan reply, 1)
+	go func() { ended <- r.ask(http.MethodPost, "/x/1", "body", nil) }()
+	for count := 0; count == 0; time.Sleep(time.Millisecond) {
+		r.upstreams.mutex.Lock()
+		count = len(r.upstreams.notices)
+		r.upstreams.mutex.Unlock()
+	}
+	close(heeded)
+	got := <-ended
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+}
+
+func TestAPauseThatCannotBeReadIsHandedOn(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, saying("Unreadable", "tomorrow", notRun))
+	r.ask(http.MethodPost, "/x/1", "", nil)
+	assert.DeepEqual(t, r.upstreams.unreadable, []string{"tomorrow"})
+	assert.Equal(t, len(r.upstreams.notices), 0)
+}
+
+// What was granted before an upstream's word came goes elsewhere, and counts as
+// not sent.
+func TestAGrantIsNotUsedWhereTheUpstreamLeftMeanwhile(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, whole(200, "first"), whole(200, "second"))
+	r.upstreams.disallowed = "u1"
+	got := r.ask(http.MethodPost, "/x/1", "", nil)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "second")
+	assert.Equal(t, r.runs.Load(), int32(1))
+}
+
+func TestAConnectionToALeavingUpstreamIsNotKept(t *testing.T) {
+	cases := map[string]struct {
+		handle http.HandlerFunc
+		lines  int
+	}{
+		"stays":  {whole(200, "ok"), 1},
+		"leaves": {saying("Leaving", "1", whole(200, "ok")), 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var lines atomic.Int32
+			var last atomic.Value
+			r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent}, func(w http.ResponseWriter, request *http.Request) {
+				if last.Swap(request.RemoteAddr) != request.RemoteAddr {
+					lines.Add(1)
+				}
+				c.handle(w, request)
+			})
+			r.admission.upstreams = append(r.admission.upstreams, r.admission.upstreams[0])
+			for range 2 {
+				assert.Equal(t, r.ask(http.MethodPost, "/x/1", "", nil).status, 200)
+			}
+			assert.Equal(t, int(lines.Load()), c.lines)
+		})
+	}
+}
+
+func TestAllPausedTellsTheEndOfThePause(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.NonIdempotent})
+	r.admission.err = &router.PausedError{Retry: time.Now().Add(3 * time.Second)}
+	got := r.ask(http.MethodPost, "/x/1", "", nil)
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 2.5 && seconds <= 3, "%v", seconds)
+}
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -70,6 +70,7 @@
 	var hopeless *admitter.HopelessError
 	var overload *admitter.OverloadError
 	var nowhere *router.NoUpstreamError
+	var paused *router.PausedError
 	var absent *AbsentError
 	var unrun *NotRunError
 	switch {
@@ -79,6 +80,8 @@
 		return overload.Retry
 	case errors.As(err, &nowhere):
 		return nowhere.Retry
+	case errors.As(err, &paused):
+		return paused.Retry
 	case errors.As(err, &absent):
 		return absent.Retry
 	case errors.As(err, &unrun):
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"burdocklink/router"
 )
 
 // Part is a piece of a prompt that requests may share.
@@ -57,13 +59,17 @@
 	Elsewhere bool
 	// Signed is true where the answer is an upstream's own.
 	Signed bool
+	// Notice is what the upstream says of itself.
+	Notice router.Notice
+	// UnreadablePause is what it says of a pause where that can't be read.
+	UnreadablePause string
 }
 
 // Codec translates between HTTP messages and the types above.
 type Codec struct {
 	DecodeRequest func(r *http.Request, now time.Time) (Request, error)
 	EncodeSend    func(from http.Header, send Send) http.Header
-	DecodeAnswer  func(response *http.Response) Answer
+	DecodeAnswer  func(response *http.Response, now time.Time) Answer
 	AnswerHeader  func(to, from http.Header)
 	// Owns says whether an answer's header may belong to a request.
 	Owns func(requestID string, header http.Header) bool
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -38,6 +38,18 @@
 	// pace is the time between two events of a stream.
 	pace   time.Duration
 	orders []string
+	// leaving is said in all answers, whatever the list says.
+	leaving bool
+	// pausedUntil is how long requests are turned away; retryAfter is told in
+	// place of the rest of that time where it is not empty.
+	pausedUntil time.Time
+	retryAfter  string
+	// hold keeps requests until it is closed.
+	hold chan struct{}
+	// arrivals are the requests that reached the server; told is what one of them
+	// said of leaving.
+	arrivals []arrival
+	told     string
 }
 
 func (s *platformServer) describe() map[string]any {
@@ -57,6 +69,11 @@
 
 func (s *platformServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	s.mutex.Lock()
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	s.mutex.Unlock()
 	if expected := r.Header.Get("Burdocklink-Expect-Instance"); expected != "" && expected != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -126,7 +143,21 @@
 		return
 	}
 	s.mutex.Lock()
+	s.arrivals = append(s.arrivals, arrival{id: id, at: time.Now()})
+	s.told += r.Header.Get("Server-Leaving")
+	hold := s.hold
+	s.mutex.Unlock()
+	if s.turnsAway(w) {
+		return
+	}
+	if hold != nil {
+		<-hold
+	}
+	s.mutex.Lock()
 	s.runs[id]++
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	breaks := s.breaks > 0
 	if breaks {
 		s.breaks--
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -13,6 +13,7 @@
 	"burdocklink/follower"
 	"burdocklink/forwarder"
 	"burdocklink/linker"
+	"burdocklink/observer"
 	"burdocklink/platform"
 	"burdocklink/prober"
 	"burdocklink/registrar"
@@ -60,6 +61,7 @@
 	retries       *retryShare
 	admission     *admitter.Admitter
 	calls         *dispatcher.Dispatcher
+	words         *observer.Observer
 	links         *linker.Linker
 	notes         *broadcaster.Broadcaster
 	upstreams     *surveyor.Surveyor
@@ -77,6 +79,13 @@
 	p.admission = admitter.New(p.routes, admitter.Settings{Retries: p.retries.budget()})
 	p.retries.apply = p.admission.SetReserve
 	p.calls = dispatcher.New(dispatcher.Settings{Dial: dialTime})
+	p.words = observer.New(observer.Settings{
+		Router:   p.routes,
+		Wake:     p.admission.Wake,
+		Forget:   p.calls.Forget,
+		Registry: p.metrics.Registry(),
+		Log:      settings.Log,
+	})
 	p.links = linker.New(nil, linker.NewMeter(p.metrics.Registry()))
 	p.notes = broadcaster.New(broadcaster.Settings{
 		Entry:  settings.Node,
@@ -141,8 +150,9 @@
 		Holders: seeker.New(seeker.Settings{
 			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Log: p.settings.Log,
 		}),
-		Calls:    p.calls,
-		Reporter: p.metrics,
-		Log:      p.settings.Log,
+		Upstreams: p.words,
+		Calls:     p.calls,
+		Reporter:  p.metrics,
+		Log:       p.settings.Log,
 	})
 }
