--- a/prover/node_test.go
+++ b/prover/node_test.go
@@ -121,14 +121,21 @@
 // checkMetrics looks for the counts of the classes on the metrics address.
 func (s *platformSite) checkMetrics() {
 	s.t.Helper()
-	response, err := http.Get("http://" + s.address(s.hosts["front-1"], readyOffset) + "/metrics")
+	text := s.metrics("front-1")
+	for _, word := range []string{`class="draft"`, `class="book"`} {
+		assert.Assert(s.t, strings.Contains(text, word), word)
+	}
+}
+
+// metrics returns what an entry counts.
+func (s *platformSite) metrics(entry string) string {
+	s.t.Helper()
+	response, err := http.Get("http://" + s.address(s.hosts[entry], readyOffset) + "/metrics")
 	assert.NilError(s.t, err)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	assert.NilError(s.t, err)
-	for _, word := range []string{`class="draft"`, `class="book"`} {
-		assert.Assert(s.t, strings.Contains(string(text), word), word)
-	}
+	return string(text)
 }
 
 // TestPlatformBearsLosses plays the loss of a control member, of its disk, and
--- a/prover/notice_test.go
+++ b/prover/notice_test.go
@@ -137,6 +137,12 @@
 		assert.Equal(t, got.status, 200)
 	}
 	assert.Equal(t, len(gone.from("front-1", heard)), 0, "requests that reached the leaving server")
+	lines := s.decisions("front-1", "upstream leaves")
+	assert.Equal(t, len(lines), 1)
+	assert.Equal(t, lines[0]["upstream"], "calendar-1")
+	assert.Equal(t, lines[0]["incarnation"], "calendar-1@7")
+	assert.Equal(t, lines[0]["source"], "answer")
+	assert.Assert(t, strings.Contains(s.metrics("front-1"), "\nburdocklink_upstreams_leaving_answered 1\n"))
 	gone.replace()
 	eventually(t, "another incarnation at the address is used", func() bool {
 		s.askMany("front-1", "reborn", 3)
@@ -178,6 +184,12 @@
 		return len(paused.from("front-2-pause", time.Time{})) > 0
 	})
 	heard := time.Now()
+	lines := s.decisions("front-2", "upstream pauses")
+	assert.Equal(t, len(lines), 1)
+	for _, field := range []string{"upstream", "incarnation", "until", "source"} {
+		assert.Assert(t, lines[0][field] != nil, field)
+	}
+	assert.Assert(t, strings.Contains(s.metrics("front-2"), "\nburdocklink_upstreams_paused_answered 1\n"))
 	s.nodes["front-2"].freeze()
 	time.Sleep(shortTime / 2)
 	s.nodes["front-2"].thaw()
