test(prover): servers that leave or pause in the soak

Two kinds of faults: a server says in all answers that it leaves, until another incarnation takes its place, and one turns requests away for a while. Judged from the servers' side: no request reaches a server that was sent after its entry had passed on that the server leaves (a restart excuses it, a freeze doesn't), and two at most between half a second after a refusal with a pause and its end. A run has 20 faults in place of 14, so that the other kinds stay as frequent.

--- a/prover/notice_test.go
+++ b/prover/notice_test.go
@@ -12,10 +12,15 @@
 	"gotest.tools/v3/assert"
 )
 
-// arrival is one request that reached a server.
+// arrival is one request that reached a server, and what the server said of
+// itself in its answer.
 type arrival struct {
-	id string
-	at time.Time
+	id      string
+	at      time.Time
+	born    int64
+	leaving bool
+	// pausedUntil is told where the request was turned away, else zero.
+	pausedUntil time.Time
 }
 
 // from returns the arrivals of requests whose IDs begin with a prefix, after a
@@ -57,11 +62,21 @@
 	return s.pausedUntil
 }
 
-// turnsAway answers a request of a server that is paused.
-func (s *platformServer) turnsAway(w http.ResponseWriter) bool {
+// arrive notes a request and what it is told. It returns the rest of a pause.
+func (s *platformServer) arrive(id string) time.Duration {
+	one := arrival{id: id, at: time.Now(), born: s.born, leaving: s.leaving}
+	rest := s.pausedUntil.Sub(one.at)
+	if rest > 0 {
+		one.pausedUntil = s.pausedUntil
+	}
+	s.arrivals = append(s.arrivals, one)
+	return rest
+}
+
+// turnsAway answers a request where the server is paused.
+func (s *platformServer) turnsAway(w http.ResponseWriter, rest time.Duration) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	rest := time.Until(s.pausedUntil)
 	if rest <= 0 {
 		return false
 	}
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -143,11 +143,11 @@
 		return
 	}
 	s.mutex.Lock()
-	s.arrivals = append(s.arrivals, arrival{id: id, at: time.Now()})
+	rest := s.arrive(id)
 	s.told += r.Header.Get("Server-Leaving")
 	hold := s.hold
 	s.mutex.Unlock()
-	if s.turnsAway(w) {
+	if s.turnsAway(w, rest) {
 		return
 	}
 	if hold != nil {
--- a/prover/soak_callers_test.go
+++ b/prover/soak_callers_test.go
@@ -17,6 +17,9 @@
 	asked, answered, refusals, changes atomic.Int64
 	// refused are the IDs of requests that were refused as not run.
 	refused sync.Map
+	// sent and passed are when a request was sent and when its server's answer
+	// began to arrive, by ID.
+	sent, passed sync.Map
 
 	mutex   sync.Mutex
 	version int
@@ -162,10 +165,14 @@
 	if kind == "draft" {
 		request.Header.Set("Burdocklink-Model", "m1")
 	}
+	s.seen.sent.Store(id, time.Now())
 	response, err := client.Do(request)
 	if err != nil {
 		return
 	}
+	if response.Header.Get("Burdocklink-Server-Signature") != "" {
+		s.seen.passed.Store(id, time.Now())
+	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	switch response.StatusCode {
--- a/prover/soak_faults_test.go
+++ b/prover/soak_faults_test.go
@@ -19,10 +19,16 @@
 	// wiped is when a member last lost its disk; caught up members may lose
 	// theirs later.
 	wiped time.Time
+	// disturbed are the times in which a process, or the link before a server,
+	// was disturbed, by name.
+	disturbed map[string][]span
 	// endedAlone are processes that were found dead without a fault.
 	endedAlone []string
 }
 
+// span is a time between two moments.
+type span struct{ begin, end time.Time }
+
 // faultEnd is the end of a fault, due at a time.
 type faultEnd struct {
 	at  time.Time
@@ -71,11 +77,14 @@
 func (s *soak) beginFault() {
 	if s.faults.down == nil {
 		s.faults.down, s.faults.harmed = map[string]bool{}, map[*link]bool{}
+		s.faults.disturbed = map[string][]span{}
 	}
 	one := s.roles[s.random.IntN(len(s.roles))]
 	proxy := s.links[s.random.IntN(len(s.links))]
-	kind := s.random.IntN(10)
-	s.t.Logf("%s fault %d at %s, link %s", time.Now().Format(time.TimeOnly+".000"), kind, one.name, proxy.proxy.Upstream)
+	server := s.servers[s.random.IntN(len(s.servers))]
+	kind := s.random.IntN(14)
+	s.t.Logf("%s fault %d at %s, link %s, server %s", time.Now().Format(time.TimeOnly+".000"), kind, one.name,
+		proxy.proxy.Upstream, server.id)
 	switch kind {
 	case 0, 1, 2:
 		s.harmLink(proxy)
@@ -93,6 +102,11 @@
 		}
 	case 9:
 		s.wipe(s.roles[2+s.random.IntN(3)])
+	case 10, 11:
+		server.leave()
+		s.until(1000, 3000, server.replace)
+	case 12, 13:
+		server.pauseFor(s.between(800, 2500))
 	}
 }
 
@@ -102,6 +116,7 @@
 		return
 	}
 	s.faults.harmed[proxy] = true
+	begin := time.Now()
 	switch s.random.IntN(4) {
 	case 0:
 		proxy.slow(s.t, s.between(20, 300))
@@ -115,6 +130,7 @@
 	s.until(200, 2000, func() {
 		proxy.heal(s.t)
 		s.faults.harmed[proxy] = false
+		s.disturbed(proxy.listen, begin)
 	})
 }
 
@@ -125,6 +141,7 @@
 	}
 	if s.nodes[one.name].dead() {
 		s.faults.endedAlone = append(s.faults.endedAlone, one.name)
+		s.disturbed(one.name, time.Now())
 		s.nodes[one.name].begin(s.t)
 	}
 	s.faults.down[one.name] = true
@@ -136,7 +153,9 @@
 		return
 	}
 	s.nodes[one.name].freeze()
+	begin := time.Now()
 	s.until(100, 2500, func() {
+		s.disturbed(one.name+frozen, begin)
 		s.nodes[one.name].thaw()
 		s.faults.down[one.name] = false
 	})
@@ -152,7 +171,9 @@
 }
 
 func (s *soak) restart(one soakRole) {
+	begin := time.Now()
 	s.until(50, 1000, func() {
+		s.disturbed(one.name, begin)
 		s.nodes[one.name].begin(s.t)
 		s.faults.down[one.name] = false
 	})
@@ -183,6 +204,7 @@
 			s.seen.broken("%s had not ended in %v", one.name, graceTime)
 		}
 		s.nodes[one.name].kill()
+		s.disturbed(one.name, time.Now())
 		s.nodes[one.name].begin(s.t)
 		s.faults.down[one.name] = false
 	})
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -21,7 +21,7 @@
 	soakSeedsVariable = "BURDOCKLINK_SOAK_SEEDS"
 	soakSeedVariable  = "BURDOCKLINK_SOAK_SEED"
 	// soakFaults is how many faults begin in one run.
-	soakFaults = 14
+	soakFaults = 20
 	// soakCallers is how many callers each entry has.
 	soakCallers = 3
 	// soakAtOnce is how many runs share the machine.
@@ -152,6 +152,7 @@
 	s.callers.Wait()
 	time.Sleep(lateTime)
 	s.checkRuns()
+	s.checkNotices()
 	s.checkExits()
 	for _, broken := range s.seen.take() {
 		s.t.Error(broken)
