--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -14,6 +14,7 @@
 	"burdocklink/follower"
 	"burdocklink/forwarder"
 	"burdocklink/linker"
+	"burdocklink/observer"
 	"burdocklink/platform"
 	"burdocklink/prober"
 	"burdocklink/registrar"
@@ -61,6 +62,7 @@
 	retries       *retryShare
 	admission     *admitter.Admitter
 	calls         *dispatcher.Dispatcher
+	words         *observer.Observer
 	links         *linker.Linker
 	notes         *broadcaster.Broadcaster
 	upstreams     *surveyor.Surveyor
@@ -78,6 +80,13 @@
 	p.admission = admitter.New(p.routes, admitter.Settings{Retries: p.retries.budget()})
 	p.retries.apply = p.admission.SetReserve
 	p.calls = dispatcher.New(dispatcher.Settings{Dial: dialTime})
+	p.words = observer.New(observer.Settings{
+		Router:   p.routes,
+		Wake:     p.admission.Wake,
+		Forget:   p.calls.Forget,
+		Registry: p.metrics.Registry(),
+		Log:      settings.Log,
+	})
 	p.links = linker.New(nil, linker.NewMeter(p.metrics.Registry()))
 	p.upstreams = surveyor.New(surveyor.Settings{
 		Fetch:    platform.NewClient(settings.List.Address, p.calls).FetchList,
@@ -148,10 +157,11 @@
 		Ready:            func() error { return nil },
 		Admitter:         p.admission,
 		Holders: seeker.New(seeker.Settings{
-			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Log: p.settings.Log,
+			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Held: p.routes.Holds, Log: p.settings.Log,
 		}),
-		Calls:    p.calls,
-		Reporter: p.metrics,
-		Log:      p.settings.Log,
+		Upstreams: p.words,
+		Calls:     p.calls,
+		Reporter:  p.metrics,
+		Log:       p.settings.Log,
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -12,11 +12,14 @@
 // a choice are safe for many goroutines.
 type Router struct {
 	settings Settings
-	// mutex guards the table, which Choose reads and news changes.
+	// mutex guards the table, which Choose reads and news changes, and what
+	// upstreams were heard to say.
 	mutex sync.RWMutex
 	table *table
 	own   *dispatches
 	peers *peers
+	// heard is kept for incarnations too that the catalog may know again.
+	heard map[incarnation]heard
 }
 
 // New returns a router that knows no upstream.
@@ -26,6 +29,7 @@
 		table:    emptyTable(settings.Entries),
 		own:      newDispatches(),
 		peers:    newPeers(),
+		heard:    map[incarnation]heard{},
 	}
 }
 
@@ -35,6 +39,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.table = newTable(r.table, catalog)
+	for name := range r.table.upstreams {
+		r.recall(name)
+	}
 }
 
 // Apply takes in changes of upstreams and placements; others are passed over.
@@ -44,6 +51,18 @@
 	defer r.mutex.Unlock()
 	for _, change := range changes {
 		r.table.apply(change)
+		if put, ok := change.(cataloger.PutUpstream); ok {
+			r.recall(put.Upstream.Name)
+		}
+	}
+}
+
+// recall has an upstream heed what its incarnation was heard to say. The mutex
+// is held.
+func (r *Router) recall(name string) {
+	u := r.table.upstreams[name]
+	if said, known := r.heard[incarnation{name, u.about.Incarnation}]; known {
+		u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
 	}
 }
 
@@ -81,9 +100,12 @@
 func (r *Router) find(name, incarnation string) *upstream {
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
-	u := r.table.upstreams[name]
-	if u == nil || u.about.Incarnation != incarnation {
-		return nil
-	}
-	return u
+	return r.table.find(name, incarnation)
+}
+
+// Holds says whether a live upstream is known to hold a model or adapter.
+func (r *Router) Holds(name string) bool {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return len(r.table.holders[name]) > 0
 }
--- a/router/table.go
+++ b/router/table.go
@@ -72,6 +72,15 @@
 	return live
 }
 
+// find returns an incarnation, or nil where the table has another one or none.
+func (t *table) find(name, incarnation string) *upstream {
+	u := t.upstreams[name]
+	if u == nil || u.about.Incarnation != incarnation {
+		return nil
+	}
+	return u
+}
+
 func (t *table) apply(change cataloger.Change) {
 	switch change := change.(type) {
 	case cataloger.PutUpstream:
--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -113,9 +113,9 @@
 }
 
 // foundTime is how long the leader's word of a holder counts: a holder that can't
-// be reached is asked for again and again, and the leader hears of its loss no
-// sooner.
-const foundTime = 250 * time.Millisecond
+// be reached is asked for again and again, and the leader takes a second or two
+// to notice its loss.
+const foundTime = time.Second
 
 func (s *Seeker) foundLately(name string, now time.Time) bool {
 	s.mutex.Lock()
