fix(mover): callers are told the time of their own model's load

Cause: the time at which a model is expected was that of any engine to which a load was on its way, of whatever model, or of the first engine found in no order. An engine now notes which model its order loads, and the soonest engine counts.

--- a/mover/engine.go
+++ b/mover/engine.go
@@ -38,8 +38,10 @@
 	versions map[string]int
 	sequence uint64
 	busy     bool
-	// loading is the model whose load is under way, until about loadedAt.
+	// loading is the model whose load is under way, until about loadedAt, and
+	// ordered the one that an order on its way is about to load.
 	loading  string
+	ordered  string
 	loadedAt time.Time
 	warm     map[string]bool
 	disk     map[string]bool
--- a/mover/events.go
+++ b/mover/events.go
@@ -234,7 +234,7 @@
 	if answered.term != m.lead.term || one == nil || one.upstream.Incarnation != answered.engine.Incarnation {
 		return
 	}
-	one.sending = false
+	one.sending, one.ordered = false, ""
 	order := answered.order
 	if answered.outcome != Accepted && answered.outcome != Done {
 		m.tally.refused++
--- a/mover/load_test.go
+++ b/mover/load_test.go
@@ -64,3 +64,42 @@
 	most := int(time.Second/loadsEvery) + 1
 	assert.Assert(t, sums-before <= most, "%d sums of all loads in a second", sums-before)
 }
+
+func TestCallersAreNotToldTheTimeOfAnotherModelsLoad(t *testing.T) {
+	loading := func(model string, left time.Duration) func(s *stage) {
+		return func(s *stage) {
+			one := s.mover.engines["e1"]
+			one.sending, one.ordered, one.loadedAt = true, model, s.now.Add(left)
+		}
+	}
+	intended := func(s *stage) { s.mover.engines["e2"].intended = "o" }
+	both := func(s *stage) {
+		intended(s)
+		loading("o", time.Second)(s)
+	}
+	cases := map[string]struct {
+		given func(s *stage)
+		want  time.Duration
+	}{
+		"nothing under way":         {func(*stage) {}, roomTime + 8*time.Second},
+		"its own load":              {loading("o", time.Second), time.Second + reportSoon},
+		"another model's load":      {loading("n", time.Second), roomTime + 8*time.Second},
+		"room is made for it":       {intended, roomTime + 8*time.Second},
+		"the sooner one of several": {both, time.Second + reportSoon},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, map[string][]string{"e1": {"m"}, "e2": {"m"}})
+			s.control.lead(firstTerm, true)
+			s.play(time.Second)
+			s.mover.settings.StoreWindow = 0
+			for _, one := range s.mover.engines {
+				one.sending, one.ordered, one.loading, one.intended, one.loadedAt = false, "", "", "", time.Time{}
+			}
+			c.given(s)
+			readyIn, known := s.mover.readyIn(Want{Service: "s", Model: "o"}, s.now)
+			assert.Assert(t, known)
+			assert.Equal(t, readyIn, c.want)
+		})
+	}
+}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -109,6 +109,7 @@
 		if move.FromStore {
 			m.storeLoads = append(m.storeLoads, now)
 		}
+		one.ordered = move.Model
 		one.loadedAt = now.Add(one.loadTime(m.engineOf(one.upstream.Service).Models[move.Model]))
 		m.send(one, Order{Action: ActionLoad, Model: move.Model}, m.inputs(move.Why, now)...)
 	case allocator.Drop:
--- a/mover/want.go
+++ b/mover/want.go
@@ -98,15 +98,17 @@
 	if !known {
 		return 0, false
 	}
+	ready := roomTime + about.LoadTime
 	for _, one := range m.engines {
-		if one.loading == want.Model || (one.sending && one.loadedAt.After(now)) {
-			return max(tick, one.loadedAt.Sub(now)) + reportSoon, true
-		}
-		if one.intended == want.Model {
-			return roomTime + one.loadTime(about), true
+		switch {
+		case one.upstream.Service != want.Service:
+		case one.loading == want.Model || one.ordered == want.Model:
+			ready = min(ready, max(tick, one.loadedAt.Sub(now))+reportSoon)
+		case one.intended == want.Model:
+			ready = min(ready, roomTime+one.loadTime(about))
 		}
 	}
-	return roomTime + about.LoadTime, true
+	return ready, true
 }
 
 // loadTime is how long the engine takes to load a model.
