fix(allocator): adapters that find no place get a further copy of their model

Cause: an adapter is loaded beside a copy of its model. Where all places of the holders were in use, or their engines moved models, it waited 0.8 s, was given up and waited again; nothing in a plan knew of it, since the model itself had not much to do. The mover now notes models whose adapters ran out of time, and a plan adds one copy at a time for them. Red before (with the rule off): TestAdaptersDoNotStarveWhereTheOnlyHolderIsFull, no order in 20 s.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -25,6 +25,9 @@
 	// WantedSince is from when on requests have waited for a holder; zero where
 	// none do.
 	WantedSince time.Time
+	// CrowdedSince is from when on requests have waited for adapters that none of
+	// its holders can take; zero where none do.
+	CrowdedSince time.Time
 	// AskedAt is when the model was last asked for; zero for never.
 	AskedAt time.Time
 }
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -53,6 +53,7 @@
 	p.finishDrops()
 	p.loadIntended()
 	p.serveWanted()
+	p.relieveCrowded()
 	p.follow()
 	p.fill()
 	p.spreadOut()
@@ -190,6 +191,37 @@
 // turnTime is after how long the next model comes first.
 const turnTime = 100 * time.Millisecond
 
+// crowdedGain is the worth of a further copy of a model whose adapters find no
+// place: more than the longest load costs, less than the work of a pressed copy.
+const crowdedGain = 1.0
+
+// relieveCrowded adds a copy of models whose holders have no room for adapters
+// that requests wait for, one at a time.
+func (p *planner) relieveCrowded() {
+	for _, name := range p.inTurn() {
+		model := p.view.Models[name]
+		if model.CrowdedSince.IsZero() || p.coming(name) {
+			continue
+		}
+		option, found := p.search(model, false, func(engine string, victims []string) float64 {
+			return crowdedGain + p.fall(model, engine, victims) - p.disturbance(victims)
+		})
+		if found && option.gain > 0 {
+			p.begin(option, "adapters wait")
+		}
+	}
+}
+
+// coming is true while a copy of a model is on its way, or has come so lately that
+// adapters can't have been brought to it.
+func (p *planner) coming(name string) bool {
+	return slices.ContainsFunc(p.holders[name], func(holder string) bool {
+		engine := p.view.Engines[holder]
+		held := engine.Copies[name]
+		return held == nil || engine.Loading == name || p.view.Now.Sub(held.Since) < settleTime
+	})
+}
+
 // inTurn lists all models, in an order that begins elsewhere as time passes.
 func (p *planner) inTurn() []string {
 	if len(p.models) == 0 {
--- a/allocator/starve_test.go
+++ b/allocator/starve_test.go
@@ -76,3 +76,39 @@
 	assert.Equal(t, len(loads), 1)
 	assert.Equal(t, loads[0].Model, "b")
 }
+
+func TestAdaptersThatFindNoPlaceDoNotStarveBesideAnIdleEngine(t *testing.T) {
+	crowded := func() fleet {
+		f := newFleet("m", "idle")
+		f.engine("e1", "m")
+		f.engine("e2", "idle")
+		f.engine("e3", "idle").OnDisk["m"] = true
+		f.busy("m", 0.1)
+		f.Models["m"].CrowdedSince = now.Add(-time.Second)
+		return f
+	}
+	cases := map[string]struct {
+		change func(f fleet)
+		want   int
+	}{
+		"a copy is added":          {func(fleet) {}, 1},
+		"not where nobody waits":   {func(f fleet) { f.Models["m"].CrowdedSince = time.Time{} }, 0},
+		"not while one comes":      {func(f fleet) { f.Engines["e2"].Intended = "m" }, 0},
+		"not right after one came": {func(f fleet) { f.Engines["e1"].Copies["m"].Since = now }, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := crowded()
+			c.change(f)
+			// nothing is loaded for its own sake
+			f.StoreLoads = 0
+			count := 0
+			for _, load := range ofType[allocator.Load](allocator.Plan(f.View)) {
+				if load.Model == "m" && load.Why.Reason == "adapters wait" {
+					count++
+				}
+			}
+			assert.Equal(t, count, c.want)
+		})
+	}
+}
--- a/mover/adapter.go
+++ b/mover/adapter.go
@@ -32,6 +32,7 @@
 			return false
 		}
 		m.tally.expired++
+		note(m.crowded, surveyor.HeldName(one.want.Service, one.want.Model, ""), now)
 		one.answer <- Wanted{}
 		return true
 	})
--- a/mover/load_test.go
+++ b/mover/load_test.go
@@ -103,3 +103,26 @@
 		})
 	}
 }
+
+func TestAdaptersDoNotStarveWhereTheOnlyHolderIsFull(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m"}, "e2": {"n", "o"}, "e3": {"n", "o"}})
+	s.yard.engines["e1"].report.Holds[0].Adapters = []string{"a1", "a2"}
+	s.yard.engines["e2"].report.OnDisk = append(s.yard.engines["e2"].report.OnDisk, "m")
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	for end := s.now.Add(20 * time.Second); s.now.Before(end); {
+		// the two that are there are in use all the time
+		for _, adapter := range []string{"a1", "a2"} {
+			s.mover.engines["e1"].copies["m"].Adapters[adapter] = s.now
+		}
+		s.mover.handle(wantCalled{want: Want{Service: "s", Model: "m", Adapter: "a3"}, answer: make(chan Wanted, 1)}, s.now)
+		s.settle()
+		s.play(tick)
+	}
+	for _, one := range s.yard.given() {
+		if one.engine != "e1" && one.order.Model == "m" && one.order.Adapter == "a3" {
+			return
+		}
+	}
+	t.Errorf("a3 was not loaded: %v", s.yard.given())
+}
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -104,7 +104,10 @@
 	listAt  time.Time
 	listing bool
 	// wanted are the models that entries asked for in vain, by the router's name.
-	wanted  map[string]wanted
+	wanted map[string]wanted
+	// crowded are those whose holders had no room for an adapter that an entry
+	// waited for.
+	crowded map[string]wanted
 	waiters []waiter
 	// storeLoads are the times of loads from the weight store.
 	storeLoads []time.Time
@@ -233,7 +236,7 @@
 	m.dismissWaiters()
 	m.engines = map[string]*engine{}
 	m.meter = newMeter()
-	m.wanted = map[string]wanted{}
+	m.wanted, m.crowded = map[string]wanted{}, map[string]wanted{}
 	m.listAt, m.demandAt, m.loadsAt = time.Time{}, time.Time{}, time.Time{}
 	m.listing = false
 	m.told.Clear()
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -48,7 +48,9 @@
 	}
 	for name, model := range can.Models {
 		view.Models[name] = planned(model)
-		view.Models[name].WantedSince = m.wantedSince(surveyor.HeldName(service, name, ""), now)
+		held := surveyor.HeldName(service, name, "")
+		view.Models[name].WantedSince = since(m.wanted, held, now)
+		view.Models[name].CrowdedSince = since(m.crowded, held, now)
 	}
 	m.meter.apply(service, view.Models)
 	for name, one := range m.engines {
--- a/mover/want.go
+++ b/mover/want.go
@@ -36,18 +36,21 @@
 }
 
 // noteWanted notes that a model was asked for in vain.
-func (m *Mover) noteWanted(name string, now time.Time) {
-	one, known := m.wanted[name]
+func (m *Mover) noteWanted(name string, now time.Time) { note(m.wanted, name, now) }
+
+// note counts a want from its beginning, unless that was long before.
+func note(wants map[string]wanted, name string, now time.Time) {
+	one, known := wants[name]
 	if !known || now.Sub(one.last) > wantGap {
 		one.since = now
 	}
 	one.last = now
-	m.wanted[name] = one
+	wants[name] = one
 }
 
-// wantedSince is from when on a model has been wanted; zero where it is not.
-func (m *Mover) wantedSince(name string, now time.Time) time.Time {
-	one := m.wanted[name]
+// since is from when on something has been wanted; zero where it is not.
+func since(wants map[string]wanted, name string, now time.Time) time.Time {
+	one := wants[name]
 	if now.Sub(one.last) >= wantTime {
 		return time.Time{}
 	}
