fix(forwarder): pass on only streams that an engine signed

Callers would get a success without an engine's signature (MIXED), or events that no engine vouches for behind those of another one (ORDER).

Cause: only answers that are passed on as a whole were checked for the signature.

Evidence: TestUnsignedStreamsAreNotPassedOn was red in the cases "first, not resumable" and "where it goes on".

Why it works: a stream goes through the same check before its first event; one that fails it counts as a lost answer, and is asked for elsewhere where it may.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -337,7 +337,7 @@
 	}
 	x.tries.runs++
 	if x.route.Kind == matcher.Streaming && response.StatusCode == http.StatusOK {
-		return x.stream(response)
+		return x.stream(response, said)
 	}
 	return x.whole(response, said)
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -419,6 +419,49 @@
 	}
 }
 
+// unsigned leaves out the upstream's signature.
+func unsigned(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) { handle(&unsignedWriter{ResponseWriter: w}, r) }
+}
+
+// unsignedWriter sends no signature.
+type unsignedWriter struct{ http.ResponseWriter }
+
+// Write drops the signature before the header goes out.
+func (w *unsignedWriter) Write(data []byte) (int, error) {
+	w.Header().Del("Signed")
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap gives the controller its connection.
+func (w *unsignedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// A stream that nobody vouches for must not reach a caller, nor be joined.
+func TestUnsignedStreamsAreNotPassedOn(t *testing.T) {
+	resumable := matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}
+	plain := matcher.Route{Kind: matcher.Streaming, MaxAttempts: 2}
+	cases := map[string]struct {
+		route     matcher.Route
+		upstreams []http.HandlerFunc
+		status    int
+		body      string
+		complete  bool
+	}{
+		"first, not resumable":   {plain, []http.HandlerFunc{unsigned(events(1, 3, true)), events(1, 3, true)}, 502, "", true},
+		"first, asked elsewhere": {resumable, []http.HandlerFunc{unsigned(events(1, 3, true)), events(1, 3, true)}, 200, eventText(1, 3), true},
+		"where it goes on":       {resumable, []http.HandlerFunc{events(1, 2, false), unsigned(events(1, 3, true))}, 200, eventText(1, 2), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.route, c.upstreams...)
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, got.body, c.body)
+			assert.Equal(t, got.err == nil, c.complete)
+		})
+	}
+}
+
 func TestACallerThatLeavesIsCancelledUpstream(t *testing.T) {
 	left := make(chan struct{})
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, request *http.Request) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -20,9 +20,13 @@
 // stream passes events on as they arrive. The caller's answer keeps the header
 // of the first upstream; a stream that goes on elsewhere begins after the last
 // event that the caller has.
-func (x *exchange) stream(response *http.Response) error {
-	events := newEventReader(response.Body)
+func (x *exchange) stream(response *http.Response, said Answer) error {
 	defer func() { _ = response.Body.Close() }()
+	if fault := x.fault(&answer{status: response.StatusCode}, said); fault != nil {
+		x.settle(router.OutcomeFailed)
+		return fault
+	}
+	events := newEventReader(response.Body)
 	for {
 		arrived, err := events.next()
 		if err == io.EOF {
