fix(receiver): an engine's refusal is not joined to a stream

Callers of the product's own interface could see the body of an engine's 4xx behind the events of a stream, which then ended as complete.

Cause: a stream that broke is continued on another engine. Where that engine refuses the request itself, the refusal was passed to the caller as it is, without a look at whether the answer had begun.

Evidence: TestARefusalIsNotJoinedToAStream was red: the answer had no error.

Why it works: once an answer has begun, a refusal breaks it, and the connection to the caller is closed in the middle of the answer.

--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -81,7 +81,7 @@
 	}
 	err := relayer.Relay(x.ctx, legs, sink)
 	var refused *answeredError
-	if errors.As(err, &refused) {
+	if errors.As(err, &refused) && !x.answered {
 		return x.passAnswer(refused.upstream, refused.answer)
 	}
 	if err != nil {
--- a/receiver/engine_test.go
+++ b/receiver/engine_test.go
@@ -22,6 +22,8 @@
 	cut func(call string, event int) bool
 	// forgets is true where streams cannot be resumed.
 	forgets bool
+	// refusesRest is true where an answer can't be continued.
+	refusesRest bool
 	// gone is true once the engine takes no more requests.
 	gone atomic.Bool
 	// pad makes each event longer.
@@ -53,6 +55,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.refusesRest && request.ContinueFinalMessage {
+		http.Error(w, "the prompt is too long", http.StatusBadRequest)
+		return
+	}
 	e.mu.Lock()
 	e.streamsOf()[id] = request
 	e.mu.Unlock()
--- a/receiver/stream_test.go
+++ b/receiver/stream_test.go
@@ -82,6 +82,22 @@
 	assert.Assert(t, !ended)
 }
 
+func TestARefusalIsNotJoinedToAStream(t *testing.T) {
+	cut := cutAfter(3, 1)
+	r := newRig(t, map[string]http.Handler{
+		"engine-1": &engine{cut: cut, forgets: true, refusesRest: true},
+		"engine-2": &engine{cut: cut, forgets: true, refusesRest: true},
+	})
+
+	got := r.send("POST", encoder.PathChat, chat(true, 8))
+
+	assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+	assert.Assert(t, !strings.Contains(got.body, "too long"), got.body)
+	body, _, ended := readStream(got.body)
+	assert.Equal(t, body, text(3))
+	assert.Assert(t, !ended)
+}
+
 func TestLostCallerCancelsTheStreamUpstream(t *testing.T) {
 	begun, release := make(chan struct{}), make(chan struct{})
 	var once sync.Once
