fix(conductor): a leader hands over at its stop though its lease has lapsed

Callers waited for an election of 0.6 s and more where a slow leader was stopped in a moment without a lease: it took itself for no leader and left without a word. Handing over needs no lease.

--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -400,13 +400,14 @@
 // catchUpTime is how long a member may be back before it must count again.
 const catchUpTime = 4 * time.Second
 
-// TestAWipedMemberIsNotTakenInWhileTheLeaseLapses plays a leader that is too slow
-// to keep its lease without a gap.
+// lapsing gives a leader too little time to keep its lease without a gap.
+func lapsing(config *conductor.Config) {
+	config.Timing = conductor.StandardTiming()
+	config.Timing.Lease = config.Timing.Heartbeat + time.Millisecond
+}
+
 func TestAWipedMemberIsNotTakenInWhileTheLeaseLapses(t *testing.T) {
-	g := newCluster(t, func(c *conductor.Config) {
-		c.Timing = conductor.StandardTiming()
-		c.Timing.Lease = c.Timing.Heartbeat + time.Millisecond
-	}, "a", "b", "c")
+	g := newCluster(t, lapsing, "a", "b", "c")
 	g.commit()
 	leader := g.leader()
 	var wiped *process
@@ -420,3 +421,25 @@
 	g.voters(3)
 	assert.Assert(t, time.Since(began) <= catchUpTime, "the member votes again after %v", time.Since(began))
 }
+
+// TestALeaderIsStoppedWithoutHandingOverWhileItsLeaseLapses stops slow leaders and
+// holds that the group has the next one sooner than by an election.
+func TestALeaderIsStoppedWithoutHandingOverWhileItsLeaseLapses(t *testing.T) {
+	g := newCluster(t, lapsing, "a", "b", "c")
+	g.commit()
+	// links to a member that has returned are dialled within half a second
+	const stops, step, redialled = 16, 9 * time.Millisecond, 700 * time.Millisecond
+	for at := range stops {
+		old := g.leader()
+		time.Sleep(redialled + time.Duration(at)*step)
+		assert.NilError(t, old.Stop(time.Now().Add(waitTime)))
+		stopped := time.Now()
+		old.server.Stop()
+		old.listener, old.down = nil, true
+		g.leader()
+		took := time.Since(stopped)
+		assert.Assert(t, took < conductor.StandardElectionMin, "a successor leads after %v", took)
+		g.start(old)
+		g.voters(3)
+	}
+}
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -137,10 +137,11 @@
 	}
 }
 
-// handOver gives the lead to another voter, if there is one that answers.
+// handOver gives the lead to another voter, if there is one that answers. A
+// leader whose lease has lapsed for the moment hands over as well.
 func (c *Conductor) handOver(ctx context.Context) {
-	status := c.Status()
-	voters := slices.DeleteFunc(status.Members, func(m Member) bool { return m.Role != Voter })
+	status := c.status.Load()
+	voters := slices.DeleteFunc(slices.Clone(status.Members), func(m Member) bool { return m.Role != Voter })
 	if !status.Leading || len(voters) < 2 {
 		return
 	}
