fix(conductor): a repair does not ask those who have just told their disk

A member that had announced its new disk counted as silent until its first answer to the leader, and the repair waited up to a second for its introduction between two steps. What a member has announced is known; only those that said nothing are asked.

--- a/conductor/repair.go
+++ b/conductor/repair.go
@@ -156,14 +156,14 @@
 }
 
 // unsettled returns the peers that have announced a disk which the group does
-// not know, and those of which the group hears nothing.
+// not know, and those that have announced nothing and are not heard.
 func (v repairView) unsettled(peers []Member) (strangers, silent []Member) {
 	for _, peer := range peers {
 		_, known := v.Status.Configuration.Find(replicator.Identity{Name: peer.Name, Disk: peer.Disk})
 		switch {
 		case peer.Disk != "" && !known:
 			strangers = append(strangers, peer)
-		case !v.present(peer.Name):
+		case peer.Disk == "" && !v.present(peer.Name):
 			silent = append(silent, peer)
 		}
 	}
