fix(configurator): large configurations at once starve the member that takes them

In a storm of configurations of 1,650 routes the leader of a grown site lost its lease, and the group changed its leader four times in five seconds with no fault on any VM. Decoding, checking and packing one of them takes 13 ms of processor time (10.4, 0.6 and 2.3, benchmark beside load), a tenth of a second where a VM has 0.12 of a core. Members did that for every call at once, so that the group's messages waited behind all of them, and followers did it for calls that they then sent on to the leader.

A member now decodes one configuration at a time, answers 503 where a call has waited for its turn as long as it may, and sends a call on before it decodes. Eight calls at once: eight were decoded together before, one now.

--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -65,15 +65,21 @@
 	leaderPause = 50 * time.Millisecond
 )
 
+// mostDecoded is how many configurations are decoded at the same time. A member
+// has one core, and the group's messages wait behind each of them.
+const mostDecoded = 1
+
 // Configurator serves operators.
 type Configurator struct {
 	settings Settings
 	server   *http.Server
+	// decoding holds a place for each configuration that is being decoded.
+	decoding chan struct{}
 }
 
 // New returns a configurator that has not started.
 func New(settings Settings) *Configurator {
-	c := &Configurator{settings: settings}
+	c := &Configurator{settings: settings, decoding: make(chan struct{}, mostDecoded)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+settings.Codec.PathPut, c.put)
 	mux.HandleFunc("GET "+settings.Codec.PathGet, c.get)
@@ -114,17 +120,12 @@
 		c.answer(w, "configuration refused", http.StatusBadRequest, err)
 		return
 	}
-	configuration, err := c.settings.Codec.Decode(data)
-	if err == nil {
-		err = configuration.Check()
-	}
-	if err != nil {
-		c.answer(w, "configuration refused", http.StatusBadRequest, err)
+	if c.led(w, r) {
 		return
 	}
-	packed, err := c.settings.Codec.Pack(data)
+	configuration, packed, err := c.decode(r.Context(), data)
 	if err != nil {
-		c.answer(w, "configuration not packed", http.StatusInternalServerError, err)
+		c.refuse(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerTime)
@@ -145,6 +146,42 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// decode checks a configuration and packs it for the log. The error is an
+// *InvalidError where the configuration is at fault.
+func (c *Configurator) decode(ctx context.Context, data []byte) (*matcher.Configuration, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	select {
+	case c.decoding <- struct{}{}:
+	case <-ctx.Done():
+		return nil, nil, &BusyError{}
+	}
+	defer func() { <-c.decoding }()
+	configuration, err := c.settings.Codec.Decode(data)
+	if err == nil {
+		err = configuration.Check()
+	}
+	if err != nil {
+		return nil, nil, &InvalidError{Cause: err}
+	}
+	packed, err := c.settings.Codec.Pack(data)
+	return configuration, packed, err
+}
+
+// refuse answers where a configuration was not decoded.
+func (c *Configurator) refuse(w http.ResponseWriter, err error) {
+	var invalid *InvalidError
+	var busy *BusyError
+	switch {
+	case errors.As(err, &invalid):
+		c.answer(w, "configuration refused", http.StatusBadRequest, err)
+	case errors.As(err, &busy):
+		c.answer(w, "configuration not committed", http.StatusServiceUnavailable, err)
+	default:
+		c.answer(w, "configuration not packed", http.StatusInternalServerError, err)
+	}
+}
+
 // get answers with the newest configuration, once a quorum has confirmed that
 // there is no newer one.
 func (c *Configurator) get(w http.ResponseWriter, r *http.Request) {
@@ -179,24 +216,31 @@
 	c.settings.Log.Info("configuration read", zap.Uint64("version", stored.Version))
 }
 
-// redirected sends a call on to the leader where that is another member.
+// redirected sends a call on to the leader where that is another member, and
+// waits for one where none is known.
 func (c *Configurator) redirected(ctx context.Context, w http.ResponseWriter, r *http.Request) bool {
 	for {
-		status := c.settings.Group.Status()
-		if status.Leader == status.Member {
-			return false
-		}
-		if status.Leader != "" {
-			w.Header().Set("Location", "http://"+c.settings.Operators(status.Leader)+r.URL.RequestURI())
-			w.WriteHeader(http.StatusTemporaryRedirect)
+		if c.led(w, r) {
 			return true
 		}
-		if !linker.Pause(ctx, leaderPause) {
+		status := c.settings.Group.Status()
+		if status.Leader != "" || !linker.Pause(ctx, leaderPause) {
 			return false
 		}
 	}
 }
 
+// led sends a call on to the leader where another member is known to lead.
+func (c *Configurator) led(w http.ResponseWriter, r *http.Request) bool {
+	status := c.settings.Group.Status()
+	if status.Leader == "" || status.Leader == status.Member {
+		return false
+	}
+	w.Header().Set("Location", "http://"+c.settings.Operators(status.Leader)+r.URL.RequestURI())
+	w.WriteHeader(http.StatusTemporaryRedirect)
+	return true
+}
+
 // unsure answers where the outcome is not known, or another member leads.
 func (c *Configurator) unsure(w http.ResponseWriter, message string, err error) {
 	var large *conductor.TooLargeError
@@ -217,3 +261,18 @@
 
 // Error describes the state.
 func (e *NoConfigurationError) Error() string { return "no configuration was put yet" }
+
+// InvalidError says why a configuration can't be taken.
+type InvalidError struct{ Cause error }
+
+// Error describes the fault.
+func (e *InvalidError) Error() string { return "invalid configuration: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *InvalidError) Unwrap() error { return e.Cause }
+
+// BusyError says that other configurations were decoded for too long.
+type BusyError struct{}
+
+// Error describes the refusal.
+func (e *BusyError) Error() string { return "too many configurations at once" }
--- a/configurator/configurator_test.go
+++ b/configurator/configurator_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,8 @@
 
 // group is a control member that leads, or knows who does.
 type group struct {
+	// mutex keeps proposals apart, as the member's loop does.
+	mutex  sync.Mutex
 	state  *applier.State
 	index  uint64
 	status conductor.Status
@@ -32,6 +36,8 @@
 	if g.err != nil {
 		return applier.Applied{}, g.err
 	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	g.index++
 	return g.state.Apply(g.index, time.Now(), command), nil
 }
@@ -61,7 +67,9 @@
 	return c, nil
 }
 
-func serve(t *testing.T, g *group) string {
+func serve(t *testing.T, g *group) string { return serveWith(t, g, decode) }
+
+func serveWith(t *testing.T, g *group, decode func([]byte) (*matcher.Configuration, error)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -147,3 +155,48 @@
 		assert.Equal(t, status, 503)
 	}
 }
+
+// decoder counts configurations, and the most that were decoded at once.
+type decoder struct {
+	running, most, total atomic.Int64
+}
+
+// decodeTime makes calls overlap.
+const decodeTime = 20 * time.Millisecond
+
+func (d *decoder) decode(data []byte) (*matcher.Configuration, error) {
+	d.total.Add(1)
+	running := d.running.Add(1)
+	defer d.running.Add(-1)
+	for most := d.most.Load(); running > most && !d.most.CompareAndSwap(most, running); most = d.most.Load() {
+		continue
+	}
+	time.Sleep(decodeTime)
+	return decode(data)
+}
+
+func TestManyConfigurationsAreDecodedAtOnce(t *testing.T) {
+	var d decoder
+	url := serveWith(t, leading(), d.decode)
+	var ended sync.WaitGroup
+	const calls = 8
+	for at := range calls {
+		ended.Go(func() {
+			status, _, _ := call(t, http.MethodPost, url+"/put", strconv.Itoa(at+1)+" valid")
+			assert.Check(t, status == http.StatusOK)
+		})
+	}
+	ended.Wait()
+	assert.Equal(t, d.total.Load(), int64(calls))
+	assert.Equal(t, d.most.Load(), int64(1))
+}
+
+func TestAFollowerDecodesWhatItSendsOn(t *testing.T) {
+	var d decoder
+	g := leading()
+	g.status.Leader = "b"
+	url := serveWith(t, g, d.decode)
+	status, _, _ := call(t, http.MethodPost, url+"/put", "5 valid")
+	assert.Equal(t, status, http.StatusTemporaryRedirect)
+	assert.Equal(t, d.total.Load(), int64(0))
+}
