test(conductor): a member that is gone is replaced though the lease lapses

The same cause as for the wiped member: silence of a voter was counted only while the lease had no gap.

--- a/conductor/announce_test.go
+++ b/conductor/announce_test.go
@@ -89,3 +89,25 @@
 	p.Meet([]conductor.Member{{Name: "b", Address: g.processes["b"].config.Address}})
 	g.eventually("the newcomer belongs to the group", func() bool { return len(p.Status().Members) == 4 })
 }
+
+func TestAMemberThatIsGoneIsNotReplacedWhileTheLeaseLapses(t *testing.T) {
+	const lostAfter, joinAfter = 2 * time.Second, time.Second
+	slow := func(config *conductor.Config) {
+		lapsing(config)
+		config.Voters, config.LostAfter = 3, lostAfter
+	}
+	g := newCluster(t, slow, "a", "b", "c")
+	g.commit()
+	var lost string
+	for _, name := range []string{"a", "b", "c"} {
+		if g.processes[name] != g.leader() {
+			lost = name
+		}
+	}
+	g.kill(g.processes[lost])
+	time.Sleep(joinAfter)
+	g.join("d", slow, g.leader().config.Name)
+	began := time.Now()
+	g.eventually("the newcomer votes", func() bool { return g.voterNames()["d"] && !g.voterNames()[lost] })
+	assert.Assert(t, time.Since(began) <= catchUpTime, "the newcomer votes after %v", time.Since(began))
+}
