perf(broadcaster): notes are bounded, however many entries are told

Each entry sent one to each of 24 others every 10 ms while anything changed, 25 a second and peer, so their number grew with peers times requests.

All peers together are now sent 240 notes a second at most: with 24 the time between two notes is 100 ms, with 6 it is 25 ms. The full word twice a second carries the news of that moment, and leaves out requests by model, which only the leader reads.

--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -27,9 +27,13 @@
 const Name = "broadcaster"
 
 const (
-	// flushTime is the time between two notes while something changes. It is
-	// well below the time in which an engine reads a prompt.
+	// flushTime is the least time between two notes while something changes. It
+	// is well below the time in which an engine reads a prompt.
 	flushTime = 10 * time.Millisecond
+	// notesPerSecond bounds the notes to all peers together: each takes both
+	// ends some 57 us, and an entry is told as much as it tells. With many peers
+	// the time between two notes grows.
+	notesPerSecond = 240
 	// repeatTime is the time between two notes with all shares.
 	repeatTime = 500 * time.Millisecond
 	// noteQueue is how many notes may wait for a peer before the oldest are left
@@ -160,30 +164,61 @@
 // run collects what changed and hands it to all peers.
 func (b *Broadcaster) run() {
 	defer close(b.ended)
-	ticker := time.NewTicker(flushTime)
-	defer ticker.Stop()
+	timer := time.NewTimer(flushTime)
+	defer timer.Stop()
 	repeatAt := time.Now()
 	for {
 		select {
 		case <-b.ctx.Done():
 			return
-		case now := <-ticker.C:
-			loads := b.settings.Router.News()
-			if len(loads) > 0 {
-				b.tell(&wire.EntryNotes{Entry: b.settings.Entry, Loads: encoder.EncodeLoads(loads)})
+		case now := <-timer.C:
+			if notes := b.collect(now.After(repeatAt)); notes != nil {
+				b.tell(notes)
 			}
 			if now.After(repeatAt) {
 				repeatAt = now.Add(repeatTime)
-				b.tell(&wire.EntryNotes{
-					Entry: b.settings.Entry,
-					Loads: encoder.EncodeLoads(b.settings.Router.Loads()),
-					Whole: true,
-				})
 			}
+			timer.Reset(b.pause())
 		}
 	}
 }
 
+// pause is the time to the next notes.
+func (b *Broadcaster) pause() time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return max(flushTime, time.Duration(len(b.peers))*time.Second/notesPerSecond)
+}
+
+// collect returns what changed, with all other shares where they are repeated;
+// nil where there is nothing to tell.
+func (b *Broadcaster) collect(whole bool) *wire.EntryNotes {
+	loads := b.settings.Router.News()
+	if whole {
+		loads = withRest(loads, b.settings.Router.Loads())
+	}
+	if len(loads) == 0 && !whole {
+		return nil
+	}
+	return &wire.EntryNotes{Entry: b.settings.Entry, Loads: encoder.EncodeLoads(loads), Whole: whole}
+}
+
+// withRest adds the loads of the upstreams at which nothing changed.
+func withRest(news, all []router.Load) []router.Load {
+	changed := make(map[string]bool, len(news))
+	for _, load := range news {
+		changed[load.Upstream] = true
+	}
+	for _, load := range all {
+		if !changed[load.Upstream] {
+			// models are for the leader
+			load.Models = nil
+			news = append(news, load)
+		}
+	}
+	return news
+}
+
 // tell queues notes for all peers. One that does not keep up misses some.
 func (b *Broadcaster) tell(notes *wire.EntryNotes) {
 	b.mutex.Lock()
--- /dev/null
+++ b/broadcaster/notes_test.go
@@ -0,0 +1,86 @@
+package broadcaster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/cataloger"
+	"burdocklink/encoder/wire"
+	"burdocklink/estimator"
+	"burdocklink/router"
+)
+
+// newTeller returns a broadcaster that has not started, with peers that take
+// all notes, and its router with some upstreams.
+func newTeller(t *testing.T, peers, upstreams int) (*Broadcaster, *router.Router) {
+	t.Helper()
+	r := router.New(router.Settings{})
+	for number := range upstreams {
+		r.Apply([]cataloger.Change{cataloger.PutUpstream{Upstream: cataloger.Upstream{
+			Name: fmt.Sprintf("e%d", number), Incarnation: "1", Service: "s", State: cataloger.UpstreamLive, Slots: 1,
+		}}})
+	}
+	b := New(Settings{Entry: "own", Router: r})
+	for number := range peers {
+		address := fmt.Sprint(number)
+		b.peers[address] = &peer{address: address, notes: make(chan *wire.EntryNotes, 1000)}
+	}
+	return b, r
+}
+
+// Found on the grown cpf-verifica, quiet-1: notes took half of all processor
+// time of the entries, and grew with the entries times their requests.
+func TestNotesAreBoundedHoweverManyPeersAreTold(t *testing.T) {
+	const told = 800 * time.Millisecond
+	for _, peers := range []int{1, 6, 24} {
+		t.Run(fmt.Sprint(peers), func(t *testing.T) {
+			b, r := newTeller(t, peers, 1)
+			go b.run()
+			request := router.Request{Service: "s", PromptTokens: 1}
+			choice := router.Choice{Upstream: "e0", Incarnation: "1"}
+			began := time.Now()
+			for time.Since(began) < told {
+				r.Started(choice, &request, time.Now())
+				time.Sleep(time.Millisecond)
+			}
+			b.cancel()
+			<-b.ended
+			notes := 0
+			for _, one := range b.peers {
+				notes += len(one.notes)
+			}
+			// one note to each peer is under way at both ends of the time
+			most := int(notesPerSecond*time.Since(began).Seconds()) + 2*peers
+			assert.Assert(t, notes <= most, "%d notes", notes)
+			assert.Assert(t, notes >= peers)
+		})
+	}
+}
+
+func TestTheFullWordTellsNewsOnce(t *testing.T) {
+	b, r := newTeller(t, 0, 3)
+	request := router.Request{Service: "s", PromptTokens: 10, Base: "m"}
+	for _, name := range []string{"e0", "e1"} {
+		r.Started(router.Choice{Upstream: name, Incarnation: "1"}, &request, time.Now())
+	}
+	assert.Equal(t, len(b.collect(false).GetLoads()), 2)
+	assert.Assert(t, b.collect(false) == nil)
+	r.Started(router.Choice{Upstream: "e1", Incarnation: "1"}, &request, time.Now())
+	notes := b.collect(true)
+	assert.Assert(t, notes.GetWhole())
+	shares := map[string]estimator.Share{}
+	for _, load := range notes.GetLoads() {
+		shares[load.GetUpstream()] = estimator.Share{
+			Requests: int(load.GetRequests()), Tokens: int(load.GetTokens()), PromptTokens: int(load.GetPromptTokens()),
+		}
+		assert.Equal(t, len(load.GetModels()), 0)
+	}
+	assert.DeepEqual(t, shares, map[string]estimator.Share{
+		"e0": {Requests: 1, Tokens: 10},
+		"e1": {Requests: 2, Tokens: 20, PromptTokens: 10},
+	})
+	assert.Equal(t, len(b.collect(true).GetLoads()), 2)
+}
