--- a/router/notice_test.go
+++ b/router/notice_test.go
@@ -70,6 +70,37 @@
 	}
 }
 
+// What an upstream keeps of a prompt doesn't bring requests to it.
+func TestWordsGoBeforeKeptPrompts(t *testing.T) {
+	for name, notice := range map[string]Notice{
+		"leaving": {Leaving: true}, "paused": {PausedUntil: epoch.Add(2 * time.Minute)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(Settings{})
+			r.Update(fleet(t, 2))
+			request := ask(1)
+			request.PromptTokens = 20_000
+			request.Parts = []Part{{Hash: 1, Tokens: 20_000}}
+			for _, u := range r.current.Load().upstreams {
+				u.cacheTokens = 1_000_000
+			}
+			first, err := r.Choose(epoch, request)
+			assert.NilError(t, err)
+			r.Started(first, request, epoch)
+			r.Finished(first, Sample{Ended: epoch, Work: request.Work(), Outcome: OutcomeFinished})
+			now := epoch.Add(time.Minute)
+			again, err := r.Choose(now, request)
+			assert.NilError(t, err)
+			assert.Equal(t, again.Upstream, first.Upstream)
+			assert.Equal(t, again.CachedTokens, 20_000)
+			r.Heed(now, first, notice)
+			other, err := r.Choose(now, request)
+			assert.NilError(t, err)
+			assert.Assert(t, other.Upstream != first.Upstream)
+		})
+	}
+}
+
 func TestAPausedUpstreamGetsNothingUntilTheEnd(t *testing.T) {
 	r := New(Settings{})
 	r.Update(fleet(t, 2))
