--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -68,6 +68,7 @@
 func TestAStreamTellsThatItsUpstreamLeavesAtItsHead(t *testing.T) {
 	heeded := make(chan struct{})
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, saying("Leaving", "1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "yes")
 		_ = http.NewResponseController(w).Flush()
 		<-heeded
 		events(1, 3, true)(w, r)
--- a/router/notice_test.go
+++ b/router/notice_test.go
@@ -88,7 +88,7 @@
 			request := ask(1)
 			request.PromptTokens = 20_000
 			request.Parts = []Part{{Hash: 1, Tokens: 20_000}}
-			for _, u := range r.current.Load().upstreams {
+			for _, u := range r.table.upstreams {
 				u.cacheTokens = 1_000_000
 			}
 			first, err := r.Choose(epoch, request)
