fix(forwarder): a stream begins where its caller stands

A caller that came back with Last-Event-Id could get events that it had, or miss some (ORDER), where the engine's stream did not begin right behind that event.

Cause: an event was compared with the one before only once the forwarder had passed one on itself. The position that a caller came with was sent to the engine and then forgotten. The header also went out before the first event was compared, so that nobody else could be asked.

Evidence: TestStreamsBeginWhereTheCallerStands was red in the cases "goes on too early" and "goes on too late, asked again".

Why it works: on resumable routes the caller's position is where the count starts, and the header goes out with the first event that passes. Without a position the first event is not judged: the protocol doesn't say which number it bears.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -38,9 +38,10 @@
 	grant    *admitter.Grant
 	// failure is an answer that is delivered where no better one comes.
 	failure *answer
-	// last is the number of the last event that the caller has.
-	last   uint64
-	events int
+	// last is the number of the last event that the caller has, and had the one
+	// that it came with. Zero where there is none.
+	last, had uint64
+	events    int
 	// eventTokens is how many tokens an event holds.
 	eventTokens int
 	firstToken  time.Time
@@ -102,6 +103,10 @@
 		x.eventTokens = max(1, engine.EventTokens)
 	}
 	x.class = classOf(x.route, x.eventTokens)
+	if x.route.Resumable {
+		x.had = parseID(request.LastEvent)
+		x.last = x.had
+	}
 	return nil
 }
 
@@ -158,7 +163,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			return x.ended(cause)
 		}
-		if !x.tries.mayAgain(x.route, time.Now(), x.deadline) || (x.tries.begun && x.last == 0) {
+		if !x.tries.mayAgain(x.route, time.Now(), x.deadline) || (x.tries.begun && x.last == x.had) {
 			return err
 		}
 		x.Log.Info("sent again", zap.String("request-id", x.request.ID),
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -462,6 +462,34 @@
 	}
 }
 
+// A stream that begins behind or before its place must not reach a caller.
+func TestStreamsBeginWhereTheCallerStands(t *testing.T) {
+	resumable := matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}
+	plain := matcher.Route{Kind: matcher.Streaming, MaxAttempts: 2}
+	cases := map[string]struct {
+		route     matcher.Route
+		after     string
+		upstreams []http.HandlerFunc
+		status    int
+		body      string
+	}{
+		"goes on for the caller":           {resumable, "3", []http.HandlerFunc{events(1, 5, true)}, 200, eventText(4, 5)},
+		"goes on too late, asked again":    {resumable, "3", []http.HandlerFunc{events(5, 6, true), events(1, 6, true)}, 200, eventText(4, 6)},
+		"goes on too early":                {resumable, "3", []http.HandlerFunc{whole(200, eventText(1, 5))}, 200, eventText(4, 5)},
+		"not resumable":                    {plain, "3", []http.HandlerFunc{whole(200, eventText(1, 5))}, 200, eventText(1, 5)},
+		"position that is no number holds": {resumable, "x", []http.HandlerFunc{events(2, 5, true)}, 200, eventText(2, 5)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.route, c.upstreams...)
+			got := r.ask(http.MethodPost, "/x/1", "", map[string]string{"After": c.after})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, got.body, c.body)
+		})
+	}
+}
+
 func TestACallerThatLeavesIsCancelledUpstream(t *testing.T) {
 	left := make(chan struct{})
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, request *http.Request) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -17,6 +17,15 @@
 
 func formatID(id uint64) string { return strconv.FormatUint(id, 10) }
 
+// parseID returns zero where there is no number.
+func parseID(text string) uint64 {
+	id, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
 // stream passes events on as they arrive. The caller's answer keeps the header
 // of the first upstream; a stream that goes on elsewhere begins after the last
 // event that the caller has.
@@ -43,11 +52,13 @@
 
 // relay writes whole events and flushes them.
 func (x *exchange) relay(response *http.Response, arrived []byte) error {
-	x.begin(response)
-	err := split(arrived, x.pass)
+	err := split(arrived, func(event []byte) error { return x.pass(response, event) })
 	if err != nil {
 		return err
 	}
+	if !x.tries.begun {
+		return nil
+	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return &callerGoneError{cause: err}
 	}
@@ -72,7 +83,7 @@
 }
 
 // pass writes one event unless the caller has it already.
-func (x *exchange) pass(event []byte) error {
+func (x *exchange) pass(response *http.Response, event []byte) error {
 	id, numbered := eventID(event)
 	if numbered && x.last > 0 {
 		if id <= x.last {
@@ -82,6 +93,7 @@
 			return &EventOrderError{Want: x.last + 1, Got: id}
 		}
 	}
+	x.begin(response)
 	if _, err := x.w.Write(event); err != nil {
 		return &callerGoneError{cause: err}
 	}
