--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -490,6 +490,39 @@
 	}
 }
 
+// An answer without a length that doesn't end with its connection's end is cut.
+func TestStreamsWithoutALengthEndOnlyWithTheirConnection(t *testing.T) {
+	cases := map[string]struct {
+		end      func(conn *net.TCPConn)
+		complete bool
+	}{
+		"closed": {func(conn *net.TCPConn) { _ = conn.Close() }, true},
+		"reset": {func(conn *net.TCPConn) {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}, false},
+		"silent until the deadline": {func(*net.TCPConn) {}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			t.Cleanup(func() { close(release) })
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: u1\r\n\r\n"+eventText(1, 2))
+				time.Sleep(50 * time.Millisecond)
+				c.end(conn.(*net.TCPConn))
+				<-release
+			})
+			got := r.ask(http.MethodPost, "/x/1", "", map[string]string{"Wait": "300ms"})
+			assert.Equal(t, got.status == http.StatusOK && got.err == nil, c.complete)
+		})
+	}
+}
+
 func TestACallerThatLeavesIsCancelledUpstream(t *testing.T) {
 	left := make(chan struct{})
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, request *http.Request) {
