--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -80,7 +80,7 @@
 	routes    *router.Router
 	admission *admitter.Admitter
 	calls     *dispatcher.Dispatcher
-	words     *observer.Observer
+	notices   *observer.Observer
 }
 
 func newEntryParts(settings EntrySettings) *entryParts {
@@ -100,7 +100,7 @@
 		admission: admitter.New(routes, admitter.Settings{}),
 		calls:     dispatcher.New(dispatcher.Settings{}),
 	}
-	p.words = observer.New(observer.Settings{
+	p.notices = observer.New(observer.Settings{
 		Router:   p.routes,
 		Wake:     p.admission.Wake,
 		Forget:   p.calls.Forget,
@@ -173,7 +173,7 @@
 		Keys:      p.settings.Keys,
 		Admitter:  p.admission,
 		Claims:    claims,
-		Upstreams: p.words,
+		Upstreams: p.notices,
 		Calls:     p.calls,
 		Reporter:  p.metrics,
 	})
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -64,9 +64,9 @@
 	// Allowed says, once there is a connection, whether the call may still be
 	// made. Nil allows it. Only Send reads it.
 	Allowed func() bool
-	// Heard is called with the head of an answer, before its body is read. Nil
-	// hears nothing. All but Send call it.
-	Heard func(response *http.Response)
+	// OnHeader is called with an answer before its body is read. It may be nil.
+	// All but Send call it.
+	OnHeader func(response *http.Response)
 }
 
 // Answer is a whole answer.
@@ -142,7 +142,7 @@
 		d.dropSilent(err)
 		return nil, sendError(call.Address, err)
 	}
-	call.hear(response)
+	call.headerArrived(response)
 	response.Body = &watchedBody{ReadCloser: response.Body, watch: watch, dispatcher: d}
 	return response, nil
 }
@@ -178,9 +178,9 @@
 	}
 }
 
-func (c Call) hear(response *http.Response) {
-	if c.Heard != nil {
-		c.Heard(response)
+func (c Call) headerArrived(response *http.Response) {
+	if c.OnHeader != nil {
+		c.OnHeader(response)
 	}
 }
 
--- a/dispatcher/once.go
+++ b/dispatcher/once.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return Answer{}, line.classify(call.Address, err)
 	}
-	call.hear(response)
+	call.headerArrived(response)
 	return d.ReadAll(call.Address, response)
 }
 
--- a/dispatcher/open.go
+++ b/dispatcher/open.go
@@ -40,7 +40,7 @@
 		line.hangUp()
 		return nil, &InterruptedError{Address: call.Address, Cause: err}
 	}
-	call.hear(response)
+	call.headerArrived(response)
 	response.Body = &watchedBody{
 		ReadCloser: &ownBody{Reader: response.Body, line: line},
 		watch:      watch,
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -61,7 +61,7 @@
 	retries       *retryShare
 	admission     *admitter.Admitter
 	calls         *dispatcher.Dispatcher
-	words         *observer.Observer
+	notices       *observer.Observer
 	links         *linker.Linker
 	notes         *broadcaster.Broadcaster
 	upstreams     *surveyor.Surveyor
@@ -79,7 +79,7 @@
 	p.admission = admitter.New(p.routes, admitter.Settings{Retries: p.retries.budget()})
 	p.retries.apply = p.admission.SetReserve
 	p.calls = dispatcher.New(dispatcher.Settings{Dial: dialTime})
-	p.words = observer.New(observer.Settings{
+	p.notices = observer.New(observer.Settings{
 		Router:   p.routes,
 		Wake:     p.admission.Wake,
 		Forget:   p.calls.Forget,
@@ -150,7 +150,7 @@
 		Holders: seeker.New(seeker.Settings{
 			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Log: p.settings.Log,
 		}),
-		Upstreams: p.words,
+		Upstreams: p.notices,
 		Calls:     p.calls,
 		Reporter:  p.metrics,
 		Log:       p.settings.Log,
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -125,13 +125,13 @@
 		return nil, err
 	}
 	call := dispatcher.Call{
-		Address: e.grant.Choice.Address,
-		Method:  http.MethodPost,
-		Path:    e.r.URL.Path,
-		Header:  e.header(),
-		Body:    body,
-		Silence: e.firstSilence(),
-		Heard:   e.heard(e.grant.Choice),
+		Address:  e.grant.Choice.Address,
+		Method:   http.MethodPost,
+		Path:     e.r.URL.Path,
+		Header:   e.header(),
+		Body:     body,
+		Silence:  e.firstSilence(),
+		OnHeader: e.onHeader(e.grant.Choice),
 	}
 	source, err := e.stream(ctx, call)
 	var interrupted *dispatcher.InterruptedError
@@ -178,13 +178,13 @@
 	header := e.header()
 	header.Set(encoder.HeaderLastEventID, strconv.FormatUint(after, 10))
 	source, err := e.stream(ctx, dispatcher.Call{
-		Address: e.grant.Choice.Address,
-		Method:  http.MethodGet,
-		Path:    encoder.PathStreams + e.attemptID,
-		Header:  header,
-		Fresh:   true,
-		Silence: resumeSilence,
-		Heard:   e.heard(e.grant.Choice),
+		Address:  e.grant.Choice.Address,
+		Method:   http.MethodGet,
+		Path:     encoder.PathStreams + e.attemptID,
+		Header:   header,
+		Fresh:    true,
+		Silence:  resumeSilence,
+		OnHeader: e.onHeader(e.grant.Choice),
 	})
 	if err == nil {
 		// an engine that knows the stream gets the time of a new one
--- a/receiver/notice.go
+++ b/receiver/notice.go
@@ -15,8 +15,9 @@
 	Heed(choice router.Choice, notice router.Notice, unreadable string)
 }
 
-// heard returns what reads the heads of answers of an upstream.
-func (x *exchange) heard(choice router.Choice) func(*http.Response) {
+// onHeader returns what is called with the header of an answer of the upstream of
+// a choice.
+func (x *exchange) onHeader(choice router.Choice) func(*http.Response) {
 	return func(response *http.Response) {
 		notice, unreadable := encoder.DecodeNotice(response.StatusCode, response.Header, time.Now())
 		x.Upstreams.Heed(choice, notice, unreadable)
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -103,13 +103,13 @@
 	header.Set(encoder.HeaderPriority, strconv.Itoa(grant.Priority))
 	header.Set(encoder.HeaderSubscriber, x.identity.Name)
 	return dispatcher.Call{
-		Address: grant.Choice.Address,
-		Method:  asked.method,
-		Path:    asked.path,
-		Header:  header,
-		Body:    asked.body,
-		Silence: asked.silence,
-		Heard:   x.heard(grant.Choice),
+		Address:  grant.Choice.Address,
+		Method:   asked.method,
+		Path:     asked.path,
+		Header:   header,
+		Body:     asked.body,
+		Silence:  asked.silence,
+		OnHeader: x.onHeader(grant.Choice),
 	}
 }
 
--- a/router/notice.go
+++ b/router/notice.go
@@ -94,6 +94,16 @@
 	return change
 }
 
+// recall brings the notices heard before to the upstreams of a new table, some of
+// which the table before it did not know. The control mutex is held.
+func (r *Router) recall(next *table) {
+	for from, said := range r.heard {
+		if u := next.upstreams[from.name]; u != nil && u.about.Incarnation == from.start {
+			u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
+		}
+	}
+}
+
 // forgetOldest makes room for one more notice.
 func (r *Router) forgetOldest(now time.Time) {
 	if len(r.heard) < mostHeard {
--- a/router/router.go
+++ b/router/router.go
@@ -34,11 +34,7 @@
 	r.control.Lock()
 	defer r.control.Unlock()
 	next := newTable(r.current.Load(), catalog, r.settings.Entries)
-	for from, said := range r.heard {
-		if u := next.upstreams[from.name]; u != nil && u.about.Incarnation == from.start {
-			u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
-		}
-	}
+	r.recall(next)
 	r.current.Store(next)
 }
 
