--- a/router/notice.go
+++ b/router/notice.go
@@ -94,6 +94,15 @@
 	return change
 }
 
+// recall has an upstream heed what its incarnation was heard to say. The mutex
+// is held.
+func (r *Router) recall(name string) {
+	u := r.table.upstreams[name]
+	if said, known := r.heard[incarnation{name, u.about.Incarnation}]; known {
+		u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
+	}
+}
+
 // forgetOldest makes room for one more notice.
 func (r *Router) forgetOldest(now time.Time) {
 	if len(r.heard) < mostHeard {
