--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -443,3 +443,36 @@
 		g.voters(3)
 	}
 }
+
+// TestTwoLostDisksLeaveNoQuorumAfterAnEarlierOne plays five members that bear two
+// losses: one loses its disk, and once it has had its time two others do, while
+// all lose power.
+func TestTwoLostDisksLeaveNoQuorumAfterAnEarlierOne(t *testing.T) {
+	g := newCluster(t, lapsing, "a", "b", "c", "d", "e")
+	names := []string{g.commit()}
+	g.voters(5)
+	leader := g.leader()
+	var others []*process
+	for _, p := range g.processes {
+		if p != leader {
+			others = append(others, p)
+		}
+	}
+	g.wipe(others[0])
+	time.Sleep(catchUpTime)
+	names = append(names, g.commit())
+	for _, p := range g.processes {
+		g.kill(p)
+	}
+	for _, p := range others[1:3] {
+		assert.NilError(t, os.RemoveAll(p.config.Folder))
+	}
+	for _, p := range g.processes {
+		g.start(p)
+	}
+	names = append(names, g.commit())
+	g.voters(5)
+	for _, p := range g.processes {
+		g.eventually("all changes", func() bool { return len(g.models(p)) == len(names) })
+	}
+}
