fix(router): an entry no longer ends when news comes while a call is checked

Callers would see: all calls at an entry break off at once, and the entry is gone until it is restarted. Cause: Allows, which looks at a choice once more before the call is written, reads the table without the lock. A Go process whose map is read while it is written ends with "concurrent map read and map write", which nothing recovers from. Each call makes the read, each change of what an engine holds the write. Evidence: TestNewsWhileCallsAreCheckedOnceMoreIsNoRace was red before: data races with -race, and without it the fatal error above. Allows now finds the upstream as the other readers do, under the read lock; the upstream's own state has a lock of its own.

--- a/router/notice.go
+++ b/router/notice.go
@@ -117,7 +117,7 @@
 // Allows says whether a request may still go to the upstream of a choice: what
 // has become known since the choice counts.
 func (r *Router) Allows(now time.Time, choice Choice) bool {
-	u := r.table.find(choice.Upstream, choice.Incarnation)
+	u := r.find(choice.Upstream, choice.Incarnation)
 	if u == nil {
 		return true
 	}
--- a/router/notice_test.go
+++ b/router/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -237,3 +238,26 @@
 	assert.Assert(t, total <= entries*servers*9/10, "%d", total)
 	assert.Assert(t, most < total/5, "%d of %d in one step", most, total)
 }
+
+func TestNewsWhileCallsAreCheckedOnceMoreIsNoRace(t *testing.T) {
+	r := New(Settings{})
+	r.Update(listed(t, "1", "127.0.0.1:1", cataloger.UpstreamLive))
+	news := listed(t, "1", "127.0.0.1:1", cataloger.UpstreamLive).Changes()
+	var checks sync.WaitGroup
+	stop := make(chan struct{})
+	checks.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				r.Allows(epoch, engine(0))
+			}
+		}
+	})
+	for range 1000 {
+		r.Apply(append(news, cataloger.RemoveUpstream{Name: "e1"}))
+	}
+	close(stop)
+	checks.Wait()
+}
