fix(seeker): a caller that leaves doesn't hold back the entry's other questions

Callers would see: requests for a model or adapter that no engine near holds are refused, though a leader is there and answers. Cause: each caller told the gate what became of its question, and one that left, or whose time was over while the leader held the answer back (0.8 s for an adapter on its way), told that no leader answers. The gate then held all other names of the entry back, for longer with each such caller: load that makes callers leave kept holders from being asked for. The question itself tells the gate now, once, when the leader has answered or its own time of a second is over.

--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -89,7 +89,6 @@
 			continue
 		}
 		reply, err := s.askUntil(ctx, service, model, adapter, by)
-		s.gate.leave(err == nil && reply.GetLeading(), time.Now())
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
@@ -193,6 +192,7 @@
 	s.mutex.Lock()
 	delete(s.asking, name)
 	s.mutex.Unlock()
+	s.gate.leave(asked.err == nil && asked.reply.GetLeading(), time.Now())
 	close(asked.done)
 	s.settings.Log.Info("holder wanted", zap.String("name", name), zap.String("leader", address),
 		zap.Int("holders", len(asked.reply.GetHoldings())), zap.Int64("ready-in-ms", asked.reply.GetReadyInMs()),
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -120,6 +120,23 @@
 	assert.Equal(t, ended.Load(), int32(0))
 }
 
+func TestACallerThatLeavesDoesNotHoldBackOtherQuestions(t *testing.T) {
+	release := make(chan struct{})
+	s, l, _ := seek(t, func(asked int32) *wire.WantReply {
+		if asked == 1 {
+			<-release
+		}
+		return &wire.WantReply{Leading: true, ReadyInMs: 60_000}
+	})
+	defer close(release)
+	assert.Assert(t, s.Want(t.Context(), "s", "m", "slow", time.Now().Add(200*time.Millisecond)) != nil)
+	assert.Assert(t, s.Want(t.Context(), "s", "m", "other", time.Now().Add(20*time.Millisecond)) != nil)
+	for end := time.Now().Add(5 * time.Second); l.asked.Load() < 2 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, l.asked.Load(), int32(2))
+}
+
 func TestQuestionsDoNotPressAMemberThatDoesNotLead(t *testing.T) {
 	s, l, _ := seek(t, func(int32) *wire.WantReply { return &wire.WantReply{ReadyInMs: -1} })
 	by := time.Now().Add(2 * time.Second)
