fix(seeker): after an election one adapter on its way doesn't hold back all questions

Callers would see: right after a leader was elected, requests wait up to 0.8 s longer for models and adapters that are held. Cause: the gate lets one question after the other through until a leader answers, and the leader holds the answer back while the adapter is loaded (waitTime). Where the first question is for such an adapter, all others of the entry wait for it. Evidence: TestAnAnswerThatTakesLongDoesNotHoldBackAllOtherQuestions was red before in its two cases of a long answer. The next question may pass after the longest pause, 0.4 s, which is as often as a group without a leader is asked anyway.

--- a/seeker/gate.go
+++ b/seeker/gate.go
@@ -12,14 +12,15 @@
 
 // gate holds questions back while no leader answers: one question after the
 // other is let through until one does, so that entries don't press a group that
-// is about to elect.
+// is about to elect. One that is under way for the longest pause no longer holds
+// back the next: the leader may hold an answer back until an adapter is loaded.
 type gate struct {
 	mutex sync.Mutex
 	// pause is zero while the leader answers; openAt is when the next question
-	// may pass, and trying is true while one is under way.
-	pause  time.Duration
-	openAt time.Time
-	trying bool
+	// may pass, and one under way holds it back until tryingUntil.
+	pause       time.Duration
+	openAt      time.Time
+	tryingUntil time.Time
 }
 
 // enter returns how long a question has to wait; zero lets it pass.
@@ -31,10 +32,10 @@
 		return 0
 	case now.Before(g.openAt):
 		return g.openAt.Sub(now)
-	case g.trying:
+	case now.Before(g.tryingUntil):
 		return retryPause
 	default:
-		g.trying = true
+		g.tryingUntil = now.Add(longestPause)
 		return 0
 	}
 }
@@ -43,7 +44,7 @@
 func (g *gate) leave(led bool, now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.trying = false
+	g.tryingUntil = time.Time{}
 	switch {
 	case led:
 		g.pause = 0
