fix(responder): demand of another leader's time is not taken for fresh

Callers would see: after a change of leader, copies make way for models that are not asked for any more. Cause: entries go round the members and come back to one that knew them; all that they were asked for meanwhile counted as fresh in one reading of half a second. Thirty seconds of demand give sixty times the rate in that reading, and the slow mean, by which copies make way, forgets it in eight seconds. Evidence: TestDemandOfAnotherLeadersTimeIsNotTakenForFresh was red before in its two cases of an entry that another member served; its cases of a lost connection hold with and without the change. Counts of an entry that was silent for longer than two reports of demand are the base for what follows, as those of an entry not heard of before.

--- a/responder/entries.go
+++ b/responder/entries.go
@@ -15,6 +15,10 @@
 // entryForget is how long a silent entry stays in the table.
 const entryForget = time.Hour
 
+// demandGap is how long an entry may have been silent for what it was asked for
+// meanwhile to count as fresh: an entry tells demand every two seconds at least.
+const demandGap = 4 * time.Second
+
 // entryTable holds what entries last said of themselves.
 type entryTable struct {
 	mu      sync.Mutex
@@ -46,6 +50,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	record, known := t.entries[said.GetEntry()]
+	followed := known && now.Sub(record.heard) <= demandGap
 	record.said = said
 	record.heard = now
 	if len(counted) > 0 && (record.counts == nil || record.since != said.GetSinceUnixMs()) {
@@ -53,8 +58,8 @@
 	}
 	for _, one := range counted {
 		past := record.counts.put(one)
-		// one that is heard of for the first time may have counted for long
-		if known {
+		// one that is heard of for the first time, or again, may have counted for long
+		if followed {
 			t.fresh.add(one.Name, one.Class, one.Count.After(past))
 		}
 	}
--- a/responder/entries_test.go
+++ b/responder/entries_test.go
@@ -57,6 +57,34 @@
 	assert.Assert(t, demand.Since.Equal(time.UnixMilli(2)))
 }
 
+func TestDemandOfAnotherLeadersTimeIsNotTakenForFresh(t *testing.T) {
+	cases := map[string]struct {
+		silent time.Duration
+		since  int64
+		want   uint64
+	}{
+		"the next report":                     {500 * time.Millisecond, 1, 100},
+		"after a lost connection":             {3 * time.Second, 1, 100},
+		"after another member led":            {30 * time.Second, 1, 0},
+		"restarted while another member led":  {30 * time.Second, 2, 0},
+		"restarted and back within two words": {3 * time.Second, 2, 300},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r, now := New(Settings{}), time.Now()
+			report := func(since int64, arrivals uint64) uint64 {
+				said := &wire.FollowRequest{Entry: "e", SinceUnixMs: since}
+				r.entries.put(said, []placer.Counted{{Name: "m", Class: "draft", Count: placer.Count{Arrivals: arrivals}}}, now)
+				return r.Fresh()["m"]["draft"].Arrivals
+			}
+			report(1, 200)
+			now = now.Add(c.silent)
+			assert.Equal(t, report(c.since, 300), c.want)
+			assert.Equal(t, report(c.since, 301), uint64(1))
+		})
+	}
+}
+
 func TestAReportDoesNotCostAllThatWasEverAskedFor(t *testing.T) {
 	allocations := func(names int) float64 {
 		r := New(Settings{})
