fix(allocator): no model starves where plans come at even times

Callers would see: models that are asked for are never served on a site where others fit nowhere. Cause: the first model of a plan's turn followed the clock, one step each 100 ms. The beginning is drawn from the time of the plan, so that no time between plans and no number of models fall into step; a plan of a view still is the same.

--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -187,15 +188,14 @@
 	}
 }
 
-// turnTime is after how long the next model comes first.
-const turnTime = 100 * time.Millisecond
-
-// inTurn lists all models, in an order that begins elsewhere as time passes.
+// inTurn lists all models, in an order that begins elsewhere as time passes. The
+// beginning is drawn, so that it does not follow the time between plans.
 func (p *planner) inTurn() []string {
 	if len(p.models) == 0 {
 		return nil
 	}
-	first := int(p.view.Now.UnixMilli()/turnTime.Milliseconds()) % len(p.models)
+	drawn := rand.New(rand.NewPCG(uint64(p.view.Now.UnixNano()), 0))
+	first := drawn.IntN(len(p.models))
 	return append(slices.Clone(p.models[first:]), p.models[:first]...)
 }
 
--- a/allocator/starve_test.go
+++ b/allocator/starve_test.go
@@ -13,6 +13,11 @@
 // firstLoadsOf plans again and again, as time passes, and returns for which
 // models something was done.
 func firstLoadsOf(f fleet, plans int) map[string]bool {
+	return firstLoadsEvery(f, 500*time.Millisecond, plans)
+}
+
+// firstLoadsEvery is firstLoadsOf with a time between two plans.
+func firstLoadsEvery(f fleet, every time.Duration, plans int) map[string]bool {
 	done := map[string]bool{}
 	for range plans {
 		for _, move := range allocator.Plan(f.View) {
@@ -23,7 +28,7 @@
 				done[move.For] = true
 			}
 		}
-		f.Now = f.Now.Add(500 * time.Millisecond)
+		f.Now = f.Now.Add(every)
 	}
 	return done
 }
@@ -76,3 +81,26 @@
 	assert.Equal(t, len(loads), 1)
 	assert.Equal(t, loads[0].Model, "b")
 }
+
+func TestModelsThatFitNowhereDoNotStarveOthersWhateverTheTimeBetweenPlans(t *testing.T) {
+	for _, every := range []time.Duration{100, 300, 400, 500, 800, 1000, 2000} {
+		t.Run((every * time.Millisecond).String(), func(t *testing.T) {
+			var names []string
+			for at := range 20 {
+				names = append(names, fmt.Sprintf("m%02d", at))
+			}
+			for _, small := range names {
+				f := newFleet(names...)
+				for _, name := range names {
+					f.Models[name].MemoryBytes = 300 * gigabyte
+				}
+				f.Models[small].MemoryBytes = newFleet("m").Models["m"].MemoryBytes
+				f.Models[small].LoadTime = 4 * time.Second
+				f.engine("e1")
+				f.engine("e2")
+				f.StoreLoads = 2
+				assert.Assert(t, firstLoadsEvery(f, every*time.Millisecond, 100)[small], "%s is never loaded", small)
+			}
+		})
+	}
+}
