feat(mover): engines that say that they leave or pause are left alone

An engine's own word beside its report, which the leader asked for anyway, counts before the platform's list: it gets no more orders, counts for nothing in plans, and entries are told that it holds nothing, which is the hint to those that did not hear it themselves. After 503 with a pause it is asked for nothing until the end. Final for the incarnation. Red before (no such fields): the four cases of TestAnEngineThatLeavesOrPausesIsGivenNothing; without heed() the three last ones give orders.

--- a/mover/engine.go
+++ b/mover/engine.go
@@ -5,6 +5,7 @@
 
 	"burdocklink/allocator"
 	"burdocklink/matcher"
+	"burdocklink/router"
 	"burdocklink/surveyor"
 )
 
@@ -45,6 +46,9 @@
 	loadedAt time.Time
 	warm     map[string]bool
 	disk     map[string]bool
+	// saidLeaving is true once the engine has said that it leaves, which is final
+	// for its incarnation.
+	saidLeaving bool
 	// sending is true while an order is on its way.
 	sending bool
 	// believeFrom is when a report must have been asked for to be believed.
@@ -94,6 +98,20 @@
 // nobody until it answers again.
 func (e *engine) silent() bool { return e.unanswered >= silentReports }
 
+// leaving is true for an engine that the platform lists as leaving, or that says
+// so itself.
+func (e *engine) leaving() bool { return e.saidLeaving || e.upstream.State == surveyor.Leaving }
+
+// heed takes in what the engine says of itself. It is left alone while it pauses.
+func (e *engine) heed(notice router.Notice) {
+	e.saidLeaving = e.saidLeaving || notice.Leaving
+	for _, at := range []*time.Time{&e.askAt, &e.restUntil} {
+		if notice.PausedUntil.After(*at) {
+			*at = notice.PausedUntil
+		}
+	}
+}
+
 func (e *engine) takeHolds(report Report, now time.Time) {
 	copies := map[string]*allocator.Copy{}
 	for _, held := range report.Holds {
@@ -138,6 +156,9 @@
 // told is what entries hear of the engine: all that may get requests.
 func (e *engine) told() surveyor.Told {
 	told := surveyor.Told{Upstream: e.upstream.Name, Incarnation: e.upstream.Incarnation}
+	if e.saidLeaving {
+		return told
+	}
 	for _, name := range sortedNames(e.copies) {
 		held := e.copies[name]
 		if held.Dropping || e.loading == name {
@@ -162,7 +183,7 @@
 		Loading:      e.loading,
 		Intended:     e.intended,
 		Free:         e.free(now),
-		Leaving:      e.upstream.State == surveyor.Leaving || !e.reported || e.silent(),
+		Leaving:      e.leaving() || !e.reported || e.silent(),
 		Warm:         e.warm,
 		OnDisk:       e.disk,
 		InFlight:     inFlight,
--- a/mover/events.go
+++ b/mover/events.go
@@ -170,10 +170,15 @@
 		return
 	}
 	one.asking = false
+	if read.report.Notice.Leaving && !one.saidLeaving {
+		m.settings.Log.Info("engine says that it leaves", zap.String("upstream", read.engine.Name),
+			zap.String("incarnation", read.engine.Incarnation))
+	}
 	if read.err != nil {
 		one.unanswered++
 		one.askAt = now.Add(reportSoon)
 		one.restUntil = now.Add(retryAfter)
+		one.heed(read.report.Notice)
 		if one.unanswered <= silentReports {
 			m.settings.Log.Info("no report", zap.String("upstream", read.engine.Name),
 				zap.Bool("silent", one.silent()), zap.Error(read.err))
@@ -184,6 +189,7 @@
 		m.settings.Log.Info("reports again", zap.String("upstream", read.engine.Name))
 	}
 	one.unanswered = 0
+	one.heed(read.report.Notice)
 	first := !one.reported
 	if one.take(read.report, read.askedAt, now) && first {
 		m.settings.Log.Info("engine known", zap.String("upstream", read.engine.Name),
--- a/mover/load_test.go
+++ b/mover/load_test.go
@@ -126,3 +126,38 @@
 	}
 	t.Errorf("a3 was not loaded: %v", s.yard.given())
 }
+
+func TestAnEngineThatLeavesOrPausesIsGivenNothing(t *testing.T) {
+	cases := map[string]struct {
+		notice func(now time.Time) router.Notice
+		err    error
+		orders bool
+	}{
+		"neither":            {func(time.Time) router.Notice { return router.Notice{} }, nil, true},
+		"it leaves":          {func(time.Time) router.Notice { return router.Notice{Leaving: true} }, nil, false},
+		"it leaves, refused": {func(time.Time) router.Notice { return router.Notice{Leaving: true} }, &silentError{}, false},
+		"it pauses": {func(now time.Time) router.Notice {
+			return router.Notice{PausedUntil: now.Add(time.Hour)}
+		}, &silentError{}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, map[string][]string{"e1": {"m"}})
+			s.control.lead(firstTerm, true)
+			s.play(time.Second)
+			upstream := s.mover.engines["e1"].upstream
+			report := s.yard.engines["e1"].report
+			report.Notice = c.notice(s.now)
+			s.mover.handle(reportRead{term: firstTerm, engine: upstream, askedAt: s.now, report: report, err: c.err}, s.now)
+			before := len(s.yard.given())
+			for range 20 {
+				s.mover.handle(wantCalled{want: Want{Service: "s", Model: "m", Adapter: "a1"}, answer: make(chan Wanted, 1)}, s.now)
+				s.settle()
+				s.play(tick)
+			}
+			assert.Equal(t, len(s.yard.given()) > before, c.orders)
+			told, _ := s.mover.Held(0)
+			assert.Equal(t, len(told[0].Holds) > 0, !report.Notice.Leaving, "entries hear that it leaves")
+		})
+	}
+}
--- a/mover/types.go
+++ b/mover/types.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"burdocklink/router"
 	"burdocklink/surveyor"
 )
 
@@ -45,6 +46,8 @@
 	OnDisk   []string
 	Running  int
 	Queued   int
+	// Notice is what the engine says of itself beside the report.
+	Notice router.Notice
 }
 
 // PendingAdapter is an adapter on its way to an engine.
--- a/mover/want.go
+++ b/mover/want.go
@@ -74,7 +74,7 @@
 	if held == nil || held.Dropping || e.loading == want.Model {
 		return false
 	}
-	if !e.reported || e.silent() || e.upstream.State == surveyor.Leaving {
+	if !e.reported || e.silent() || e.leaving() {
 		return false
 	}
 	if want.Adapter == "" {
