test(responder): entries of the test go on reporting

Entries now report every half second, and the changes begin once a heartbeat names all of them; the bound stays.

--- a/responder/holdings_test.go
+++ b/responder/holdings_test.go
@@ -47,6 +47,14 @@
 	return stream
 }
 
+// report has all entries say again that they are there. A stream that has ended
+// shows at its receiving side.
+func report(streams []wire.Control_FollowClient) {
+	for at, stream := range streams {
+		_ = stream.Send(&wire.FollowRequest{Entry: fmt.Sprint("e-", at), Address: fmt.Sprint("a-", at), Number: 2})
+	}
+}
+
 func TestHoldingsStandWithoutBeingRepeated(t *testing.T) {
 	held := newShelf()
 	for at := range 5 {
@@ -75,13 +83,17 @@
 	for at := range streams {
 		streams[at] = follow(t, r, at)
 	}
-	for range 3 {
-		_, err := streams[0].Recv()
+	for known := 0; known < entries; {
+		reply, err := streams[0].Recv()
 		assert.NilError(t, err)
+		known = max(known, len(reply.GetHeartbeat().GetPeers()))
 	}
 	began := time.Now()
 	go func() {
 		for at := range changes {
+			if at%100 == 0 {
+				report(streams)
+			}
 			held.put(fmt.Sprint("u-", at%140), at)
 			time.Sleep(5 * time.Millisecond)
 		}
