fix(conductor): a second process of a member's name takes its place

Since a member that announces another disk is asked at once, a process that was given the name of a member by mistake was taken in and promoted within a second and a half, and the healthy member removed, in turns. A disk is replaced only once it has been silent for a second while a quorum answered: of two processes of one name, both answer. A member that was wiped has mostly been silent for longer when its new disk has caught up.

--- a/conductor/announce_test.go
+++ b/conductor/announce_test.go
@@ -111,3 +111,19 @@
 	g.eventually("the newcomer votes", func() bool { return g.voterNames()["d"] && !g.voterNames()[lost] })
 	assert.Assert(t, time.Since(began) <= catchUpTime, "the newcomer votes after %v", time.Since(began))
 }
+
+func TestASecondProcessOfAMembersNameTakesItsPlace(t *testing.T) {
+	g := newCluster(t, nil, "a", "b", "c")
+	g.commit()
+	g.voters(3)
+	disk := g.processes["b"].Disk()
+	second := g.join("second", func(config *conductor.Config) { config.Name = "b" }, "a", "c")
+	g.eventually("the second process is in the group", func() bool { return len(second.Status().Members) == 4 })
+	for until := time.Now().Add(catchUpTime); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		for _, member := range g.leader().Status().Members {
+			assert.Assert(t, member.Disk != second.Disk() || member.Role == conductor.Learner, "the second process votes")
+		}
+	}
+	g.voters(3)
+	assert.Equal(t, g.processes["b"].Disk(), disk)
+}
--- a/conductor/repair.go
+++ b/conductor/repair.go
@@ -15,6 +15,9 @@
 	repairInterval = 250 * time.Millisecond
 	// silentAfter is when a member is asked at its address who it is.
 	silentAfter = 3 * time.Second
+	// replaceAfter is how long a disk must be silent before another one takes its
+	// place. Of two processes that were given one name, both answer.
+	replaceAfter = time.Second
 	// changeTime is how long one change of a repair may take.
 	changeTime = 5 * time.Second
 )
@@ -31,7 +34,7 @@
 }
 
 // planRepair returns the next change that the group needs, or nil. A disk that
-// its name has been seen without is replaced at once, a silent voter after a
+// its name has been seen without is replaced soon, another silent voter after a
 // while, and only by a learner that has caught up.
 func planRepair(view repairView) replicator.Change {
 	configuration := view.Status.Configuration
@@ -44,10 +47,8 @@
 	if !found {
 		return nil
 	}
-	for _, member := range configuration.Members {
-		if member.ID != view.Self && member.ID.Name == spare.Name && member.ID != spare {
-			return replicator.Remove{ID: member.ID}
-		}
+	if old, replaced := view.replacedBy(spare); replaced {
+		return replicator.Remove{ID: old}
 	}
 	if configuration.Voters() < view.Voters {
 		return replicator.Promote{ID: spare}
@@ -69,7 +70,7 @@
 		if member.Role != replicator.Learner || !v.ready(member.ID) {
 			continue
 		}
-		if !found || v.replaces(member.ID) {
+		if _, replaces := v.replacedBy(member.ID); !found || replaces {
 			best, found = member.ID, true
 		}
 	}
@@ -80,13 +81,14 @@
 	return v.Status.Peers[id].CaughtUp && v.silent(id) < silentAfter
 }
 
-func (v repairView) replaces(id replicator.Identity) bool {
+// replacedBy returns a silent disk of a member's name.
+func (v repairView) replacedBy(id replicator.Identity) (replicator.Identity, bool) {
 	for _, member := range v.Status.Configuration.Members {
-		if member.ID.Name == id.Name && member.ID != id {
-			return true
+		if member.ID.Name == id.Name && member.ID != id && v.silent(member.ID) >= replaceAfter {
+			return member.ID, true
 		}
 	}
-	return false
+	return replicator.Identity{}, false
 }
 
 // silent is how long a member has not answered this leader while a quorum has.
--- a/conductor/repair_test.go
+++ b/conductor/repair_test.go
@@ -54,6 +54,10 @@
 			peers:   map[replicator.Identity]replicator.PeerStatus{id("b", "1"): well, id("c", "1"): lost, id("c", "2"): well},
 			want:    replicator.Remove{ID: id("c", "1")},
 		},
+		"old disk answers still": {
+			members: []replicator.Member{voter("a", "1"), voter("b", "1"), voter("c", "1"), learner("c", "2")},
+			peers:   map[replicator.Identity]replicator.PeerStatus{id("b", "1"): well, id("c", "1"): well, id("c", "2"): well},
+		},
 		"new disk votes then": {
 			members: []replicator.Member{voter("a", "1"), voter("b", "1"), learner("c", "2")},
 			peers:   map[replicator.Identity]replicator.PeerStatus{id("b", "1"): well, id("c", "2"): well},
