fix(replicator): entries are sent to a silent member with every heartbeat

A leader that does not know where a member's log ends sent it the same entries with each heartbeat until an answer came: up to a megabyte ten times a second, and up to 256 such messages wait in the link of a member that is down. When it is back all of them are sent, and a slow leader or a member that has just lost its disk has to work them off.

Entries are sent once now; heartbeats without entries follow, and their answer says whether the logs agree there, whether or not the entries were lost.

--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -29,10 +29,11 @@
 type peer struct {
 	match uint64
 	next  uint64
-	// probing sends one message at a time until the logs are known to agree;
-	// waitUntil is when to send again without an answer.
-	probing   bool
-	waitUntil time.Time
+	// probing sends entries once until the logs are known to agree, and
+	// heartbeats without entries until an answer says where to go on; probed is
+	// true after the entries.
+	probing bool
+	probed  bool
 	// contact is the leader's clock at the sending of the latest message that
 	// the peer answered.
 	contact  time.Duration
@@ -162,16 +163,10 @@
 		}
 		return
 	}
-	if p.probing && c.now.Before(p.waitUntil) && !heartbeat {
-		return
-	}
 	sent := false
 	for entries := c.batchFor(p); len(entries) > 0; entries = c.batchFor(p) {
 		c.sendEntries(id, p, entries)
 		sent = true
-		if p.probing {
-			break
-		}
 	}
 	if heartbeat && !sent {
 		c.sendEntries(id, p, nil)
@@ -180,7 +175,7 @@
 
 // batchFor is what may be sent to a peer now.
 func (c *Core) batchFor(p *peer) []Entry {
-	if p.next > p.match+maxWindowEntries || p.flightBytes >= maxWindowBytes {
+	if p.probed || p.next > p.match+maxWindowEntries || p.flightBytes >= maxWindowBytes {
 		return nil
 	}
 	return c.log.batch(p.next)
@@ -197,7 +192,7 @@
 		Sent:          c.sentClock(),
 	})
 	if p.probing {
-		p.waitUntil = c.now.Add(c.timing.Heartbeat)
+		p.probed = p.probed || len(entries) > 0
 		return
 	}
 	if len(entries) > 0 {
@@ -222,10 +217,7 @@
 	p.match = max(p.match, reply.Match)
 	p.next = max(p.next, p.match+1)
 	p.land()
-	if p.probing {
-		p.probing = false
-		p.waitUntil = time.Time{}
-	}
+	p.probing, p.probed = false, false
 	if p.outgoing.active() && p.match >= p.outgoing.snapshot.Index {
 		p.outgoing = outgoing{}
 	}
@@ -238,8 +230,7 @@
 		return
 	}
 	p.next = max(p.match+1, min(reply.Next, reply.Previous))
-	p.probing = true
-	p.waitUntil = time.Time{}
+	p.probing, p.probed = true, false
 	p.flight, p.flightBytes = nil, 0
 }
 
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -260,3 +260,42 @@
 	b.hear(learner, replicator.AppendReply{Accepted: true, Match: 2990, Sent: sent})
 	assert.Assert(t, b.step(promote).Proposed != nil)
 }
+
+// A member that does not answer is sent an entry once, however long it takes:
+// what is queued for it would have to be sent when it is back.
+func TestEntriesAreRepeatedWithEveryHeartbeat(t *testing.T) {
+	b := newBench(oldEntry(2))
+	b.elect(t)
+	entries := 0
+	for range 20 {
+		b.now = b.now.Add(timing.Heartbeat)
+		for _, out := range []replicator.Output{b.step(replicator.Tick{}), b.step(replicator.Propose{Data: [][]byte{{1}}})} {
+			for _, envelope := range out.Messages {
+				request, ok := envelope.Message.(replicator.AppendRequest)
+				if ok && envelope.To == memberC {
+					entries += len(request.Entries)
+				}
+			}
+			b.hear(memberB, replicator.AppendReply{Accepted: true, Match: b.core.Status().Last, Sent: lastSent(out, memberB)})
+		}
+	}
+	assert.Assert(t, b.core.Status().Leading)
+	assert.Assert(t, entries <= 20, "%d entries sent to a silent member", entries)
+}
+
+// A member that has lost what it was sent gets it again once it answers.
+func TestLostEntriesAreSentAgain(t *testing.T) {
+	b := newBench(oldEntry(2))
+	b.elect(t)
+	b.now = b.now.Add(timing.Heartbeat)
+	beat := lastSent(b.step(replicator.Tick{}), memberC)
+	out := b.hear(memberC, replicator.AppendReply{Accepted: true, Match: 2, Sent: beat})
+	var got []replicator.Entry
+	for _, envelope := range out.Messages {
+		if request, ok := envelope.Message.(replicator.AppendRequest); ok && envelope.To == memberC {
+			got = append(got, request.Entries...)
+		}
+	}
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Index, uint64(3))
+}
