--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -159,7 +159,7 @@
 	}
 	if p.outgoing.active() {
 		if heartbeat {
-			c.sendChunk(id, p)
+			c.send(id, c.chunkFor(p))
 		}
 		return
 	}
--- a/replicator/rules_test.go
+++ b/replicator/rules_test.go
@@ -299,3 +299,54 @@
 	assert.Equal(t, len(got), 1)
 	assert.Equal(t, got[0].Index, uint64(3))
 }
+
+// dataSent is the offsets of the chunks with data to a member.
+func dataSent(out replicator.Output, to replicator.Identity) []int {
+	var offsets []int
+	for _, envelope := range out.Messages {
+		chunk, ok := envelope.Message.(replicator.SnapshotChunk)
+		if ok && envelope.To == to && len(chunk.Data) > 0 {
+			offsets = append(offsets, chunk.Offset)
+		}
+	}
+	return offsets
+}
+
+// chunkClock is the leader's clock in the last chunk to a member.
+func chunkClock(out replicator.Output, to replicator.Identity) time.Duration {
+	sent := time.Duration(0)
+	for _, envelope := range out.Messages {
+		if chunk, ok := envelope.Message.(replicator.SnapshotChunk); ok && envelope.To == to {
+			sent = chunk.Sent
+		}
+	}
+	return sent
+}
+
+// A silent member is sent a chunk once, and again where it says that it lacks
+// the chunk.
+func TestChunksAreRepeatedWithEveryHeartbeat(t *testing.T) {
+	b := &bench{now: epoch, core: replicator.New(replicator.Settings{
+		ID: memberA, Timing: timing, Chunk: 4,
+		Hard:     replicator.HardState{Group: groupID, Term: 2},
+		Snapshot: replicator.Snapshot{Index: 1, Term: 1, Configuration: threeVoters(), Data: []byte("snapshot")},
+	}, epoch)}
+	out := b.elect(t)
+	out = b.hear(memberC, replicator.AppendReply{Previous: 1, Next: 1, Sent: lastSent(out, memberC)})
+	assert.DeepEqual(t, dataSent(out, memberC), []int{0})
+	first := chunkClock(out, memberC)
+	for range 10 {
+		b.now = b.now.Add(timing.Heartbeat)
+		out = b.step(replicator.Tick{})
+		b.hear(memberB, replicator.AppendReply{Accepted: true, Match: 2, Sent: lastSent(out, memberB)})
+		assert.Equal(t, len(dataSent(out, memberC)), 0)
+	}
+	later := chunkClock(out, memberC)
+	assert.Assert(t, later > first)
+	out = b.hear(memberC, replicator.SnapshotReply{Index: 1, Offset: 0, Sent: first})
+	assert.Equal(t, len(dataSent(out, memberC)), 0)
+	out = b.hear(memberC, replicator.SnapshotReply{Index: 1, Offset: 0, Sent: later})
+	assert.DeepEqual(t, dataSent(out, memberC), []int{0})
+	out = b.hear(memberC, replicator.SnapshotReply{Index: 1, Offset: 4, Sent: chunkClock(out, memberC)})
+	assert.DeepEqual(t, dataSent(out, memberC), []int{4})
+}
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -6,6 +6,8 @@
 type outgoing struct {
 	snapshot Snapshot
 	offset   int
+	// sent is the leader's clock in the chunk at offset.
+	sent time.Duration
 }
 
 func (o outgoing) active() bool { return o.snapshot.Index > 0 }
@@ -61,22 +63,25 @@
 	c.sendChunk(id, p)
 }
 
+// sendChunk sends the chunk at the offset.
 func (c *Core) sendChunk(id Identity, p *peer) {
+	chunk := c.chunkFor(p)
+	data := p.outgoing.snapshot.Data
+	chunk.Data = data[chunk.Offset:min(len(data), chunk.Offset+c.chunk)]
+	p.outgoing.sent = chunk.Sent
+	c.send(id, chunk)
+}
+
+// chunkFor returns a chunk without data, which asks for what is wanted next.
+func (c *Core) chunkFor(p *peer) SnapshotChunk {
 	snapshot := p.outgoing.snapshot
-	data := snapshot.Data
+	total := len(snapshot.Data)
 	snapshot.Data = nil
-	from := p.outgoing.offset
-	to := min(len(data), from+c.chunk)
-	c.send(id, SnapshotChunk{
-		Snapshot: snapshot,
-		Offset:   from,
-		Total:    len(data),
-		Data:     data[from:to],
-		Sent:     c.sentClock(),
-	})
+	return SnapshotChunk{Snapshot: snapshot, Offset: p.outgoing.offset, Total: total, Sent: c.sentClock()}
 }
 
-// takeSnapshotReply sends the chunk that is wanted next.
+// takeSnapshotReply sends the chunk that is wanted next. One that is wanted by
+// an answer to a later message was lost.
 func (c *Core) takeSnapshotReply(from Identity, reply SnapshotReply) {
 	if c.position != leading {
 		return
@@ -90,7 +95,10 @@
 		return
 	}
 	wanted := reply.Offset
-	if wanted < 0 || wanted > len(p.outgoing.snapshot.Data) || wanted == p.outgoing.offset {
+	if wanted < 0 || wanted > len(p.outgoing.snapshot.Data) {
+		return
+	}
+	if wanted == p.outgoing.offset && reply.Sent <= p.outgoing.sent {
 		return
 	}
 	p.outgoing.offset = wanted
