fix(surveyor): old words on holdings give way beside shared readings too

While no leader tells, an entry's own reading let words that had grown too old give way to the list. An answer of another entry that the list is the same did not: an engine stayed without the model that a lost leader had been about to drop. TestAWordGrowsOldBesideSharedReadings fails on the code before.

--- a/surveyor/share.go
+++ b/surveyor/share.go
@@ -66,6 +66,8 @@
 		return &OvertakenError{}
 	}
 	s.readAt = reading.At
+	// words of the control group may have grown too old meanwhile
+	s.renewAll()
 	return nil
 }
 
