fix(surveyor): words on holdings grow old whatever else is heard

Since a word on one engine renews only that engine, the word of a lost leader on another one stayed in the picture for as long as the new leader told of the list but not of that engine.

The earliest time at which a word may be too old is kept; whatever the entry hears after it lets old words give way. TestAWordThatGrowsOldGivesWayToTheList fails on the code before where the leader's reading or its word on another engine is heard.

--- a/surveyor/learn.go
+++ b/surveyor/learn.go
@@ -82,4 +82,5 @@
 	if at.After(s.readAt) {
 		s.readAt = at
 	}
+	s.expire(time.Now())
 }
--- a/surveyor/picture.go
+++ b/surveyor/picture.go
@@ -117,6 +117,30 @@
 	return upstream.Holds
 }
 
+// expireBy notes that a word may be too old from a time on; one without a time
+// never counts. The mutex is held.
+func (s *Surveyor) expireBy(until time.Time) {
+	if s.expiresAt.IsZero() || (!until.IsZero() && until.Before(s.expiresAt)) {
+		s.expiresAt = until
+	}
+}
+
+// expire lets words that have grown too old give way to the list. It looks at
+// all of them once one may have. They are kept, since the control group may say
+// that they stand. The mutex is held.
+func (s *Surveyor) expire(now time.Time) {
+	if s.expiresAt.IsZero() || now.Before(s.expiresAt) {
+		return
+	}
+	s.expiresAt = time.Time{}
+	for _, told := range s.told {
+		if now.Before(told.Until) {
+			s.expireBy(told.Until)
+		}
+	}
+	s.renewAll()
+}
+
 func placement(upstream Upstream, holds []Held) cataloger.Placement {
 	p := cataloger.Placement{Upstream: upstream.Name, Incarnation: upstream.Incarnation}
 	for _, held := range holds {
--- a/surveyor/share.go
+++ b/surveyor/share.go
@@ -66,8 +66,7 @@
 		return &OvertakenError{}
 	}
 	s.readAt = reading.At
-	// words of the control group may have grown too old meanwhile
-	s.renewAll()
+	s.expire(time.Now())
 	return nil
 }
 
--- a/surveyor/share_test.go
+++ b/surveyor/share_test.go
@@ -201,19 +201,3 @@
 		})
 	}
 }
-
-// While no leader tells what engines hold, its last word gives way to the list,
-// also where another entry's reading shows the same list.
-func TestAWordGrowsOldBesideSharedReadings(t *testing.T) {
-	s, last, _ := survey(&lister{})
-	s.settings.Interval = sharedInterval
-	s.Learn(Changes{Whole: true, Upstreams: []Upstream{engine("e1", Live, "listed")}})
-	s.settings.Ask = func(context.Context, Question) (Reading, error) { return Reading{At: time.Now(), Same: true}, nil }
-	told := held("told")
-	told[0].Until = time.Now().Add(sharedInterval / 4)
-	s.Tell(told)
-	assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "told", "")})
-	time.Sleep(sharedInterval / 2)
-	assert.NilError(t, s.ask())
-	assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "listed", "")})
-}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -53,6 +53,8 @@
 	digested       bool
 	// told are what the control group says that engines hold.
 	told map[string]Told
+	// expiresAt is when one of them may have grown too old; zero for never.
+	expiresAt time.Time
 	// configuration is the one in force, nil before there is any.
 	configuration *matcher.Configuration
 	// pictured is what Notify was told, by upstream.
@@ -253,9 +255,11 @@
 func (s *Surveyor) Tell(told []Told) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.expire(time.Now())
 	var changes []cataloger.Change
 	for _, one := range told {
 		s.told[one.Upstream] = one
+		s.expireBy(one.Until)
 		changes = s.renew(changes, one.Upstream)
 	}
 	s.publish(changes)
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -127,11 +127,6 @@
 	assert.Assert(t, !ok)
 }
 
-// told returns the holdings of e1 that the control group tells.
-func held(model string) []Told {
-	return []Told{{Upstream: "e1", Incarnation: "e1@1", Holds: []Held{{Model: model}}, Until: time.Now().Add(time.Hour)}}
-}
-
 func TestAPictureNeverGoesBack(t *testing.T) {
 	fresh := engine("e2", Live)
 	cases := map[string]struct {
@@ -229,14 +224,31 @@
 	assert.Equal(t, last().Upstreams["e1"].State, cataloger.UpstreamLeaving)
 }
 
+// Whatever else the entry hears, the control group's last word on one engine
+// gives way to the list once it is too old.
 func TestAWordThatGrowsOldGivesWayToTheList(t *testing.T) {
-	l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "listed")}}}}
-	s, last, _ := survey(l)
-	assert.NilError(t, s.read())
-	told := held("told")
-	s.Tell(told)
-	assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "told", "")})
-	told[0].Until = time.Now().Add(-time.Second)
-	s.Tell(told)
-	assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "listed", "")})
+	const lasts = 50 * time.Millisecond
+	hear := map[string]func(s *Surveyor) error{
+		"an own reading":                   func(s *Surveyor) error { return s.read() },
+		"another entry's reading":          func(s *Surveyor) error { return s.ask() },
+		"that the leader has read again":   func(s *Surveyor) error { s.Confirm(time.Now()); return nil },
+		"the leader's word on another one": func(s *Surveyor) error { s.Tell([]Told{{Upstream: "e2"}}); return nil },
+	}
+	for name, hear := range hear {
+		t.Run(name, func(t *testing.T) {
+			l := &lister{pages: map[string]Page{"": {Upstreams: []Upstream{engine("e1", Live, "listed")}}}}
+			s, last, _ := survey(l)
+			s.settings.Interval = lasts
+			s.settings.Ask = func(context.Context, Question) (Reading, error) {
+				return Reading{At: time.Now(), Same: true}, nil
+			}
+			assert.NilError(t, s.read())
+			told := Told{Upstream: "e1", Incarnation: "e1@1", Holds: []Held{{Model: "told"}}, Until: time.Now().Add(lasts)}
+			s.Tell([]Told{told})
+			assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "told", "")})
+			time.Sleep(2 * lasts)
+			assert.NilError(t, hear(s))
+			assert.DeepEqual(t, last().Placements["e1"].Models, []string{HeldName("s", "listed", "")})
+		})
+	}
 }
