--- a/surveyor/share.go
+++ b/surveyor/share.go
@@ -66,6 +66,7 @@
 		return &OvertakenError{}
 	}
 	s.readAt = reading.At
+	s.expire(time.Now())
 	return nil
 }
 
