fix(seeker): an answer of the leader is taken in once, when it arrives

Callers would see: requests go to an engine that has dropped the model, again and again. Cause: each caller that waited for a question took the answer in when it came to run; with many waiting on a small entry VM the last does so long after the first. Meanwhile the stream may have told of a change of that engine, and the late answer put the older word in its place. Since holdings are told only when they change, nothing corrects that until the engine changes again. The work also grew with the callers that wait. Evidence: TestAnAnswerIsTakenInOnceHoweverManyWait was red before: 20 times for one question. The question takes the answer in before it wakes those that wait. A word that overtakes an answer on the network itself is not told apart yet.

--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -95,7 +95,6 @@
 		pause := retryPause
 		switch {
 		case err == nil && len(reply.GetHoldings()) > 0:
-			s.settings.Tell(encoder.DecodeHoldings(reply.GetHoldings(), time.Now()))
 			s.noteFound(name, time.Now())
 			return nil
 		case err == nil && reply.GetLeading() && reply.GetReadyInMs() >= 0:
@@ -189,6 +188,9 @@
 	defer cancel()
 	address := s.settings.Leader()
 	asked.reply, asked.err = s.call(ctx, address, request)
+	if told := asked.reply.GetHoldings(); asked.err == nil && len(told) > 0 {
+		s.settings.Tell(encoder.DecodeHoldings(told, time.Now()))
+	}
 	s.mutex.Lock()
 	delete(s.asking, name)
 	s.mutex.Unlock()
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -137,6 +137,27 @@
 	assert.Equal(t, l.asked.Load(), int32(2))
 }
 
+func TestAnAnswerIsTakenInOnceHoweverManyWait(t *testing.T) {
+	const callers = 20
+	release := make(chan struct{})
+	s, l, told := seek(t, func(int32) *wire.WantReply {
+		<-release
+		return &wire.WantReply{Leading: true, Holdings: []*wire.Holding{{Upstream: "e1", Incarnation: "e1@1"}}}
+	})
+	by := time.Now().Add(10 * time.Second)
+	var ended sync.WaitGroup
+	for range callers {
+		ended.Go(func() { _ = s.Want(t.Context(), "s", "m", "a1", by) })
+	}
+	for l.asked.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	ended.Wait()
+	assert.Equal(t, len(*told), int(l.asked.Load()))
+}
+
 func TestQuestionsDoNotPressAMemberThatDoesNotLead(t *testing.T) {
 	s, l, _ := seek(t, func(int32) *wire.WantReply { return &wire.WantReply{ReadyInMs: -1} })
 	by := time.Now().Add(2 * time.Second)
