fix(follower): a slow connection to the leader doesn't break the stream later

Callers would see: after an election, models and adapters come later than they could, and what is asked for rarely counts as not asked for. Cause: reports were made at each tick and dropped where the one before still waited, as while a connection to a busy leader is opened. A report spells each name of demand once and tells each count once; what a dropped one told was lost. A later report used the number of a name that the leader had never read; the leader ended the stream ("demand with an unknown number"), and the entry began anew with all holdings and all demand: more work for a leader that was late already, and again. A report is made only where there is room for it.

--- a/follower/loop.go
+++ b/follower/loop.go
@@ -84,7 +84,7 @@
 	tell := time.NewTicker(every)
 	defer tell.Stop()
 	told := newTold()
-	s.tell(f.report(told))
+	f.tell(s, told)
 	for {
 		select {
 		case <-f.stop:
@@ -96,7 +96,7 @@
 				every = now
 				tell.Reset(every)
 			}
-			s.tell(f.report(told))
+			f.tell(s, told)
 		case <-silence.C:
 			f.settings.Links.Drop(address, link)
 			return &SilentError{Address: address}
@@ -125,6 +125,14 @@
 	return max(f.settings.Tell, min(longestTell, shared))
 }
 
+// tell makes a report unless the one before still waits: what a report says of
+// demand is told only once.
+func (f *Follower) tell(s *stream, told *told) {
+	if len(s.reports) == 0 {
+		s.reports <- f.report(told)
+	}
+}
+
 // report returns what the entry has in force, with the demand that changed
 // where it is time to tell it.
 func (f *Follower) report(told *told) *wire.FollowRequest {
--- a/follower/stream.go
+++ b/follower/stream.go
@@ -15,6 +15,7 @@
 	ctx     context.Context
 	client  wire.ControlClient
 	updates chan *wire.FollowReply
+	// reports has room for one, which only the follower's loop fills.
 	reports chan *wire.FollowRequest
 	// failed is closed after err was set.
 	failed chan struct{}
@@ -31,14 +32,6 @@
 	}
 }
 
-// tell passes a report on, unless the one before is still waiting.
-func (s *stream) tell(report *wire.FollowRequest) {
-	select {
-	case s.reports <- report:
-	default:
-	}
-}
-
 // runReceive opens the call and hands on what arrives.
 func (s *stream) runReceive() {
 	defer close(s.failed)
