fix(allocator): no pressed model starves behind others that can't be relieved

Callers would see: one model stays slow while engines stand idle. Evidence: TestAPressedModelIsNotStarvedByMorePressedOnesThatCannotBeRelieved was red before. Models without a place no longer count.

--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -32,8 +32,8 @@
 	// as pressed.
 	leastPressure = 0.4
 	// mostModels and mostEngines bound what one change is chosen among, so that a
-	// plan for a large fleet stays short. Engines that can't make room don't
-	// count.
+	// plan for a large fleet stays short. Models that fit nowhere and engines that
+	// can't make room don't count.
 	mostModels  = 8
 	mostEngines = 16
 	// fillsAtOnce bounds the first copies that one plan looks for, and the second
@@ -284,13 +284,20 @@
 func (p *planner) follow() {
 	for range movesAtOnce {
 		var chosen option
-		found := false
+		compared := 0
 		for _, model := range p.pressed(p.spread()) {
-			if candidate, ok := p.relief(model); ok && (!found || candidate.gain > chosen.gain) {
-				chosen, found = candidate, true
+			candidate, fits := p.relief(model)
+			if !fits {
+				continue
+			}
+			if compared == 0 || candidate.gain > chosen.gain {
+				chosen = candidate
+			}
+			if compared++; compared >= mostModels {
+				break
 			}
 		}
-		if !found || chosen.gain < leastGain {
+		if compared == 0 || chosen.gain < leastGain {
 			return
 		}
 		p.begin(chosen, "demand")
@@ -315,7 +322,7 @@
 		}
 	}
 	slices.SortStableFunc(models, func(a, b *Model) int { return compare(pressure[b], pressure[a]) })
-	return models[:min(len(models), mostModels)]
+	return models
 }
 
 // relief is the best way to add a copy of a model that has some.
--- a/allocator/starve_test.go
+++ b/allocator/starve_test.go
@@ -104,3 +104,18 @@
 		})
 	}
 }
+
+func TestAPressedModelIsNotStarvedByMorePressedOnesThatCannotBeRelieved(t *testing.T) {
+	f := newFleet("z")
+	for at := range 10 {
+		name := fmt.Sprintf("large-%d", at)
+		f.Models[name] = newFleet(name).Models[name]
+		f.Models[name].MemoryBytes = 300 * gigabyte
+		f.engine("only-"+name, name).MemoryBytes = 300 * gigabyte
+		f.busy(name, 2)
+	}
+	f.engine("e1", "z")
+	f.engine("e2")
+	f.busy("z", 1.5)
+	assert.Assert(t, firstLoadsOf(f, 1)["z"])
+}
