fix(placer): a busy model gets a copy beside engines that can't make room

Callers would see: one model stays slow though another engine could hold it as well. Cause: the planner of the product's own control group compares the four least used engines for a copy, whether they can make room or not. Engines full of last copies that nobody asks for are the least used, and each plan looked at the same four. Evidence: TestDemandIsFollowedBesideEnginesThatCannotMakeRoom was red before: no second copy in two minutes. Engines that have no room and can make none don't count.

--- a/placer/grow.go
+++ b/placer/grow.go
@@ -13,7 +13,7 @@
 	// watch is how long demand is watched before any move for it.
 	watch = 10 * time.Second
 	// hottest is how many names, and roomiestEngines how many engines for each,
-	// are compared for a move.
+	// are compared for a move. Engines without room don't count.
 	hottest         = 4
 	roomiestEngines = 4
 	// loadingStretch is by how much an engine slows down while it loads.
@@ -125,7 +125,22 @@
 	slices.SortStableFunc(places, func(a, b int) int {
 		return cmp.Compare(now.used[a]/f.engines[a].slots, now.used[b]/f.engines[b].slots)
 	})
-	return places[:min(len(places), roomiestEngines)]
+	var roomy []int
+	for _, at := range places {
+		if len(roomy) < roomiestEngines && f.hasRoom(f.engines[at], name) {
+			roomy = append(roomy, at)
+		}
+	}
+	return roomy
+}
+
+// hasRoom says whether an engine has room for a name or can make it.
+func (f *fleet) hasRoom(e *engine, name string) bool {
+	if e.free >= f.bytes(name) {
+		return true
+	}
+	_, can := f.victims(e, name)
+	return can
 }
 
 // weigh compares what a copy wins with what it costs. It returns false where
