fix(placer): no busy model starves behind busier ones that fit nowhere

Callers would see: one model stays slow while engines stand idle. Cause: the four names with the most predicted misses were compared, the same ones in each plan; where none of them has a place, the fifth had no turn. It is the twin of the bound on pressed models in the allocator. Evidence: TestDemandIsFollowedBesideHotterModelsThatFitNowhere was red before: no second copy in two minutes. Names without a place no longer count.

--- a/placer/grow.go
+++ b/placer/grow.go
@@ -13,7 +13,7 @@
 	// watch is how long demand is watched before any move for it.
 	watch = 10 * time.Second
 	// hottest is how many names, and roomiestEngines how many engines for each,
-	// are compared for a move. Engines without room don't count.
+	// are compared for a move. Those without a place or room don't count.
 	hottest         = 4
 	roomiestEngines = 4
 	// loadingStretch is by how much an engine slows down while it loads.
@@ -45,8 +45,16 @@
 	order := f.names()
 	now := before.forecast(order)
 	best := candidate{}
+	compared := 0
 	for _, name := range f.hot(now) {
-		for _, at := range f.places(name, now) {
+		places := f.places(name, now)
+		if len(places) == 0 {
+			continue
+		}
+		if compared++; compared > hottest {
+			break
+		}
+		for _, at := range places {
 			if c, ok := f.weigh(before, now, order, name, at); ok && c.won > best.won {
 				best = c
 			}
@@ -106,7 +114,7 @@
 		}
 	}
 	slices.SortStableFunc(hot, func(a, b string) int { return cmp.Compare(missed[b], missed[a]) })
-	return hot[:min(len(hot), hottest)]
+	return hot
 }
 
 // places returns the engines that could take a name, the least used first.
--- a/placer/starve_test.go
+++ b/placer/starve_test.go
@@ -43,3 +43,29 @@
 	})
 	assert.Assert(t, w.copies("hot") > 1)
 }
+
+func TestDemandIsFollowedBesideHotterModelsThatFitNowhere(t *testing.T) {
+	const large = 6
+	w := newWorld(2, 0, 0)
+	put := func(name string, bytes int64) {
+		w.change(cataloger.PutModel{Model: cataloger.Model{Name: name, Service: "chat", MemoryBytes: bytes}})
+	}
+	put("hot", 30)
+	w.hold("e0", "hot")
+	for at := range large {
+		name := fmt.Sprintf("large-%d", at)
+		put(name, 300)
+		w.change(cataloger.PutUpstream{Upstream: cataloger.Upstream{
+			Name: name, Incarnation: "1", Service: "chat",
+			Kind: cataloger.EngineUpstream, State: cataloger.UpstreamLive, MemoryBytes: 300, Slots: 8,
+		}})
+		w.hold(name, name)
+	}
+	w.run(t, 120, func() {
+		w.demand("hot", 16)
+		for at := range large {
+			w.demand(fmt.Sprintf("large-%d", at), 40)
+		}
+	})
+	assert.Assert(t, w.copies("hot") > 1)
+}
