fix(follower): holdings that have grown old are told anew

Callers would see: an entry that was frozen for more than five seconds sends requests to engines that don't hold what is asked for, for as long as those engines don't change. Cause: holdings are told once on a stream and then stand by a word every two seconds. Each counts for five seconds; one that has grown old can't stand (TestOnlyAWordThatStillCountsCanStand), and nothing tells it again while the stream lives, which does survive: the timer of its silence and the updates that wait are both ready when the process goes on, and either may be taken first. The entry falls back to the platform's list as it last read it itself, which the leader's readings put off. Evidence: TestHoldingsThatHaveGrownOldAreToldAnew was red in its case of a frozen process with the check taken out; the freeze itself was not run. The entry leaves a stream on which the word that holdings stand comes too late; a new one tells all of them.

--- a/follower/errors.go
+++ b/follower/errors.go
@@ -6,6 +6,12 @@
 // Error describes the silence.
 func (e *SilentError) Error() string { return "no word from " + e.Address }
 
+// LapsedError says that what a member told of engines' holdings has grown old.
+type LapsedError struct{ Address string }
+
+// Error describes the state.
+func (e *LapsedError) Error() string { return "the holdings told by " + e.Address + " have grown old" }
+
 // ElsewhereError says that another member leads and is followed instead.
 type ElsewhereError struct{ Leader string }
 
--- a/follower/holdings_test.go
+++ b/follower/holdings_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -26,13 +27,33 @@
 				Held:  func(told []surveyor.Told) { held += len(told) },
 				Stand: func(at time.Time) { until = at },
 			})
-			f.takeHoldings(c.holdings, time.Now())
+			assert.NilError(t, f.takeHoldings("m", newTold(), c.holdings, time.Now()))
 			assert.Equal(t, held, c.held)
 			assert.Equal(t, until.After(time.Now()), c.stands)
 		})
 	}
 }
 
+func TestHoldingsThatHaveGrownOldAreToldAnew(t *testing.T) {
+	cases := map[string]struct {
+		silent time.Duration
+		lapsed bool
+	}{
+		"in time":                {2 * time.Second, false},
+		"one word was late":      {4 * time.Second, false},
+		"the process was frozen": {6 * time.Second, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, told, now := New(Settings{}), newTold(), time.Now()
+			assert.NilError(t, f.takeHoldings("m", told, nil, now))
+			err := f.takeHoldings("m", told, nil, now.Add(c.silent))
+			var lapsed *LapsedError
+			assert.Equal(t, errors.As(err, &lapsed), c.lapsed)
+		})
+	}
+}
+
 func TestAHeartbeatWithoutPeersChangesNone(t *testing.T) {
 	var met [][]string
 	f := New(Settings{NotesAddress: "own", Peers: func(peers []string) { met = append(met, peers) }})
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -104,7 +104,7 @@
 			return s.err
 		case update := <-s.updates:
 			silence.Reset(silenceLimit)
-			if err := f.take(address, told.sent, update); err != nil {
+			if err := f.take(address, told, update); err != nil {
 				return err
 			}
 		}
@@ -160,17 +160,16 @@
 }
 
 // take applies one update of a member.
-func (f *Follower) take(address string, sent *sentReports, update *wire.FollowReply) error {
+func (f *Follower) take(address string, told *told, update *wire.FollowReply) error {
 	switch update := update.GetUpdate().(type) {
 	case *wire.FollowReply_Snapshot:
 		return f.takeSnapshot(update.Snapshot)
 	case *wire.FollowReply_Delta:
 		return f.takeDelta(update.Delta)
 	case *wire.FollowReply_Heartbeat:
-		return f.takeHeartbeat(address, sent, update.Heartbeat)
+		return f.takeHeartbeat(address, told.sent, update.Heartbeat)
 	case *wire.FollowReply_Holdings:
-		f.takeHoldings(update.Holdings.GetHoldings(), time.Now())
-		return nil
+		return f.takeHoldings(address, told, update.Holdings.GetHoldings(), time.Now())
 	case *wire.FollowReply_Listing:
 		if f.settings.Listed != nil {
 			f.settings.Listed(encoder.DecodeListing(update.Listing))
@@ -246,14 +245,23 @@
 }
 
 // takeHoldings takes in what engines hold. A message that names none says that
-// what was told stands.
-func (f *Follower) takeHoldings(holdings []*wire.Holding, now time.Time) {
-	switch {
-	case len(holdings) == 0 && f.settings.Stand != nil:
-		f.settings.Stand(now.Add(encoder.ToldTime))
-	case len(holdings) > 0 && f.settings.Held != nil:
-		f.settings.Held(encoder.DecodeHoldings(holdings, now))
+// what was told stands. Where that comes too late, as after the entry was frozen,
+// the stream is left, since a new one tells all holdings.
+func (f *Follower) takeHoldings(address string, told *told, holdings []*wire.Holding, now time.Time) error {
+	if len(holdings) > 0 {
+		if f.settings.Held != nil {
+			f.settings.Held(encoder.DecodeHoldings(holdings, now))
+		}
+		return nil
 	}
+	if !told.standsUntil.IsZero() && now.After(told.standsUntil) {
+		return &LapsedError{Address: address}
+	}
+	told.standsUntil = now.Add(encoder.ToldTime)
+	if f.settings.Stand != nil {
+		f.settings.Stand(told.standsUntil)
+	}
+	return nil
 }
 
 // takeOffer applies what a peer offers.
--- a/follower/reports.go
+++ b/follower/reports.go
@@ -6,11 +6,14 @@
 	"burdocklink/encoder"
 )
 
-// told is what an entry has told on one stream.
+// told is what an entry has told on one stream, and was told of it.
 type told struct {
 	sent       *sentReports
 	demand     *encoder.DemandEncoder
 	nextDemand time.Time
+	// standsUntil is until when what engines hold stands as told on the stream;
+	// zero before the first word of that.
+	standsUntil time.Time
 }
 
 func newTold() *told {
