fix(mover): an order that ends costs its engine once, not once for each entry that waits

Callers would see: adapters come late on sites with many entries while engines are full of adapters in use. Cause: after each order the leader looked for the first wait that the engine can serve, and looked at the engine, its adapters and the demand for each of them anew for each wait; entries that wait for the same adapter each have one. The engine is looked at once, and each adapter is tried once.

--- a/mover/adapter.go
+++ b/mover/adapter.go
@@ -72,12 +72,17 @@
 	if engine == nil || m.configuration == nil || !m.mayOrder(now) || !engine.takesAdapters(now) {
 		return
 	}
+	var view *allocator.View
+	looked := map[Want]bool{}
 	for _, one := range m.waiters {
-		if engine.upstream.Service != one.want.Service || engine.copies[one.want.Model] == nil {
+		if engine.upstream.Service != one.want.Service || engine.copies[one.want.Model] == nil || looked[one.want] {
 			continue
 		}
-		view := m.newAdapterView(now)
-		m.addToView(view, engine, now)
+		looked[one.want] = true
+		if view == nil {
+			view = m.newAdapterView(now)
+			m.addToView(view, engine, now)
+		}
 		if m.placeAdapter(one.want, view) {
 			return
 		}
--- a/mover/load_test.go
+++ b/mover/load_test.go
@@ -45,6 +45,26 @@
 	assert.Assert(t, many <= few+5, "%.0f allocations for a report with 400 waiting, %.0f with none", many, few)
 }
 
+func TestAnOrderThatEndsDoesNotLookAtTheEngineForEachWaitingEntry(t *testing.T) {
+	allocations := func(entries int) float64 {
+		s := newCrowd(t, 1, 0)
+		for range entries {
+			call := wantCalled{want: Want{Service: "s", Model: "m", Adapter: "a"}, answer: make(chan Wanted, 1)}
+			s.mover.handle(call, s.now)
+		}
+		one := s.mover.engines["e000"]
+		one.restUntil, one.busy = time.Time{}, false
+		// no adapter has a place
+		one.copies["m"].Adapters = map[string]time.Time{}
+		for at := range s.mover.engineOf("s").AdapterSlots {
+			one.copies["m"].Adapters[fmt.Sprint("used-", at)] = s.now
+		}
+		return testing.AllocsPerRun(20, func() { s.mover.loadNext("e000", s.now) })
+	}
+	few, many := allocations(1), allocations(70)
+	assert.Assert(t, many <= few+5, "%.0f allocations with 70 entries, %.0f with one", many, few)
+}
+
 func TestOrdersForAdaptersDoNotAddUpAllLoadsAnew(t *testing.T) {
 	s := newStage(t, map[string][]string{"e1": {"m"}, "e2": {"m"}, "e3": {"n"}})
 	sums := 0
