fix(surveyor): a reading from before a suspension counts no more

The steady clock stands still while a VM is suspended. An entry that was suspended took its last reading of the platform's list for fresh afterwards, and since readings are shared it would have told its neighbours so, which were never suspended and may send nothing to an upstream that leaves.

The surveyor compares the steady clock with the one that counts suspensions. Where they have parted it forgets when the list was read, and takes no reading and no confirmation from before. TestAReadingFromBeforeASuspensionDoesNotCount and TestASuspensionDuringAReadingMakesItOld guard it.

--- a/surveyor/errors.go
+++ b/surveyor/errors.go
@@ -7,9 +7,9 @@
 // Error describes the reading.
 func (e *OvertakenError) Error() string { return "another reading of the list came meanwhile" }
 
-// OldError says that another entry's reading of the list is too old to be of
-// use.
+// OldError says that a reading of the list is too old to be of use, or that the
+// VM was suspended since.
 type OldError struct{}
 
 // Error describes the reading.
-func (e *OldError) Error() string { return "the other entry's reading of the list is old" }
+func (e *OldError) Error() string { return "the reading of the list is old" }
--- a/surveyor/learn.go
+++ b/surveyor/learn.go
@@ -80,7 +80,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if at.After(s.readAt) {
-		s.readAt = at
+		s.confirm(at)
 	}
 	s.expire(time.Now())
 }
--- a/surveyor/share.go
+++ b/surveyor/share.go
@@ -65,7 +65,9 @@
 	if s.readAt.After(reading.At) || s.digest() != question.Digest {
 		return &OvertakenError{}
 	}
-	s.readAt = reading.At
+	if !s.confirm(reading.At) {
+		return &OldError{}
+	}
 	s.expire(time.Now())
 	return nil
 }
@@ -77,7 +79,8 @@
 }
 
 // Answer returns the list as last read, and reads it where that was too long
-// ago. Questions that come meanwhile share the reading.
+// ago. Questions that come meanwhile share the reading. It returns an *OldError
+// where the VM was suspended just now.
 func (s *Surveyor) Answer(ctx context.Context, question Question) (Reading, error) {
 	if s.readBefore(question.Since) {
 		err := s.readShared(ctx)
@@ -87,6 +90,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.readAt.IsZero() {
+		return Reading{}, &OldError{}
+	}
 	reading := Reading{At: s.readAt, Same: s.digest() == question.Digest}
 	if !reading.Same {
 		for _, upstream := range s.listed {
@@ -99,6 +105,7 @@
 func (s *Surveyor) readBefore(at time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.noteSuspension()
 	return s.readAt.Before(at)
 }
 
--- a/surveyor/share_test.go
+++ b/surveyor/share_test.go
@@ -201,3 +201,49 @@
 		})
 	}
 }
+
+// DRAIN: an entry that was suspended must not pass on, as fresh, a reading from
+// before. Its steady clock stood still.
+func TestAReadingFromBeforeASuspensionDoesNotCount(t *testing.T) {
+	cases := map[string]struct {
+		// meanwhile happens after the suspension.
+		meanwhile func(s *Surveyor, before time.Time)
+		// fetched is how often the list is read for the next question.
+		fetched int64
+	}{
+		"nothing":                  {func(*Surveyor, time.Time) {}, 1},
+		"an old word is confirmed": {func(s *Surveyor, before time.Time) { s.Confirm(before) }, 1},
+		"a new word is confirmed":  {func(s *Surveyor, _ time.Time) { s.Confirm(time.Now()) }, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(t, 1)
+			s := g.entries[0]
+			var suspended time.Duration
+			s.suspended = func() time.Duration { return suspended }
+			assert.NilError(t, s.read())
+			before := time.Now()
+			suspended = 5 * time.Second
+			s.age(time.Now())
+			c.meanwhile(s, before)
+			fetched := g.fetched.Load()
+			reading, err := s.Answer(t.Context(), Question{Since: before.Add(-time.Minute)})
+			assert.NilError(t, err)
+			assert.Equal(t, g.fetched.Load()-fetched, c.fetched)
+			assert.Assert(t, reading.At.After(before))
+		})
+	}
+}
+
+func TestASuspensionDuringAReadingMakesItOld(t *testing.T) {
+	g := newGroup(t, 1)
+	s := g.entries[0]
+	var suspended time.Duration
+	s.suspended = func() time.Duration { return suspended }
+	s.settings.Fetch = func(ctx context.Context, page string) (Page, error) {
+		suspended = 5 * time.Second
+		return g.fetch(ctx, page)
+	}
+	assert.ErrorType(t, s.read(), &OldError{})
+	assert.NilError(t, s.read())
+}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -46,6 +46,11 @@
 	// when another one's reading was last taken in.
 	readAt    time.Time
 	learnedAt time.Time
+	// suspended tells for how long the VM has been suspended, suspendedFor what it
+	// told last, and resumedAt when that changed.
+	suspended    func() time.Duration
+	suspendedFor time.Duration
+	resumedAt    time.Time
 	// flight is the reading under way, nil for none.
 	flight *flight
 	// digestOfListed stands for the list where digested is true.
@@ -92,6 +97,8 @@
 		listed:   map[string]Upstream{},
 		told:     map[string]Told{},
 		pictured: map[string]pictured{},
+
+		suspended: sinceStart(),
 	}
 }
 
@@ -159,6 +166,7 @@
 func (s *Surveyor) age(now time.Time) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.noteSuspension()
 	return now.Sub(s.readAt)
 }
 
@@ -188,10 +196,13 @@
 		s.takeLeaving(listed)
 		return &OvertakenError{}
 	}
+	if !s.confirm(at) {
+		s.takeLeaving(listed)
+		return &OldError{}
+	}
 	for name, upstream := range listed {
 		listed[name] = s.stayLeaving(upstream)
 	}
-	s.readAt = at
 	s.replace(listed)
 	return nil
 }
