fix(seeker): a holder that only the entry knows is asked for once a second

The own list's word now counts as long as the leader's. Red before: 80 questions in a second where 5 are allowed.

--- a/mover/events.go
+++ b/mover/events.go
@@ -60,18 +60,18 @@
 		m.takeList(happened, now)
 	case reportRead:
 		m.takeReport(happened, now)
-		m.changed(happened.engine.Name)
+		m.engineChanged(happened.engine.Name)
 	case orderAnswered:
 		m.takeAnswer(happened, now)
-		m.changed(happened.engine.Name)
+		m.engineChanged(happened.engine.Name)
 		m.loadNext(happened.engine.Name, now)
 	case wantCalled:
 		m.takeWant(happened, now)
 	}
 }
 
-// changed tells those whom the change of an engine concerns.
-func (m *Mover) changed(name string) {
+// engineChanged tells those whom the change of an engine concerns.
+func (m *Mover) engineChanged(name string) {
 	m.publish(name)
 	if m.lead.term != 0 && m.configuration != nil {
 		m.answerWaiters(name)
--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -104,15 +104,20 @@
 			}
 			pause = min(lookPause, max(retryPause, ready))
 		}
-		if told, err := s.look(ctx, name, model, pause, by); told || err != nil {
+		told, err := s.look(ctx, name, model, pause, by)
+		if err != nil {
 			return err
 		}
+		if told {
+			s.noteFound(name, time.Now())
+			return nil
+		}
 	}
 }
 
-// foundTime is how long the leader's word of a holder counts: a holder that can't
-// be reached is asked for again and again, and the leader takes a second or two
-// to notice its loss.
+// foundTime is how long the word of a holder counts: one that can't be reached is
+// asked for again and again, and the leader takes a second or two to notice its
+// loss.
 const foundTime = time.Second
 
 func (s *Seeker) foundLately(name string, now time.Time) bool {
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -187,3 +187,12 @@
 	}
 	assert.Assert(t, l.asked.Load() <= 5, "%d questions in a second", l.asked.Load())
 }
+
+func TestAHolderThatOnlyThisEntryKnowsIsNotAskedForAtEachTry(t *testing.T) {
+	held := func(string) bool { return true }
+	s, l, _ := seekHeld(t, held, func(int32) *wire.WantReply { return &wire.WantReply{Leading: true, ReadyInMs: 100} })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		assert.NilError(t, s.Want(t.Context(), "s", "m", "a1", end.Add(time.Second)))
+	}
+	assert.Assert(t, l.asked.Load() <= 5, "%d questions in a second", l.asked.Load())
+}
