--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -26,6 +26,9 @@
 	// lookPause is the longest wait before the leader is asked again for what is
 	// on its way. It forgets what nobody asked for in two seconds.
 	lookPause = time.Second
+	// unknownPause is the wait where the leader does not know when there will be a
+	// holder, as without a configuration or a lease.
+	unknownPause = 250 * time.Millisecond
 	// unknownRetry is when a caller should come back for what nobody promises:
 	// after the time in which a group elects a leader.
 	unknownRetry = time.Second
@@ -103,6 +106,8 @@
 				return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(ready)}
 			}
 			pause = min(lookPause, max(retryPause, ready))
+		case err == nil && reply.GetLeading():
+			pause = unknownPause
 		}
 		told, err := s.look(ctx, name, model, pause, by)
 		if err != nil {
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -196,3 +196,9 @@
 	}
 	assert.Assert(t, l.asked.Load() <= 5, "%d questions in a second", l.asked.Load())
 }
+
+func TestQuestionsDoNotPressALeaderThatKnowsNoTime(t *testing.T) {
+	s, l, _ := seek(t, func(int32) *wire.WantReply { return &wire.WantReply{Leading: true, ReadyInMs: -1} })
+	_ = s.Want(t.Context(), "s", "m", "a1", time.Now().Add(2*time.Second))
+	assert.Assert(t, l.asked.Load() <= 9, "%d questions in two seconds", l.asked.Load())
+}
