fix(responder): a word on holdings that was overtaken does not stand for ever

An entry's question may be answered with what an engine held before, and the answer arrive after the newer word of the stream. Since holdings are not repeated every two seconds any more, the older word stood until the engine changed again. All holdings are told anew every eight seconds, a quarter of what it was. TestAWordThatWasOverwrittenIsToldAgain did not end before: nothing was told twice.

--- a/responder/follow.go
+++ b/responder/follow.go
@@ -29,6 +29,8 @@
 	heldSerial uint64
 	standAt    time.Time
 	tellAt     time.Time
+	// retellAt is when the entry is told all of them anew.
+	retellAt time.Time
 	// peersSerial is the number of the list of entries that was told.
 	peersSerial uint64
 	// listSerial is the newest change of the platform's list that was told, and
--- a/responder/holdings.go
+++ b/responder/holdings.go
@@ -13,6 +13,11 @@
 // counts.
 const standInterval = 2 * time.Second
 
+// retellInterval is the time after which an entry is told all holdings anew. An
+// answer to a question that was overtaken by a newer word may have put an older
+// one in its place.
+const retellInterval = 8 * time.Second
+
 // messageRate is how many heartbeats all entries together are sent in a second at
 // most, and how many messages about holdings. Each takes a leader about 60 µs, so
 // that with the entries' reports a fifth of the smallest control VM's share of a
@@ -58,6 +63,9 @@
 	if s.responder.settings.Holdings == nil || !s.responder.settings.Group.Status().Leading {
 		return nil
 	}
+	if !now.Before(s.retellAt) {
+		s.heldSerial, s.retellAt = 0, now.Add(retellInterval)
+	}
 	told, serial := s.responder.settings.Holdings.Held(s.heldSerial)
 	s.heldSerial = serial
 	if len(told) == 0 && now.Before(s.standAt) {
--- a/responder/holdings_test.go
+++ b/responder/holdings_test.go
@@ -138,3 +138,17 @@
 	assert.DeepEqual(t, named, []string{"a-1", "a-2"})
 	assert.Assert(t, silent >= 5, "%d heartbeats named nobody", silent)
 }
+
+func TestAWordThatWasOverwrittenIsToldAgain(t *testing.T) {
+	t.Parallel()
+	held := newShelf()
+	held.put("u", 1)
+	stream := follow(t, serveWith(t, responder.Settings{Holdings: held, Pulse: 100 * time.Millisecond}), 1)
+	began := time.Now()
+	for told := 0; told < 2; {
+		reply, err := stream.Recv()
+		assert.NilError(t, err)
+		told += len(reply.GetHoldings().GetHoldings())
+	}
+	assert.Assert(t, time.Since(began) < 10*time.Second)
+}
