fix(launcher): a hang-up during the start does not end the process

Operators would see: a process that ends by itself and is started again, where the settings changed while it was starting. Cause: the handler was registered when the watcher of the settings started, after the role was put together; until then SIGHUP ends a process. It is registered before the settings are read now. What remains is the time in which the runtime itself starts. Red before: the signal ended the test's own process.

--- a/launcher/node.go
+++ b/launcher/node.go
@@ -37,9 +37,9 @@
 // is full stops its work and begins anew, from what the disk holds, until there
 // is room.
 func RunNode(ctx context.Context, node Node, log *zap.Logger) error {
-	signals := notifyStop()
+	signals, hangUps := notifyStop(), notifyHangUp()
 	for {
-		err := runOnce(ctx, node, log, signals)
+		err := runOnce(ctx, node, log, signals, hangUps)
 		if !errors.Is(err, syscall.ENOSPC) {
 			return err
 		}
@@ -55,7 +55,7 @@
 }
 
 // runOnce runs a role until it is told to stop, or fails.
-func runOnce(ctx context.Context, node Node, log *zap.Logger, signals <-chan os.Signal) error {
+func runOnce(ctx context.Context, node Node, log *zap.Logger, signals, hangUps <-chan os.Signal) error {
 	read, err := platform.ReadSettings(node.Path)
 	if err != nil {
 		return err
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	watcher := newSettingsWatcher(node.Path, read, assembled.Reload, log)
+	watcher := newSettingsWatcher(node.Path, read, assembled.Reload, hangUps, log)
 	services := append(assembled.Services, watcher)
 	if err := serve(ctx, log, max(leastDrain, read.Bounds.Grace-stopMargin), services, signals); err != nil {
 		return err
--- a/launcher/node_test.go
+++ b/launcher/node_test.go
@@ -69,3 +69,16 @@
 		})
 	}
 }
+
+func TestAHangUpDuringTheStartDoesNotEndTheProcess(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	text := `{"node":"core-1","role":"control","ip":"127.0.0.1","zone":"z1","listen":{"control":"127.0.0.1:1"},
+"seeds":["127.0.0.1:1"],"portRange":[2,9],"dataDir":"/tmp","cloud":{"address":"127.0.0.1:3"}}`
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	err := launcher.RunNode(t.Context(), launcher.Node{Path: path, Assemble: func(provisioner.Settings) (*provisioner.Node, error) {
+		assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		time.Sleep(50 * time.Millisecond)
+		return nil, &brokenError{}
+	}}, zap.NewNop())
+	assert.ErrorType(t, err, &brokenError{})
+}
--- a/launcher/serve.go
+++ b/launcher/serve.go
@@ -32,6 +32,15 @@
 	return signals
 }
 
+// notifyHangUp returns a channel with the signals to read the settings again. It
+// is registered before all else: such a signal ends a process that does not know
+// it yet.
+func notifyHangUp() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 func serve(ctx context.Context, log *zap.Logger, drain time.Duration, services []registrar.Service, signals <-chan os.Signal) error {
 	kernel := registrar.New(log)
 	for _, service := range services {
--- a/launcher/settings.go
+++ b/launcher/settings.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,12 +22,14 @@
 	current platform.Settings
 	changed time.Time
 	reload  func(platform.Settings)
+	// hangUps ask for the settings to be read again.
+	hangUps <-chan os.Signal
 	log     *zap.Logger
 	stop    chan struct{}
 }
 
-func newSettingsWatcher(path string, current platform.Settings, reload func(platform.Settings), log *zap.Logger) *settingsWatcher {
-	return &settingsWatcher{path: path, current: current, reload: reload, log: log, stop: make(chan struct{})}
+func newSettingsWatcher(path string, current platform.Settings, reload func(platform.Settings), hangUps <-chan os.Signal, log *zap.Logger) *settingsWatcher {
+	return &settingsWatcher{path: path, current: current, reload: reload, hangUps: hangUps, log: log, stop: make(chan struct{})}
 }
 
 // String names the service.
@@ -37,9 +37,7 @@
 
 // Start begins to watch.
 func (w *settingsWatcher) Start(context.Context, *registrar.Registrar) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go w.run(hangups)
+	go w.run()
 	return nil
 }
 
@@ -49,14 +47,14 @@
 	return nil
 }
 
-func (w *settingsWatcher) run(hangups <-chan os.Signal) {
+func (w *settingsWatcher) run() {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-w.stop:
 			return
-		case <-hangups:
+		case <-w.hangUps:
 			w.log.Info("asked to read the settings again")
 			w.read()
 		case <-ticker.C:
