test(prover): a server's word that comes while the list names its predecessor

The entry can't tell whose word it was: answers carry no incarnation. The next answer of the new one says it again, and counts. The promise allows it: nothing later than three seconds after the word. Before, the soak asked for more than the promise in this one case.

--- a/prover/notice_test.go
+++ b/prover/notice_test.go
@@ -51,6 +51,10 @@
 	defer s.mutex.Unlock()
 	s.leaving = false
 	s.born++
+	if s.started == nil {
+		s.started = map[int64]time.Time{}
+	}
+	s.started[s.born] = time.Now()
 }
 
 // pauseFor makes the server turn requests away for a time, and tell the rest of
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -25,6 +25,8 @@
 	service string
 	address string
 	born    int64
+	// started is when each further incarnation began, by born.
+	started map[int64]time.Time
 
 	mutex    sync.Mutex
 	models   []string
