test(conductor): members of the tests listen at ports that stay theirs

Its port came from the range out of which the system gives ports to connections; one of the many that ran beside it had got it while the member was down. Ports come from below that range now, as those of the other tests with restarts do (faker.FreeAddress).

--- a/conductor/announce_test.go
+++ b/conductor/announce_test.go
@@ -1,7 +1,6 @@
 package conductor_test
 
 import (
-	"net"
 	"path/filepath"
 	"testing"
 	"time"
@@ -14,8 +13,7 @@
 // join starts a member that only knows some others and is known to nobody.
 func (g *cluster) join(name string, change func(*conductor.Config), known ...string) *process {
 	g.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(g.t, err)
+	listener := listen(g.t)
 	p := &process{listener: listener, config: conductor.Config{
 		Name: name, Address: listener.Addr().String(), Codec: realCodec(),
 		Folder: filepath.Join(g.t.TempDir(), name), Joins: true, Voters: 3, LostAfter: time.Second,
--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -20,6 +20,7 @@
 	"burdocklink/cataloger"
 	"burdocklink/conductor"
 	"burdocklink/encoder"
+	"burdocklink/faker"
 )
 
 // waitTime is a generous end of every wait.
@@ -57,6 +58,17 @@
 	number    atomic.Uint64
 }
 
+// listen opens a listener at a port that the system gives to no connection while
+// the member that has it is down.
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	address, err := faker.FreeAddress()
+	assert.NilError(t, err)
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	return listener
+}
+
 // newCluster starts members with the names; all know each other.
 func newCluster(t testing.TB, change func(*conductor.Config), names ...string) *cluster {
 	t.Helper()
@@ -64,8 +76,7 @@
 	root := t.TempDir()
 	var peers []conductor.Member
 	for _, name := range names {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
+		listener := listen(t)
 		address := listener.Addr().String()
 		peers = append(peers, conductor.Member{Name: name, Address: address})
 		g.processes[name] = &process{
