--- a/mover/events.go
+++ b/mover/events.go
@@ -53,23 +53,28 @@
 func (wantCalled) event()    {}
 
 func (m *Mover) handle(happened event, now time.Time) {
+	m.tally.events++
+	m.tally.mostQueued = max(m.tally.mostQueued, len(m.events))
 	switch happened := happened.(type) {
 	case listRead:
 		m.takeList(happened, now)
-		m.publishAll()
 	case reportRead:
 		m.takeReport(happened, now)
-		m.publish(happened.engine.Name)
+		m.changed(happened.engine.Name)
 	case orderAnswered:
 		m.takeAnswer(happened, now)
-		m.publish(happened.engine.Name)
+		m.changed(happened.engine.Name)
+		m.loadNext(happened.engine.Name, now)
 	case wantCalled:
 		m.takeWant(happened, now)
 	}
+}
+
+// changed tells those whom the change of an engine concerns.
+func (m *Mover) changed(name string) {
+	m.publish(name)
 	if m.lead.term != 0 && m.configuration != nil {
-		// those that are served need no order
-		m.answerWaiters()
-		m.loadAdapters(now)
+		m.answerWaiters(name)
 	}
 }
 
@@ -127,6 +132,7 @@
 			delete(m.engines, name)
 		}
 	}
+	m.told.Retain(func(name string) bool { return m.engines[name] != nil })
 }
 
 // askReports asks the engines whose report is due.
@@ -189,6 +195,7 @@
 func (m *Mover) send(one *engine, order Order, why ...zap.Field) {
 	order.Holder, order.Fence, order.Expected = m.settings.Holder, m.lead.term, one.sequence
 	one.sending = true
+	m.tally.orders++
 	m.settings.Log.Info("order", append(why, zap.String("upstream", one.upstream.Name),
 		zap.Int("action", int(order.Action)), zap.String("model", order.Model), zap.String("adapter", order.Adapter),
 		zap.Uint64("expected", order.Expected), zap.Uint64("fence", order.Fence))...)
@@ -229,6 +236,7 @@
 	one.sending = false
 	order := answered.order
 	if answered.outcome != Accepted && answered.outcome != Done {
+		m.tally.refused++
 		m.settings.Log.Info("order not taken", zap.String("upstream", answered.engine.Name),
 			zap.String("model", order.Model), zap.String("adapter", order.Adapter),
 			zap.Stringer("outcome", answered.outcome), zap.Error(answered.err))
