--- a/responder/follow.go
+++ b/responder/follow.go
@@ -11,7 +11,6 @@
 	"burdocklink/cataloger"
 	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
-	"burdocklink/placer"
 )
 
 // followStream is the server's side of one follower's stream.
@@ -93,15 +92,11 @@
 
 // note keeps a report of the entry.
 func (s *session) note(said *wire.FollowRequest, now time.Time) error {
-	var demand *placer.Demand
-	if len(said.GetDemand()) > 0 {
-		decoded, err := s.demand.Decode(said)
-		if err != nil {
-			return err
-		}
-		demand = &decoded
+	counted, err := s.demand.Decode(said)
+	if err != nil {
+		return err
 	}
-	s.responder.entries.put(said, demand, now)
+	s.responder.entries.put(said, counted, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports = append(s.reports, received{number: said.GetNumber(), at: now})
@@ -137,7 +132,8 @@
 }
 
 func (s *session) send(deltas <-chan cataloger.Delta) error {
-	ticker := time.NewTicker(s.responder.settings.Pulse)
+	every := s.responder.beatTime()
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	// gathering is running while changes are gathered for the next message
 	gathering := time.NewTimer(0)
@@ -158,7 +154,7 @@
 			}
 		case <-changed:
 			changed = nil
-			if s.responder.TellTime() < s.responder.settings.Pulse {
+			if s.responder.TellTime() < every {
 				gathering.Reset(time.Until(s.tellAt))
 			}
 		case <-gathering.C:
@@ -171,6 +167,10 @@
 				return err
 			}
 		case <-ticker.C:
+			if now := s.responder.beatTime(); now != every {
+				every = now
+				ticker.Reset(every)
+			}
 			if err := s.sendListing(time.Now()); err != nil {
 				return err
 			}
