--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -1,6 +1,7 @@
 package provisioner
 
 import (
+	"context"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,7 @@
 	"burdocklink/follower"
 	"burdocklink/forwarder"
 	"burdocklink/linker"
+	"burdocklink/observer"
 	"burdocklink/platform"
 	"burdocklink/prober"
 	"burdocklink/registrar"
@@ -60,6 +62,7 @@
 	retries       *retryShare
 	admission     *admitter.Admitter
 	calls         *dispatcher.Dispatcher
+	words         *observer.Observer
 	links         *linker.Linker
 	notes         *broadcaster.Broadcaster
 	upstreams     *surveyor.Surveyor
@@ -77,31 +80,45 @@
 	p.admission = admitter.New(p.routes, admitter.Settings{Retries: p.retries.budget()})
 	p.retries.apply = p.admission.SetReserve
 	p.calls = dispatcher.New(dispatcher.Settings{Dial: dialTime})
+	p.words = observer.New(observer.Settings{
+		Router:   p.routes,
+		Wake:     p.admission.Wake,
+		Forget:   p.calls.Forget,
+		Registry: p.metrics.Registry(),
+		Log:      settings.Log,
+	})
 	p.links = linker.New(nil, linker.NewMeter(p.metrics.Registry()))
+	p.upstreams = surveyor.New(surveyor.Settings{
+		Fetch:    platform.NewClient(settings.List.Address, p.calls).FetchList,
+		Ask:      p.ask,
+		Interval: listInterval,
+		Notify:   p.notify,
+		Log:      settings.Log,
+	})
 	p.notes = broadcaster.New(broadcaster.Settings{
 		Entry:  settings.Node,
 		Listen: settings.Links,
 		Links:  p.links,
 		Router: p.routes,
+		Answer: p.upstreams.Answer,
 		Wake:   p.admission.Wake,
 		Log:    settings.Log,
 	})
-	p.upstreams = surveyor.New(surveyor.Settings{
-		Fetch:    platform.NewClient(settings.List.Address, p.calls).FetchList,
-		Interval: listInterval,
-		Notify:   p.notify,
-		Log:      settings.Log,
-	})
 	p.configuration = newConfigured(p.upstreams, settings.Log)
 	return p
 }
 
-// notify brings a new picture of the upstreams to those who decide by it.
-func (p *entryParts) notify(catalog *cataloger.Catalog) {
-	p.routes.Update(catalog)
+// notify brings what changed of the upstreams to those who decide by it.
+func (p *entryParts) notify(changes []cataloger.Change) {
+	p.routes.Apply(changes)
 	p.admission.Wake()
 }
 
+// ask asks another entry for its reading of the platform's list.
+func (p *entryParts) ask(ctx context.Context, question surveyor.Question) (surveyor.Reading, error) {
+	return p.notes.Ask(ctx, question)
+}
+
 // meet takes in the addresses of the other entries.
 func (p *entryParts) meet(peers []string) {
 	p.notes.Meet(peers)
@@ -140,10 +157,11 @@
 		Ready:            func() error { return nil },
 		Admitter:         p.admission,
 		Holders: seeker.New(seeker.Settings{
-			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Log: p.settings.Log,
+			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Held: p.routes.Holds, Log: p.settings.Log,
 		}),
-		Calls:    p.calls,
-		Reporter: p.metrics,
-		Log:      p.settings.Log,
+		Upstreams: p.words,
+		Calls:     p.calls,
+		Reporter:  p.metrics,
+		Log:       p.settings.Log,
 	})
 }
--- a/router/choose.go
+++ b/router/choose.go
@@ -25,14 +25,19 @@
 	cached int
 	// full counts the candidates that were at their limits.
 	full int
+	// pausedUntil is the earliest end of a candidate's pause, zero where none
+	// paused.
+	pausedUntil time.Time
 }
 
 // Choose returns the upstream for a request. It compares a few drawn
 // candidates, never the whole fleet. It returns *NoUpstreamError where no live
-// upstream holds what is asked for and *SaturatedError where all candidates
-// are at their limits.
+// upstream holds what is asked for, *PausedError where all that are live asked
+// for a pause and *SaturatedError where some of them are at their limits.
 func (r *Router) Choose(now time.Time, request *Request) (Choice, error) {
-	candidates := r.candidates(request)
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	candidates := r.table.candidates(request)
 	s := search{now: now, request: request, cost: math.MaxInt64}
 	s.random = mix(r.settings.Seed ^ mix(request.Seed))
 	s.patient = request.patient(now)
@@ -56,8 +61,7 @@
 	}, nil
 }
 
-func (r *Router) candidates(request *Request) []*upstream {
-	t := r.current.Load()
+func (t *table) candidates(request *Request) []*upstream {
 	if request.Holds != "" {
 		return t.holders[request.Holds]
 	}
@@ -86,12 +90,17 @@
 // look compares one candidate with the best so far.
 func (r *Router) look(s *search, u *upstream) {
 	if slices.Contains(s.request.Avoid, u.about.Name) {
+		s.notePause(u)
 		return
 	}
 	prediction, cached, verdict := u.judge(s, s.request.Work())
 	if verdict == unusable {
 		return
 	}
+	if verdict == paused {
+		s.notePause(u)
+		return
+	}
 	if verdict == full {
 		s.full++
 		return
@@ -108,6 +117,14 @@
 	}
 }
 
+// notePause takes in the end of a candidate's pause.
+func (s *search) notePause(u *upstream) {
+	until := u.pausedUntil(s.now)
+	if !until.IsZero() && (s.pausedUntil.IsZero() || until.Before(s.pausedUntil)) {
+		s.pausedUntil = until
+	}
+}
+
 func (r *Router) refuse(s *search) error {
 	if s.full > 0 {
 		return &SaturatedError{
@@ -116,6 +133,14 @@
 			Retry:   s.now.Add(saturatedRetry),
 		}
 	}
+	if !s.pausedUntil.IsZero() {
+		spread := time.Duration(s.random % uint64(callerSpread))
+		return &PausedError{
+			Service: s.request.Service,
+			Holds:   s.request.Holds,
+			Retry:   s.pausedUntil.Add(spread),
+		}
+	}
 	return &NoUpstreamError{
 		Service: s.request.Service,
 		Holds:   s.request.Holds,
--- a/router/router.go
+++ b/router/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"burdocklink/cataloger"
@@ -13,24 +12,58 @@
 // a choice are safe for many goroutines.
 type Router struct {
 	settings Settings
-	current  atomic.Pointer[table]
-	// control orders the writers of the table.
-	control sync.Mutex
+	// mutex guards the table, which Choose reads and news changes, and what
+	// upstreams were heard to say.
+	mutex sync.RWMutex
+	table *table
+	own   *dispatches
+	peers *peers
+	// heard is kept for incarnations too that the catalog may know again.
+	heard map[incarnation]heard
 }
 
 // New returns a router that knows no upstream.
 func New(settings Settings) *Router {
-	r := &Router{settings: settings}
-	r.current.Store(&table{})
-	return r
+	return &Router{
+		settings: settings,
+		table:    emptyTable(settings.Entries),
+		own:      newDispatches(),
+		peers:    newPeers(),
+		heard:    map[incarnation]heard{},
+	}
 }
 
 // Update takes in a new catalog. What was measured of upstream incarnations
 // that stay is kept.
 func (r *Router) Update(catalog *cataloger.Catalog) {
-	r.control.Lock()
-	defer r.control.Unlock()
-	r.current.Store(newTable(r.current.Load(), catalog, r.settings.Entries))
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.table = newTable(r.table, catalog)
+	for name := range r.table.upstreams {
+		r.recall(name)
+	}
+}
+
+// Apply takes in changes of upstreams and placements; others are passed over.
+// It costs as much as the changes are large, however many upstreams there are.
+func (r *Router) Apply(changes []cataloger.Change) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, change := range changes {
+		r.table.apply(change)
+		if put, ok := change.(cataloger.PutUpstream); ok {
+			r.recall(put.Upstream.Name)
+		}
+	}
+}
+
+// recall has an upstream heed what its incarnation was heard to say. The mutex
+// is held.
+func (r *Router) recall(name string) {
+	u := r.table.upstreams[name]
+	if said, known := r.heard[incarnation{name, u.about.Incarnation}]; known {
+		u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
+	}
 }
 
 // Observe takes in a load report that has arrived. A report of another
@@ -45,6 +78,7 @@
 func (r *Router) Started(choice Choice, request *Request, now time.Time) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
 		u.started(now, request, choice.CachedTokens)
+		r.own.changedAt(choice.Upstream)
 	}
 }
 
@@ -52,6 +86,7 @@
 func (r *Router) Finished(choice Choice, sample Sample) {
 	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
 		u.finished(&sample, choice.Predicted)
+		r.own.changedAt(choice.Upstream)
 	}
 }
 
@@ -63,9 +98,14 @@
 }
 
 func (r *Router) find(name, incarnation string) *upstream {
-	u := r.current.Load().upstreams[name]
-	if u == nil || u.about.Incarnation != incarnation {
-		return nil
-	}
-	return u
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.table.find(name, incarnation)
+}
+
+// Holds says whether a live upstream is known to hold a model or adapter.
+func (r *Router) Holds(name string) bool {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return len(r.table.holders[name]) > 0
 }
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"reflect"
 	"sync"
 	"time"
 
@@ -22,12 +21,14 @@
 type Settings struct {
 	// Fetch reads a page of the platform's list; empty names the first one.
 	Fetch func(ctx context.Context, page string) (Page, error)
+	// Ask asks another entry for its reading of the list; nil for nobody.
+	Ask func(ctx context.Context, question Question) (Reading, error)
 	// Interval is how old the last reading may be, the own one or another
 	// process's, before the list is read.
 	Interval time.Duration
-	// Notify is called with each new picture, on any goroutine, one call at a
-	// time.
-	Notify func(*cataloger.Catalog)
+	// Notify is called with what changed in the picture, on any goroutine, one
+	// call at a time. It must not call the surveyor.
+	Notify func([]cataloger.Change)
 	Log    *zap.Logger
 }
 
@@ -41,14 +42,21 @@
 	mutex sync.Mutex
 	// listed are the upstreams by name, as last read.
 	listed map[string]Upstream
-	// readAt is when the list was read, here or by another process.
-	readAt time.Time
+	// readAt is when the list was read, here or by another process, and learnedAt
+	// when another one's reading was last taken in.
+	readAt    time.Time
+	learnedAt time.Time
+	// flight is the reading under way, nil for none.
+	flight *flight
+	// digestOfListed stands for the list where digested is true.
+	digestOfListed uint64
+	digested       bool
 	// told are what the control group says that engines hold.
 	told map[string]Told
 	// configuration is the one in force, nil before there is any.
 	configuration *matcher.Configuration
-	current       *cataloger.Catalog
-	revision      uint64
+	// pictured is what Notify was told, by upstream.
+	pictured map[string]pictured
 }
 
 // fetchTime is the longest that one reading may take. A lost connection shows
@@ -63,6 +71,14 @@
 // tried again.
 const retryPart = 4
 
+// askPart is the part of the interval for which another entry's answer is
+// waited for, before the list must be read. newerPart is the part of it by which
+// that one's reading must be newer than what is known.
+const (
+	askPart   = 5
+	newerPart = 4
+)
+
 // New returns a surveyor that has not started.
 func New(settings Settings) *Surveyor {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -73,6 +89,7 @@
 		ended:    make(chan struct{}),
 		listed:   map[string]Upstream{},
 		told:     map[string]Told{},
+		pictured: map[string]pictured{},
 	}
 }
 
@@ -99,7 +116,7 @@
 	defer close(s.ended)
 	failed := false
 	for {
-		err := s.read()
+		err := s.refresh(failed)
 		if (err != nil) != failed {
 			failed = err != nil
 			s.settings.Log.Info("platform's list", zap.Bool("readable", !failed), zap.Error(err))
@@ -113,7 +130,7 @@
 // rest waits until the list must be read again. It returns false once the
 // surveyor stops.
 func (s *Surveyor) rest(failed bool) bool {
-	wait := spread(s.settings.Interval)
+	wait := s.untilDue(time.Now())
 	if failed {
 		wait = spread(s.settings.Interval / retryPart)
 	}
@@ -121,9 +138,19 @@
 		if !linker.Pause(s.ctx, wait) {
 			return false
 		}
-		wait = spread(s.settings.Interval) - s.age(time.Now())
+		wait = s.untilDue(time.Now())
+	}
+	return s.ctx.Err() == nil
+}
+
+// untilDue is how long the last reading is fresh enough, less the time to ask
+// for a newer one.
+func (s *Surveyor) untilDue(now time.Time) time.Duration {
+	fresh := spread(s.settings.Interval)
+	if s.settings.Ask != nil {
+		fresh -= s.settings.Interval / askPart
 	}
-	return true
+	return fresh - s.age(now)
 }
 
 // age is how long ago the list was read.
@@ -149,12 +176,31 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.logNews(listed)
-	s.listed, s.readAt = listed, began
-	s.update()
+	return s.take(listed, began, began)
+}
+
+// take takes in a whole list that was asked for at one time and read at another
+// one, unless a newer one came meanwhile. The mutex is held.
+func (s *Surveyor) take(listed map[string]Upstream, asked, at time.Time) error {
+	if s.readAt.After(at) || s.learnedAt.After(asked) {
+		s.takeLeaving(listed)
+		return &OvertakenError{}
+	}
+	for name, upstream := range listed {
+		listed[name] = s.stayLeaving(upstream)
+	}
+	s.readAt = at
+	s.replace(listed)
 	return nil
 }
 
+// replace puts another list in place. The mutex is held.
+func (s *Surveyor) replace(listed map[string]Upstream) {
+	s.logNews(listed)
+	s.listed, s.digested = listed, false
+	s.renewAll()
+}
+
 // ReadList reads all pages of the platform's list.
 func ReadList(ctx context.Context, fetch func(ctx context.Context, page string) (Page, error)) (map[string]Upstream, error) {
 	listed := map[string]Upstream{}
@@ -175,14 +221,8 @@
 
 // logNews logs what changed in the list.
 func (s *Surveyor) logNews(listed map[string]Upstream) {
-	for name, upstream := range listed {
-		before, known := s.listed[name]
-		if known && before.State == upstream.State && before.Incarnation == upstream.Incarnation {
-			continue
-		}
-		s.settings.Log.Info("upstream listed", zap.String("upstream", name),
-			zap.String("service", upstream.Service), zap.String("address", upstream.Address),
-			zap.Bool("leaving", upstream.State == Leaving))
+	for _, upstream := range listed {
+		s.logListed(upstream)
 	}
 	for name := range s.listed {
 		if _, still := listed[name]; !still {
@@ -191,22 +231,34 @@
 	}
 }
 
+func (s *Surveyor) logListed(upstream Upstream) {
+	before, known := s.listed[upstream.Name]
+	if known && before.State == upstream.State && before.Incarnation == upstream.Incarnation {
+		return
+	}
+	s.settings.Log.Info("upstream listed", zap.String("upstream", upstream.Name),
+		zap.String("service", upstream.Service), zap.String("address", upstream.Address),
+		zap.Bool("leaving", upstream.State == Leaving))
+}
+
 // Configure takes in the configuration in force.
 func (s *Surveyor) Configure(configuration *matcher.Configuration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.configuration = configuration
-	s.update()
+	s.renewAll()
 }
 
 // Tell takes in what the control group says that engines hold.
 func (s *Surveyor) Tell(told []Told) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	var changes []cataloger.Change
 	for _, one := range told {
 		s.told[one.Upstream] = one
+		changes = s.renew(changes, one.Upstream)
 	}
-	s.update()
+	s.publish(changes)
 }
 
 // Stand notes that what the control group told of engines stands until a time.
@@ -221,16 +273,3 @@
 		}
 	}
 }
-
-// update makes a new picture where something changed. The mutex is held.
-func (s *Surveyor) update() {
-	catalog := s.catalog()
-	if s.current != nil && reflect.DeepEqual(catalog.Upstreams, s.current.Upstreams) &&
-		reflect.DeepEqual(catalog.Placements, s.current.Placements) {
-		return
-	}
-	s.revision++
-	catalog.Revision = s.revision
-	s.current = catalog
-	s.settings.Notify(catalog)
-}
