--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -400,13 +400,14 @@
 // catchUpTime is how long a member may be back before it must count again.
 const catchUpTime = 4 * time.Second
 
-// TestAWipedMemberIsNotTakenInWhileTheLeaseLapses plays a leader that is too slow
-// to keep its lease without a gap.
+// lapsing gives a leader too little time to keep its lease without a gap.
+func lapsing(config *conductor.Config) {
+	config.Timing = conductor.StandardTiming()
+	config.Timing.Lease = config.Timing.Heartbeat + time.Millisecond
+}
+
 func TestAWipedMemberIsNotTakenInWhileTheLeaseLapses(t *testing.T) {
-	g := newCluster(t, func(c *conductor.Config) {
-		c.Timing = conductor.StandardTiming()
-		c.Timing.Lease = c.Timing.Heartbeat + time.Millisecond
-	}, "a", "b", "c")
+	g := newCluster(t, lapsing, "a", "b", "c")
 	g.commit()
 	leader := g.leader()
 	var wiped *process
@@ -420,3 +421,58 @@
 	g.voters(3)
 	assert.Assert(t, time.Since(began) <= catchUpTime, "the member votes again after %v", time.Since(began))
 }
+
+// TestALeaderIsStoppedWithoutHandingOverWhileItsLeaseLapses stops slow leaders and
+// holds that the group has the next one sooner than by an election.
+func TestALeaderIsStoppedWithoutHandingOverWhileItsLeaseLapses(t *testing.T) {
+	g := newCluster(t, lapsing, "a", "b", "c")
+	g.commit()
+	// links to a member that has returned are dialled within half a second
+	const stops, step, redialled = 16, 9 * time.Millisecond, 700 * time.Millisecond
+	for at := range stops {
+		old := g.leader()
+		time.Sleep(redialled + time.Duration(at)*step)
+		assert.NilError(t, old.Stop(time.Now().Add(waitTime)))
+		stopped := time.Now()
+		old.server.Stop()
+		old.listener, old.down = nil, true
+		g.leader()
+		took := time.Since(stopped)
+		assert.Assert(t, took < conductor.StandardElectionMin, "a successor leads after %v", took)
+		g.start(old)
+		g.voters(3)
+	}
+}
+
+// TestTwoLostDisksLeaveNoQuorumAfterAnEarlierOne plays five members that bear two
+// losses: one loses its disk, and once it has had its time two others do, while
+// all lose power.
+func TestTwoLostDisksLeaveNoQuorumAfterAnEarlierOne(t *testing.T) {
+	g := newCluster(t, lapsing, "a", "b", "c", "d", "e")
+	names := []string{g.commit()}
+	g.voters(5)
+	leader := g.leader()
+	var others []*process
+	for _, p := range g.processes {
+		if p != leader {
+			others = append(others, p)
+		}
+	}
+	g.wipe(others[0])
+	time.Sleep(catchUpTime)
+	names = append(names, g.commit())
+	for _, p := range g.processes {
+		g.kill(p)
+	}
+	for _, p := range others[1:3] {
+		assert.NilError(t, os.RemoveAll(p.config.Folder))
+	}
+	for _, p := range g.processes {
+		g.start(p)
+	}
+	names = append(names, g.commit())
+	g.voters(5)
+	for _, p := range g.processes {
+		g.eventually("all changes", func() bool { return len(g.models(p)) == len(names) })
+	}
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -450,6 +450,110 @@
 	}
 }
 
+// unsigned leaves out the upstream's signature.
+func unsigned(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) { handle(&unsignedWriter{ResponseWriter: w}, r) }
+}
+
+// unsignedWriter sends no signature.
+type unsignedWriter struct{ http.ResponseWriter }
+
+// Write drops the signature before the header goes out.
+func (w *unsignedWriter) Write(data []byte) (int, error) {
+	w.Header().Del("Signed")
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap gives the controller its connection.
+func (w *unsignedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// A stream that nobody vouches for must not reach a caller, nor be joined.
+func TestUnsignedStreamsAreNotPassedOn(t *testing.T) {
+	resumable := matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}
+	plain := matcher.Route{Kind: matcher.Streaming, MaxAttempts: 2}
+	cases := map[string]struct {
+		route     matcher.Route
+		upstreams []http.HandlerFunc
+		status    int
+		body      string
+		complete  bool
+	}{
+		"first, not resumable":   {plain, []http.HandlerFunc{unsigned(events(1, 3, true)), events(1, 3, true)}, 502, "", true},
+		"first, asked elsewhere": {resumable, []http.HandlerFunc{unsigned(events(1, 3, true)), events(1, 3, true)}, 200, eventText(1, 3), true},
+		"where it goes on":       {resumable, []http.HandlerFunc{events(1, 2, false), unsigned(events(1, 3, true))}, 200, eventText(1, 2), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.route, c.upstreams...)
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, got.body, c.body)
+			assert.Equal(t, got.err == nil, c.complete)
+		})
+	}
+}
+
+// A stream that begins behind or before its place must not reach a caller.
+func TestStreamsBeginWhereTheCallerStands(t *testing.T) {
+	resumable := matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}
+	plain := matcher.Route{Kind: matcher.Streaming, MaxAttempts: 2}
+	cases := map[string]struct {
+		route     matcher.Route
+		after     string
+		upstreams []http.HandlerFunc
+		status    int
+		body      string
+	}{
+		"goes on for the caller":           {resumable, "3", []http.HandlerFunc{events(1, 5, true)}, 200, eventText(4, 5)},
+		"goes on too late, asked again":    {resumable, "3", []http.HandlerFunc{events(5, 6, true), events(1, 6, true)}, 200, eventText(4, 6)},
+		"goes on too early":                {resumable, "3", []http.HandlerFunc{whole(200, eventText(1, 5))}, 200, eventText(4, 5)},
+		"not resumable":                    {plain, "3", []http.HandlerFunc{whole(200, eventText(1, 5))}, 200, eventText(1, 5)},
+		"position that is no number holds": {resumable, "x", []http.HandlerFunc{events(2, 5, true)}, 200, eventText(2, 5)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, c.route, c.upstreams...)
+			got := r.ask(http.MethodPost, "/x/1", "", map[string]string{"After": c.after})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, got.body, c.body)
+		})
+	}
+}
+
+// An answer without a length that doesn't end with its connection's end is cut.
+func TestStreamsWithoutALengthEndOnlyWithTheirConnection(t *testing.T) {
+	cases := map[string]struct {
+		end      func(conn *net.TCPConn)
+		complete bool
+	}{
+		"closed": {func(conn *net.TCPConn) { _ = conn.Close() }, true},
+		"reset": {func(conn *net.TCPConn) {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}, false},
+		"silent until the deadline": {func(*net.TCPConn) {}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			t.Cleanup(func() { close(release) })
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: u1\r\n\r\n"+eventText(1, 2))
+				time.Sleep(50 * time.Millisecond)
+				c.end(conn.(*net.TCPConn))
+				<-release
+			})
+			got := r.ask(http.MethodPost, "/x/1", "", map[string]string{"Wait": "300ms"})
+			assert.Equal(t, got.status == http.StatusOK && got.err == nil, c.complete)
+		})
+	}
+}
+
 func TestACallerThatLeavesIsCancelledUpstream(t *testing.T) {
 	left := make(chan struct{})
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, request *http.Request) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -17,12 +17,25 @@
 
 func formatID(id uint64) string { return strconv.FormatUint(id, 10) }
 
+// parseID returns zero where there is no number.
+func parseID(text string) uint64 {
+	id, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return id
+}
+
 // stream passes events on as they arrive. The caller's answer keeps the header
 // of the first upstream; a stream that goes on elsewhere begins after the last
 // event that the caller has.
-func (x *exchange) stream(response *http.Response) error {
-	events := newEventReader(response.Body)
+func (x *exchange) stream(response *http.Response, said Answer) error {
 	defer func() { _ = response.Body.Close() }()
+	if fault := x.fault(&answer{status: response.StatusCode}, said); fault != nil {
+		x.settle(router.OutcomeFailed)
+		return fault
+	}
+	events := newEventReader(response.Body)
 	for {
 		arrived, err := events.next()
 		if err == io.EOF {
@@ -39,11 +52,13 @@
 
 // relay writes whole events and flushes them.
 func (x *exchange) relay(response *http.Response, arrived []byte) error {
-	x.begin(response)
-	err := split(arrived, x.pass)
+	err := split(arrived, func(event []byte) error { return x.pass(response, event) })
 	if err != nil {
 		return err
 	}
+	if !x.tries.begun {
+		return nil
+	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		return &callerGoneError{cause: err}
 	}
@@ -68,7 +83,7 @@
 }
 
 // pass writes one event unless the caller has it already.
-func (x *exchange) pass(event []byte) error {
+func (x *exchange) pass(response *http.Response, event []byte) error {
 	id, numbered := eventID(event)
 	if numbered && x.last > 0 {
 		if id <= x.last {
@@ -78,6 +93,7 @@
 			return &EventOrderError{Want: x.last + 1, Got: id}
 		}
 	}
+	x.begin(response)
 	if _, err := x.w.Write(event); err != nil {
 		return &callerGoneError{cause: err}
 	}
--- a/router/notice.go
+++ b/router/notice.go
@@ -94,6 +94,15 @@
 	return change
 }
 
+// recall has an upstream heed what its incarnation was heard to say. The mutex
+// is held.
+func (r *Router) recall(name string) {
+	u := r.table.upstreams[name]
+	if said, known := r.heard[incarnation{name, u.about.Incarnation}]; known {
+		u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
+	}
+}
+
 // forgetOldest makes room for one more notice.
 func (r *Router) forgetOldest(now time.Time) {
 	if len(r.heard) < mostHeard {
@@ -117,7 +126,7 @@
 // Allows says whether a request may still go to the upstream of a choice: what
 // has become known since the choice counts.
 func (r *Router) Allows(now time.Time, choice Choice) bool {
-	u := r.table.find(choice.Upstream, choice.Incarnation)
+	u := r.find(choice.Upstream, choice.Incarnation)
 	if u == nil {
 		return true
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -57,15 +57,6 @@
 	}
 }
 
-// recall has an upstream heed what its incarnation was heard to say. The mutex
-// is held.
-func (r *Router) recall(name string) {
-	u := r.table.upstreams[name]
-	if said, known := r.heard[incarnation{name, u.about.Incarnation}]; known {
-		u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
-	}
-}
-
 // Observe takes in a load report that has arrived. A report of another
 // incarnation than the catalog's is ignored.
 func (r *Router) Observe(report estimator.Report) {
