--- a/mover/load_test.go
+++ b/mover/load_test.go
@@ -64,3 +64,65 @@
 	most := int(time.Second/loadsEvery) + 1
 	assert.Assert(t, sums-before <= most, "%d sums of all loads in a second", sums-before)
 }
+
+func TestCallersAreNotToldTheTimeOfAnotherModelsLoad(t *testing.T) {
+	loading := func(model string, left time.Duration) func(s *stage) {
+		return func(s *stage) {
+			one := s.mover.engines["e1"]
+			one.sending, one.ordered, one.loadedAt = true, model, s.now.Add(left)
+		}
+	}
+	intended := func(s *stage) { s.mover.engines["e2"].intended = "o" }
+	both := func(s *stage) {
+		intended(s)
+		loading("o", time.Second)(s)
+	}
+	cases := map[string]struct {
+		given func(s *stage)
+		want  time.Duration
+	}{
+		"nothing under way":         {func(*stage) {}, roomTime + 8*time.Second},
+		"its own load":              {loading("o", time.Second), time.Second + reportSoon},
+		"another model's load":      {loading("n", time.Second), roomTime + 8*time.Second},
+		"room is made for it":       {intended, roomTime + 8*time.Second},
+		"the sooner one of several": {both, time.Second + reportSoon},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, map[string][]string{"e1": {"m"}, "e2": {"m"}})
+			s.control.lead(firstTerm, true)
+			s.play(time.Second)
+			s.mover.settings.StoreWindow = 0
+			for _, one := range s.mover.engines {
+				one.sending, one.ordered, one.loading, one.intended, one.loadedAt = false, "", "", "", time.Time{}
+			}
+			c.given(s)
+			readyIn, known := s.mover.readyIn(Want{Service: "s", Model: "o"}, s.now)
+			assert.Assert(t, known)
+			assert.Equal(t, readyIn, c.want)
+		})
+	}
+}
+
+func TestAdaptersDoNotStarveWhereTheOnlyHolderIsFull(t *testing.T) {
+	s := newStage(t, map[string][]string{"e1": {"m"}, "e2": {"n", "o"}, "e3": {"n", "o"}})
+	s.yard.engines["e1"].report.Holds[0].Adapters = []string{"a1", "a2"}
+	s.yard.engines["e2"].report.OnDisk = append(s.yard.engines["e2"].report.OnDisk, "m")
+	s.control.lead(firstTerm, true)
+	s.play(time.Second)
+	for end := s.now.Add(20 * time.Second); s.now.Before(end); {
+		// the two that are there are in use all the time
+		for _, adapter := range []string{"a1", "a2"} {
+			s.mover.engines["e1"].copies["m"].Adapters[adapter] = s.now
+		}
+		s.mover.handle(wantCalled{want: Want{Service: "s", Model: "m", Adapter: "a3"}, answer: make(chan Wanted, 1)}, s.now)
+		s.settle()
+		s.play(tick)
+	}
+	for _, one := range s.yard.given() {
+		if one.engine != "e1" && one.order.Model == "m" && one.order.Adapter == "a3" {
+			return
+		}
+	}
+	t.Errorf("a3 was not loaded: %v", s.yard.given())
+}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -48,7 +48,9 @@
 	}
 	for name, model := range can.Models {
 		view.Models[name] = planned(model)
-		view.Models[name].WantedSince = m.wantedSince(surveyor.HeldName(service, name, ""), now)
+		held := surveyor.HeldName(service, name, "")
+		view.Models[name].WantedSince = since(m.wanted, held, now)
+		view.Models[name].CrowdedSince = since(m.crowded, held, now)
 	}
 	m.meter.apply(service, view.Models)
 	for name, one := range m.engines {
@@ -109,6 +111,7 @@
 		if move.FromStore {
 			m.storeLoads = append(m.storeLoads, now)
 		}
+		one.ordered = move.Model
 		one.loadedAt = now.Add(one.loadTime(m.engineOf(one.upstream.Service).Models[move.Model]))
 		m.send(one, Order{Action: ActionLoad, Model: move.Model}, m.inputs(move.Why, now)...)
 	case allocator.Drop:
