feat(observer): tell which limits upstreams name

The logs could not tell whether limits are not read, kept by each entry alone or passed by requests placed before: nothing said what an entry knows of a limit. Now a line tells each limit that is named, changed or ended, a gauge counts the upstreams that name one (upstreams-limited), and the line of a request tells the limit that its upstream had named when it was sent.

Nothing is decided by it yet. An answer without a limit ends one only where its request was sent after the limit was last heard of, since answers overtake each other. The header is dropped from callers' requests and not passed on to them.

--- a/encoder/notice.go
+++ b/encoder/notice.go
@@ -28,7 +28,7 @@
 	if status != http.StatusServiceUnavailable || text == "" {
 		return time.Time{}, ""
 	}
-	seconds, readable := decodeSeconds(strings.TrimSpace(text))
+	seconds, readable := decodeDecimal(strings.TrimSpace(text))
 	if !readable {
 		return time.Time{}, text
 	}
@@ -38,9 +38,26 @@
 	return now.Add(time.Duration(min(seconds, mostPauseS) * float64(time.Second))), ""
 }
 
-// decodeSeconds reads an integer or a decimal. One too large for a number is
+// mostPerSecond is the highest limit that is told apart from none, in requests a
+// second: no upstream takes as many.
+const mostPerSecond = 1e6
+
+// DecodeLimit reads the requests a second that an upstream takes from all VMs
+// together. It returns the text where that can't be read.
+func DecodeLimit(text string) (router.RateLimit, string) {
+	if text == "" {
+		return router.RateLimit{}, ""
+	}
+	perSecond, readable := decodeDecimal(strings.TrimSpace(text))
+	if !readable {
+		return router.RateLimit{}, text
+	}
+	return router.RateLimit{Named: true, PerSecond: min(perSecond, mostPerSecond)}, ""
+}
+
+// decodeDecimal reads an integer or a decimal. One too large for a number is
 // infinite.
-func decodeSeconds(text string) (float64, bool) {
+func decodeDecimal(text string) (float64, bool) {
 	if strings.Trim(text, "0123456789.") != "" {
 		return 0, false
 	}
--- a/encoder/upstream.go
+++ b/encoder/upstream.go
@@ -30,6 +30,9 @@
 	// HeaderRetryAfter is, beside a 503, how many seconds the upstream wants no
 	// requests from who reads it.
 	HeaderRetryAfter = "Retry-After"
+	// HeaderLimit is on all answers of an upstream that limits its requests: how
+	// many a second it takes from all VMs together.
+	HeaderLimit = "Burdocklink-Limit"
 )
 
 // LeavingValue is the value of HeaderLeaving.
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -46,8 +46,10 @@
 	eventTokens int
 	firstToken  time.Time
 	granted     time.Time
-	result      reporter.Result
-	status      int
+	// limit is the upstream's when the request was last sent.
+	limit  router.RateLimit
+	result reporter.Result
+	status int
 }
 
 // answer is a whole answer of an upstream.
@@ -324,6 +326,8 @@
 	x.grant.Started = time.Now()
 	choice := x.grant.Choice
 	path := x.r.RequestURI
+	sentAt := x.grant.Started
+	x.limit = x.Upstreams.Limit(choice)
 	response, err := x.Calls.Send(ctx, dispatcher.Call{
 		Address: choice.Address,
 		Method:  x.r.Method,
@@ -339,6 +343,10 @@
 	}
 	said := x.Codec.DecodeAnswer(response, time.Now())
 	x.Upstreams.Heed(choice, said.Notice, said.UnreadablePause)
+	if said.Limit.Named || !said.Elsewhere {
+		// where another upstream answers, a limit that is not named says nothing
+		x.Upstreams.HeedLimit(choice, sentAt, said.Limit, said.UnreadableLimit)
+	}
 	if said.Notice.Leaving {
 		// the connection is not kept
 		response.Close = true
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -124,6 +124,7 @@
 	notices    []router.Notice
 	unreadable []string
 	disallowed string
+	limits     []router.RateLimit
 }
 
 func (u *upstreams) Heed(_ router.Choice, notice router.Notice, unreadable string) {
@@ -137,6 +138,22 @@
 	}
 }
 
+func (u *upstreams) HeedLimit(_ router.Choice, sentAt time.Time, limit router.RateLimit, unreadable string) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if sentAt.IsZero() || sentAt.After(time.Now()) {
+		u.unreadable = append(u.unreadable, "sent at no time")
+	}
+	if limit.Named {
+		u.limits = append(u.limits, limit)
+	}
+	if unreadable != "" {
+		u.unreadable = append(u.unreadable, unreadable)
+	}
+}
+
+func (u *upstreams) Limit(router.Choice) router.RateLimit { return router.RateLimit{} }
+
 func (u *upstreams) Allows(choice router.Choice) bool { return choice.Upstream != u.disallowed }
 
 // rig is a forwarder before upstreams.
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -126,6 +126,9 @@
 		fields = append(fields, zap.String("upstream", x.grant.Choice.Upstream),
 			zap.Duration("queued", x.granted.Sub(x.arrived)))
 	}
+	if x.limit.Named {
+		fields = append(fields, zap.Float64("limit", x.limit.PerSecond))
+	}
 	if !x.firstToken.IsZero() {
 		fields = append(fields, zap.Duration("first-event", x.firstToken.Sub(x.arrived)))
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -63,6 +63,10 @@
 	Notice router.Notice
 	// UnreadablePause is what it says of a pause where that can't be read.
 	UnreadablePause string
+	// Limit is the limit of requests that it names, and UnreadableLimit what it
+	// says of one where that can't be read.
+	Limit           router.RateLimit
+	UnreadableLimit string
 }
 
 // Codec translates between HTTP messages and the types above.
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -1,6 +1,6 @@
 // Package observer takes in what upstreams say of themselves beside their
-// answers: that they leave, or want no requests for a time. It brings that to
-// those who decide by it, logs each change once and counts the upstreams
+// answers: that they leave, want no requests for a time or limit them. It brings
+// that to those who decide by it, logs each change once and counts the upstreams
 // concerned.
 package observer
 
@@ -17,11 +17,11 @@
 // source names in log lines what told of a change.
 const source = "answer"
 
-// warnTime is the time between two warnings of pauses that can't be read: an
-// upstream that writes them wrongly does so in each refusal.
+// warnTime is the time between two warnings of texts that can't be read: an
+// upstream that writes them wrongly does so in each answer.
 const warnTime = 10 * time.Second
 
-// mostText is how many bytes of a pause that can't be read are logged: a date is
+// mostText is how many bytes of a text that can't be read are logged: a date is
 // shorter.
 const mostText = 64
 
@@ -42,7 +42,7 @@
 	settings Settings
 
 	mutex sync.Mutex
-	// warnAt is when the next warning of a pause that can't be read is due.
+	// warnAt is when the next warning of a text that can't be read is due.
 	warnAt time.Time
 }
 
@@ -54,6 +54,7 @@
 		"upstreams-leaving-reported": func(c router.Counts) int { return c.LeavingReported },
 		"upstreams-leaving-answered": func(c router.Counts) int { return c.LeavingAnswered },
 		"upstreams-paused-answered":  func(c router.Counts) int { return c.PausedAnswered },
+		"upstreams-limited":          func(c router.Counts) int { return c.Limited },
 	} {
 		metrics.NewRegisteredFunctionalGauge(name, settings.Registry, func() int64 {
 			return int64(read(settings.Router.Counts(time.Now())))
@@ -66,10 +67,7 @@
 // Unreadable is a pause that can't be read, empty where there is none.
 func (o *Observer) Heed(choice router.Choice, notice router.Notice, unreadable string) {
 	now := time.Now()
-	if unreadable != "" && o.mayWarn(now) {
-		o.settings.Log.Warn("pause not readable", zap.String("upstream", choice.Upstream),
-			zap.String("incarnation", choice.Incarnation), zap.String("text", unreadable[:min(len(unreadable), mostText)]))
-	}
+	o.warn(now, "pause not readable", choice, unreadable)
 	if notice == (router.Notice{}) {
 		return
 	}
@@ -89,11 +87,45 @@
 	}
 }
 
+// HeedLimit takes in the limit that an answer of the upstream of a choice names,
+// or that it names none. The request was sent at a time. A limit that can't be
+// read changes nothing.
+func (o *Observer) HeedLimit(choice router.Choice, sentAt time.Time, limit router.RateLimit, unreadable string) {
+	now := time.Now()
+	if unreadable != "" {
+		o.warn(now, "limit not readable", choice, unreadable)
+		return
+	}
+	change := o.settings.Router.HeedLimit(now, choice, sentAt, limit)
+	if !change.Changed {
+		return
+	}
+	o.settings.Log.Info("upstream changes its limit", zap.String("upstream", choice.Upstream),
+		zap.String("incarnation", choice.Incarnation), zap.Bool("limited", limit.Named),
+		zap.Float64("per-second", limit.PerSecond), zap.Float64("before", change.Before.PerSecond),
+		zap.String("source", source))
+	o.settings.Wake()
+}
+
+// Limit returns the limit of the upstream of a choice.
+func (o *Observer) Limit(choice router.Choice) router.RateLimit {
+	return o.settings.Router.Limit(choice)
+}
+
 // Allows says whether a request may still go to the upstream of a choice.
 func (o *Observer) Allows(choice router.Choice) bool {
 	return o.settings.Router.Allows(time.Now(), choice)
 }
 
+// warn logs a text that can't be read, empty where there is none.
+func (o *Observer) warn(now time.Time, message string, choice router.Choice, text string) {
+	if text == "" || !o.mayWarn(now) {
+		return
+	}
+	o.settings.Log.Warn(message, zap.String("upstream", choice.Upstream),
+		zap.String("incarnation", choice.Incarnation), zap.String("text", text[:min(len(text), mostText)]))
+}
+
 func (o *Observer) mayWarn(now time.Time) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -79,6 +79,40 @@
 	}
 }
 
+// limitStep is what an answer says of a limit, and what is told after it.
+type limitStep struct {
+	limit      router.RateLimit
+	unreadable string
+	limited    int64
+	changes    int
+}
+
+func TestALimitIsToldWhereItChanges(t *testing.T) {
+	o, lines, wakes, _ := newObserver(t)
+	two, three := router.RateLimit{Named: true, PerSecond: 2}, router.RateLimit{Named: true, PerSecond: 3}
+	steps := []limitStep{
+		{limit: router.RateLimit{}, limited: 0, changes: 0},
+		{limit: two, limited: 1, changes: 1},
+		{limit: two, limited: 1, changes: 1},
+		{limit: three, limited: 1, changes: 2},
+		{unreadable: "much", limited: 1, changes: 2},
+		{limit: router.RateLimit{}, limited: 0, changes: 3},
+	}
+	for _, step := range steps {
+		o.HeedLimit(choice, time.Now(), step.limit, step.unreadable)
+		assert.Equal(t, o.value("upstreams-limited"), step.limited)
+		told := lines.FilterMessage("upstream changes its limit")
+		assert.Equal(t, told.Len(), step.changes)
+		assert.Equal(t, *wakes, step.changes)
+	}
+	last := lines.FilterMessage("upstream changes its limit").All()[2].ContextMap()
+	assert.Equal(t, last["upstream"], "u")
+	assert.Equal(t, last["incarnation"], "u@1")
+	assert.Equal(t, last["limited"], false)
+	assert.Equal(t, last["before"], 3.0)
+	assert.Equal(t, lines.FilterMessage("limit not readable").Len(), 1)
+}
+
 func TestWarningsAreBounded(t *testing.T) {
 	o, lines, wakes, _ := newObserver(t)
 	for range 100 {
--- a/receiver/notice.go
+++ b/receiver/notice.go
@@ -13,13 +13,19 @@
 	// Heed takes in what came with an answer of the upstream of a choice.
 	// Unreadable is a pause that can't be read, empty where there is none.
 	Heed(choice router.Choice, notice router.Notice, unreadable string)
+	// HeedLimit takes in the limit that an answer names, or that it names none.
+	// The request was sent at a time.
+	HeedLimit(choice router.Choice, sentAt time.Time, limit router.RateLimit, unreadable string)
 }
 
 // onHeader returns what is called with the header of an answer of the upstream of
 // a choice.
 func (x *exchange) onHeader(choice router.Choice) func(*http.Response) {
+	sentAt := time.Now()
 	return func(response *http.Response) {
 		notice, unreadable := encoder.DecodeNotice(response.StatusCode, response.Header, time.Now())
 		x.Upstreams.Heed(choice, notice, unreadable)
+		limit, unreadable := encoder.DecodeLimit(response.Header.Get(encoder.HeaderLimit))
+		x.Upstreams.HeedLimit(choice, sentAt, limit, unreadable)
 	}
 }
--- a/receiver/write.go
+++ b/receiver/write.go
@@ -76,4 +76,5 @@
 	to.Del(encoder.HeaderRequestID)
 	to.Del(encoder.HeaderNotRun)
 	to.Del(encoder.HeaderLeaving)
+	to.Del(encoder.HeaderLimit)
 }
--- a/router/notice.go
+++ b/router/notice.go
@@ -79,7 +79,7 @@
 func (r *Router) remember(now time.Time, from incarnation, notice Notice) Change {
 	known, ok := r.heard[from]
 	if !ok {
-		r.forgetOldest(now)
+		forgetOldest(r.heard, now, func(one heard) time.Time { return one.at })
 	}
 	change := Change{Leaves: notice.Leaving && !known.leaving}
 	if notice.PausedUntil.After(known.pausedUntil) {
@@ -103,23 +103,26 @@
 	}
 }
 
-// forgetOldest makes room for one more notice.
-func (r *Router) forgetOldest(now time.Time) {
-	if len(r.heard) < mostHeard {
+// forgetOldest makes room for one more incarnation of which something was heard
+// at a time.
+func forgetOldest[V any](known map[incarnation]V, now time.Time, heardAt func(V) time.Time) {
+	if len(known) < mostHeard {
 		return
 	}
 	var oldest incarnation
-	for from, one := range r.heard {
-		if now.Sub(one.at) > heardTime {
-			delete(r.heard, from)
+	var oldestAt time.Time
+	for from, one := range known {
+		at := heardAt(one)
+		if now.Sub(at) > heardTime {
+			delete(known, from)
 			continue
 		}
-		if first, ok := r.heard[oldest]; !ok || one.at.Before(first.at) {
-			oldest = from
+		if oldestAt.IsZero() || at.Before(oldestAt) {
+			oldest, oldestAt = from, at
 		}
 	}
-	if len(r.heard) >= mostHeard {
-		delete(r.heard, oldest)
+	if len(known) >= mostHeard {
+		delete(known, oldest)
 	}
 }
 
@@ -133,16 +136,18 @@
 	return u.about.State == cataloger.UpstreamLive && u.open(now)
 }
 
-// Counts are how many upstreams get no requests, by what told it.
+// Counts are how many upstreams get no requests or few, by what told it.
 type Counts struct {
 	// LeavingListed is told by the catalog, LeavingReported by the upstreams'
 	// reports and LeavingAnswered by their answers.
 	LeavingListed, LeavingReported, LeavingAnswered int
 	// PausedAnswered is told by the upstreams' answers.
 	PausedAnswered int
+	// Limited have named a limit of requests.
+	Limited int
 }
 
-// Counts counts the upstreams that get no requests.
+// Counts counts the upstreams that get no requests or few.
 func (r *Router) Counts(now time.Time) Counts {
 	var counts Counts
 	r.mutex.RLock()
@@ -150,6 +155,7 @@
 	for _, u := range r.table.upstreams {
 		u.count(now, &counts)
 	}
+	counts.Limited = r.countLimited()
 	return counts
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,8 @@
 	peers *peers
 	// heard is kept for incarnations too that the catalog may know again.
 	heard map[incarnation]heard
+	// limits are of the incarnations that have named one.
+	limits map[incarnation]*limited
 }
 
 // New returns a router that knows no upstream.
@@ -30,6 +32,7 @@
 		own:      newDispatches(),
 		peers:    newPeers(),
 		heard:    map[incarnation]heard{},
+		limits:   map[incarnation]*limited{},
 	}
 }
 
