test(prover): upstreams get more than the limits that they name

Servers before real processes name a limit; counted is what reaches them from all VMs together in any 4 s, from 3 s after they first named it.

--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -46,6 +46,10 @@
 	// place of the rest of that time where it is not empty.
 	pausedUntil time.Time
 	retryAfter  string
+	// limit is named in all answers where it is not empty.
+	limit string
+	// calls are when reports were asked for and orders given.
+	calls []time.Time
 	// hold keeps requests until it is closed.
 	hold chan struct{}
 	// arrivals are the requests that reached the server; told is what one of them
@@ -75,6 +79,12 @@
 	if s.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if s.limit != "" {
+		w.Header().Set("Server-Limit", s.limit)
+	}
+	if strings.HasPrefix(r.URL.Path, "/api/") {
+		s.calls = append(s.calls, time.Now())
+	}
 	s.mutex.Unlock()
 	if expected := r.Header.Get("Burdocklink-Expect-Instance"); expected != "" && expected != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
