fix(throttler): the requests of all VMs to an upstream keep the limit that it names

Callers saw nothing; an upstream that had named 2 requests a second got 27 in 4 s.

Cause: what an upstream takes from all VMs together had no place in the design. Each entry sends by its own view of an upstream, and nothing that it knows is a bound over the fleet. A limit kept by each entry alone would let through up to as many times the limit as there are entries.

Now the leader of the control group schedules these requests (throttler): one after the other at the limit's interval, 0.25 s ahead at most, half a second of unused ones saved up. An entry asks for the requests that wait (reserver) and sends none without a permit, which is used once, within half a second, and looked at again before the request is written: first sends, retries and resumed streams take the same way. A permit's time counts from when it was asked for, so that an answer that was held up is void. A new leader begins after the horizon of the one before, with nothing saved up. Without a leader these upstreams get nothing. Reports and orders of the leader are charged and take a quarter of the limit.

Limits are words with a time, the newest holds; entries tell them to the leader and it tells all entries with the heartbeat, so that one that never heard of a limit itself keeps it. An answer without a limit ends it only where its request was sent after the limit was last heard of.

A limit is capacity: the router takes other upstreams first and asks for spare permits where nobody needs them; the queue refuses at once what the limit leaves no room for, and spreads the returns at its pace; placement counts a limited engine as the part of an engine that it takes, and brings its models elsewhere.

Weighed and rejected: an equal share for each entry (71 entries at 1 a second get one request in 71 s each, and one that sees no requests keeps its share); a few senders for each upstream, chosen by hash (others refuse though there is room; views of the membership differ); counting what others tell that they dispatch (all send at once within the time of a note).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -91,9 +91,9 @@
 }
 
 // Acquire waits for an upstream. It returns *HopelessError, *OverloadError,
-// *router.NoUpstreamError, *router.PausedError or *StoppedError, or the context's
-// error where the caller has gone; in each case the request has not been
-// dispatched.
+// *router.NoUpstreamError, *router.PausedError, *router.RationedError or
+// *StoppedError, or the context's error where the caller has gone; in each case the
+// request has not been dispatched.
 func (a *Admitter) Acquire(ctx context.Context, request Request) (*Grant, error) {
 	return a.wait(ctx, newTicket(request))
 }
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -27,6 +27,7 @@
 	budgets   budgets
 	shares    *shares
 	pace      pace
+	returns   returns
 	decisions []Decision
 	// groups number the kinds of waiting requests; blocked says which of them
 	// found no room in the current round.
@@ -48,6 +49,7 @@
 		budgets: newBudgets(limiter.StandardBudget()),
 		shares:  newShares(shareEntries),
 		groups:  map[kind]int{},
+		returns: returns{},
 	}
 }
 
@@ -233,11 +235,13 @@
 }
 
 // unpaid says why a retry is refused that the budget does not cover. Where it
-// would find nothing but paused upstreams, their end tells when to come back.
+// would find nothing but upstreams that pause or are at their limits of requests,
+// these tell when to come back.
 func (q *Queue) unpaid(now time.Time, t *Ticket) error {
 	_, err := q.router.Choose(now, &t.request.Route)
 	var paused *router.PausedError
-	if errors.As(err, &paused) {
+	var rationed *router.RationedError
+	if errors.As(err, &paused) || errors.As(err, &rationed) {
 		return err
 	}
 	return &BudgetError{}
@@ -280,6 +284,11 @@
 		t.holderBy = time.Time{}
 		return false
 	}
+	var rationed *router.RationedError
+	if errors.As(err, &rationed) {
+		t.holderBy = time.Time{}
+		return q.refuseRationed(now, t, rationed)
+	}
 	if t.waitsForHolder(now) {
 		return false
 	}
@@ -290,8 +299,37 @@
 	return true
 }
 
+// refuseRationed refuses a ticket where upstreams that limit the requests of all
+// VMs can't take it in time, even if this entry gets all that they take: those that
+// wait for the same go first. Else the ticket waits.
+func (q *Queue) refuseRationed(now time.Time, t *Ticket, rationed *router.RationedError) bool {
+	expected := rationed.Retry.Add(rationed.After(q.ahead(t)))
+	if t.giveUpBy.IsZero() || expected.Before(t.giveUpBy) {
+		return false
+	}
+	rationed.Retry = q.returns.next(now, t.kind().room(), expected, rationed.After(1))
+	q.demand.refused(&t.request)
+	q.decide(Decision{Ticket: t, Err: rationed})
+	return true
+}
+
+// ahead counts the tickets before one, or in the whole queue, that wait for the
+// same upstreams.
+func (q *Queue) ahead(t *Ticket) int {
+	count := 0
+	for _, other := range q.waiting {
+		if other == t {
+			break
+		}
+		if other.kind().room() == t.kind().room() {
+			count++
+		}
+	}
+	return count
+}
+
 func (q *Queue) grant(now time.Time, t *Ticket, choice router.Choice) {
-	q.router.Started(choice, &t.request.Route, now)
+	choice.PermitUntil = q.router.Started(choice, &t.request.Route, now)
 	q.pace.granted(now)
 	q.shares.add(now, t.request.Subscriber, cost(&t.request))
 	q.decide(Decision{Ticket: t, Grant: &Grant{
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -81,6 +81,12 @@
 	avoiding bool
 }
 
+// room names the upstreams that tickets of a kind wait for.
+func (k kind) room() room { return room{service: k.service, holds: k.holds} }
+
+// room is a service, and what its upstreams must hold.
+type room struct{ service, holds string }
+
 func (t *Ticket) kind() kind {
 	route := &t.request.Route
 	return kind{
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -70,6 +70,9 @@
 	OnDisk map[string]bool
 	// InFlight is how many requests all entries have there.
 	InFlight int
+	// Capacity is the work that the engine takes where it limits its requests, in
+	// engines kept busy; zero where it does not.
+	Capacity float64
 }
 
 // View is what a plan depends on.
@@ -116,6 +119,14 @@
 func (Drop) move()   {}
 func (Unload) move() {}
 
+// strain is the part of an engine that some work keeps busy.
+func (e *Engine) strain(work float64) float64 {
+	if e.Capacity <= 0 || e.Capacity >= 1 {
+		return work
+	}
+	return work / e.Capacity
+}
+
 // free is the memory of an engine that nothing holds or is about to hold.
 func (e *Engine) free(models map[string]*Model) int64 {
 	left := e.MemoryBytes
--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -8,7 +8,8 @@
 // spread is how the demand falls on engines when requests go where there is
 // most room.
 type spread struct {
-	// engines is the work on each engine, in engines kept busy.
+	view *View
+	// engines is how busy each engine is kept.
 	engines map[string]float64
 	// shares are each model's parts of it, by model and engine.
 	shares map[string]map[string]float64
@@ -21,6 +22,7 @@
 // balance spreads the demand of each model over its holders.
 func (v *View) balance(holders map[string][]string) spread {
 	s := spread{
+		view:    v,
 		engines: make(map[string]float64, len(v.Engines)),
 		shares:  make(map[string]map[string]float64, len(holders)),
 	}
@@ -32,8 +34,9 @@
 	models := v.byChoice(holders)
 	for range steps {
 		for _, model := range models {
-			least := s.least(holders[model])
-			part := v.Models[model].Work / steps
+			work := v.Models[model].Work / steps
+			least := s.least(holders[model], work)
+			part := v.Engines[least].strain(work)
 			s.engines[least] += part
 			if s.shares[model] == nil {
 				s.shares[model] = map[string]float64{}
@@ -44,17 +47,26 @@
 	return s
 }
 
-// least returns the engine with the least work.
-func (s spread) least(names []string) string {
-	least := names[0]
+// least returns the engine that is kept busy least with some more work.
+func (s spread) least(names []string, work float64) string {
+	least, lowest := names[0], s.engines[names[0]]+s.view.Engines[names[0]].strain(work)
 	for _, name := range names[1:] {
-		if s.engines[name] < s.engines[least] {
-			least = name
+		if busy := s.engines[name] + s.view.Engines[name].strain(work); busy < lowest {
+			least, lowest = name, busy
 		}
 	}
 	return least
 }
 
+// demand is how busy a model keeps all engines together.
+func (s spread) demand(model string) float64 {
+	total := 0.0
+	for _, part := range s.shares[model] {
+		total += part
+	}
+	return total
+}
+
 // byChoice lists the models that are asked for and held, those with the fewest
 // holders first, since the others can give way to them.
 func (v *View) byChoice(holders map[string][]string) []string {
@@ -87,7 +99,7 @@
 }
 
 func (s spread) change() change {
-	return change{from: s, to: spread{engines: map[string]float64{}}}
+	return change{from: s, to: spread{view: s.view, engines: map[string]float64{}}}
 }
 
 // move spreads a model's demand over other holders; over none, it is lost.
@@ -101,8 +113,10 @@
 	for _, name := range holders {
 		c.add(name, 0)
 	}
+	work := model.Work / steps
 	for range steps {
-		c.add(c.to.least(holders), model.Work/steps)
+		least := c.to.least(holders, work)
+		c.add(least, c.to.view.Engines[least].strain(work))
 	}
 }
 
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -215,7 +215,7 @@
 	var models []*Model
 	for _, name := range p.models {
 		model := p.view.Models[name]
-		if model.Work < leastWork || len(p.holders[name]) == 0 {
+		if on.demand(name) < leastWork || len(p.holders[name]) == 0 {
 			continue
 		}
 		for _, holder := range p.holders[name] {
--- a/assembler/control.go
+++ b/assembler/control.go
@@ -17,6 +17,7 @@
 	"burdocklink/reporter"
 	"burdocklink/responder"
 	"burdocklink/supervisor"
+	"burdocklink/throttler"
 	"burdocklink/watcher"
 )
 
@@ -66,8 +67,13 @@
 		Credentials: serverCredentials(settings.Certificates),
 		Operator:    operatorOf(settings.Keys),
 		Group:       member,
-		Meter:       meter,
-		Log:         settings.Log,
+		Limits: throttler.New(throttler.Settings{
+			Lead:     func() (uint64, bool) { state := member.Status(); return state.Term, state.Leading },
+			Registry: metrics.Registry(),
+			Log:      settings.Log,
+		}),
+		Meter: meter,
+		Log:   settings.Log,
 	})
 	lists := watcher.New(watcher.Settings{
 		Platform: settings.Platform,
--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -21,6 +21,7 @@
 	"burdocklink/receiver"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
+	"burdocklink/reserver"
 	"burdocklink/router"
 )
 
@@ -60,6 +61,14 @@
 	catalogs := parts.newFollower()
 	peers := parts.newGossiper(catalogs)
 	reports := parts.newPoller(catalogs)
+	reservations := reserver.New(reserver.Settings{
+		Entry:  settings.Name,
+		Links:  parts.links,
+		Leader: catalogs.Leader,
+		Router: parts.routes,
+		Wake:   parts.admission.Wake,
+		Log:    settings.Log,
+	})
 	callers := parts.newReceiver(catalogs, peers)
 	return &Entry{
 		Meter:    parts.meter,
@@ -67,7 +76,7 @@
 		Gossiper: peers,
 		Receiver: callers,
 		Services: withCertificates(settings.Certificates,
-			settings.Keys, parts.admission, catalogs, peers, reports, callers),
+			settings.Keys, parts.admission, catalogs, peers, reports, reservations, callers),
 	}
 }
 
@@ -119,6 +128,7 @@
 		Links:            p.links,
 		Notify:           p.notify,
 		Demand:           p.admission.Demand,
+		Limits:           p.takeLimits,
 		Log:              p.settings.Log,
 	})
 }
@@ -129,6 +139,13 @@
 	p.admission.Wake()
 }
 
+// takeLimits takes in what a control member heard of upstreams' limits.
+func (p *entryParts) takeLimits(member string, heard []router.HeardLimit) {
+	if p.routes.TakeLimits(time.Now(), member, heard) {
+		p.admission.Wake()
+	}
+}
+
 func (p *entryParts) newGossiper(catalogs *follower.Follower) *gossiper.Gossiper {
 	return gossiper.New(gossiper.Settings{
 		Entry:       p.settings.Name,
@@ -146,6 +163,7 @@
 	return poller.New(poller.Settings{
 		Seed:    xxhash.Sum64String(p.settings.Name),
 		Catalog: catalogs.Catalog,
+		Limited: p.limited,
 		Observe: p.routes.Observe,
 		Failed:  p.unreachable,
 		Wake:    p.admission.Wake,
@@ -154,6 +172,11 @@
 	})
 }
 
+// limited says whether an upstream limits its requests.
+func (p *entryParts) limited(upstream cataloger.Upstream) bool {
+	return p.routes.Limit(router.Choice{Upstream: upstream.Name, Incarnation: upstream.Incarnation}).Named
+}
+
 func (p *entryParts) unreachable(upstream cataloger.Upstream) {
 	p.routes.Unreachable(upstream.Name, upstream.Incarnation, time.Now())
 }
--- a/encoder/notice.go
+++ b/encoder/notice.go
@@ -42,9 +42,9 @@
 // second: no upstream takes as many.
 const mostPerSecond = 1e6
 
-// DecodeLimit reads the requests a second that an upstream takes from all VMs
+// DecodeRateLimit reads the requests a second that an upstream takes from all VMs
 // together. It returns the text where that can't be read.
-func DecodeLimit(text string) (router.RateLimit, string) {
+func DecodeRateLimit(text string) (router.RateLimit, string) {
 	if text == "" {
 		return router.RateLimit{}, ""
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -51,6 +51,8 @@
 	// list was read that was taken in so far; nil for nobody.
 	Listed   func(surveyor.Changes)
 	ListRead func(at time.Time)
+	// Limits takes in what a member heard of upstreams' limits; nil for nobody.
+	Limits func(member string, heard []router.HeardLimit)
 	// Tell is the time between two reports of the entry, TellDemand between two
 	// of demand. Zero takes the standard ones.
 	Tell       time.Duration
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -175,6 +175,11 @@
 			f.settings.Listed(encoder.DecodeListing(update.Listing))
 		}
 		return nil
+	case *wire.FollowReply_Limits:
+		if f.settings.Limits != nil {
+			f.settings.Limits(address, encoder.DecodeLimits(update.Limits, time.Now()))
+		}
+		return nil
 	default:
 		return &UpdateError{}
 	}
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -71,6 +71,7 @@
 	var overload *admitter.OverloadError
 	var nowhere *router.NoUpstreamError
 	var paused *router.PausedError
+	var rationed *router.RationedError
 	var absent *AbsentError
 	var unrun *NotRunError
 	switch {
@@ -82,6 +83,8 @@
 		return nowhere.Retry
 	case errors.As(err, &paused):
 		return paused.Retry
+	case errors.As(err, &rationed):
+		return rationed.Retry
 	case errors.As(err, &absent):
 		return absent.Retry
 	case errors.As(err, &unrun):
--- a/mover/adapter.go
+++ b/mover/adapter.go
@@ -110,7 +110,7 @@
 func (m *Mover) addToView(view *allocator.View, one *engine, now time.Time) {
 	can := m.engineOf(one.upstream.Service)
 	m.markAdapters(one, one.upstream.Service)
-	view.Engines[one.upstream.Name] = one.view(can, now, m.loads[one.upstream.Name].Requests)
+	view.Engines[one.upstream.Name] = one.view(can, now, m.loads[one.upstream.Name].Requests, m.capacity(one))
 	for name := range one.copies {
 		if model, known := can.Models[name]; known && view.Models[name] == nil {
 			view.Models[name] = planned(model)
@@ -120,7 +120,7 @@
 
 // takesAdapters is true where an order about an adapter may be given.
 func (e *engine) takesAdapters(now time.Time) bool {
-	return e.reported && !e.sending && !e.busy && !now.Before(e.restUntil)
+	return e.reported && !e.sending && !e.busy && !now.Before(e.restUntil) && !now.Before(e.spacedUntil)
 }
 
 // onItsWay is true while an order towards an adapter is being given.
@@ -152,9 +152,9 @@
 	one := m.engines[place.Engine]
 	one.adapter = want
 	if place.Evict != "" {
-		m.send(one, Order{Action: ActionUnload, Model: place.EvictModel, Adapter: place.Evict}, zap.String("reason", "adapter makes way"))
+		m.send(one, Order{Action: ActionUnload, Model: place.EvictModel, Adapter: place.Evict}, view.Now, zap.String("reason", "adapter makes way"))
 		return true
 	}
-	m.send(one, Order{Action: ActionLoad, Model: want.Model, Adapter: want.Adapter}, zap.String("reason", "adapter wanted"))
+	m.send(one, Order{Action: ActionLoad, Model: want.Model, Adapter: want.Adapter}, view.Now, zap.String("reason", "adapter wanted"))
 	return true
 }
--- a/mover/demand.go
+++ b/mover/demand.go
@@ -105,6 +105,18 @@
 	m.costs[class] = cost
 }
 
+// meanCost is the mean cost of the classes, in seconds of a whole engine.
+func (m *meter) meanCost() float64 {
+	if len(m.costs) == 0 {
+		return defaultCost
+	}
+	total := 0.0
+	for _, cost := range m.costs {
+		total += cost
+	}
+	return total / float64(len(m.costs))
+}
+
 // apply sets the work and the times of a service's models.
 func (m *meter) apply(service string, models map[string]*allocator.Model) {
 	for name, one := range m.names {
--- a/mover/engine.go
+++ b/mover/engine.go
@@ -58,8 +58,11 @@
 	// unanswered counts the reports in a row that did not come.
 	unanswered int
 	restUntil  time.Time
-	intended   string
-	intendedBy time.Time
+	// spacedUntil is until when the engine's limit of requests leaves no room for
+	// another call of this member.
+	spacedUntil time.Time
+	intended    string
+	intendedBy  time.Time
 	// adapter is what the last order about an adapter was given for.
 	adapter Want
 }
@@ -150,7 +153,7 @@
 
 // free is true where an order about a model may be given.
 func (e *engine) free(now time.Time) bool {
-	return e.reported && !e.sending && !e.busy && !now.Before(e.restUntil) && !now.Before(e.believeFrom)
+	return e.takesAdapters(now) && !now.Before(e.believeFrom)
 }
 
 // told is what entries hear of the engine: all that may get requests.
@@ -173,8 +176,9 @@
 	return told
 }
 
-// view is the engine as plans see it.
-func (e *engine) view(service *matcher.Engine, now time.Time, inFlight int) *allocator.Engine {
+// view is the engine as plans see it. The capacity is zero where it does not limit
+// its requests.
+func (e *engine) view(service *matcher.Engine, now time.Time, inFlight int, capacity float64) *allocator.Engine {
 	return &allocator.Engine{
 		Name:         e.upstream.Name,
 		MemoryBytes:  service.MemoryBytes,
@@ -187,5 +191,6 @@
 		Warm:         e.warm,
 		OnDisk:       e.disk,
 		InFlight:     inFlight,
+		Capacity:     capacity,
 	}
 }
--- a/mover/events.go
+++ b/mover/events.go
@@ -138,10 +138,11 @@
 // askReports asks the engines whose report is due.
 func (m *Mover) askReports(now time.Time) {
 	for _, one := range m.engines {
-		if one.asking || one.sending || now.Before(one.askAt) {
+		if one.asking || one.sending || now.Before(one.askAt) || now.Before(one.spacedUntil) {
 			continue
 		}
 		one.asking = true
+		m.charge(one, now)
 		one.askAt = now.Add(m.reportPause(one))
 		m.calls.Add(1)
 		go m.runReport(m.lead.term, one.upstream, now)
@@ -170,6 +171,9 @@
 		return
 	}
 	one.asking = false
+	if read.report.LimitTold {
+		m.settings.Limits.HeedAnswer(now, read.askedAt, read.engine.Name, read.engine.Incarnation, read.report.Limit)
+	}
 	if read.report.Notice.Leaving && !one.saidLeaving {
 		m.settings.Log.Info("engine says that it leaves", zap.String("upstream", read.engine.Name),
 			zap.String("incarnation", read.engine.Incarnation))
@@ -199,9 +203,10 @@
 }
 
 // send gives an order to an engine. The fields say what decided it.
-func (m *Mover) send(one *engine, order Order, why ...zap.Field) {
+func (m *Mover) send(one *engine, order Order, now time.Time, why ...zap.Field) {
 	order.Holder, order.Fence, order.Expected = m.settings.Holder, m.lead.term, one.sequence
 	one.sending = true
+	m.charge(one, now)
 	m.tally.orders++
 	m.settings.Log.Info("order", append(why, zap.String("upstream", one.upstream.Name),
 		zap.Int("action", int(order.Action)), zap.String("model", order.Model), zap.String("adapter", order.Adapter),
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -28,6 +28,18 @@
 	Status() conductor.Status
 }
 
+// Limits are the limits of requests that engines name, under which the requests of
+// all VMs are scheduled.
+type Limits interface {
+	// HeedAnswer takes in the limit that an answer to a request sent at a time names,
+	// or that it names none.
+	HeedAnswer(now, sentAt time.Time, upstream, incarnation string, limit router.RateLimit)
+	// Charge counts a request of this member to an engine and returns its limit.
+	Charge(now time.Time, upstream, incarnation string) router.RateLimit
+	// Limit returns the limit of an engine.
+	Limit(upstream, incarnation string) router.RateLimit
+}
+
 // Settings are what a mover needs.
 type Settings struct {
 	// Holder names this VM in orders.
@@ -48,6 +60,8 @@
 	TellTime func() time.Duration
 	// Listed takes in the list as read, for those who follow this member.
 	Listed *surveyor.Journal
+	// Limits are the limits of requests that engines name; nil for none.
+	Limits Limits
 	// Lease is the shortest time between orders of two holders.
 	Lease time.Duration
 	// StoreWindow and StoreOverage bound the loads from the weight store.
@@ -142,6 +156,9 @@
 // New returns a mover that has not started.
 func New(settings Settings) *Mover {
 	ctx, cancel := context.WithCancel(context.Background())
+	if settings.Limits == nil {
+		settings.Limits = noLimits{}
+	}
 	if settings.Metrics == nil {
 		settings.Metrics = metrics.NewRegistry()
 	}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -61,7 +61,7 @@
 		for model, held := range one.copies {
 			held.InFlight = m.loads[name].Models[surveyor.HeldName(service, model, "")]
 		}
-		view.Engines[name] = one.view(can, now, m.loads[name].Requests)
+		view.Engines[name] = one.view(can, now, m.loads[name].Requests, m.capacity(one))
 	}
 	assume(view)
 	return view
@@ -113,7 +113,7 @@
 		}
 		one.ordered = move.Model
 		one.loadedAt = now.Add(one.loadTime(m.engineOf(one.upstream.Service).Models[move.Model]))
-		m.send(one, Order{Action: ActionLoad, Model: move.Model}, m.inputs(move.Why, now)...)
+		m.send(one, Order{Action: ActionLoad, Model: move.Model}, now, m.inputs(move.Why, now)...)
 	case allocator.Drop:
 		one := m.engines[move.Engine]
 		held := one.copies[move.Model]
@@ -123,7 +123,7 @@
 		m.settings.Log.Info("copy makes way", append(m.inputs(move.Why, now), zap.String("upstream", move.Engine),
 			zap.String("model", move.Model), zap.String("for", move.For))...)
 	case allocator.Unload:
-		m.send(m.engines[move.Engine], Order{Action: ActionUnload, Model: move.Model}, zap.String("reason", "makes way"))
+		m.send(m.engines[move.Engine], Order{Action: ActionUnload, Model: move.Model}, now, zap.String("reason", "makes way"))
 	}
 }
 
--- a/mover/types.go
+++ b/mover/types.go
@@ -48,6 +48,10 @@
 	Queued   int
 	// Notice is what the engine says of itself beside the report.
 	Notice router.Notice
+	// Limit is the limit of requests that it names beside the report. LimitTold is
+	// false where there was no answer or it can't be read.
+	Limit     router.RateLimit
+	LimitTold bool
 }
 
 // PendingAdapter is an adapter on its way to an engine.
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -112,6 +112,12 @@
 	return o.settings.Router.Limit(choice)
 }
 
+// TakePermit says whether one more request may go to the upstream of a choice that
+// has a limit of requests.
+func (o *Observer) TakePermit(choice router.Choice) bool {
+	return o.settings.Router.TakePermit(time.Now(), choice)
+}
+
 // Allows says whether a request may still go to the upstream of a choice.
 func (o *Observer) Allows(choice router.Choice) bool {
 	return o.settings.Router.Allows(time.Now(), choice)
--- a/poller/ask.go
+++ b/poller/ask.go
@@ -64,7 +64,7 @@
 		p.turn = (p.turn + 1) % len(names)
 		upstream := catalog.Upstreams[names[p.turn]]
 		kept := p.recordOf(upstream)
-		if kept.silent || holds(chosen, upstream.Name) {
+		if kept.silent || p.limited(upstream) || holds(chosen, upstream.Name) {
 			continue
 		}
 		chosen = append(chosen, task{upstream: upstream, record: kept})
@@ -81,13 +81,17 @@
 			break
 		}
 		kept := p.recordOf(catalog.Upstreams[name])
-		if kept.failed && !kept.silent {
+		if kept.failed && !kept.silent && !p.limited(catalog.Upstreams[name]) {
 			chosen = append(chosen, task{upstream: catalog.Upstreams[name], record: kept})
 		}
 	}
 	return chosen
 }
 
+func (p *Poller) limited(upstream cataloger.Upstream) bool {
+	return p.settings.Limited != nil && p.settings.Limited(upstream)
+}
+
 // holds is true where an upstream is among the tasks.
 func holds(tasks []task, name string) bool {
 	return slices.ContainsFunc(tasks, func(each task) bool { return each.upstream.Name == name })
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -31,6 +31,9 @@
 	Seed uint64
 	// Catalog returns the catalog in force, nil before the first.
 	Catalog func() *cataloger.Catalog
+	// Limited says whether an upstream limits its requests: callers' go before
+	// reports. Nil for none.
+	Limited func(cataloger.Upstream) bool
 	// Observe takes in a report.
 	Observe func(estimator.Report)
 	// Failed is told of an upstream that gave no answer over a new connection,
--- a/provisioner/control.go
+++ b/provisioner/control.go
@@ -19,6 +19,7 @@
 	"burdocklink/responder"
 	"burdocklink/router"
 	"burdocklink/surveyor"
+	"burdocklink/throttler"
 )
 
 // NewControlNode puts a control member on the platform together.
@@ -80,6 +81,11 @@
 	calls := dispatcher.New(dispatcher.Settings{Dial: dialTime})
 	client := platform.NewClient(settings.List.Address, calls)
 	listed := surveyor.NewJournal()
+	limits := throttler.New(throttler.Settings{
+		Lead:     func() (uint64, bool) { state := member.Status(); return state.Term, state.Leading },
+		Registry: metrics.Registry(),
+		Log:      settings.Log,
+	})
 	var answers *responder.Responder
 	moves := mover.New(mover.Settings{
 		Holder:       settings.Node,
@@ -91,6 +97,7 @@
 		Loads:        func() map[string]router.Load { return answers.Loads() },
 		TellTime:     func() time.Duration { return answers.TellTime() },
 		Listed:       listed,
+		Limits:       limits,
 		Lease:        settings.Bounds.Lease,
 		StoreWindow:  settings.Bounds.StoreWindow,
 		StoreOverage: settings.Bounds.StoreOverage,
@@ -102,6 +109,7 @@
 		Operator: noOperator,
 		Group:    member,
 		Holdings: moves,
+		Limits:   limits,
 		Listed:   listed,
 		Pulse:    pulse,
 		Meter:    linker.NewMeter(metrics.Registry()),
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -19,6 +19,7 @@
 	"burdocklink/prober"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
+	"burdocklink/reserver"
 	"burdocklink/router"
 	"burdocklink/seeker"
 	"burdocklink/surveyor"
@@ -41,6 +42,14 @@
 	parts := newEntryParts(settings)
 	catalogs := parts.newFollower()
 	callers := parts.newForwarder(catalogs.Leader)
+	reservations := reserver.New(reserver.Settings{
+		Entry:  settings.Node,
+		Links:  parts.links,
+		Leader: catalogs.Leader,
+		Router: parts.routes,
+		Wake:   parts.admission.Wake,
+		Log:    settings.Log,
+	})
 	health := prober.New(prober.Settings{
 		Listen:    settings.Readiness,
 		ReadyPath: platform.PathReady,
@@ -49,7 +58,7 @@
 		Log:       settings.Log,
 	})
 	return &Node{
-		Services: []registrar.Service{health, parts.admission, parts.notes, parts.upstreams, catalogs, callers},
+		Services: []registrar.Service{health, parts.admission, parts.notes, parts.upstreams, catalogs, reservations, callers},
 		Reload:   func(changed platform.Settings) { catalogs.Meet(changed.SeedLinks()) },
 	}, nil
 }
@@ -114,6 +123,13 @@
 	p.admission.Wake()
 }
 
+// takeLimits takes in what a control member heard of upstreams' limits.
+func (p *entryParts) takeLimits(member string, heard []router.HeardLimit) {
+	if p.routes.TakeLimits(time.Now(), member, heard) {
+		p.admission.Wake()
+	}
+}
+
 // ask asks another entry for its reading of the platform's list.
 func (p *entryParts) ask(ctx context.Context, question surveyor.Question) (surveyor.Reading, error) {
 	return p.notes.Ask(ctx, question)
@@ -141,6 +157,7 @@
 		Stand:            p.upstreams.Stand,
 		Listed:           p.upstreams.Learn,
 		ListRead:         p.upstreams.Confirm,
+		Limits:           p.takeLimits,
 		Tell:             pulse,
 		TellDemand:       tellDemand,
 		Log:              p.settings.Log,
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -149,6 +149,9 @@
 	if !errors.As(err, &forgotten) {
 		return source, err
 	}
+	if !e.Upstreams.TakePermit(e.grant.Choice) {
+		return nil, err
+	}
 	e.attemptID = e.attempt()
 	call.Header = e.header()
 	call.Fresh = true
@@ -173,8 +176,12 @@
 }
 
 // Resume reads on after an event of the present stream, over a connection
-// that nothing used before.
+// that nothing used before. Where the engine takes no more requests now, the answer
+// is continued elsewhere.
 func (e *engines) Resume(ctx context.Context, after uint64) (relayer.Source, error) {
+	if !e.Upstreams.TakePermit(e.grant.Choice) {
+		return nil, &relayer.ForgottenError{}
+	}
 	header := e.header()
 	header.Set(encoder.HeaderLastEventID, strconv.FormatUint(after, 10))
 	source, err := e.stream(ctx, dispatcher.Call{
--- a/receiver/notice.go
+++ b/receiver/notice.go
@@ -16,6 +16,9 @@
 	// HeedLimit takes in the limit that an answer names, or that it names none.
 	// The request was sent at a time.
 	HeedLimit(choice router.Choice, sentAt time.Time, limit router.RateLimit, unreadable string)
+	// TakePermit says whether one more request may go to the upstream of a choice
+	// that has a limit of requests.
+	TakePermit(choice router.Choice) bool
 }
 
 // onHeader returns what is called with the header of an answer of the upstream of
@@ -25,7 +28,7 @@
 	return func(response *http.Response) {
 		notice, unreadable := encoder.DecodeNotice(response.StatusCode, response.Header, time.Now())
 		x.Upstreams.Heed(choice, notice, unreadable)
-		limit, unreadable := encoder.DecodeLimit(response.Header.Get(encoder.HeaderLimit))
+		limit, unreadable := encoder.DecodeRateLimit(response.Header.Get(encoder.HeaderLimit))
 		x.Upstreams.HeedLimit(choice, sentAt, limit, unreadable)
 	}
 }
--- a/receiver/refuse.go
+++ b/receiver/refuse.go
@@ -189,6 +189,7 @@
 	var overload *admitter.OverloadError
 	var nowhere *router.NoUpstreamError
 	var paused *router.PausedError
+	var rationed *router.RationedError
 	var saturated *router.SaturatedError
 	soon := time.Now().Add(shortRetry)
 	told := refusal{status: http.StatusServiceUnavailable, retry: soon}
@@ -201,6 +202,8 @@
 		told.word, told.retry = "no-upstream", nowhere.Retry
 	case errors.As(err, &paused):
 		told.word, told.retry = "upstreams-paused", paused.Retry
+	case errors.As(err, &rationed):
+		told.word, told.retry = "upstreams-rate-limited", rationed.Retry
 	case errors.As(err, &saturated):
 		told.word, told.retry = "overloaded", saturated.Retry
 	case is[*admitter.BudgetError](err):
--- /dev/null
+++ b/reserver/reserver.go
@@ -0,0 +1,166 @@
+// Package reserver asks the leader of the control group for the requests that
+// this entry may send to upstreams which limit the requests of all VMs together,
+// and tells it which limits the entry has heard of.
+package reserver
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+	"burdocklink/linker"
+	"burdocklink/registrar"
+	"burdocklink/router"
+)
+
+// Name is the service's name in the kernel.
+const Name = "reserver"
+
+const (
+	// answerTime is the longest wait for the leader's answer. A permit is of use
+	// for little longer.
+	answerTime = 500 * time.Millisecond
+	// firstPause is the wait after a question that nobody answered, and longestPause
+	// the longest one; each further question doubles it. An election takes about as
+	// long.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// lookTime is how often it is looked whether another member leads, which has to
+	// be told of the limits that are known here.
+	lookTime = 250 * time.Millisecond
+)
+
+// Settings are what a reserver needs.
+type Settings struct {
+	// Entry is this entry's name.
+	Entry string
+	Links *linker.Linker
+	// Leader returns the leader's address as last heard, or an empty string.
+	Leader func() string
+	Router *router.Router
+	// Wake is called when requests may be sent that could not before.
+	Wake func()
+	Log  *zap.Logger
+}
+
+// Reserver is the service.
+type Reserver struct {
+	settings Settings
+	ctx      context.Context
+	cancel   context.CancelFunc
+	ended    chan struct{}
+	// pause is the wait before the next question, zero after one that was answered.
+	pause time.Duration
+}
+
+// New returns a reserver that has not started.
+func New(settings Settings) *Reserver {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Reserver{settings: settings, ctx: ctx, cancel: cancel, ended: make(chan struct{})}
+}
+
+// String names the service.
+func (r *Reserver) String() string { return Name }
+
+// Start begins to ask.
+func (r *Reserver) Start(context.Context, *registrar.Registrar) error {
+	go r.run()
+	return nil
+}
+
+// Stop ends the question under way.
+func (r *Reserver) Stop(time.Time) error {
+	r.cancel()
+	<-r.ended
+	return nil
+}
+
+// run asks where requests wait for permits, and tells what is news.
+func (r *Reserver) run() {
+	defer close(r.ended)
+	timer := time.NewTimer(lookTime)
+	defer timer.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.settings.Router.Wanting():
+		case <-timer.C:
+		}
+		pause, next := r.round(time.Now())
+		if pause > 0 && !linker.Pause(r.ctx, pause) {
+			return
+		}
+		timer.Reset(untilNext(next, time.Now()))
+	}
+}
+
+// untilNext is the time to the next look.
+func untilNext(next, now time.Time) time.Duration {
+	if next.IsZero() {
+		return lookTime
+	}
+	return max(0, min(lookTime, next.Sub(now)))
+}
+
+// round asks what is due. It returns the least time to the next round, and when
+// something more is due; zero for never.
+func (r *Reserver) round(now time.Time) (time.Duration, time.Time) {
+	leader := r.settings.Leader()
+	if leader == "" {
+		return 0, time.Time{}
+	}
+	asks, next := r.settings.Router.LimitAsks(now, leader)
+	if len(asks) == 0 {
+		return 0, next
+	}
+	reply, err := r.ask(leader, asks, now)
+	answered := err == nil && reply.GetLeading()
+	r.settings.Router.Asked(leader, asks, answered)
+	if !answered {
+		r.pause = min(longestPause, max(firstPause, 2*r.pause))
+		r.settings.Log.Info("no requests reserved", zap.String("leader", leader), zap.Int("upstreams", len(asks)),
+			zap.Duration("took", time.Since(now)), zap.Duration("pause", r.pause), zap.Error(err))
+		// entries that lost the same leader come back at different times
+		return r.pause/2 + rand.N(r.pause), next
+	}
+	r.pause = 0
+	reservations := encoder.DecodeReservations(reply.GetReservations(), now, time.Now())
+	r.settings.Router.TakeReservations(reservations)
+	r.log(leader, asks, reservations, now)
+	r.settings.Wake()
+	return time.Duration(reply.GetPauseMs()) * time.Millisecond, next
+}
+
+func (r *Reserver) ask(leader string, asks []router.LimitAsk, now time.Time) (*wire.ReserveReply, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, answerTime)
+	defer cancel()
+	link, err := r.settings.Links.Connect(leader)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := wire.NewControlClient(link).Reserve(ctx, encoder.EncodeAsks(r.settings.Entry, asks, now))
+	if ctx.Err() == context.DeadlineExceeded {
+		r.settings.Links.Drop(leader, link)
+	}
+	return reply, err
+}
+
+// log tells what was reserved at each upstream.
+func (r *Reserver) log(leader string, asks []router.LimitAsk, reservations []router.Reservation, now time.Time) {
+	wanted := make(map[string]router.LimitAsk, len(asks))
+	for _, ask := range asks {
+		wanted[ask.Upstream+ask.Incarnation] = ask
+	}
+	for _, one := range reservations {
+		ask := wanted[one.Upstream+one.Incarnation]
+		r.settings.Log.Info("requests reserved", zap.String("upstream", one.Upstream), zap.String("leader", leader),
+			zap.Float64("per-second", ask.PerSecond), zap.Duration("age", now.Sub(ask.At)),
+			zap.Int("wanted", ask.Wanted), zap.Int("reserved", len(one.Permits)), zap.Time("ask-at", one.AskAt),
+			zap.Duration("took", time.Since(now)))
+	}
+}
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -37,6 +37,8 @@
 	// listReadAt when the list was read that is told so far.
 	listSerial uint64
 	listReadAt time.Time
+	// limitSerial is the newest change of limits that was told.
+	limitSerial uint64
 
 	mu sync.Mutex
 	// reports are the last reports received, oldest first.
@@ -73,6 +75,9 @@
 	if err := s.begin(catalog, first.GetRevision()); err != nil {
 		return err
 	}
+	if err := s.sendLimits(time.Now()); err != nil {
+		return err
+	}
 	// an entry that has just started serves nothing before a quorum's word
 	r.pulse.confirm()
 	if err := s.stream.Send(s.heartbeat(time.Now())); err != nil {
@@ -173,6 +178,9 @@
 				every = now
 				ticker.Reset(every)
 			}
+			if err := s.sendLimits(time.Now()); err != nil {
+				return err
+			}
 			if err := s.sendListing(time.Now()); err != nil {
 				return err
 			}
--- /dev/null
+++ b/responder/reserve.go
@@ -0,0 +1,42 @@
+package responder
+
+import (
+	"context"
+	"time"
+
+	"burdocklink/encoder"
+	"burdocklink/encoder/wire"
+)
+
+// Reserve schedules the requests that an entry wants to send to upstreams that
+// limit the requests of all VMs together. Only the leader answers.
+func (r *Responder) Reserve(_ context.Context, request *wire.ReserveRequest) (*wire.ReserveReply, error) {
+	state := r.settings.Group.Status()
+	elsewhere := &wire.ReserveReply{Leader: leaderAddress(state)}
+	if r.settings.Limits == nil {
+		return elsewhere, nil
+	}
+	now := time.Now()
+	reservations, pause, leading := r.settings.Limits.Reserve(now, request.GetEntry(), encoder.DecodeAsks(request, now))
+	if !leading {
+		return elsewhere, nil
+	}
+	return &wire.ReserveReply{
+		Leading:      true,
+		Reservations: encoder.EncodeReservations(reservations, now),
+		PauseMs:      pause.Milliseconds(),
+	}, nil
+}
+
+// sendLimits tells which limits were heard of since the last time.
+func (s *session) sendLimits(now time.Time) error {
+	if s.responder.settings.Limits == nil || !s.responder.settings.Group.Status().Leading {
+		return nil
+	}
+	heard, serial := s.responder.settings.Limits.Told(s.limitSerial)
+	s.limitSerial = serial
+	if len(heard) == 0 {
+		return nil
+	}
+	return s.stream.Send(&wire.FollowReply{Update: &wire.FollowReply_Limits{Limits: encoder.EncodeLimits(heard, now)}})
+}
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -18,6 +18,7 @@
 	"burdocklink/linker"
 	"burdocklink/mover"
 	"burdocklink/registrar"
+	"burdocklink/router"
 	"burdocklink/surveyor"
 )
 
@@ -54,6 +55,17 @@
 	Want(ctx context.Context, want mover.Want) mover.Wanted
 }
 
+// Limits schedules the requests to upstreams that limit the requests of all VMs
+// together.
+type Limits interface {
+	// Reserve schedules what an entry wants to send; leading is false where this
+	// member does not.
+	Reserve(now time.Time, entry string, asks []router.LimitAsk) (reservations []router.Reservation, pause time.Duration, leading bool)
+	// Told returns the limits that changed after a serial number, and the number of
+	// the newest change.
+	Told(after uint64) ([]router.HeardLimit, uint64)
+}
+
 // Settings are what a responder needs.
 type Settings struct {
 	// Listen is the IP address and port for entries, operators and members.
@@ -65,6 +77,8 @@
 	Group    Group
 	// Holdings tells what engines hold; nil where this member does not know.
 	Holdings Holdings
+	// Limits schedules requests; nil where nobody does.
+	Limits Limits
 	// Listed is the platform's list as the leader reads it; nil where it reads
 	// none.
 	Listed *surveyor.Journal
--- a/router/choice.go
+++ b/router/choice.go
@@ -41,6 +41,9 @@
 	CachedTokens int
 	// Predicted is when the first token is expected.
 	Predicted time.Time
+	// PermitUntil is until when the request may be sent to an upstream that limits
+	// its requests; zero where none is needed.
+	PermitUntil time.Time
 }
 
 // NoUpstreamError says that no live upstream holds what is asked for.
@@ -72,3 +75,24 @@
 
 // Error describes the refusal.
 func (e *SaturatedError) Error() string { return "upstreams are at their limits" }
+
+// RationedError says that upstreams could serve but for their limits of requests
+// a second.
+type RationedError struct {
+	Service, Holds string
+	// Retry is when one of them may take one more request.
+	Retry time.Time
+	// PerSecond is how many requests a second they take from all VMs together.
+	PerSecond float64
+}
+
+// Error describes the refusal.
+func (e *RationedError) Error() string { return "upstreams take no more requests a second" }
+
+// After is how long the upstreams need to take so many requests.
+func (e *RationedError) After(requests int) time.Duration {
+	if e.PerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(requests) / e.PerSecond * float64(time.Second))
+}
--- a/router/choose.go
+++ b/router/choose.go
@@ -28,12 +28,21 @@
 	// pausedUntil is the earliest end of a candidate's pause, zero where none
 	// paused.
 	pausedUntil time.Time
+	// rationed is the candidate at whose limit of requests there is room first, at
+	// rationedUntil and at a cost; nil where none is at it. perSecond are the limits of all that
+	// are, and looked counts the candidates looked at.
+	rationed      *limited
+	rationedUntil time.Time
+	rationedCost  time.Duration
+	perSecond     float64
+	looked        int
 }
 
 // Choose returns the upstream for a request. It compares a few drawn
 // candidates, never the whole fleet. It returns *NoUpstreamError where no live
 // upstream holds what is asked for, *PausedError where all that are live asked
-// for a pause and *SaturatedError where some of them are at their limits.
+// for a pause, *SaturatedError where some of them are at their limits and
+// *RationedError where those limits are of requests a second.
 func (r *Router) Choose(now time.Time, request *Request) (Choice, error) {
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
@@ -49,7 +58,11 @@
 		r.draw(&s, candidates)
 	}
 	if s.best == nil {
-		return Choice{}, r.refuse(&s)
+		return Choice{}, r.refuse(&s, len(candidates))
+	}
+	if s.rationed != nil && s.rationedCost < s.cost {
+		s.rationed.wantSpare()
+		r.wake()
 	}
 	return Choice{
 		Upstream:    s.best.about.Name,
@@ -89,6 +102,7 @@
 
 // look compares one candidate with the best so far.
 func (r *Router) look(s *search, u *upstream) {
+	s.looked++
 	if slices.Contains(s.request.Avoid, u.about.Name) {
 		s.notePause(u)
 		return
@@ -112,11 +126,25 @@
 	if u.misses(s.request) {
 		cost += contradicted
 	}
+	if verdict == rationed {
+		s.noteRationed(u, cost)
+		return
+	}
 	if cost < s.cost {
 		s.best, s.cost, s.wait, s.cached = u, cost, prediction.FirstToken, cached
 	}
 }
 
+// noteRationed takes in a candidate that is at its limit of requests.
+func (s *search) noteRationed(u *upstream, cost time.Duration) {
+	known := u.limited.Load()
+	_, due := known.look(s.now)
+	s.perSecond += known.limit().PerSecond
+	if s.rationed == nil || due.Before(s.rationedUntil) {
+		s.rationed, s.rationedUntil, s.rationedCost = known, due, cost
+	}
+}
+
 // notePause takes in the end of a candidate's pause.
 func (s *search) notePause(u *upstream) {
 	until := u.pausedUntil(s.now)
@@ -125,7 +153,12 @@
 	}
 }
 
-func (r *Router) refuse(s *search) error {
+// refuse says why none of so many candidates takes the request.
+func (r *Router) refuse(s *search, candidates int) error {
+	if s.rationed != nil {
+		s.rationed.want(s.now, s.request.Seed)
+		r.wake()
+	}
 	if s.full > 0 {
 		return &SaturatedError{
 			Service: s.request.Service,
@@ -133,6 +166,14 @@
 			Retry:   s.now.Add(saturatedRetry),
 		}
 	}
+	if s.rationed != nil {
+		return &RationedError{
+			Service:   s.request.Service,
+			Holds:     s.request.Holds,
+			Retry:     s.rationedUntil,
+			PerSecond: s.perSecond * float64(candidates) / float64(s.looked),
+		}
+	}
 	if !s.pausedUntil.IsZero() {
 		spread := time.Duration(s.random % uint64(callerSpread))
 		return &PausedError{
--- a/router/notice.go
+++ b/router/notice.go
@@ -101,6 +101,9 @@
 	if said, known := r.heard[incarnation{name, u.about.Incarnation}]; known {
 		u.heed(Notice{Leaving: said.leaving, PausedUntil: said.pausedUntil})
 	}
+	if known := r.limits[incarnation{name, u.about.Incarnation}]; known != nil {
+		u.limited.Store(known)
+	}
 }
 
 // forgetOldest makes room for one more incarnation of which something was heard
@@ -133,7 +136,10 @@
 	if u == nil {
 		return true
 	}
-	return u.about.State == cataloger.UpstreamLive && u.open(now)
+	if u.about.State != cataloger.UpstreamLive || !u.open(now) {
+		return false
+	}
+	return now.Before(choice.PermitUntil) || r.TakePermit(now, choice)
 }
 
 // Counts are how many upstreams get no requests or few, by what told it.
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,8 @@
 	heard map[incarnation]heard
 	// limits are of the incarnations that have named one.
 	limits map[incarnation]*limited
+	// wanting receives where permits are wanted or a limit is to be told.
+	wanting chan struct{}
 }
 
 // New returns a router that knows no upstream.
@@ -33,6 +35,7 @@
 		peers:    newPeers(),
 		heard:    map[incarnation]heard{},
 		limits:   map[incarnation]*limited{},
+		wanting:  make(chan struct{}, 1),
 	}
 }
 
@@ -68,12 +71,16 @@
 	}
 }
 
-// Started counts an own dispatch.
-func (r *Router) Started(choice Choice, request *Request, now time.Time) {
-	if u := r.find(choice.Upstream, choice.Incarnation); u != nil {
-		u.started(now, request, choice.CachedTokens)
-		r.own.changedAt(choice.Upstream)
+// Started counts an own dispatch. It returns until when the request may be sent
+// to an upstream that limits its requests; zero where it has no permit or needs
+// none.
+func (r *Router) Started(choice Choice, request *Request, now time.Time) time.Time {
+	u := r.find(choice.Upstream, choice.Incarnation)
+	if u == nil {
+		return time.Time{}
 	}
+	r.own.changedAt(choice.Upstream)
+	return u.started(now, request, choice.CachedTokens)
 }
 
 // Finished takes in what was measured of an own dispatch.
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdocklink/cataloger"
@@ -40,6 +41,8 @@
 	reportedLeaving bool
 	answeredLeaving bool
 	pause           limiter.Pause
+	// limited is nil where the upstream never named a limit of requests.
+	limited atomic.Pointer[limited]
 	// reportedModels and reportedAdapters are what the last report lists.
 	reportedModels   []string
 	reportedAdapters []string
@@ -95,6 +98,8 @@
 	fits verdict = iota
 	full
 	paused
+	// rationed is said of an upstream that fits but for its limit of requests.
+	rationed
 	unusable
 )
 
@@ -114,6 +119,9 @@
 	work.CachedTokens = m.prefixes.cached(s.request.Parts)
 	prediction := m.engine.Predict(s.now, work)
 	if m.limit.Allows(prediction.Load/m.share(s)) && m.roomFor(s.now, work) {
+		if !m.permits(s.now) {
+			return prediction, work.CachedTokens, rationed
+		}
 		return prediction, work.CachedTokens, fits
 	}
 	if s.pressed() {
@@ -122,6 +130,16 @@
 	return prediction, work.CachedTokens, full
 }
 
+// permits says whether the upstream's limit of requests leaves room for one now.
+func (m *measured) permits(now time.Time) bool {
+	known := m.limited.Load()
+	if known == nil {
+		return true
+	}
+	allowed, _ := known.look(now)
+	return allowed
+}
+
 // memoryShare is the part of an engine's memory for prompts and answers that is
 // given away: lengths are only guessed.
 const memoryShare = 0.95
@@ -160,7 +178,9 @@
 	return !slices.Contains(m.reportedModels, request.Holds) && !slices.Contains(m.reportedAdapters, request.Holds)
 }
 
-func (m *measured) started(now time.Time, request *Request, cached int) {
+// started counts a dispatch. It returns until when the request may be sent where
+// it needs a permit, and zero where it needs none or there is none.
+func (m *measured) started(now time.Time, request *Request, cached int) time.Time {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	work := request.Work()
@@ -176,6 +196,11 @@
 	m.dispatched += work.PromptTokens - work.CachedTokens
 	m.circuit.Tried(now)
 	m.pause.Sent()
+	if known := m.limited.Load(); known != nil {
+		permit, _ := known.take(now)
+		return permit.Until
+	}
+	return time.Time{}
 }
 
 func (m *measured) unreachable(now time.Time) {
