--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -203,6 +203,8 @@
 	servers []*platformServer
 	nodes   map[string]*process
 	hosts   map[string]string
+	// models are those of the engines, as the configuration lists them.
+	models string
 	// block tells the addresses of sites apart that run at the same time.
 	block int
 }
@@ -219,6 +221,7 @@
 func newPlatformSite(t *testing.T) *platformSite {
 	t.Helper()
 	s := &platformSite{t: t, root: t.TempDir(), nodes: map[string]*process{}, hosts: map[string]string{}}
+	s.models = `{"name":"m1","weightsMb":70,"loadTimeS":1,"adapters":3,"adapterMb":1},{"name":"m2","weightsMb":70,"loadTimeS":1}`
 	// the ports are the same on all VMs, as each has an address of its own
 	s.port = 20_000 + os.Getpid()%1000*portsOfVM
 	s.add("engine-1", "engines", "m1")
@@ -335,8 +338,8 @@
 {"name":"draft","host":"a.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":500,"gapTargetMs":250,"service":"engines","maxAttempts":2,"resumable":true},
 {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":3000,"service":"%s","maxAttempts":1}],
 "services":[{"name":"engines","engine":{"slots":8,"kvCapacity":100000,"stride":1,"weightsMb":200,"adapterSlots":4,"loadsPerS":1,
-"models":[{"name":"m1","weightsMb":70,"loadTimeS":1,"adapters":3,"adapterMb":1},{"name":"m2","weightsMb":70,"loadTimeS":1}]}},{"name":"calendar"},{"name":"calendar-2"}],
-"limits":{"maxBodyBytes":1000}}`, version, bookings)
+"models":[%s]}},{"name":"calendar"},{"name":"calendar-2"}],
+"limits":{"maxBodyBytes":1000}}`, version, bookings, s.models)
 	for at := range 3 {
 		response, err := http.Post("http://"+s.address(s.coreHost(at), controlOffset)+"/api/Config.Put", "application/json", strings.NewReader(text))
 		if err != nil {
