fix(mover): loads around a hand-over keep the weight store's limit

A leader counts the loads from the store that it began itself. After a hand-over the new one counted none and waited for the lease only: 3.2 s, while loads count for 5 s. The new leader now begins no load from the store before the window of the one before is over; loads from engines' memory and disk, and adapters, don't wait longer than before.

TestANewLeaderWaitsForTheLeaseOfTheOneBefore took a load from the store for its sign of orders; it now takes one from a disk, with the same times.

--- a/mover/mover.go
+++ b/mover/mover.go
@@ -125,6 +125,9 @@
 	waiters []waiter
 	// storeLoads are the times of loads from the weight store.
 	storeLoads []time.Time
+	// storeFrom is when the loads that the leader before may have begun no longer
+	// count.
+	storeFrom time.Time
 	// loads are what all entries have in flight by upstream, as of loadsAt.
 	loads   map[string]router.Load
 	loadsAt time.Time
@@ -292,9 +295,10 @@
 	case status.Leading && status.Term != m.lead.term:
 		m.reset()
 		m.lead = lead{term: status.Term, ordersFrom: now.Add(m.settings.Lease + leaseMargin)}
+		m.storeFrom = now.Add(m.settings.StoreWindow)
 		if status.Term == firstTerm {
 			// the group is new: nobody has given orders before
-			m.lead.ordersFrom = now
+			m.lead.ordersFrom, m.storeFrom = now, now
 		}
 		m.settings.Log.Info("will give orders", zap.Uint64("fence", status.Term),
 			zap.Time("from", m.lead.ordersFrom))
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -301,6 +301,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := newStage(t, map[string][]string{"e1": {"m"}})
+			// a load from the store waits for its window besides
+			s.yard.engines["e1"].report.OnDisk = []string{"m", "n"}
 			s.control.lead(c.term, true)
 			s.play(time.Second)
 			s.mover.handle(wantCalled{want: Want{Service: "s", Model: "n"}, answer: make(chan Wanted, 1)}, s.now)
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -99,6 +99,9 @@
 	m.storeLoads = slices.DeleteFunc(m.storeLoads, func(at time.Time) bool {
 		return now.Sub(at) > m.settings.StoreWindow
 	})
+	if now.Before(m.storeFrom) {
+		return 0
+	}
 	allowed := int(can.LoadsPerSecond*m.settings.StoreWindow.Seconds()*m.settings.StoreOverage) - storeSpare
 	return max(0, allowed-len(m.storeLoads))
 }
