fix(dispatcher): bytes without end are given up

An upstream may send bytes that are no answer without end, in a head or a body. The head of an answer on a kept connection was read without bound, into memory; an answer to another request was read past for as long as it came; and the rest of an answer that nobody needs was waited for until the deadline of the request, which could have gone elsewhere.

--- a/dispatcher/open.go
+++ b/dispatcher/open.go
@@ -58,13 +58,16 @@
 }
 
 // Read reads within the bound.
-func (l *ownLine) Read(into []byte) (int, error) {
-	if l.left <= 0 {
+func (l *ownLine) Read(into []byte) (int, error) { return readWithin(l.Conn, &l.left, into) }
+
+// readWithin reads no more bytes than are left.
+func readWithin(from io.Reader, left *int64, into []byte) (int, error) {
+	if *left <= 0 {
 		return 0, &AnswerTooLargeError{Limit: headerBytes}
 	}
-	into = into[:min(int64(len(into)), l.left)]
-	n, err := l.Conn.Read(into)
-	l.left -= int64(n)
+	into = into[:min(int64(len(into)), *left)]
+	n, err := from.Read(into)
+	*left -= int64(n)
 	return n, err
 }
 
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,6 +33,8 @@
 	// mostHeaders is how many informational answers and answers to other calls
 	// are read past.
 	mostHeaders = 8
+	// mostForeignBytes bounds an answer to another call that is read past.
+	mostForeignBytes = 1 << 20
 )
 
 // pool keeps connections on which whole exchanges have ended, by address.
@@ -45,6 +48,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// left is how many more bytes may be read.
+	left int64
 	// keptUntil is when the connection is not to be used any more.
 	keptUntil time.Time
 }
@@ -115,9 +120,14 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return &pooledLine{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBytes)}, false, nil
+	line := &pooledLine{Conn: conn, address: address}
+	line.reader = bufio.NewReaderSize(line, readBytes)
+	return line, false, nil
 }
 
+// Read reads within the bound.
+func (l *pooledLine) Read(into []byte) (int, error) { return readWithin(l.Conn, &l.left, into) }
+
 // take returns the connection that was used last, since it is the likeliest
 // to be open, or nil.
 func (p *pool) take(address string, now time.Time) *pooledLine {
@@ -252,6 +262,7 @@
 // readHeader reads past informational answers and answers to other calls.
 func (l *pooledLine) readHeader(request *http.Request, owns func(http.Header) bool) (*http.Response, error) {
 	for range mostHeaders {
+		l.left = headerBytes
 		response, err := http.ReadResponse(l.reader, request)
 		if err != nil {
 			return nil, err
@@ -260,8 +271,10 @@
 			continue
 		}
 		if owns == nil || owns(response.Header) {
+			l.left = math.MaxInt64
 			return response, nil
 		}
+		l.left = mostForeignBytes
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
@@ -337,6 +350,8 @@
 		b.line.hangUp()
 		return
 	}
+	// Discard may have set one
+	_ = b.line.SetReadDeadline(time.Time{})
 	now := time.Now()
 	kept := keptFor(b.response.Header.Get("Keep-Alive"))
 	if kept <= 0 {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -398,7 +398,7 @@
 
 // notRun takes in an upstream's word that it did not run the request.
 func (x *exchange) notRun(response *http.Response, said Answer) error {
-	drain(response)
+	dispatcher.Discard(response)
 	if said.Elsewhere {
 		x.Calls.Forget(x.grant.Choice.Address)
 	}
@@ -406,16 +406,6 @@
 	return &NotRunError{Retry: time.Now().Add(shortRetry)}
 }
 
-// mostDrained bounds what is read of an answer that nobody needs, so that its
-// connection can be used again.
-const mostDrained = 64 << 10
-
-func drain(response *http.Response) {
-	// what can't be read costs the connection, which Close sees to
-	_, _ = io.CopyN(io.Discard, response.Body, mostDrained)
-	_ = response.Body.Close()
-}
-
 // tokens is the length of the answer so far.
 func (x *exchange) tokens() int { return x.events * x.eventTokens }
 
