fix(receiver): a stalled stream that sends a byte now and then ends

The silence of an engine was counted from the last byte, so that comments or parts of an event kept a stalled stream until the request's deadline. It is counted for each event now, over all reads and only while the entry waits. An event without end is bound to 1 MiB, as a line was.

receiver.TestAStalledStreamThatSendsAByteNowAndThenIsReplaced: cut at the 5 s of the request's time before, resumed and whole now. TestASlowButSoundStreamIsNotCut holds before and after. On the platform's own path a stream ends at its caller's time, as the platform asks; that is unchanged.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -110,9 +110,10 @@
 
 // Patience is what the body of a response of Stream can do besides.
 type Patience interface {
-	// SetSilence changes the longest wait for progress. It is called between
-	// two reads.
-	SetSilence(longest time.Duration)
+	// Await begins the wait for a piece of the body, such as an event: all reads
+	// until the next call take no longer together, whatever bytes they bring. It is
+	// called between two reads.
+	Await(longest time.Duration)
 }
 
 // Stream makes the call and returns the response as soon as its header is
--- a/dispatcher/watch.go
+++ b/dispatcher/watch.go
@@ -13,6 +13,10 @@
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
 	silence time.Duration
+	// left is the rest of the time for the piece that is waited for, where the
+	// reader says when it begins to wait for one.
+	left   time.Duration
+	pieces bool
 }
 
 func newWatch(ctx context.Context, silence time.Duration) *watch {
@@ -25,7 +29,13 @@
 
 func (w *watch) expire() { w.cancel(&SilentError{}) }
 
-func (w *watch) arm() { w.timer.Reset(w.silence) }
+func (w *watch) arm() {
+	if w.pieces {
+		w.timer.Reset(w.left)
+		return
+	}
+	w.timer.Reset(w.silence)
+}
 
 func (w *watch) disarm() { w.timer.Stop() }
 
@@ -52,9 +62,11 @@
 }
 
 func (b *watchedBody) Read(into []byte) (int, error) {
+	began := time.Now()
 	b.watch.arm()
 	n, err := b.ReadCloser.Read(into)
 	b.watch.disarm()
+	b.watch.left -= time.Since(began)
 	if err != nil && err != io.EOF {
 		err = b.watch.cause(err)
 		b.dispatcher.dropSilent(err)
@@ -62,8 +74,8 @@
 	return n, err
 }
 
-// SetSilence changes the longest wait for progress.
-func (b *watchedBody) SetSilence(longest time.Duration) { b.watch.silence = longest }
+// Await begins the wait for a piece of the body.
+func (b *watchedBody) Await(longest time.Duration) { b.watch.left, b.watch.pieces = longest, true }
 
 func (b *watchedBody) Close() error {
 	b.watch.close()
--- a/receiver/engines.go
+++ b/receiver/engines.go
@@ -195,7 +195,7 @@
 	})
 	if err == nil {
 		// an engine that knows the stream gets the time of a new one
-		source.(*leg).setSilence(e.firstSilence())
+		source.(*leg).silence = e.firstSilence()
 	}
 	var status *UpstreamStatusError
 	if errors.As(err, &status) || is[*answeredError](err) {
@@ -230,6 +230,7 @@
 		engines:  e,
 		identity: e.attemptID,
 		body:     response.Body,
+		silence:  call.Silence,
 	}, nil
 }
 
@@ -272,6 +273,8 @@
 	identity string
 	body     io.ReadCloser
 	begun    bool
+	// silence is the longest wait for the next event.
+	silence time.Duration
 }
 
 // Identity returns the attempt that the stream belongs to.
@@ -279,6 +282,9 @@
 
 // Next returns the next event.
 func (l *leg) Next() (relayer.Event, error) {
+	if body, ok := l.body.(dispatcher.Patience); ok {
+		body.Await(l.silence)
+	}
 	event, err := l.Stream.Next()
 	if err != nil {
 		return event, err
@@ -286,17 +292,11 @@
 	l.engines.note()
 	if !l.begun {
 		l.begun = true
-		l.setSilence(l.engines.nextSilence())
+		l.silence = l.engines.nextSilence()
 	}
 	return event, nil
 }
 
-func (l *leg) setSilence(longest time.Duration) {
-	if body, ok := l.body.(dispatcher.Patience); ok {
-		body.SetSilence(longest)
-	}
-}
-
 func (e *engines) note() {
 	e.legTokens++
 	e.tokens++
--- a/receiver/stream_test.go
+++ b/receiver/stream_test.go
@@ -173,6 +173,68 @@
 	}
 }
 
+// trickling sends comments in place of an event until its caller closes.
+type trickling struct {
+	engine
+	at int
+}
+
+// writerKey is where a request's context keeps its response.
+type writerKey struct{}
+
+func (f *trickling) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.engine.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), writerKey{}, w)))
+}
+
+func (f *trickling) trickle(r *http.Request, event int) {
+	if r.Method != http.MethodPost || event != f.at {
+		return
+	}
+	w := r.Context().Value(writerKey{}).(http.ResponseWriter)
+	for r.Context().Err() == nil {
+		_, _ = io.WriteString(w, ": \n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestAStalledStreamThatSendsAByteNowAndThenIsReplaced(t *testing.T) {
+	for name, stalledAt := range map[string]int{"before the first token": 1, "between tokens": 4} {
+		t.Run(name, func(t *testing.T) {
+			one := &trickling{at: stalledAt}
+			one.hold = one.trickle
+			r := newRig(t, map[string]http.Handler{"engine-1": one}, func(c *receiver.Config) {
+				c.Settings.FirstSilence = 300 * time.Millisecond
+				c.Settings.NextSilence = 300 * time.Millisecond
+				c.Settings.RequestTime = 5 * time.Second
+			})
+
+			got := r.send("POST", encoder.PathChat, chat(true, 8))
+
+			body, _, ended := readStream(got.body)
+			assert.Equal(t, body, text(8))
+			assert.Assert(t, ended)
+			assert.Equal(t, one.count("POST"), 1)
+			assert.Equal(t, one.count("GET"), 1)
+		})
+	}
+}
+
+func TestASlowButSoundStreamIsNotCut(t *testing.T) {
+	one := &engine{hold: func(*http.Request, int) { time.Sleep(200 * time.Millisecond) }}
+	r := newRig(t, map[string]http.Handler{"engine-1": one}, func(c *receiver.Config) {
+		c.Settings.FirstSilence = 600 * time.Millisecond
+		c.Settings.NextSilence = 600 * time.Millisecond
+	})
+
+	got := r.send("POST", encoder.PathChat, chat(true, 8))
+
+	body, _, ended := readStream(got.body)
+	assert.Equal(t, body, text(8))
+	assert.Assert(t, ended)
+	assert.Equal(t, one.count("GET"), 0)
+}
+
 // freezing takes connections and answers nothing any more after a number of
 // events. Of several that share a flag only the first that is asked freezes.
 type freezing struct {
--- a/relayer/errors.go
+++ b/relayer/errors.go
@@ -33,6 +33,14 @@
 	return "a line of the stream has more than " + strconv.Itoa(e.Limit) + " bytes"
 }
 
+// EventTooLongError says that an event of a stream has more bytes than the limit.
+type EventTooLongError struct{ Limit int }
+
+// Error describes the failure.
+func (e *EventTooLongError) Error() string {
+	return "an event of the stream has more than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
 // CallerError says that the caller could not take the answer.
 type CallerError struct{ Cause error }
 
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -300,6 +300,7 @@
 		"cut event":     {body: "data: a\n\nid: 2\ndata: b\n", want: []relayer.Event{{Data: []byte("a")}}, end: io.EOF},
 		"cut line":      {body: "data: a\n\ndata: b", want: []relayer.Event{{Data: []byte("a")}}, end: io.EOF},
 		"long line":     {body: "data: " + long + "\n\n", want: []relayer.Event{{Data: []byte(long)}}, end: io.EOF},
+		"endless event": {body: strings.Repeat("data: x\n", 1<<20), end: &relayer.EventTooLongError{Limit: 1 << 20}},
 		"endless line":  {body: strings.Repeat("x", 2<<20), end: &relayer.LineTooLongError{Limit: 1 << 20}},
 	}
 	for name, c := range cases {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -7,10 +7,11 @@
 	"strconv"
 )
 
-// bounds of a stream's lines.
+// bounds of a stream's lines and events.
 const (
-	lineBytes = 1 << 20
-	readBytes = 2 << 10
+	lineBytes  = 1 << 20
+	eventBytes = 1 << 20
+	readBytes  = 2 << 10
 )
 
 // Stream reads server-sent events.
@@ -48,6 +49,9 @@
 			event.ID, _ = strconv.ParseUint(string(value), 10, 64)
 		case "data":
 			data = appendData(data, value)
+			if len(data) > eventBytes {
+				return Event{}, &EventTooLongError{Limit: eventBytes}
+			}
 		}
 	}
 }
