--- a/encoder/limit.go
+++ b/encoder/limit.go
@@ -25,10 +25,22 @@
 		Upstream:    message.GetUpstream(),
 		Incarnation: message.GetIncarnation(),
 		RateLimit:   router.RateLimit{Named: message.GetNamed(), PerSecond: boundPerSecond(message.GetPerSecond())},
-		At:          now.Add(-time.Duration(max(0, message.GetAgeMs())) * time.Millisecond),
+		At:          now.Add(-boundMilliseconds(message.GetAgeMs())),
 	}
 }
 
+// Bounds of what another process may say: more is of no use.
+const (
+	// mostSpanMs bounds ages and waits, in milliseconds.
+	mostSpanMs = 10 * 60 * 1000
+	// mostAsked bounds the requests that are asked for at once.
+	mostAsked = 64
+)
+
+func boundMilliseconds(count int64) time.Duration {
+	return time.Duration(min(max(0, count), mostSpanMs)) * time.Millisecond
+}
+
 // boundPerSecond returns what may be reckoned with of a number of requests a
 // second that may be none at all.
 func boundPerSecond(perSecond float64) float64 {
@@ -75,7 +87,7 @@
 	for _, one := range message.GetUpstreams() {
 		asks = append(asks, router.LimitAsk{
 			HeardLimit: DecodeLimit(one.GetLimit(), now),
-			Wanted:     int(one.GetWanted()),
+			Wanted:     int(min(one.GetWanted(), mostAsked)),
 			Spare:      one.GetSpare(),
 		})
 	}
@@ -111,14 +123,14 @@
 	for _, message := range messages {
 		one := router.Reservation{Upstream: message.GetUpstream(), Incarnation: message.GetIncarnation()}
 		for _, due := range message.GetDueInMs() {
-			wait := time.Duration(due) * time.Millisecond
+			wait := boundMilliseconds(due)
 			one.Permits = append(one.Permits, limiter.Permit{
 				From:  now.Add(wait),
 				Until: sentAt.Add(wait + limiter.PermitTime),
 			})
 		}
 		if message.GetAskInMs() > 0 {
-			one.AskAt = now.Add(time.Duration(message.GetAskInMs()) * time.Millisecond)
+			one.AskAt = now.Add(boundMilliseconds(message.GetAskInMs()))
 		}
 		reservations = append(reservations, one)
 	}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -29,6 +29,8 @@
 	// long.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
+	// longestRest is the longest wait that a leader can ask for between questions.
+	longestRest = 10 * time.Second
 	// lookTime is how often it is looked whether another member leads, which has to
 	// be told of the limits that are known here.
 	lookTime = 250 * time.Millisecond
@@ -133,7 +135,7 @@
 	r.settings.Router.TakeReservations(reservations)
 	r.log(leader, asks, reservations, now)
 	r.settings.Wake()
-	return time.Duration(reply.GetPauseMs()) * time.Millisecond, next
+	return min(time.Duration(reply.GetPauseMs())*time.Millisecond, longestRest), next
 }
 
 func (r *Reserver) ask(leader string, asks []router.LimitAsk, now time.Time) (*wire.ReserveReply, error) {
