fix(forwarder): whole answers that come at once are bound in memory

An upstream may send a body without end. One answer is held up to 16 MiB before it is given up; a few at once, growing, took more than an entry VM has, which ends the process.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -50,6 +50,8 @@
 	limit  router.RateLimit
 	result reporter.Result
 	status int
+	// heldBytes are of whole answers.
+	heldBytes int64
 }
 
 // answer is a whole answer of an upstream.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -86,6 +86,7 @@
 	server   *http.Server
 	listener net.Listener
 	draining atomic.Bool
+	held     held
 	// admitting ends when requests that wait for an upstream are to be refused.
 	admitting context.Context
 	refuse    context.CancelCauseFunc
@@ -131,6 +132,7 @@
 // ServeHTTP sees one request through to its answer.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(f, w, r)
+	defer x.release()
 	// what follows a chunked body could be taken for a request of its own by
 	// one reader and for a part of the body by another
 	if f.draining.Load() || len(r.TransferEncoding) > 0 {
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -16,7 +16,8 @@
 // whole reads an answer to its end before anything of it goes to the caller,
 // so that one that breaks never looks complete.
 func (x *exchange) whole(response *http.Response, said Answer) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, mostAnswerBytes+1))
+	reader := &heldReader{from: io.LimitReader(response.Body, mostAnswerBytes+1), all: &x.held, own: &x.heldBytes}
+	body, err := io.ReadAll(reader)
 	_ = response.Body.Close()
 	if err != nil {
 		x.settle(router.OutcomeFailed)
