test(prover): the soak has servers name limits

Checked from the servers' side: what reaches a server in any 4 s from the entries that have passed on such an answer.

--- a/prover/notice_test.go
+++ b/prover/notice_test.go
@@ -21,6 +21,8 @@
 	leaving bool
 	// pausedUntil is told where the request was turned away, else zero.
 	pausedUntil time.Time
+	// limit is named in the answer.
+	limit string
 }
 
 // from returns the arrivals of requests whose IDs begin with a prefix, after a
@@ -49,7 +51,7 @@
 func (s *platformServer) replace() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.leaving = false
+	s.leaving, s.limit = false, ""
 	s.born++
 	if s.started == nil {
 		s.started = map[int64]time.Time{}
@@ -68,7 +70,7 @@
 
 // arrive notes a request and what it is told. It returns the rest of a pause.
 func (s *platformServer) arrive(id string) time.Duration {
-	one := arrival{id: id, at: time.Now(), born: s.born, leaving: s.leaving}
+	one := arrival{id: id, at: time.Now(), born: s.born, leaving: s.leaving, limit: s.limit}
 	rest := s.pausedUntil.Sub(one.at)
 	if rest > 0 {
 		one.pausedUntil = s.pausedUntil
--- a/prover/soak_faults_test.go
+++ b/prover/soak_faults_test.go
@@ -22,6 +22,9 @@
 	// disturbed are the times in which a process, or the link before a server,
 	// was disturbed, by name.
 	disturbed map[string][]span
+	// limits are the limits that servers named, and limited says which name one now.
+	limits  []namedLimit
+	limited map[string]bool
 	// endedAlone are processes that were found dead without a fault.
 	endedAlone []string
 }
@@ -77,12 +80,12 @@
 func (s *soak) beginFault() {
 	if s.faults.down == nil {
 		s.faults.down, s.faults.harmed = map[string]bool{}, map[*link]bool{}
-		s.faults.disturbed = map[string][]span{}
+		s.faults.disturbed, s.faults.limited = map[string][]span{}, map[string]bool{}
 	}
 	one := s.roles[s.random.IntN(len(s.roles))]
 	proxy := s.links[s.random.IntN(len(s.links))]
 	server := s.servers[s.random.IntN(len(s.servers))]
-	kind := s.random.IntN(14)
+	kind := s.random.IntN(16)
 	s.t.Logf("%s fault %d at %s, link %s, server %s", time.Now().Format(time.TimeOnly+".000"), kind, one.name,
 		proxy.proxy.Upstream, server.id)
 	switch kind {
@@ -107,6 +110,8 @@
 		s.until(1000, 3000, server.replace)
 	case 12, 13:
 		server.pauseFor(s.between(800, 2500))
+	case 14, 15:
+		s.limit(server)
 	}
 }
 
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -153,6 +153,7 @@
 	time.Sleep(lateTime)
 	s.checkRuns()
 	s.checkNotices()
+	s.checkLimits()
 	s.checkExits()
 	for _, broken := range s.seen.take() {
 		s.t.Error(broken)
