--- a/limiter/schedule.go
+++ b/limiter/schedule.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// ScheduleHorizon is how far ahead a request is scheduled. It covers an
-	// entry's wait in its queue and is well below the spans in which upstreams
-	// count requests.
+	// ScheduleHorizon is how far ahead a request is scheduled. A request that waits
+	// longer may have been given up on when it is due, and nobody else could use its
+	// turn.
 	ScheduleHorizon = 250 * time.Millisecond
 	// PermitTime is how long after its scheduled time a request may be sent: the
 	// permit is on its way to the entry meanwhile, and a connection is opened.
