--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -6,6 +6,7 @@
 package throttler
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -22,8 +23,10 @@
 	// most. Each takes a leader about 100 µs, so that they take a hundredth of a
 	// core.
 	questionRate = 100
-	// askerTime is how long an entry that asked counts as one that asks.
+	// askerTime is how long an entry that asked counts as one that asks, and
+	// countTime the time between two counts.
 	askerTime = time.Second
+	countTime = 100 * time.Millisecond
 	// shortestPause is the least time between two questions of one entry.
 	shortestPause = 20 * time.Millisecond
 	// endedPause is the wait of an entry that asks under a limit which has ended.
@@ -71,8 +74,10 @@
 	term   uint64
 	from   time.Time
 	limits map[incarnation]*limit
-	// askers are when entries last asked.
-	askers map[string]time.Time
+	// askers are when entries last asked, without those that did long before
+	// countedAt.
+	askers    map[string]time.Time
+	countedAt time.Time
 }
 
 // New returns a throttler that knows no limits.
@@ -221,10 +226,9 @@
 // mutex is held.
 func (t *Throttler) pause(now time.Time, entry string) time.Duration {
 	t.askers[entry] = now
-	for name, at := range t.askers {
-		if now.Sub(at) > askerTime {
-			delete(t.askers, name)
-		}
+	if now.Sub(t.countedAt) >= countTime {
+		t.countedAt = now
+		maps.DeleteFunc(t.askers, func(_ string, at time.Time) bool { return now.Sub(at) > askerTime })
 	}
 	return max(shortestPause, time.Duration(len(t.askers))*time.Second/questionRate)
 }
