fix(mover): reports leave room for orders to an engine with a limit

Reports and orders of the leader share a part of the limit; a report is due all the time and took each turn. It waits half a turn longer now, so that an order that waits goes first.

mover.TestReportsLeaveRoomForOrdersUnderALimit: no order in 20 s before.

--- a/mover/engine.go
+++ b/mover/engine.go
@@ -58,9 +58,10 @@
 	// unanswered counts the reports in a row that did not come.
 	unanswered int
 	restUntil  time.Time
-	// spacedUntil is until when the engine's limit of requests leaves no room for
-	// another call of this member.
+	// spacedUntil is until when the engine's limit of requests leaves no room for an
+	// order, and reportFrom from when on it leaves room for a report.
 	spacedUntil time.Time
+	reportFrom  time.Time
 	intended    string
 	intendedBy  time.Time
 	// adapter is what the last order about an adapter was given for.
--- a/mover/events.go
+++ b/mover/events.go
@@ -138,7 +138,7 @@
 // askReports asks the engines whose report is due.
 func (m *Mover) askReports(now time.Time) {
 	for _, one := range m.engines {
-		if one.asking || one.sending || now.Before(one.askAt) || now.Before(one.spacedUntil) {
+		if one.asking || one.sending || now.Before(one.askAt) || now.Before(one.reportFrom) {
 			continue
 		}
 		one.asking = true
--- a/mover/limit.go
+++ b/mover/limit.go
@@ -20,14 +20,16 @@
 func (m *Mover) charge(one *engine, now time.Time) {
 	limit := m.settings.Limits.Charge(now, one.upstream.Name, one.upstream.Incarnation)
 	if !limit.Named {
-		one.spacedUntil = time.Time{}
+		one.spacedUntil, one.reportFrom = time.Time{}, time.Time{}
 		return
 	}
 	space := longestSpace
 	if own := ownShare * limit.PerSecond; own*longestSpace.Seconds() > 1 {
 		space = time.Duration(float64(time.Second) / own)
 	}
+	// an order that waits goes before the next report
 	one.spacedUntil = now.Add(space)
+	one.reportFrom = now.Add(space + space/2)
 }
 
 // capacity is the work that an engine takes under its limit of requests, in engines
--- a/mover/limit_test.go
+++ b/mover/limit_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"burdocklink/router"
+	"burdocklink/surveyor"
 )
 
 // namedLimits are limits of engines by name.
@@ -62,3 +63,16 @@
 	s.play(4 * time.Second)
 	assert.Equal(t, len(limits.perSecond), 0)
 }
+
+func TestReportsLeaveRoomForOrdersUnderALimit(t *testing.T) {
+	s := newStage(t, map[string][]string{"e0": {"m"}})
+	limits := &namedLimits{perSecond: map[string]float64{"e0": 1}, charged: map[string]int{}}
+	s.mover.settings.Limits = limits
+	s.control.lead(firstTerm, true)
+	for range 20 {
+		s.mover.noteWanted(surveyor.HeldName("s", "n", ""), s.now)
+		s.play(time.Second)
+	}
+	assert.Assert(t, len(s.yard.given()) > 0, "no order in 20 s")
+	assert.Assert(t, limits.charged["e0"] <= 6, "%d calls in 20 s at 1 a second", limits.charged["e0"])
+}
