fix(forwarder): a request whose permit lapsed is admitted anew

A grant that can't be used any more before it is written led to a retry that avoids its upstream. Where that one alone could serve, the request looked for another holder until it was refused. It has been tried nowhere: it is admitted anew now, and whoever leaves or pauses is left out by the router itself.

forwarder.TestARequestWhosePermitLapsedIsNoRetry was red before.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -36,6 +36,9 @@
 	deadline time.Time
 	tries    attempts
 	grant    *admitter.Grant
+	// disallowed is true where the grant could not be used any more: the request
+	// has been tried nowhere then.
+	disallowed bool
 	// failure is an answer that is delivered where no better one comes.
 	failure *answer
 	// last is the number of the last event that the caller has, and had the one
@@ -266,11 +269,11 @@
 // acquire asks for an upstream. A request that looks for one again is counted
 // already.
 func (x *exchange) acquire(ctx context.Context, counted bool) (*admitter.Grant, error) {
-	if x.tries.sends > 0 {
+	if x.tries.sends > 0 && !x.disallowed {
 		return x.Admitter.Again(ctx, x.grant)
 	}
 	request := x.admission()
-	request.Counted = counted
+	request.Counted = counted || x.tries.sends > 0
 	return x.Admitter.Acquire(ctx, request)
 }
 
@@ -325,6 +328,7 @@
 // send makes one attempt at the upstream of the grant.
 func (x *exchange) send(ctx context.Context) error {
 	x.tries.sends++
+	x.disallowed = false
 	x.grant.Started = time.Now()
 	choice := x.grant.Choice
 	path := x.r.RequestURI
@@ -386,7 +390,8 @@
 	var unsent *dispatcher.NotSentError
 	if errors.As(err, &unsent) {
 		outcome := router.OutcomeUnreachable
-		if is[*dispatcher.DisallowedError](err) {
+		x.disallowed = is[*dispatcher.DisallowedError](err)
+		if x.disallowed {
 			outcome = router.OutcomeCancelled
 		}
 		x.settle(outcome)
--- a/forwarder/notice_test.go
+++ b/forwarder/notice_test.go
@@ -104,6 +104,19 @@
 	assert.Equal(t, r.runs.Load(), int32(1))
 }
 
+// The upstream may be the only one, and take the request a moment later.
+func TestARequestWhosePermitLapsedIsNoRetry(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.Idempotent}, whole(200, "first"), whole(200, "second"))
+	r.upstreams.disallowed = "u1"
+	got := r.ask(http.MethodGet, "/x/1", "", nil)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "second")
+	assert.Equal(t, r.admission.asked, 2)
+	assert.Equal(t, r.admission.counted, 1)
+	assert.Equal(t, r.admission.last.Route.Service, "s", "it is admitted anew, and nothing is avoided")
+	assert.Equal(t, len(r.admission.last.Route.Avoid), 0)
+}
+
 func TestAConnectionToALeavingUpstreamIsNotKept(t *testing.T) {
 	cases := map[string]struct {
 		handle http.HandlerFunc
