fix(router): the end of a limit is heard where other upstreams have room

An entry that never needs a limited upstream asks for a spare request now and then, and hears in its answer that the limit has ended. It asked only where that upstream was strictly the better choice, so that one of several idle plain services got nothing any more, for as long as the others had room.

Found by reading the figures of the test (0 requests in 4 s where 11 are allowed), which now asks for the return too: prover.TestUpstreamsGetNoMoreThanTheLimitsTheyName, others take what is beyond it, red before. Beside it: a dispatch is told after it is counted, as before the limits came; a want wakes the reserver once.

--- a/prover/limit_test.go
+++ b/prover/limit_test.go
@@ -207,12 +207,14 @@
 	named := limited.name("1")
 	l := s.flood("/book/1", "", "some", uneven(entries))
 	time.Sleep(limitFrom + limitWindow + shortTime)
-	ended := time.Now()
-	answers := l.end(named)
+	ended := limited.name("")
 	checkLimit(t, limited, 1, named.Add(limitFrom), ended, nil)
+	time.Sleep(limitFrom)
+	back := countIn(limited.came(nil), ended.Add(limitFrom-time.Second), ended.Add(limitFrom))
+	answers := l.end(named)
+	assert.Assert(t, back > 5, "%d requests in a second after the limit has ended", back)
 	served := countStatus(answers, http.StatusOK)
 	assert.Assert(t, served >= len(answers)*95/100, "%d of %d served", served, len(answers))
-	limited.name("")
 }
 
 func playChangedLimit(t *testing.T, s *platformSite, entries int) {
--- a/router/choice.go
+++ b/router/choice.go
@@ -1,4 +1,4 @@
-// Package router chooses the upstream for one request. Choose is pure and
+// Package router chooses the upstream for one request. Choose uses no clock and
 // does not allocate.
 package router
 
--- a/router/choose.go
+++ b/router/choose.go
@@ -29,8 +29,8 @@
 	// paused.
 	pausedUntil time.Time
 	// rationed is the candidate at whose limit of requests there is room first, at
-	// rationedUntil and at a cost; nil where none is at it. perSecond are the limits of all that
-	// are, and looked counts the candidates looked at.
+	// rationedUntil and at a cost; nil where none is at it. perSecond is the sum of
+	// the limits of all that are, and looked counts the candidates looked at.
 	rationed      *limited
 	rationedUntil time.Time
 	rationedCost  time.Duration
@@ -39,7 +39,8 @@
 }
 
 // Choose returns the upstream for a request. It compares a few drawn
-// candidates, never the whole fleet. It returns *NoUpstreamError where no live
+// candidates, never the whole fleet, and notes where it would have taken an upstream
+// but for its limit of requests. It returns *NoUpstreamError where no live
 // upstream holds what is asked for, *PausedError where all that are live asked
 // for a pause, *SaturatedError where some of them are at their limits and
 // *RationedError where those limits are of requests a second.
@@ -60,8 +61,7 @@
 	if s.best == nil {
 		return Choice{}, r.refuse(&s, len(candidates))
 	}
-	if s.rationed != nil && s.rationedCost < s.cost {
-		s.rationed.wantSpare()
+	if s.rationed != nil && s.rationedCost <= s.cost && s.rationed.wantSpare() {
 		r.wake()
 	}
 	return Choice{
@@ -155,8 +155,7 @@
 
 // refuse says why none of so many candidates takes the request.
 func (r *Router) refuse(s *search, candidates int) error {
-	if s.rationed != nil {
-		s.rationed.want(s.now, s.request.Seed)
+	if s.rationed != nil && s.rationed.want(s.now, s.request.Seed) {
 		r.wake()
 	}
 	if s.full > 0 {
--- a/router/limit.go
+++ b/router/limit.go
@@ -147,8 +147,7 @@
 		return true
 	}
 	_, allowed := known.take(now)
-	if !allowed {
-		known.want(now, 0)
+	if !allowed && known.want(now, 0) {
 		r.wake()
 	}
 	return allowed
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"burdocklink/cataloger"
+	"burdocklink/limiter"
 )
 
 func TestALimitHoldsUntilALaterRequestIsAnsweredWithoutIt(t *testing.T) {
@@ -60,3 +61,36 @@
 	assert.Equal(t, len(r.limits), mostHeard)
 	assert.Assert(t, !r.Limit(engine(0)).Named, "the oldest is forgotten first")
 }
+
+// In the answer to a request that could have gone elsewhere, an entry hears the end
+// of a limit.
+func TestSpareRequestsAreAskedForNowAndThen(t *testing.T) {
+	r := New(Settings{})
+	r.Update(fleet(t, 2))
+	r.HeedLimit(epoch, engine(0), epoch, RateLimit{Named: true, PerSecond: 2})
+	now := epoch
+	spare := 0
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		choice, err := r.Choose(now, ask(1))
+		assert.NilError(t, err)
+		assert.Equal(t, choice.Upstream, "e1")
+		asks, _ := r.LimitAsks(now, "core-1")
+		for _, one := range asks {
+			assert.Assert(t, one.Wanted == 0 || one.Spare)
+			spare += one.Wanted
+		}
+		r.Asked("core-1", asks, true)
+	}
+	assert.Equal(t, spare, 5, "once a second")
+	r.TakeReservations([]Reservation{{Upstream: "e0", Incarnation: "1", Permits: []limiter.Permit{{
+		From: now, Until: now.Add(limiter.PermitTime),
+	}}}})
+	choice, err := r.Choose(now, ask(1))
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Upstream, "e0")
+	assert.Assert(t, !r.Started(choice, ask(1), now).IsZero())
+	choice, err = r.Choose(now, ask(2))
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Upstream, "e1")
+}
--- a/router/limited.go
+++ b/router/limited.go
@@ -118,16 +118,17 @@
 	return l.permits.Take(now)
 }
 
-// want notes that a request found no permit.
-func (l *limited) want(now time.Time, seed uint64) {
+// want notes that a request found no permit, and says whether that is news.
+func (l *limited) want(now time.Time, seed uint64) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.wantedAt = now
 	if !l.heard.Named || l.wanted == mostWanted || slices.Contains(l.wanting[:l.wanted], seed) {
-		return
+		return false
 	}
 	l.wanting[l.wanted] = seed
 	l.wanted++
+	return true
 }
 
 // missing is how many permits are to be asked for beside those that are reserved.
@@ -140,11 +141,15 @@
 }
 
 // wantSpare notes that a request would have gone to the upstream and went
-// elsewhere.
-func (l *limited) wantSpare() {
+// elsewhere, and says whether that is news.
+func (l *limited) wantSpare() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.spare = l.heard.Named
+	if l.spare || !l.heard.Named {
+		return false
+	}
+	l.spare = true
+	return true
 }
 
 // ask returns the question that is due now, or when the next one is.
--- a/router/router.go
+++ b/router/router.go
@@ -79,8 +79,9 @@
 	if u == nil {
 		return time.Time{}
 	}
+	until := u.started(now, request, choice.CachedTokens)
 	r.own.changedAt(choice.Upstream)
-	return u.started(now, request, choice.CachedTokens)
+	return until
 }
 
 // Finished takes in what was measured of an own dispatch.
