fix(allocator): a model that nobody holds counts with its work

A model without a copy counted with a constant, against a pain that grew with the square of the work on engines; one that was asked for far beyond its engines outweighed it. Work beyond an engine is lost wherever it is, so its pain is linear now, and a model without a copy loses all its work.

Ruled out: no engine with room or a copy on disk (three kept one).

--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -80,14 +80,14 @@
 	return models
 }
 
-// painOf grows faster than the work on an engine: the wait for a first token
-// does so too.
+// painOf is what the work on an engine costs its requests. Below fullWork it is
+// the wait for a first token, which grows faster than the work. What comes beyond
+// is not served in time, and each part of it costs the same.
 func painOf(work float64) float64 {
-	pain := work * work
-	if work > fullWork {
-		pain += overWeight * (work - fullWork)
+	if work <= fullWork {
+		return work * work
 	}
-	return pain
+	return fullWork*fullWork + lostWeight*(work-fullWork)
 }
 
 // change is a spread in which the demand of a few models is spread anew. All
@@ -140,6 +140,6 @@
 	// fullWork is the work at which an engine's waits begin to grow without
 	// bound, in engines kept busy.
 	fullWork = 0.8
-	// overWeight is what work beyond that costs against work below it.
-	overWeight = 4.0
+	// lostWeight is the pain of one engine's work that is not served in time.
+	lostWeight = 5.6
 )
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -166,13 +166,13 @@
 	}
 }
 
-// wantedGain is the worth of the first copy of a model that requests wait for:
-// more than the longest load costs. wantedRise is what it gains with each second
-// of waiting. A model that is asked for rarely waits a little rather than take
-// the place of one that is pressed, and not for long.
+// wantedGain is the worth of the first copy of a model that requests wait for,
+// beside its work: more than the longest load costs. wantedRise is what it gains
+// with each second of waiting. A model that is asked for rarely waits a little
+// rather than take the place of one that is pressed, and not for long.
 const (
 	wantedGain = 4.0
-	wantedRise = 2.0
+	wantedRise = 1.0
 )
 
 // option is a way to add a copy of a model.
@@ -258,11 +258,12 @@
 	return changed.fall()
 }
 
-// best is the best place for the first copy of a model.
+// best is the best place for the first copy of a model. Without one, all its work
+// is lost.
 func (p *planner) best(model *Model) (option, bool) {
-	gain := wantedGain + wantedRise*p.view.Now.Sub(model.WantedSince).Seconds()
+	gain := wantedGain + wantedRise*p.view.Now.Sub(model.WantedSince).Seconds() + lostWeight*model.Work
 	return p.search(model, true, func(engine string, victims []string) float64 {
-		return gain + p.fall(model, engine, victims) - p.lastCopies(engine, victims)
+		return gain + p.fall(model, engine, victims) - p.disturbance(victims) - p.lastCopies(engine, victims)
 	})
 }
 
--- a/allocator/plan_test.go
+++ b/allocator/plan_test.go
@@ -411,3 +411,24 @@
 		})
 	}
 }
+
+// Found on the users' bench, vandermeulen-atelier, scale-1: the most wanted model of
+// the day lost its only copy and stayed without one for 28 s, while one that looked
+// far busier than all its engines together kept them. What is beyond an engine is
+// lost wherever it is; the work of a model without a copy is lost as well.
+func TestABusyModelWithoutACopyGetsOneFromAModelBeyondItsEngines(t *testing.T) {
+	f := newFleet("crowding", "other", "wanted")
+	for at := range 6 {
+		engine := f.engine(fmt.Sprint("e", at), "crowding", "other")
+		engine.OnDisk["wanted"] = true
+		engine.Copies["other"].Since = now
+	}
+	f.busy("crowding", 12)
+	f.busy("other", 0.3)
+	f.busy("wanted", 2.2)
+	f.Models["wanted"].WantedSince = now
+	drops := ofType[allocator.Drop](allocator.Plan(f.View))
+	assert.Assert(t, len(drops) > 0)
+	assert.Equal(t, drops[0].For, "wanted")
+	assert.Equal(t, drops[0].Why.Reason, "wanted")
+}
