feat(estimator): prompts are paced by what engines are seen to read

The time for a token of the answers gives the speed; slower engines than those of today's sites are paced as before.

--- a/estimator/engine.go
+++ b/estimator/engine.go
@@ -78,6 +78,8 @@
 	// bias is how much longer than predicted the first token takes, in
 	// seconds.
 	bias float64
+	// speed is what was learned of the engines of its service; nil for nothing.
+	speed *Speed
 }
 
 // New returns an estimate for an upstream that batches the given number of
@@ -92,6 +94,9 @@
 	}
 }
 
+// Learn has predictions follow what is learned of the engines of a service.
+func (e *Engine) Learn(speed *Speed) { e.speed = speed }
+
 // Observe takes in a load report. It returns false for a report that is older
 // than the one it has.
 func (e *Engine) Observe(report Report) bool {
@@ -148,6 +153,9 @@
 // Paces says whether a prompt may be sent now without holding up the streams
 // that run.
 func (e *Engine) Paces(now time.Time, work Work) bool {
+	if e.learned() {
+		e.pace.Follow(e.speed)
+	}
 	return e.pace.Allows(now, float64(work.PromptTokens-work.CachedTokens))
 }
 
@@ -255,6 +263,9 @@
 	return prefill, decode
 }
 
+// learned says whether the speed of the engine's service is known.
+func (e *Engine) learned() bool { return e.speed != nil && e.speed.Known() }
+
 func inSeconds(seconds float64) time.Duration {
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/router/table.go
+++ b/router/table.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"burdocklink/cataloger"
+	"burdocklink/estimator"
 )
 
 // table is the index that traffic reads.
@@ -18,6 +19,8 @@
 	// in ascending order of name.
 	holders  map[string][]*upstream
 	services map[string][]*upstream
+	// speeds are how fast the engines of each service are.
+	speeds map[string]*estimator.Speed
 }
 
 func emptyTable(entries int) *table {
@@ -27,6 +30,7 @@
 		placements: map[string]cataloger.Placement{},
 		holders:    map[string][]*upstream{},
 		services:   map[string][]*upstream{},
+		speeds:     map[string]*estimator.Speed{},
 	}
 }
 
@@ -34,6 +38,7 @@
 // incarnations that the table before it knew.
 func newTable(before *table, catalog *cataloger.Catalog) *table {
 	t := emptyTable(before.entries)
+	t.speeds = before.speeds
 	for name, about := range catalog.Upstreams {
 		t.upstreams[name] = before.keep(about)
 	}
@@ -55,12 +60,22 @@
 		return known
 	}
 	if !ok || known.about.Incarnation != about.Incarnation || known.about.Address != about.Address {
-		return newUpstream(about, t.entries)
+		return newUpstream(about, t.entries, t.speed(about.Service))
 	}
 	known.resize(about)
 	return &upstream{about: about, measured: known.measured}
 }
 
+// speed returns how fast the engines of a service are.
+func (t *table) speed(service string) *estimator.Speed {
+	known := t.speeds[service]
+	if known == nil {
+		known = &estimator.Speed{}
+		t.speeds[service] = known
+	}
+	return known
+}
+
 func (t *table) live(catalog *cataloger.Catalog, names []string) []*upstream {
 	live := make([]*upstream, 0, len(names))
 	for _, name := range names {
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -23,6 +23,7 @@
 	// cacheTokens is the memory for prompts and answers, zero where unknown.
 	cacheTokens int
 	engine      *estimator.Engine
+	speed       *estimator.Speed
 	limit       *limiter.Limit
 	circuit     limiter.Circuit
 	// peers is what each other entry has in flight.
@@ -50,15 +51,18 @@
 	models map[string]int
 }
 
-func newUpstream(about cataloger.Upstream, entries int) *upstream {
-	return &upstream{about: about, measured: &measured{
+func newUpstream(about cataloger.Upstream, entries int, speed *estimator.Speed) *upstream {
+	u := &upstream{about: about, measured: &measured{
 		cacheTokens: about.CacheTokens,
 		prefixes:    newPrefixes(),
 		models:      map[string]int{},
 
 		engine: estimator.New(about.Slots, entries),
 		limit:  limiter.New(limiter.Settings{Least: leastLimit, Most: mostAtOnce(about)}),
+		speed:  speed,
 	}}
+	u.engine.Learn(speed)
+	return u
 }
 
 // resize takes in what an upstream can do where that was not known before.
@@ -226,9 +230,15 @@
 	if sample.Outcome == OutcomeFinished || sample.Outcome == OutcomeRefused {
 		m.circuit.Answered()
 	}
+	if sample.Outcome == OutcomeFinished && sample.Tokens >= tellingTokens {
+		m.speed.Observe(sample.Gap())
+	}
 	m.limit.Observe(load, sample.Gap(), sample.BetweenTokensTarget)
 }
 
+// tellingTokens is how long an answer must be to show how fast its upstream writes.
+const tellingTokens = 32
+
 // forget counts the end of a request for a model.
 func (m *measured) forget(model string) {
 	m.models[model]--
