fix(mover): the work of a model follows how many requests engines batch

An engine that batches 12 or 16 requests writes a third of what one with 64 does; the cost of a request was the same, and models of the grown and large sites got too few copies. Engines with 64 cost as before.

--- a/mover/demand.go
+++ b/mover/demand.go
@@ -16,11 +16,13 @@
 	// lastingTime is the longer time that decides what makes way: a model that
 	// is asked for rarely must not look idle between two requests.
 	lastingTime = 8 * time.Second
-	// prefillRate and decodeRate are in tokens per second of a whole engine
+	// prefillRate and mostDecodeRate are in tokens per second of a whole engine
 	// with a full batch, from the service's sheet: what reads prompts, and what
-	// writes answers.
-	prefillRate = 25000.0
-	decodeRate  = 4700.0
+	// writes answers. streamRate is what one answer gets at most, which binds
+	// where an engine batches few.
+	prefillRate    = 25000.0
+	mostDecodeRate = 4700.0
+	streamRate     = 120.0
 	// costWeight is the share of a new reading in the mean cost of a class.
 	costWeight = 0.2
 	// defaultCost is the cost of a request of a class that has not ended any,
@@ -43,6 +45,8 @@
 	names map[string]*asked
 	// costs are by class, in seconds of a whole engine.
 	costs map[string]float64
+	// slots are how many requests the engines of each service batch at once.
+	slots map[string]int
 	at    time.Time
 }
 
@@ -59,7 +63,7 @@
 	m.at = now
 	for name, classes := range fresh {
 		for class, count := range classes {
-			m.learn(class, count)
+			m.learn(name, class, count)
 			if count.Arrivals > 0 {
 				m.find(name, class).at = now
 			}
@@ -92,19 +96,29 @@
 	return one
 }
 
-// learn corrects the cost of a class by requests that have ended.
-func (m *meter) learn(class string, count placer.Count) {
+// learn corrects the cost of a class by requests for a model or adapter that have
+// ended.
+func (m *meter) learn(name, class string, count placer.Count) {
 	if count.Ended == 0 {
 		return
 	}
 	ended := float64(count.Ended)
-	cost := float64(count.PromptTokens)/ended/prefillRate + float64(count.AnswerTokens)/ended/decodeRate
+	cost := float64(count.PromptTokens)/ended/prefillRate + float64(count.AnswerTokens)/ended/m.decodeRate(name)
 	if before, known := m.costs[class]; known {
 		cost = before + costWeight*(cost-before)
 	}
 	m.costs[class] = cost
 }
 
+// decodeRate is how many tokens a second a whole engine that holds a model writes.
+func (m *meter) decodeRate(name string) float64 {
+	service, _, _, ok := surveyor.ParseHeldName(name)
+	if slots := m.slots[service]; ok && slots > 0 {
+		return min(mostDecodeRate, streamRate*float64(slots))
+	}
+	return mostDecodeRate
+}
+
 // meanCost is the mean cost of the classes, in seconds of a whole engine.
 func (m *meter) meanCost() float64 {
 	if len(m.costs) == 0 {
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -364,6 +364,12 @@
 		return
 	}
 	m.demandAt = now.Add(demandEvery)
+	m.meter.slots = map[string]int{}
+	for name, service := range m.configuration.Services {
+		if service.Engine != nil {
+			m.meter.slots[name] = service.Engine.Slots
+		}
+	}
 	m.meter.observe(now, m.settings.Fresh())
 }
 
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -471,3 +471,22 @@
 	after := m.names[surveyor.HeldName("s", "m", "a1")].rate["draft"]
 	assert.Assert(t, after < 0.1, "%.2f", after)
 }
+
+// Found on the users' bench, grown sites: engines that batch few requests looked as
+// if they wrote as much as those that batch many, and models got half of the copies
+// that they needed.
+func TestWorkFollowsHowManyRequestsAnEngineBatches(t *testing.T) {
+	costs := map[int]float64{}
+	for _, slots := range []int{12, 16, 64} {
+		m := newMeter()
+		m.slots = map[string]int{"s": slots}
+		m.observe(time.Unix(100, 0), map[string]map[string]placer.Count{
+			surveyor.HeldName("s", "m", ""): {"draft": {Ended: 10, PromptTokens: 14600, AnswerTokens: 1760}},
+		})
+		costs[slots] = m.costs["draft"]
+	}
+	assert.Assert(t, costs[12] > costs[16] && costs[16] > costs[64], "%v", costs)
+	// a stream of 176 tokens at 8.2 ms each takes one of 16 slots for 1.44 s, and
+	// its prompt 57 ms of the whole engine
+	assert.Assert(t, costs[16] > 0.1 && costs[16] < 0.18, "%.3f", costs[16])
+}
