feat(admitter): a request that won't get its turn is refused at once

Requests waited up to two seconds and were refused then. Where others before it need longer than it is of use, measured while requests wait, it is refused at once with the time that they need. The more important route goes first among those whose targets are near.

--- /dev/null
+++ b/admitter/flow_test.go
@@ -0,0 +1,110 @@
+package admitter
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/router"
+)
+
+// TestARequestBehindTooManyIsRefusedAtOnce plays an overload of one model: four
+// requests a second are served, and more wait than can be served while they are of
+// use. Who comes last is told so at once, and when to come back.
+func TestARequestBehindTooManyIsRefusedAtOnce(t *testing.T) {
+	const perSecond = 4
+	q, _ := queueOf(t, 1)
+	q.Arrive(epoch, at(epoch, "running"))
+	running := granted(q)
+	assert.Equal(t, len(running), 1)
+	now := epoch
+	serve := func(until time.Time) {
+		for now = now.Add(time.Second / perSecond); now.Before(until); now = now.Add(time.Second / perSecond) {
+			q.End(running[0], Result{Ended: now, Outcome: router.OutcomeFinished})
+			running = running[1:]
+			q.Pump(now)
+			running = append(running, granted(q)...)
+			assert.Equal(t, len(running), 1)
+			q.Arrive(now, patient(now, "steady", 2*time.Second))
+		}
+	}
+	for range 4 {
+		q.Arrive(now, patient(now, "first", 4*time.Second))
+	}
+	serve(epoch.Add(3 * time.Second))
+	waiting := q.Waiting()
+	for range 30 {
+		q.Arrive(now, patient(now, "burst", 2*time.Second))
+	}
+	q.Pump(now)
+	refused := 0
+	for _, d := range q.Take() {
+		var hopeless *HopelessError
+		assert.Assert(t, errors.As(d.Err, &hopeless), "%v", d.Err)
+		assert.Assert(t, hopeless.Retry.Sub(now) >= time.Second)
+		refused++
+	}
+	// eight are served in two seconds
+	assert.Assert(t, q.Waiting() <= 2*perSecond+1, "%d wait", q.Waiting())
+	assert.Assert(t, refused >= 30+waiting-2*perSecond-1, "%d refused", refused)
+	assert.Assert(t, q.Waiting() >= perSecond)
+}
+
+// Little demand says nothing of how much could be served.
+func TestABurstAfterCalmIsNotRefused(t *testing.T) {
+	q, _ := queueOf(t, 1)
+	now := epoch
+	for range 5 {
+		q.Arrive(now, at(now, "calm"))
+		grants := granted(q)
+		assert.Equal(t, len(grants), 1)
+		now = now.Add(time.Second)
+		q.End(grants[0], Result{Ended: now, Outcome: router.OutcomeFinished})
+		q.Pump(now)
+	}
+	for range 10 {
+		q.Arrive(now, patient(now, "burst", 2*time.Second))
+	}
+	q.Pump(now)
+	for _, d := range q.Take() {
+		assert.NilError(t, d.Err)
+	}
+	assert.Equal(t, q.Waiting(), 9)
+}
+
+// TestWhoGoesFirst has tickets wait for one slot.
+func TestWhoGoesFirst(t *testing.T) {
+	ticket := func(rank int, target time.Duration) Request {
+		request := patient(epoch, "", 20*time.Second)
+		request.Rank, request.Class.Target.FirstToken = rank, target
+		return request
+	}
+	cases := map[string]struct {
+		first, second Request
+		after         time.Duration
+	}{
+		"the more important one":                   {ticket(0, 600*time.Millisecond), ticket(2, 500*time.Millisecond), 0},
+		"the one with less time among equals":      {ticket(1, 500*time.Millisecond), ticket(1, 600*time.Millisecond), 0},
+		"who has little time before who has more":  {ticket(2, 500*time.Millisecond), ticket(1, 5*time.Second), 0},
+		"who can meet its target before who can't": {ticket(2, 5*time.Second), ticket(0, 500*time.Millisecond), time.Second},
+		"the more important one that is overdue":   {ticket(0, 600*time.Millisecond), ticket(2, 500*time.Millisecond), time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q, _ := queueOf(t, 1)
+			q.Arrive(epoch, at(epoch, "running"))
+			running := granted(q)
+			c.first.Subscriber, c.second.Subscriber = "first", "second"
+			q.Arrive(epoch, c.second)
+			q.Arrive(epoch, c.first)
+			now := epoch.Add(c.after)
+			q.End(running[0], Result{Ended: now, Outcome: router.OutcomeFinished})
+			q.Pump(now)
+			next := granted(q)
+			assert.Equal(t, len(next), 1)
+			assert.Equal(t, next[0].request.Subscriber, "first")
+		})
+	}
+}
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -21,13 +22,16 @@
 // the time left to their targets. It is owned by one goroutine. Each call may
 // make decisions, which Take returns.
 type Queue struct {
-	router    *router.Router
-	waiting   []*Ticket
-	demand    *ledger
-	budgets   budgets
-	shares    *shares
-	pace      pace
-	returns   returns
+	router  *router.Router
+	waiting []*Ticket
+	demand  *ledger
+	budgets budgets
+	shares  *shares
+	pace    pace
+	returns returns
+	flows   flows
+	// before counts the requests that wait, by flow, up to the one that is looked at.
+	before    map[string]int
 	decisions []Decision
 	// groups number the kinds of waiting requests; blocked says which of them
 	// found no room in the current round.
@@ -50,6 +54,8 @@
 		shares:  newShares(shareEntries),
 		groups:  map[kind]int{},
 		returns: returns{},
+		flows:   flows{},
+		before:  map[string]int{},
 	}
 }
 
@@ -88,7 +94,8 @@
 // found no room, those after it that ask for the same are not tried.
 func (q *Queue) Pump(now time.Time) {
 	clear(q.blocked)
-	q.overdueLast(now)
+	clear(q.before)
+	q.sort(now)
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
 		if q.hopeless(now, t) {
@@ -101,8 +108,13 @@
 			t.holderBy = time.Time{}
 		}
 		q.blocked[t.group] = true
+		if q.tooManyAhead(now, t) {
+			continue
+		}
+		q.before[flowOf(&t.request)]++
 		kept = append(kept, t)
 	}
+	q.flows.settle(q.before, now)
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
 	q.lookAt = time.Time{}
@@ -111,22 +123,35 @@
 	}
 }
 
-// overdueLast moves those that can't meet their targets any more behind those
-// that can. It answers an overload: serving what is overdue first would make
-// all that comes after it overdue too.
-func (q *Queue) overdueLast(now time.Time) {
+// sort moves those that can't meet their targets any more behind those that can. It
+// answers an overload: serving what is overdue first would make all that comes after
+// it overdue too. Those that have little time left go before those that have more,
+// and the more important first among each.
+func (q *Queue) sort(now time.Time) {
 	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
-		switch first, second := a.overdue(now), b.overdue(now); {
-		case first == second:
-			return 0
-		case second:
-			return -1
-		default:
-			return 1
+		if first, second := a.turn(now), b.turn(now); first != second {
+			return cmp.Compare(first, second)
 		}
+		return cmp.Compare(a.request.Rank, b.request.Rank)
 	})
 }
 
+// tooManyAhead refuses a ticket that won't get its turn while it is of use to its
+// caller, given how fast those before it get theirs.
+func (q *Queue) tooManyAhead(now time.Time, t *Ticket) bool {
+	if t.giveUpBy.IsZero() || !t.holderBy.IsZero() {
+		return false
+	}
+	name := flowOf(&t.request)
+	wait := q.flows.of(name, now).wait(q.before[name] + 1)
+	if !now.Add(wait).After(t.giveUpBy) {
+		return false
+	}
+	q.demand.refused(&t.request)
+	q.decide(Decision{Ticket: t, Err: &HopelessError{Retry: now.Add(min(latestRetry, max(soonestRetry, wait)))}})
+	return true
+}
+
 // Next returns when the next ticket is to be given up on, zero for never.
 func (q *Queue) Next() time.Time {
 	next := q.lookAt
@@ -330,6 +355,9 @@
 
 func (q *Queue) grant(now time.Time, t *Ticket, choice router.Choice) {
 	choice.PermitUntil = q.router.Started(choice, &t.request.Route, now)
+	if t.waited {
+		q.flows.of(flowOf(&t.request), now).granted++
+	}
 	q.pace.granted(now)
 	q.shares.add(now, t.request.Subscriber, cost(&t.request))
 	q.decide(Decision{Ticket: t, Grant: &Grant{
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -15,6 +15,8 @@
 type Request struct {
 	Subscriber string
 	Class      classifier.Class
+	// Rank is the importance that operators gave to the route, 0 for the highest.
+	Rank int
 	// Arrived is when the request reached the entry.
 	Arrived time.Time
 	// Deadline is the caller's own, zero if there is none.
