--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/admitter"
+	"burdocklink/chooser"
 	"burdocklink/classifier"
 	"burdocklink/dispatcher"
 	"burdocklink/linker"
@@ -199,40 +200,20 @@
 	return nil
 }
 
-// holderPause is the wait before a holder is looked for again that the control
-// group knows of and that can't be reached, and holderRetry the time in which
-// the group notices that.
-const (
-	holderPause = 50 * time.Millisecond
-	holderRetry = time.Second
-)
-
 // choose waits for an upstream, and for one that holds what is asked for.
 func (x *exchange) choose(ctx context.Context) error {
-	for looks := 0; ; looks++ {
-		grant, err := x.acquire(ctx, looks > 0)
-		var nowhere *router.NoUpstreamError
-		if errors.As(err, &nowhere) && x.request.Model != "" {
-			if looks > 0 && !linker.Pause(ctx, holderPause) {
-				return context.Cause(ctx)
-			}
-			if time.Now().After(x.usefulUntil()) {
-				return &AbsentError{Model: x.request.Model, Retry: time.Now().Add(holderRetry)}
-			}
-			if err := x.Holders.Want(ctx, x.service, x.request.Model, x.request.Adapter, x.usefulUntil()); err != nil {
-				return err
-			}
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		x.grant = grant
-		if x.granted.IsZero() {
-			x.granted = time.Now()
-		}
-		return nil
+	wanted := chooser.Wanted{
+		Service: x.service, Model: x.request.Model, Adapter: x.request.Adapter, By: x.usefulUntil(),
 	}
+	grant, err := chooser.Choose(ctx, x.Holders, wanted, x.acquire)
+	if err != nil {
+		return err
+	}
+	x.grant = grant
+	if x.granted.IsZero() {
+		x.granted = time.Now()
+	}
+	return nil
 }
 
 // mostHeld is the part of the caller's time for which a stream's request may wait
@@ -280,6 +261,7 @@
 func (x *exchange) admission() admitter.Request {
 	asked := admitter.Request{
 		Class:    x.class,
+		Rank:     x.route.Rank,
 		Arrived:  x.arrived,
 		Deadline: x.deadline,
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/admitter"
+	"burdocklink/chooser"
 	"burdocklink/dispatcher"
 	"burdocklink/linker"
 	"burdocklink/matcher"
@@ -32,11 +33,9 @@
 
 // Holders brings about that a model or adapter is held somewhere.
 type Holders interface {
+	chooser.Holders
 	// Name is what the router calls a model or adapter of a service.
 	Name(service, model, adapter string) string
-	// Want asks for a holder and waits until there may be one. It returns an
-	// *AbsentError where none will be there in time.
-	Want(ctx context.Context, service, model, adapter string, by time.Time) error
 }
 
 // Upstreams knows what upstreams say of themselves.
@@ -187,13 +186,3 @@
 
 // Unwrap returns the cause.
 func (e *CutError) Unwrap() error { return e.Cause }
-
-// AbsentError says that no upstream holds a model or adapter in time.
-type AbsentError struct {
-	Model string
-	// Retry is when one is expected to.
-	Retry time.Time
-}
-
-// Error names the model.
-func (e *AbsentError) Error() string { return "no upstream holds " + e.Model }
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/admitter"
+	"burdocklink/chooser"
 	"burdocklink/reporter"
 	"burdocklink/router"
 )
@@ -72,7 +73,7 @@
 	var nowhere *router.NoUpstreamError
 	var paused *router.PausedError
 	var rationed *router.RationedError
-	var absent *AbsentError
+	var absent *chooser.AbsentError
 	var unrun *NotRunError
 	switch {
 	case errors.As(err, &hopeless):
@@ -128,6 +129,9 @@
 	if x.grant != nil {
 		fields = append(fields, zap.String("upstream", x.grant.Choice.Upstream),
 			zap.Duration("queued", x.granted.Sub(x.arrived)))
+		if x.grant.By != "" {
+			fields = append(fields, zap.String("admitted-by", x.grant.By))
+		}
 	}
 	if x.limit.Named {
 		fields = append(fields, zap.Float64("limit", x.limit.PerSecond))
--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -10,9 +10,9 @@
 
 	"go.uber.org/zap"
 
+	"burdocklink/chooser"
 	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
-	"burdocklink/forwarder"
 	"burdocklink/linker"
 	"burdocklink/surveyor"
 )
@@ -77,7 +77,7 @@
 }
 
 // Want asks for a holder and waits until there is one. It returns a
-// *forwarder.AbsentError where none will be there by a time, or the context's
+// *chooser.AbsentError where none will be there by a time, or the context's
 // error.
 func (s *Seeker) Want(ctx context.Context, service, model, adapter string, by time.Time) error {
 	name := s.Name(service, model, adapter)
@@ -103,7 +103,7 @@
 		case err == nil && reply.GetLeading() && reply.GetReadyInMs() >= 0:
 			ready := time.Duration(reply.GetReadyInMs()) * time.Millisecond
 			if time.Now().Add(ready).After(by) {
-				return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(ready)}
+				return &chooser.AbsentError{Model: model, Retry: time.Now().Add(ready)}
 			}
 			pause = min(lookPause, max(retryPause, ready))
 		case err == nil && reply.GetLeading():
@@ -157,7 +157,7 @@
 // rest waits. It returns an error where the time is over first.
 func (s *Seeker) rest(ctx context.Context, model string, pause time.Duration, by time.Time) error {
 	if time.Now().Add(pause).After(by) {
-		return &forwarder.AbsentError{Model: model, Retry: time.Now().Add(unknownRetry)}
+		return &chooser.AbsentError{Model: model, Retry: time.Now().Add(unknownRetry)}
 	}
 	if !linker.Pause(ctx, pause) {
 		return context.Cause(ctx)
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -15,8 +15,8 @@
 	"google.golang.org/grpc"
 	"gotest.tools/v3/assert"
 
+	"burdocklink/chooser"
 	"burdocklink/encoder/wire"
-	"burdocklink/forwarder"
 	"burdocklink/linker"
 	"burdocklink/seeker"
 	"burdocklink/surveyor"
@@ -90,7 +90,7 @@
 				assert.Equal(t, (*told)[0].Upstream, "e1")
 				return
 			}
-			var absent *forwarder.AbsentError
+			var absent *chooser.AbsentError
 			assert.Assert(t, errors.As(err, &absent))
 			assert.Assert(t, time.Until(absent.Retry) > 30*time.Second)
 		})
@@ -100,7 +100,7 @@
 func TestWantEndsWithItsTime(t *testing.T) {
 	s, _, _ := seek(t, func(int32) *wire.WantReply { return &wire.WantReply{ReadyInMs: -1} })
 	err := s.Want(t.Context(), "s", "m", "", time.Now().Add(100*time.Millisecond))
-	var absent *forwarder.AbsentError
+	var absent *chooser.AbsentError
 	assert.Assert(t, errors.As(err, &absent))
 }
 
@@ -115,7 +115,7 @@
 		ended.Add(1)
 	}
 	err := s.Want(t.Context(), "s", "m", "a1", time.Now().Add(50*time.Millisecond))
-	var absent *forwarder.AbsentError
+	var absent *chooser.AbsentError
 	assert.Assert(t, errors.As(err, &absent))
 	assert.Equal(t, ended.Load(), int32(0))
 }
