feat(delegator): one entry admits the requests for a model in a large fleet

Cause: 83 or 291 entries that see a few requests a second each and hear 24 others can't know an engine's room: engines rejected 12,065 of 45,977 arrivals on the large site, the busiest had 3.75 times the mean. The entry that a model belongs to (rendezvous hashing; a deputy, then today's own estimate where it is silent) queues its requests, chooses engines among all holders and hears of those that share them; the entry that took a request sends it there itself. From 26 entries on.

The leader's readings of the list are told each 0.75 s at that size: with drainMs of 4 s a reading may be 2 s old, so that entries need not read it themselves.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -106,6 +106,15 @@
 	return a.wait(ctx, newRetry(grant))
 }
 
+// Retry waits for an upstream for a request whose grant by another entry failed. It
+// must not be called for a request that may have run and must not be repeated. Paid
+// is true where it needs none of the retry budget.
+func (a *Admitter) Retry(ctx context.Context, request Request, paid bool) (*Grant, error) {
+	t := newTicket(request)
+	t.after = &Grant{request: request, paid: paid}
+	return a.wait(ctx, t)
+}
+
 // Demand returns what was asked for since the start, for the control plane.
 func (a *Admitter) Demand() placer.Demand {
 	reply := make(chan placer.Demand, 1)
--- a/admitter/grant.go
+++ b/admitter/grant.go
@@ -16,8 +16,13 @@
 	// Started is when the grant was given.
 	Started time.Time
 
+	// By names the entry that gave the grant; empty for this one.
+	By string
+
 	request  Request
 	admitter *Admitter
+	// settle takes the result of a grant that another entry gave; nil for own ones.
+	settle func(first time.Time, result Result)
 	// paid is true once another dispatch needs no more of the retry budget. The
 	// queue owns it after Again.
 	paid  bool
@@ -26,6 +31,22 @@
 	done  bool
 }
 
+// NewGrant returns a grant that another entry gave for a request. Paid is true where
+// a retry after it needs no more of the retry budget. Settle takes its result.
+func NewGrant(by string, choice router.Choice, request Request, paid bool, settle func(first time.Time, result Result)) *Grant {
+	return &Grant{
+		Choice: choice, Priority: priority(request.Class), Started: time.Now(), By: by,
+		request: request, paid: paid, settle: settle,
+	}
+}
+
+// Retry returns what to ask for after the grant has failed, and whether that needs
+// no more of the retry budget.
+func (g *Grant) Retry() (Request, bool) { return newRetry(g).request, g.paid }
+
+// Paid says whether another dispatch needs no more of the retry budget.
+func (g *Grant) Paid() bool { return g.paid }
+
 // FirstToken records when the first token came. Only the first call counts,
 // and none after Done.
 func (g *Grant) FirstToken(at time.Time) {
@@ -44,6 +65,9 @@
 		return
 	}
 	g.done = true
+	if g.settle != nil {
+		g.settle(g.first, result)
+	}
 	if g.admitter != nil {
 		g.admitter.finish(ended{grant: g, result: result})
 	}
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -39,6 +39,8 @@
 	// noteQueue is how many notes may wait for a peer before the oldest are left
 	// out.
 	noteQueue = 16
+	// idleTime is how long a stream is kept to a peer that there is nothing to tell.
+	idleTime = 5 * time.Second
 	// redialPause is the wait before a peer is called again.
 	redialPause = 200 * time.Millisecond
 )
@@ -54,6 +56,12 @@
 	// Answer answers other entries that ask for a reading of the platform's
 	// list; nil where nobody does.
 	Answer func(ctx context.Context, question surveyor.Question) (surveyor.Reading, error)
+	// Interested returns the entries that should know what this one dispatches to
+	// an upstream; nil where all that this one tells should. It is nil itself where
+	// that holds for all upstreams.
+	Interested func(upstream string) []string
+	// Register offers further services to other entries; nil for none.
+	Register func(server *grpc.Server)
 	// Wake is called when room at an upstream may have changed.
 	Wake func()
 	Log  *zap.Logger
@@ -81,6 +89,10 @@
 // peer is one entry that is told.
 type peer struct {
 	address string
+	// partial is true for an entry that is told only of upstreams in which it is
+	// interested, and toldAt when it last was.
+	partial bool
+	toldAt  time.Time
 	notes   chan *wire.EntryNotes
 	cancel  context.CancelFunc
 	ctx     context.Context
@@ -113,6 +125,9 @@
 	if b.settings.Answer != nil {
 		wire.RegisterReadingsServer(b.server, &readings{answer: b.settings.Answer})
 	}
+	if b.settings.Register != nil {
+		b.settings.Register(b.server)
+	}
 	go b.runServer(listener)
 	go b.run()
 	return nil
@@ -147,10 +162,16 @@
 		}
 	}
 	for address, known := range b.peers {
-		if !wanted[address] {
-			known.cancel()
-			delete(b.peers, address)
-		}
+		known.partial = !wanted[address]
+	}
+	b.forgetIdle()
+}
+
+// queue has notes sent; the oldest are left out where too many wait.
+func (p *peer) queue(notes *wire.EntryNotes) {
+	select {
+	case p.notes <- notes:
+	default:
 	}
 }
 
@@ -172,22 +193,21 @@
 		case <-b.ctx.Done():
 			return
 		case now := <-timer.C:
+			told := 0
 			if notes := b.collect(now.After(repeatAt)); notes != nil {
-				b.tell(notes)
+				told = b.tell(notes)
 			}
 			if now.After(repeatAt) {
 				repeatAt = now.Add(repeatTime)
 			}
-			timer.Reset(b.pause())
+			timer.Reset(pauseAfter(told))
 		}
 	}
 }
 
-// pause is the time to the next notes.
-func (b *Broadcaster) pause() time.Duration {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return max(flushTime, time.Duration(len(b.peers))*time.Second/notesPerSecond)
+// pauseAfter is the time to the next notes after some were told to so many peers.
+func pauseAfter(told int) time.Duration {
+	return max(flushTime, time.Duration(told)*time.Second/notesPerSecond)
 }
 
 // collect returns what changed, with all other shares where they are repeated;
@@ -219,14 +239,63 @@
 	return news
 }
 
-// tell queues notes for all peers. One that does not keep up misses some.
-func (b *Broadcaster) tell(notes *wire.EntryNotes) {
+// tell queues notes for those that should know, and returns for how many. One that
+// does not keep up misses some.
+func (b *Broadcaster) tell(notes *wire.EntryNotes) int {
+	shared, apart := b.sort(notes)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	for _, one := range b.peers {
-		select {
-		case one.notes <- notes:
-		default:
+	for address := range apart {
+		if b.peers[address] == nil {
+			b.add(address)
+			b.peers[address].partial = true
+		}
+		b.peers[address].toldAt = time.Now()
+	}
+	told := 0
+	for address, one := range b.peers {
+		due := shared
+		if own := apart[address]; one.partial || len(own) > 0 {
+			due = &wire.EntryNotes{Entry: notes.GetEntry(), Loads: own, Whole: notes.GetWhole()}
+			if !one.partial {
+				due.Loads = append(due.Loads, shared.GetLoads()...)
+			}
+		}
+		if len(due.GetLoads()) > 0 || due.GetWhole() {
+			one.queue(due)
+			told++
+		}
+	}
+	b.forgetIdle()
+	return told
+}
+
+// sort parts what is told to all but partial peers from what only some should know.
+func (b *Broadcaster) sort(notes *wire.EntryNotes) (shared *wire.EntryNotes, apart map[string][]*wire.EntryLoad) {
+	if b.settings.Interested == nil {
+		return notes, nil
+	}
+	shared = &wire.EntryNotes{Entry: notes.GetEntry(), Whole: notes.GetWhole()}
+	apart = map[string][]*wire.EntryLoad{}
+	for _, load := range notes.GetLoads() {
+		interested := b.settings.Interested(load.GetUpstream())
+		if interested == nil {
+			shared.Loads = append(shared.Loads, load)
+		}
+		for _, address := range interested {
+			apart[address] = append(apart[address], load)
+		}
+	}
+	return shared, apart
+}
+
+// forgetIdle ends the streams to entries that nothing was told for a time, but for
+// those that are told of everything. The mutex is held.
+func (b *Broadcaster) forgetIdle() {
+	for address, one := range b.peers {
+		if one.partial && time.Since(one.toldAt) > idleTime {
+			one.cancel()
+			delete(b.peers, address)
 		}
 	}
 }
--- a/broadcaster/broadcaster_test.go
+++ b/broadcaster/broadcaster_test.go
@@ -29,6 +29,12 @@
 
 // newEntryThat wakes somebody when notes have arrived.
 func newEntryThat(t testing.TB, name string, wake func()) *entry {
+	t.Helper()
+	return newEntryWith(t, name, func(settings *broadcaster.Settings) { settings.Wake = wake })
+}
+
+// newEntryWith changes the settings of the broadcaster.
+func newEntryWith(t testing.TB, name string, change func(*broadcaster.Settings)) *entry {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -43,9 +49,11 @@
 	e.router.Update(catalog)
 	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
 	t.Cleanup(links.Close)
-	e.notes = broadcaster.New(broadcaster.Settings{
-		Entry: name, Listen: e.address, Links: links, Router: e.router, Wake: wake, Log: zap.NewNop(),
-	})
+	settings := broadcaster.Settings{
+		Entry: name, Listen: e.address, Links: links, Router: e.router, Wake: func() {}, Log: zap.NewNop(),
+	}
+	change(&settings)
+	e.notes = broadcaster.New(settings)
 	assert.NilError(t, e.notes.Start(t.Context(), nil))
 	t.Cleanup(func() { _ = e.notes.Stop(time.Now().Add(time.Second)) })
 	return e
@@ -91,3 +99,21 @@
 	a.notes.Meet(nil)
 	eventually(t, "it ages", func() bool { return !b.full() })
 }
+
+// Found on the users' bench, large site: each of 291 entries told 24 others of all
+// that it dispatched, and those that chose engines heard of one in twelve.
+func TestOnlyThoseInterestedInAnUpstreamAreTold(t *testing.T) {
+	a, interested, peer := newEntry(t, "a"), newEntry(t, "b"), newEntry(t, "c")
+	teller := newEntryWith(t, "d", func(settings *broadcaster.Settings) {
+		settings.Interested = func(string) []string { return []string{interested.address} }
+	})
+	teller.notes.Meet([]string{peer.address, a.address})
+	request := router.Request{Service: "s", PromptTokens: 100}
+	choice, err := teller.router.Choose(time.Now(), &request)
+	assert.NilError(t, err)
+	teller.router.Started(choice, &request, time.Now())
+	eventually(t, "the dispatch is known", interested.full)
+	assert.Assert(t, !peer.full() && !a.full())
+	teller.router.Finished(choice, router.Sample{Ended: time.Now(), Work: request.Work(), Outcome: router.OutcomeFinished})
+	eventually(t, "its end is known", func() bool { return !interested.full() })
+}
--- /dev/null
+++ b/delegator/delegator_test.go
@@ -0,0 +1,351 @@
+package delegator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"burdocklink/admitter"
+	"burdocklink/chooser"
+	"burdocklink/classifier"
+	"burdocklink/delegator"
+	"burdocklink/linker"
+	"burdocklink/router"
+)
+
+// local is the admission of one entry.
+type local struct {
+	mutex sync.Mutex
+	// err is given in place of a grant; block lets requests wait for their callers
+	// to leave.
+	err   error
+	block bool
+	asked []admitter.Request
+	// retries counts the calls of Retry, paid those that need no budget.
+	retries, paid int
+	// left receives when a request that waits was given up.
+	left chan error
+	// settled receives the results of grants.
+	settled chan admitter.Result
+}
+
+func newLocal() *local {
+	return &local{left: make(chan error, 4), settled: make(chan admitter.Result, 4)}
+}
+
+func (l *local) Acquire(ctx context.Context, request admitter.Request) (*admitter.Grant, error) {
+	l.mutex.Lock()
+	l.asked = append(l.asked, request)
+	err, block := l.err, l.block
+	l.mutex.Unlock()
+	if block {
+		<-ctx.Done()
+		l.left <- ctx.Err()
+		return nil, ctx.Err()
+	}
+	if err != nil {
+		return nil, err
+	}
+	choice := router.Choice{
+		Upstream: "e1", Incarnation: "i1", Address: "10.1.1.1:80", CachedTokens: 7,
+		Predicted: time.Now().Add(40 * time.Millisecond), PermitUntil: time.Now().Add(300 * time.Millisecond),
+	}
+	return admitter.NewGrant("", choice, request, false, func(_ time.Time, result admitter.Result) { l.settled <- result }), nil
+}
+
+func (l *local) Again(ctx context.Context, grant *admitter.Grant) (*admitter.Grant, error) {
+	request, paid := grant.Retry()
+	return l.Retry(ctx, request, paid)
+}
+
+func (l *local) Retry(ctx context.Context, request admitter.Request, paid bool) (*admitter.Grant, error) {
+	l.mutex.Lock()
+	l.retries++
+	if paid {
+		l.paid++
+	}
+	l.mutex.Unlock()
+	return l.Acquire(ctx, request)
+}
+
+func (l *local) requests() []admitter.Request {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]admitter.Request(nil), l.asked...)
+}
+
+// holders finds no holder.
+type holders struct{}
+
+func (holders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
+	return &chooser.AbsentError{Model: model, Retry: time.Now().Add(3 * time.Second)}
+}
+
+// entry is one of a fleet.
+type entry struct {
+	*delegator.Delegator
+	address string
+	local   *local
+	server  *grpc.Server
+}
+
+func newEntry(t *testing.T) *entry {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &entry{address: listener.Addr().String(), local: newLocal(), server: grpc.NewServer()}
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
+	e.Delegator = delegator.New(delegator.Settings{
+		Listen: e.address, Links: links, Local: e.local, Holders: holders{},
+		Held: held, Log: zap.NewNop(),
+	})
+	e.Register(e.server)
+	go func() { _ = e.server.Serve(listener) }()
+	t.Cleanup(func() {
+		e.server.Stop()
+		links.Close()
+	})
+	return e
+}
+
+// fleet is an entry that takes requests and one that admits them, among others that
+// are not there.
+type fleet struct {
+	taking, admitting *entry
+	// model belongs to the admitting entry.
+	model string
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{taking: newEntry(t), admitting: newEntry(t)}
+	members := []string{f.taking.address, f.admitting.address}
+	for number := range 40 {
+		members = append(members, fmt.Sprintf("127.0.0.2:%d", 1+number))
+	}
+	f.taking.Meet(members)
+	f.admitting.Meet(members)
+	f.model = modelOf(f.taking.Delegator, f.admitting.address)
+	return f
+}
+
+// modelOf returns a model whose requests an entry admits.
+func modelOf(seen *delegator.Delegator, address string) string {
+	for number := 0; ; number++ {
+		interested := seen.Interested(fmt.Sprint(number))
+		if len(interested) == 1 && interested[0] == address {
+			return held(fmt.Sprint(number))[0]
+		}
+	}
+}
+
+// held is the model that an upstream holds.
+func held(upstream string) []string { return []string{"model of " + upstream} }
+
+func (f *fleet) request() admitter.Request {
+	now := time.Now()
+	return admitter.Request{
+		Subscriber: "s", Rank: 2, Arrived: now.Add(-20 * time.Millisecond), Deadline: now.Add(5 * time.Second),
+		UsefulUntil: now.Add(2 * time.Second),
+		Class:       classifier.Class{Name: "chat", Target: classifier.Target{FirstToken: 500 * time.Millisecond}},
+		Route: router.Request{
+			Service: "engines", Holds: f.model, Base: f.model, PromptTokens: 100, AnswerTokens: 20,
+			Parts: []router.Part{{Hash: 5, Tokens: 50}, {Hash: 6, Tokens: 100}}, AvailabilityZone: "z", Seed: 9,
+		},
+	}
+}
+
+func TestTheEntryOfAModelAdmitsItsRequests(t *testing.T) {
+	f := newFleet(t)
+	sent := f.request()
+	before := time.Now()
+	grant, err := f.taking.Acquire(t.Context(), sent)
+	assert.NilError(t, err)
+	assert.Equal(t, grant.By, f.admitting.address)
+	assert.Equal(t, grant.Choice.Upstream, "e1")
+	assert.Equal(t, grant.Choice.Incarnation, "i1")
+	assert.Equal(t, grant.Choice.Address, "10.1.1.1:80")
+	assert.Equal(t, grant.Choice.CachedTokens, 7)
+	// a permit never lasts longer than where it was given
+	assert.Assert(t, grant.Choice.PermitUntil.After(before.Add(200*time.Millisecond)))
+	assert.Assert(t, grant.Choice.PermitUntil.Before(time.Now().Add(300*time.Millisecond)))
+	asked := f.admitting.local.requests()
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, len(f.taking.local.requests()), 0)
+	got := asked[0]
+	for name, times := range map[string][2]time.Time{
+		"arrived": {got.Arrived, sent.Arrived}, "deadline": {got.Deadline, sent.Deadline}, "useful": {got.UsefulUntil, sent.UsefulUntil},
+	} {
+		assert.Assert(t, times[0].Sub(times[1]).Abs() < 500*time.Millisecond, name)
+	}
+	assert.Assert(t, got.Route.Thorough)
+	got.Arrived, got.Deadline, got.UsefulUntil, got.Route.Thorough = sent.Arrived, sent.Deadline, sent.UsefulUntil, false
+	assert.DeepEqual(t, got, sent)
+
+	grant.FirstToken(time.Now())
+	grant.Done(admitter.Result{Ended: time.Now(), Tokens: 12, Outcome: router.OutcomeFinished})
+	result := <-f.admitting.local.settled
+	assert.Equal(t, result.Tokens, 12)
+	assert.Equal(t, result.Outcome, router.OutcomeFinished)
+}
+
+func TestRefusalsOfTheEntryOfAModelReachTheOther(t *testing.T) {
+	retry := time.Now().Add(3 * time.Second)
+	cases := map[string]struct {
+		err  error
+		want any
+	}{
+		"hopeless":    {&admitter.HopelessError{Retry: retry}, new(*admitter.HopelessError)},
+		"overload":    {&admitter.OverloadError{Retry: retry}, new(*admitter.OverloadError)},
+		"paused":      {&router.PausedError{Retry: retry}, new(*router.PausedError)},
+		"rationed":    {&router.RationedError{Retry: retry}, new(*router.RationedError)},
+		"no upstream": {&router.NoUpstreamError{Retry: retry}, new(*router.NoUpstreamError)},
+		"absent":      {&chooser.AbsentError{Retry: retry}, new(*chooser.AbsentError)},
+		"budget":      {&admitter.BudgetError{}, new(*admitter.BudgetError)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.admitting.local.err = c.err
+			_, err := f.taking.Acquire(t.Context(), f.request())
+			assert.Assert(t, errors.As(err, c.want), "%T %v", err, err)
+			assert.Equal(t, len(f.taking.local.requests()), 0)
+		})
+	}
+}
+
+func TestRequestsOfASilentEntryAreAdmittedElsewhereInTime(t *testing.T) {
+	silent := map[string]func(t *testing.T, f *fleet){
+		"gone":    func(_ *testing.T, f *fleet) { f.admitting.server.Stop() },
+		"stopped": func(_ *testing.T, f *fleet) { f.admitting.local.err = &admitter.StoppedError{} },
+	}
+	for name, silence := range silent {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			silence(t, f)
+			began := time.Now()
+			grant, err := f.taking.Acquire(t.Context(), f.request())
+			assert.NilError(t, err)
+			assert.Equal(t, grant.By, "")
+			// the target is half a second, and a deputy is tried in between
+			assert.Assert(t, time.Since(began) < 500*time.Millisecond, "%s", time.Since(began))
+			asked := f.taking.local.requests()
+			assert.Equal(t, len(asked), 1)
+			began = time.Now()
+			_, err = f.taking.Acquire(t.Context(), f.request())
+			assert.NilError(t, err)
+			assert.Assert(t, time.Since(began) < 100*time.Millisecond, "asked the silent one again")
+		})
+	}
+}
+
+// A frozen process takes connections and says nothing.
+func TestAFrozenEntryHoldsNoRequestUp(t *testing.T) {
+	f := newFleet(t)
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = frozen.Close() }()
+	// all models but those of the taking entry belong to entries that say nothing
+	members := []string{f.taking.address}
+	for range 40 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = listener.Close() }()
+		members = append(members, listener.Addr().String())
+	}
+	f.taking.Meet(members)
+	began := time.Now()
+	grant, err := f.taking.Acquire(t.Context(), f.request())
+	assert.NilError(t, err)
+	assert.Equal(t, grant.By, "")
+	assert.Assert(t, time.Since(began) < 600*time.Millisecond, "%s", time.Since(began))
+}
+
+func TestACallerThatLeavesNoLongerWaitsElsewhere(t *testing.T) {
+	f := newFleet(t)
+	f.admitting.local.block = true
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(300*time.Millisecond, cancel)
+	_, err := f.taking.Acquire(ctx, f.request())
+	assert.ErrorIs(t, err, context.Canceled)
+	select {
+	case err := <-f.admitting.local.left:
+		assert.ErrorIs(t, err, context.Canceled)
+	case <-time.After(time.Second):
+		t.Fatal("still waits")
+	}
+	assert.Equal(t, len(f.taking.local.requests()), 0)
+}
+
+// A request that waits longer than an answer may take is not given up.
+func TestARequestMayWaitLongElsewhere(t *testing.T) {
+	f := newFleet(t)
+	f.admitting.local.block = true
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	_, err := f.taking.Acquire(ctx, f.request())
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.Equal(t, len(f.admitting.local.requests()), 1)
+	assert.Equal(t, len(f.taking.local.requests()), 0)
+}
+
+func TestARetryIsPaidWhereItIsAdmitted(t *testing.T) {
+	f := newFleet(t)
+	grant, err := f.taking.Acquire(t.Context(), f.request())
+	assert.NilError(t, err)
+	grant.Done(admitter.Result{Ended: time.Now(), Outcome: router.OutcomeRefused})
+	again, err := f.taking.Again(t.Context(), grant)
+	assert.NilError(t, err)
+	assert.Equal(t, again.By, f.admitting.address)
+	asked := f.admitting.local.requests()
+	assert.Equal(t, len(asked), 2)
+	assert.DeepEqual(t, asked[1].Route.Avoid, []string{"e1"})
+	f.admitting.local.mutex.Lock()
+	defer f.admitting.local.mutex.Unlock()
+	assert.Equal(t, f.admitting.local.retries, 1)
+	assert.Equal(t, f.admitting.local.paid, 0)
+}
+
+// What an entry was granted counts no longer once the entry has gone.
+func TestAGrantOfAnEntryThatGoesIsGivenBack(t *testing.T) {
+	f := newFleet(t)
+	taking := newEntry(t)
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
+	gone := delegator.New(delegator.Settings{
+		Listen: taking.address, Links: links, Local: taking.local, Holders: holders{}, Held: held, Log: zap.NewNop(),
+	})
+	members := []string{f.admitting.address}
+	for number := range 40 {
+		members = append(members, fmt.Sprintf("127.0.0.2:%d", 1+number))
+	}
+	gone.Meet(members)
+	f.model = modelOf(gone, f.admitting.address)
+	grant, err := gone.Acquire(t.Context(), f.request())
+	assert.NilError(t, err)
+	assert.Equal(t, grant.By, f.admitting.address)
+	links.Close()
+	select {
+	case result := <-f.admitting.local.settled:
+		assert.Equal(t, result.Outcome, router.OutcomeCancelled)
+	case <-time.After(2 * time.Second):
+		t.Fatal("still counts")
+	}
+}
+
+func TestASmallFleetDelegatesNothing(t *testing.T) {
+	f := newFleet(t)
+	f.taking.Meet([]string{f.admitting.address})
+	_, err := f.taking.Acquire(t.Context(), f.request())
+	assert.NilError(t, err)
+	assert.Equal(t, len(f.taking.local.requests()), 1)
+	assert.Assert(t, f.taking.Interested("e1") == nil)
+}
--- /dev/null
+++ b/delegator/ring_test.go
@@ -0,0 +1,72 @@
+package delegator
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// addresses returns the addresses of so many entries.
+func addresses(count int) []string {
+	all := make([]string, count)
+	for at := range all {
+		all[at] = fmt.Sprintf("10.0.%d.%d:7000", at/250, at%250)
+	}
+	return all
+}
+
+// first returns the entry of each model as one entry sees it.
+func first(own string, entries []string, models int) map[string]string {
+	r := newRing(own)
+	r.meet(entries)
+	owners := map[string]string{}
+	for number := range models {
+		model := fmt.Sprint("model-", number)
+		owners[model] = r.candidates(model, time.Now())[0]
+	}
+	return owners
+}
+
+func TestAllEntriesNameTheSameOneForAModel(t *testing.T) {
+	for _, size := range []int{leastEntries, 71, 291, 890} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			entries := addresses(size)
+			want := first(entries[0], entries, 275)
+			for _, own := range []int{1, size / 2, size - 1} {
+				// an entry is told of the others only
+				others := slices.Delete(slices.Clone(entries), own, own+1)
+				assert.DeepEqual(t, first(entries[own], others, 275), want)
+			}
+			most := map[string]int{}
+			for _, owner := range want {
+				most[owner]++
+			}
+			for owner, count := range most {
+				assert.Assert(t, count <= 8+3*275/size, "%s has %d models", owner, count)
+			}
+		})
+	}
+}
+
+func TestAnEntryThatJoinsOrGoesMovesOnlyItsOwnModels(t *testing.T) {
+	entries := addresses(91)
+	before := first(entries[0], entries[:90], 200)
+	after := first(entries[0], entries, 200)
+	for model, owner := range after {
+		assert.Assert(t, owner == before[model] || owner == entries[90], "%s moved to %s", model, owner)
+	}
+}
+
+func TestAnEntryThatGaveNoAnswerIsPassedOverForATime(t *testing.T) {
+	r := newRing("10.9.9.9:7000")
+	r.meet(addresses(40))
+	now := time.Now()
+	before := r.candidates("m", now)
+	assert.Equal(t, len(before), choices)
+	r.avoid(before[0], now.Add(avoidTime))
+	assert.Equal(t, r.candidates("m", now)[0], before[1])
+	assert.DeepEqual(t, r.candidates("m", now.Add(avoidTime)), before)
+}
--- /dev/null
+++ b/encoder/admission.go
@@ -0,0 +1,227 @@
+package encoder
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"burdocklink/admitter"
+	"burdocklink/chooser"
+	"burdocklink/classifier"
+	"burdocklink/encoder/wire"
+	"burdocklink/router"
+)
+
+// Bounds of what another entry may ask for.
+const (
+	// mostPromptTokens bounds the size of a prompt and of an answer.
+	mostPromptTokens = 1 << 24
+	// mostParts bounds the beginnings of a prompt that are looked at.
+	mostParts = 64
+	// mostAvoided bounds the upstreams to avoid.
+	mostAvoided = 64
+)
+
+// EncodeAdmission writes a request that another entry is to admit.
+func EncodeAdmission(request *admitter.Request, retry, paid bool, now time.Time) *wire.AdmitMessage {
+	route := &request.Route
+	message := &wire.AdmitRequest{
+		Subscriber: request.Subscriber,
+		Class: &wire.AdmitClass{
+			Name: request.Class.Name, RepeatForbidden: request.Class.RepeatForbidden,
+			FirstToken:    request.Class.Target.FirstToken.Microseconds(),
+			BetweenTokens: request.Class.Target.BetweenTokens.Microseconds(),
+			Whole:         request.Class.Target.Whole.Microseconds(),
+		},
+		ArrivedAgo: now.Sub(request.Arrived).Microseconds(),
+		DeadlineIn: microsecondsUntil(request.Deadline, now),
+		UsefulIn:   microsecondsUntil(request.UsefulUntil, now),
+		Service:    route.Service, Holds: route.Holds, Base: route.Base,
+		PromptTokens:     uint32(max(0, route.PromptTokens)),
+		AnswerTokens:     uint32(max(0, route.AnswerTokens)),
+		AvailabilityZone: route.AvailabilityZone,
+		Avoid:            route.Avoid, Seed: route.Seed,
+		Retry: retry, Paid: paid, Counted: request.Counted,
+		Rank: uint32(max(0, request.Rank)),
+	}
+	for _, part := range route.Parts {
+		message.Parts = append(message.Parts, &wire.PromptPart{Hash: part.Hash, Tokens: uint32(max(0, part.Tokens))})
+	}
+	return &wire.AdmitMessage{Message: &wire.AdmitMessage_Request{Request: message}}
+}
+
+// DecodeAdmission reads what EncodeAdmission wrote, as of now.
+func DecodeAdmission(message *wire.AdmitRequest, now time.Time) admitter.Request {
+	class := message.GetClass()
+	request := admitter.Request{
+		Subscriber: message.GetSubscriber(),
+		Class: classifier.Class{
+			Name: class.GetName(), RepeatForbidden: class.GetRepeatForbidden(),
+			Target: classifier.Target{
+				FirstToken:    boundMicroseconds(class.GetFirstToken()),
+				BetweenTokens: boundMicroseconds(class.GetBetweenTokens()),
+				Whole:         boundMicroseconds(class.GetWhole()),
+			},
+		},
+		Arrived: now.Add(-boundMicroseconds(message.GetArrivedAgo())),
+		Counted: message.GetCounted(),
+		Rank:    int(min(message.GetRank(), math.MaxInt16)),
+		Route: router.Request{
+			Service: message.GetService(), Holds: message.GetHolds(), Base: message.GetBase(),
+			PromptTokens:     int(min(message.GetPromptTokens(), mostPromptTokens)),
+			AnswerTokens:     int(min(message.GetAnswerTokens(), mostPromptTokens)),
+			AvailabilityZone: message.GetAvailabilityZone(),
+			Seed:             message.GetSeed(),
+		},
+	}
+	if message != nil {
+		request.Deadline = momentIn(message.DeadlineIn, now)
+		request.UsefulUntil = momentIn(message.UsefulIn, now)
+	}
+	avoid := message.GetAvoid()
+	request.Route.Avoid = avoid[:min(len(avoid), mostAvoided)]
+	parts := message.GetParts()
+	for _, part := range parts[:min(len(parts), mostParts)] {
+		tokens := int(min(part.GetTokens(), mostPromptTokens))
+		request.Route.Parts = append(request.Route.Parts, router.Part{Hash: part.GetHash(), Tokens: tokens})
+	}
+	return request
+}
+
+// EncodeGrant writes the grant of another entry's request, which was received at a
+// time.
+func EncodeGrant(grant *admitter.Grant, receivedAt, now time.Time) *wire.AdmitReply {
+	choice := grant.Choice
+	message := &wire.AdmitGrant{
+		Upstream: choice.Upstream, Incarnation: choice.Incarnation, Address: choice.Address,
+		CachedTokens: uint32(max(0, choice.CachedTokens)),
+		PredictedIn:  choice.Predicted.Sub(now).Microseconds(),
+		PermitIn:     microsecondsUntil(choice.PermitUntil, receivedAt),
+		Paid:         grant.Paid(),
+	}
+	return &wire.AdmitReply{Reply: &wire.AdmitReply_Grant{Grant: message}}
+}
+
+// DecodeGrant reads what EncodeGrant wrote in answer to a question that was sent at
+// a time. A permit counts from then: the question can't have been received sooner.
+func DecodeGrant(message *wire.AdmitGrant, sentAt, now time.Time) router.Choice {
+	choice := router.Choice{
+		Upstream: message.GetUpstream(), Incarnation: message.GetIncarnation(), Address: message.GetAddress(),
+		CachedTokens: int(min(message.GetCachedTokens(), mostPromptTokens)),
+		Predicted:    now.Add(boundMicroseconds(message.GetPredictedIn())),
+	}
+	if message != nil {
+		choice.PermitUntil = momentIn(message.PermitIn, sentAt)
+	}
+	return choice
+}
+
+// EncodeResult writes how a granted request ended.
+func EncodeResult(first time.Time, result admitter.Result) *wire.AdmitMessage {
+	message := &wire.AdmitResult{Outcome: uint32(result.Outcome), Tokens: uint32(max(0, result.Tokens))}
+	if !first.IsZero() {
+		ago := result.Ended.Sub(first).Microseconds()
+		message.FirstTokenAgo = &ago
+	}
+	return &wire.AdmitMessage{Message: &wire.AdmitMessage_Result{Result: message}}
+}
+
+// DecodeResult reads what EncodeResult wrote: when the first token came, zero for
+// never, and how the request ended.
+func DecodeResult(message *wire.AdmitResult, now time.Time) (time.Time, admitter.Result) {
+	result := admitter.Result{
+		Ended: now, Outcome: router.Outcome(message.GetOutcome()),
+		Tokens: int(min(message.GetTokens(), mostPromptTokens)),
+	}
+	if message == nil || result.Outcome < router.OutcomeFinished || result.Outcome > router.OutcomeCancelled {
+		result.Outcome = router.OutcomeCancelled
+	}
+	if message == nil || message.FirstTokenAgo == nil {
+		return time.Time{}, result
+	}
+	return now.Add(-boundMicroseconds(message.GetFirstTokenAgo())), result
+}
+
+// EncodeRefusal writes why another entry's request is not admitted.
+func EncodeRefusal(err error, now time.Time) *wire.AdmitReply {
+	reason, retry := reasonOf(err)
+	message := &wire.AdmitRefusal{Reason: reason, RetryIn: max(0, retry.Sub(now).Microseconds())}
+	return &wire.AdmitReply{Reply: &wire.AdmitReply_Refusal{Refusal: message}}
+}
+
+// reasonOf is the reason of a refusal, and when the request should come back.
+func reasonOf(err error) (wire.AdmitRefusal_Reason, time.Time) {
+	var hopeless *admitter.HopelessError
+	var overload *admitter.OverloadError
+	var nowhere *router.NoUpstreamError
+	var paused *router.PausedError
+	var rationed *router.RationedError
+	var budget *admitter.BudgetError
+	var absent *chooser.AbsentError
+	var stopped *admitter.StoppedError
+	switch {
+	case errors.As(err, &hopeless):
+		return wire.AdmitRefusal_HOPELESS, hopeless.Retry
+	case errors.As(err, &overload):
+		return wire.AdmitRefusal_OVERLOAD, overload.Retry
+	case errors.As(err, &nowhere):
+		return wire.AdmitRefusal_NO_UPSTREAM, nowhere.Retry
+	case errors.As(err, &paused):
+		return wire.AdmitRefusal_PAUSED, paused.Retry
+	case errors.As(err, &rationed):
+		return wire.AdmitRefusal_RATIONED, rationed.Retry
+	case errors.As(err, &budget):
+		return wire.AdmitRefusal_BUDGET, time.Time{}
+	case errors.As(err, &absent):
+		return wire.AdmitRefusal_ABSENT, absent.Retry
+	case errors.As(err, &stopped):
+		return wire.AdmitRefusal_STOPPED, time.Time{}
+	default:
+		return wire.AdmitRefusal_UNKNOWN, time.Time{}
+	}
+}
+
+// DecodeRefusal reads why a request was not admitted. What is not known counts as a
+// queue that is full.
+func DecodeRefusal(message *wire.AdmitRefusal, request *admitter.Request, now time.Time) error {
+	retry := now.Add(boundMicroseconds(message.GetRetryIn()))
+	route := &request.Route
+	switch message.GetReason() {
+	case wire.AdmitRefusal_HOPELESS:
+		return &admitter.HopelessError{Retry: retry}
+	case wire.AdmitRefusal_NO_UPSTREAM:
+		return &router.NoUpstreamError{Service: route.Service, Holds: route.Holds, Retry: retry}
+	case wire.AdmitRefusal_PAUSED:
+		return &router.PausedError{Service: route.Service, Holds: route.Holds, Retry: retry}
+	case wire.AdmitRefusal_RATIONED:
+		return &router.RationedError{Service: route.Service, Holds: route.Holds, Retry: retry}
+	case wire.AdmitRefusal_BUDGET:
+		return &admitter.BudgetError{}
+	case wire.AdmitRefusal_ABSENT:
+		return &chooser.AbsentError{Model: route.Holds, Retry: retry}
+	default:
+		return &admitter.OverloadError{Retry: retry}
+	}
+}
+
+// microsecondsUntil is the time until a moment, nil for none.
+func microsecondsUntil(at, now time.Time) *int64 {
+	if at.IsZero() {
+		return nil
+	}
+	left := at.Sub(now).Microseconds()
+	return &left
+}
+
+// momentIn reads what microsecondsUntil wrote.
+func momentIn(left *int64, now time.Time) time.Time {
+	if left == nil {
+		return time.Time{}
+	}
+	return now.Add(boundMicroseconds(*left))
+}
+
+// boundMicroseconds reads a span that another process names.
+func boundMicroseconds(count int64) time.Duration {
+	return time.Duration(min(max(0, count), mostSpanMs*1000)) * time.Microsecond
+}
--- a/encoder/malformed_test.go
+++ b/encoder/malformed_test.go
@@ -10,8 +10,10 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 	"gotest.tools/v3/assert"
 
+	"burdocklink/admitter"
 	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
+	"burdocklink/router"
 )
 
 // filler fills messages with whatever their types allow.
@@ -57,7 +59,7 @@
 		return protoreflect.ValueOfEnum(protoreflect.EnumNumber(int32(number)))
 	case protoreflect.Uint32Kind:
 		return protoreflect.ValueOfUint32(uint32(number))
-	case protoreflect.Uint64Kind:
+	case protoreflect.Uint64Kind, protoreflect.Fixed64Kind:
 		return protoreflect.ValueOfUint64(uint64(number))
 	case protoreflect.Int32Kind:
 		return protoreflect.ValueOfInt32(int32(number))
@@ -112,6 +114,22 @@
 				assert.Assert(t, one.Wanted >= 0 && one.Wanted <= 64, "%d wanted", one.Wanted)
 			}
 		}},
+		"admission": {&wire.AdmitMessage{}, func(_ []byte, m proto.Message) {
+			message := m.(*wire.AdmitMessage)
+			request := encoder.DecodeAdmission(message.GetRequest(), now)
+			assert.Assert(t, !request.Arrived.After(now), "arrived in the future")
+			assert.Assert(t, request.Deadline.Before(now.Add(time.Hour)), "%s", request.Deadline)
+			assert.Assert(t, request.Route.PromptTokens >= 0 && len(request.Route.Parts) <= 64)
+			first, result := encoder.DecodeResult(message.GetResult(), now)
+			assert.Assert(t, !first.After(now) && result.Tokens >= 0)
+			assert.Assert(t, result.Outcome >= router.OutcomeFinished && result.Outcome <= router.OutcomeCancelled)
+		}},
+		"answer to an admission": {&wire.AdmitReply{}, func(_ []byte, m proto.Message) {
+			reply := m.(*wire.AdmitReply)
+			choice := encoder.DecodeGrant(reply.GetGrant(), now, now)
+			assert.Assert(t, choice.PermitUntil.Before(now.Add(time.Hour)), "%s", choice.PermitUntil)
+			assert.Assert(t, encoder.DecodeRefusal(reply.GetRefusal(), &admitter.Request{}, now) != nil)
+		}},
 		"reserved requests": {&wire.ReserveReply{}, func(_ []byte, m proto.Message) {
 			for _, one := range encoder.DecodeReservations(m.(*wire.ReserveReply).GetReservations(), now, now) {
 				for _, permit := range one.Permits {
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -6,10 +6,12 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
+	"google.golang.org/grpc"
 
 	"burdocklink/admitter"
 	"burdocklink/broadcaster"
 	"burdocklink/cataloger"
+	"burdocklink/delegator"
 	"burdocklink/dispatcher"
 	"burdocklink/follower"
 	"burdocklink/forwarder"
@@ -26,10 +28,9 @@
 )
 
 const (
-	// listInterval is how old the last reading of the platform's list may be,
-	// the leader's or the own one. With a reading that takes long, it passes
-	// before a leaving upstream may get no more work.
-	listInterval = 1500 * time.Millisecond
+	// leastListInterval is how old the last reading of the platform's list may be
+	// at least, the leader's or the own one.
+	leastListInterval = 1500 * time.Millisecond
 	// tellDemand is the time between two reports of demand.
 	tellDemand = 500 * time.Millisecond
 	// crossZoneCost is what a call to another availability zone costs beside
@@ -37,11 +38,18 @@
 	crossZoneCost = 4 * time.Millisecond
 )
 
+// listInterval is how old the last reading of the platform's list may be: with one
+// that takes long, it passes before a leaving upstream may get no more work. In a
+// large fleet the leader tells of its readings each second or so; a shorter time
+// would have hundreds of entries read the list themselves.
+func listInterval(drain time.Duration) time.Duration { return max(leastListInterval, drain/2) }
+
 // NewEntryNode puts an entry on the platform together.
 func NewEntryNode(settings Settings) (*Node, error) {
 	parts := newEntryParts(settings)
 	catalogs := parts.newFollower()
-	callers := parts.newForwarder(catalogs.Leader)
+	parts.delegate(catalogs.Leader)
+	callers := parts.newForwarder()
 	reservations := reserver.New(reserver.Settings{
 		Entry:  settings.Node,
 		Links:  parts.links,
@@ -74,6 +82,8 @@
 	notices       *observer.Observer
 	links         *linker.Linker
 	notes         *broadcaster.Broadcaster
+	holders       *seeker.Seeker
+	delegations   *delegator.Delegator
 	upstreams     *surveyor.Surveyor
 	configuration *configured
 }
@@ -100,7 +110,7 @@
 	p.upstreams = surveyor.New(surveyor.Settings{
 		Fetch:    platform.NewClient(settings.List.Address, p.calls).FetchList,
 		Ask:      p.ask,
-		Interval: listInterval,
+		Interval: listInterval(settings.Bounds.Drain),
 		Notify:   p.notify,
 		Log:      settings.Log,
 	})
@@ -112,6 +122,9 @@
 		Answer: p.upstreams.Answer,
 		Wake:   p.admission.Wake,
 		Log:    settings.Log,
+
+		Interested: func(upstream string) []string { return p.delegations.Interested(upstream) },
+		Register:   func(server *grpc.Server) { p.delegations.Register(server) },
 	})
 	p.configuration = newConfigured(p.upstreams, settings.Log)
 	return p
@@ -138,6 +151,7 @@
 // meet takes in the addresses of the other entries.
 func (p *entryParts) meet(peers []string) {
 	p.notes.Meet(peers)
+	p.delegations.Meet(peers)
 	p.retries.share(len(peers) + 1)
 }
 
@@ -164,7 +178,23 @@
 	})
 }
 
-func (p *entryParts) newForwarder(leader func() string) *forwarder.Forwarder {
+// delegate has requests for a model admitted by one entry where there are many.
+func (p *entryParts) delegate(leader func() string) {
+	p.holders = seeker.New(seeker.Settings{
+		Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Held: p.routes.Holds, Log: p.settings.Log,
+	})
+	p.delegations = delegator.New(delegator.Settings{
+		Listen:  p.settings.Links,
+		Links:   p.links,
+		Local:   p.admission,
+		Holders: p.holders,
+		Held:    p.routes.Held,
+		Metrics: p.metrics.Registry(),
+		Log:     p.settings.Log,
+	})
+}
+
+func (p *entryParts) newForwarder() *forwarder.Forwarder {
 	return forwarder.New(forwarder.Config{
 		Listen:           p.settings.Callers,
 		AvailabilityZone: p.settings.AvailabilityZone,
@@ -172,13 +202,11 @@
 		Codec:            platform.Codec(),
 		Table:            p.configuration.table.Load,
 		Ready:            func() error { return nil },
-		Admitter:         p.admission,
-		Holders: seeker.New(seeker.Settings{
-			Links: p.links, Leader: leader, Tell: p.upstreams.Tell, Held: p.routes.Holds, Log: p.settings.Log,
-		}),
-		Upstreams: p.notices,
-		Calls:     p.calls,
-		Reporter:  p.metrics,
-		Log:       p.settings.Log,
+		Admitter:         p.delegations,
+		Holders:          p.holders,
+		Upstreams:        p.notices,
+		Calls:            p.calls,
+		Reporter:         p.metrics,
+		Log:              p.settings.Log,
 	})
 }
--- a/router/choice.go
+++ b/router/choice.go
@@ -20,8 +20,12 @@
 	Parts []Part
 	// FirstTokenBy is when the class promises the first token.
 	FirstTokenBy time.Time
-	// AvailabilityZone is the chooser's own.
+	// AvailabilityZone is that of the entry that sends the request; empty for the
+	// chooser's own.
 	AvailabilityZone string
+	// Thorough is true where all candidates up to a few dozen are compared: who
+	// knows of all requests for a model gains by it.
+	Thorough bool
 	// Avoid lists upstreams already tried.
 	Avoid []string
 	// Yields is true where the subscriber has used more than its fair share:
--- a/router/choose.go
+++ b/router/choose.go
@@ -51,7 +51,7 @@
 	s := search{now: now, request: request, cost: math.MaxInt64}
 	s.random = mix(r.settings.Seed ^ mix(request.Seed))
 	s.patient = request.patient(now)
-	if len(candidates) <= sampled {
+	if len(candidates) <= sampled || (request.Thorough && len(candidates) <= thoroughly) {
 		for _, u := range candidates {
 			r.look(&s, u)
 		}
@@ -120,7 +120,7 @@
 		return
 	}
 	cost := prediction.FirstToken
-	if u.about.AvailabilityZone != r.settings.AvailabilityZone {
+	if u.about.AvailabilityZone != r.zoneOf(s.request) {
 		cost += r.settings.CrossZone
 	}
 	if u.misses(s.request) {
@@ -135,6 +135,14 @@
 	}
 }
 
+// zoneOf returns the availability zone that a request is sent from.
+func (r *Router) zoneOf(request *Request) string {
+	if request.AvailabilityZone != "" {
+		return request.AvailabilityZone
+	}
+	return r.settings.AvailabilityZone
+}
+
 // noteRationed takes in a candidate that is at its limit of requests.
 func (s *search) noteRationed(u *upstream, cost time.Duration) {
 	known := u.limited.Load()
--- a/router/router.go
+++ b/router/router.go
@@ -105,6 +105,14 @@
 	return r.table.find(name, incarnation)
 }
 
+// Held returns the models that an upstream holds; nil where it holds none or is not
+// known.
+func (r *Router) Held(upstream string) []string {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return r.table.placements[upstream].Models
+}
+
 // Holds says whether a live upstream is known to hold a model or adapter.
 func (r *Router) Holds(name string) bool {
 	r.mutex.RLock()
--- a/router/settings.go
+++ b/router/settings.go
@@ -19,6 +19,8 @@
 const (
 	// sampled is how many candidates are drawn and compared.
 	sampled = 3
+	// thoroughly is how many candidates are compared at most for a thorough choice.
+	thoroughly = 64
 	// walked is how many more are looked at when all drawn ones are at their
 	// limits.
 	walked = 64
