--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -125,17 +125,32 @@
 
 // sort moves those that can't meet their targets any more behind those that can. It
 // answers an overload: serving what is overdue first would make all that comes after
-// it overdue too. Those that have little time left go before those that have more,
-// and the more important first among each.
+// it overdue too. Those of subscribers that used more than their share follow the
+// others, then those that have little time left go before those that have more, and
+// the more important first.
 func (q *Queue) sort(now time.Time) {
 	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
-		if first, second := a.turn(now), b.turn(now); first != second {
-			return cmp.Compare(first, second)
+		if first, second := a.overdue(now), b.overdue(now); first != second {
+			return yesLast(first)
 		}
-		return cmp.Compare(a.request.Rank, b.request.Rank)
+		if a.request.Route.Yields != b.request.Route.Yields {
+			return yesLast(a.request.Route.Yields)
+		}
+		if first, second := a.hurried(now), b.hurried(now); first != second {
+			return yesLast(second)
+		}
+		return cmp.Or(cmp.Compare(a.request.Rank, b.request.Rank), a.key.Compare(b.key))
 	})
 }
 
+// yesLast orders two of which one has a property: the other one goes first.
+func yesLast(firstHas bool) int {
+	if firstHas {
+		return 1
+	}
+	return -1
+}
+
 // tooManyAhead refuses a ticket that won't get its turn while it is of use to its
 // caller, given how fast those before it get theirs.
 func (q *Queue) tooManyAhead(now time.Time, t *Ticket) bool {
@@ -355,9 +370,7 @@
 
 func (q *Queue) grant(now time.Time, t *Ticket, choice router.Choice) {
 	choice.PermitUntil = q.router.Started(choice, &t.request.Route, now)
-	if t.waited {
-		q.flows.of(flowOf(&t.request), now).granted++
-	}
+	q.flows.grant(flowOf(&t.request), now)
 	q.pace.granted(now)
 	q.shares.add(now, t.request.Subscriber, cost(&t.request))
 	q.decide(Decision{Ticket: t, Grant: &Grant{
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -105,18 +105,11 @@
 	return now.Before(t.holderBy)
 }
 
+// overdue says whether the target has passed.
+func (t *Ticket) overdue(now time.Time) bool { return now.After(t.key) }
+
 // soon is how much time those have left that go before others with more.
 const soon = time.Second
 
-// turn orders waiting tickets: those whose target is near, those that have more
-// time, and those whose target has passed.
-func (t *Ticket) turn(now time.Time) int {
-	switch left := t.key.Sub(now); {
-	case left < 0:
-		return 2
-	case left > soon:
-		return 1
-	default:
-		return 0
-	}
-}
+// hurried says whether the target is near.
+func (t *Ticket) hurried(now time.Time) bool { return t.key.Sub(now) <= soon }
