--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -127,7 +127,7 @@
 // answers an overload: serving what is overdue first would make all that comes after
 // it overdue too. Those of subscribers that used more than their share follow the
 // others, then those that have little time left go before those that have more, and
-// the more important first.
+// the more important first. Where that is equal the order stays as it was.
 func (q *Queue) sort(now time.Time) {
 	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
 		if first, second := a.overdue(now), b.overdue(now); first != second {
@@ -139,7 +139,7 @@
 		if first, second := a.hurried(now), b.hurried(now); first != second {
 			return yesLast(second)
 		}
-		return cmp.Or(cmp.Compare(a.request.Rank, b.request.Rank), a.key.Compare(b.key))
+		return cmp.Compare(a.request.Rank, b.request.Rank)
 	})
 }
 
