fix(delegator): a retry that waits for a holder is paid once, and nobody without an address is told

An entry whose candidates are all silent told an empty address; engines whose models belong to the telling entry were told to all. A retry that found no holder spent the budget with each look.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -147,21 +148,22 @@
 
 // Interested returns the entries that should know what this one dispatches to an
 // upstream: those that admit requests for what it holds. It returns nil where all
-// should.
+// should, as for plain services.
 func (d *Delegator) Interested(upstream string) []string {
-	if d.ring.size() < leastEntries {
+	models := d.settings.Held(upstream)
+	if len(models) == 0 || d.ring.size() < leastEntries {
 		return nil
 	}
 	now := time.Now()
-	var interested []string
-	for _, model := range d.settings.Held(upstream) {
-		for _, address := range d.ring.candidates(model, now)[:1] {
-			if address != d.settings.Listen {
-				interested = append(interested, address)
-			}
+	interested := make([]string, 0, len(models))
+	for _, model := range models {
+		candidates := d.ring.candidates(model, now)
+		if len(candidates) > 0 && candidates[0] != d.settings.Listen {
+			interested = append(interested, candidates[0])
 		}
 	}
-	return interested
+	slices.Sort(interested)
+	return slices.Compact(interested)
 }
 
 // UnknownReplyError says that an answer of another entry is none that is known.
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	"burdocklink/delegator"
 	"burdocklink/linker"
 	"burdocklink/router"
+	"burdocklink/surveyor"
 )
 
 // local is the admission of one entry.
@@ -83,10 +85,13 @@
 	return append([]admitter.Request(nil), l.asked...)
 }
 
-// holders finds no holder.
-type holders struct{}
+// holders finds no holder, but for models that one can be brought for.
+type holders struct{ brought string }
 
-func (holders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
+func (h holders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
+	if model == h.brought {
+		return nil
+	}
 	return &chooser.AbsentError{Model: model, Retry: time.Now().Add(3 * time.Second)}
 }
 
@@ -105,7 +110,7 @@
 	e := &entry{address: listener.Addr().String(), local: newLocal(), server: grpc.NewServer()}
 	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
 	e.Delegator = delegator.New(delegator.Settings{
-		Listen: e.address, Links: links, Local: e.local, Holders: holders{},
+		Listen: e.address, Links: links, Local: e.local, Holders: holders{brought: "brought"},
 		Held: held, Log: zap.NewNop(),
 	})
 	e.Register(e.server)
@@ -149,7 +154,12 @@
 }
 
 // held is the model that an upstream holds.
-func held(upstream string) []string { return []string{"model of " + upstream} }
+func held(upstream string) []string {
+	if upstream == "plain" {
+		return nil
+	}
+	return []string{"model of " + upstream}
+}
 
 func (f *fleet) request() admitter.Request {
 	now := time.Now()
@@ -349,3 +359,33 @@
 	assert.Equal(t, len(f.taking.local.requests()), 1)
 	assert.Assert(t, f.taking.Interested("e1") == nil)
 }
+
+// A retry that looks for a holder again and again spends one retry.
+func TestARetryThatWaitsForAHolderIsPaidOnce(t *testing.T) {
+	f := newFleet(t)
+	f.admitting.local.err = &router.NoUpstreamError{}
+	grant := admitter.NewGrant(f.admitting.address, router.Choice{Upstream: "e1"}, f.heldRequest(), false,
+		func(time.Time, admitter.Result) {})
+	_, err := f.taking.Again(t.Context(), grant)
+	var absent *chooser.AbsentError
+	assert.Assert(t, errors.As(err, &absent), "%v", err)
+	f.admitting.local.mutex.Lock()
+	defer f.admitting.local.mutex.Unlock()
+	assert.Assert(t, f.admitting.local.retries > 1, "%d", f.admitting.local.retries)
+	assert.Equal(t, f.admitting.local.paid, f.admitting.local.retries-1)
+}
+
+// heldRequest asks for a model that is brought, and is of use for a short time.
+func (f *fleet) heldRequest() admitter.Request {
+	request := f.request()
+	request.UsefulUntil = time.Now().Add(200 * time.Millisecond)
+	request.Route.Holds = surveyor.HeldName("engines", "brought", "")
+	return request
+}
+
+func TestWhoIsInterestedInAnUpstream(t *testing.T) {
+	f := newFleet(t)
+	assert.Assert(t, f.taking.Interested("plain") == nil)
+	none := f.admitting.Interested(strings.TrimPrefix(f.model, "model of "))
+	assert.Assert(t, none != nil && len(none) == 0, "an entry need not tell itself, nor all others: %v", none)
+}
--- a/delegator/server.go
+++ b/delegator/server.go
@@ -80,7 +80,8 @@
 	v.grant, v.err = chooser.Choose(v.stream.Context(), v.settings.Holders, wanted,
 		func(ctx context.Context, counted bool) (*admitter.Grant, error) {
 			if v.question.GetRetry() {
-				return v.settings.Local.Retry(ctx, request, v.question.GetPaid())
+				// what is looked for again was paid the first time
+				return v.settings.Local.Retry(ctx, request, v.question.GetPaid() || counted)
 			}
 			request.Counted = request.Counted || counted
 			return v.settings.Local.Acquire(ctx, request)
