refactor(broadcaster): comments and a name say what happens

Notes that find a queue full are the ones left out, not the oldest; the learned speed sets the pace of prompts and no predictions; split, not sort. Behaviour unchanged.

--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -36,7 +36,7 @@
 	notesPerSecond = 240
 	// repeatTime is the time between two notes with all shares.
 	repeatTime = 500 * time.Millisecond
-	// noteQueue is how many notes may wait for a peer before the oldest are left
+	// noteQueue is how many notes may wait for a peer before further ones are left
 	// out.
 	noteQueue = 16
 	// idleTime is how long a stream is kept to a peer that there is nothing to tell.
@@ -167,7 +167,7 @@
 	b.forgetIdle()
 }
 
-// queue has notes sent; the oldest are left out where too many wait.
+// queue has notes sent, or leaves them out where too many wait.
 func (p *peer) queue(notes *wire.EntryNotes) {
 	select {
 	case p.notes <- notes:
@@ -242,7 +242,7 @@
 // tell queues notes for those that should know, and returns for how many. One that
 // does not keep up misses some.
 func (b *Broadcaster) tell(notes *wire.EntryNotes) int {
-	shared, apart := b.sort(notes)
+	shared, apart := b.split(notes)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for address := range apart {
@@ -270,8 +270,8 @@
 	return told
 }
 
-// sort parts what is told to all but partial peers from what only some should know.
-func (b *Broadcaster) sort(notes *wire.EntryNotes) (shared *wire.EntryNotes, apart map[string][]*wire.EntryLoad) {
+// split parts what is told to all but partial peers from what only some should know.
+func (b *Broadcaster) split(notes *wire.EntryNotes) (shared *wire.EntryNotes, apart map[string][]*wire.EntryLoad) {
 	if b.settings.Interested == nil {
 		return notes, nil
 	}
--- a/estimator/engine.go
+++ b/estimator/engine.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// Learn has predictions follow what is learned of the engines of a service.
+// Learn has the pace of prompts follow what is learned of the engines of a service.
+// Predictions don't: with them more requests failed.
 func (e *Engine) Learn(speed *Speed) { e.speed = speed }
 
 // Observe takes in a load report. It returns false for a report that is older
