feat(follower,launcher): log each ended control stream, and the error that ends a role

Neither the hypotheses of docs/incidents/issue-33-crash-loop.md nor those of docs/incidents/issue-33-late-configuration.md can be told apart by the logs: an ended stream was logged at the level debug only, and the error of a process went to standard error as text, without its type. Both are lines of the log now. One line a stream is at most ten a second (redialDelay).

--- a/follower/loop.go
+++ b/follower/loop.go
@@ -29,8 +29,10 @@
 	next := 0
 	for {
 		address := f.nextMember(&next)
+		opened := time.Now()
 		err := f.follow(address)
-		f.settings.Log.Debug("stream ended", zap.String("member", address), zap.Error(err))
+		f.settings.Log.Info("control stream ended", zap.String("member", address),
+			zap.Duration("lasted", time.Since(opened)), zap.String("leader", f.Leader()), zap.Error(err))
 		if !f.awaitRedial() {
 			return
 		}
--- a/launcher/node.go
+++ b/launcher/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"syscall"
 	"time"
@@ -40,6 +41,7 @@
 	for {
 		err := runOnce(ctx, node, log, signals, hangups)
 		if !errors.Is(err, syscall.ENOSPC) {
+			logFailure(log, err)
 			return err
 		}
 		log.Warn("disk full; restarting services", zap.Error(err))
@@ -53,6 +55,13 @@
 	}
 }
 
+// logFailure logs the error that ends the process, with its type.
+func logFailure(log *zap.Logger, err error) {
+	if err != nil {
+		log.Error("role failed", zap.String("type", fmt.Sprintf("%T", err)), zap.Error(err))
+	}
+}
+
 // runOnce runs a role until it is told to stop or fails.
 func runOnce(ctx context.Context, node Node, log *zap.Logger, signals, hangups <-chan os.Signal) error {
 	settings, err := platform.ReadSettings(node.Path)
