fix(recorder): make loaded frames durable before a new segment is started

Cause: a process killed between the write of a frame and its sync leaves the frame in the file. The next process read it, took it as stored, started the next segment and synced only that one. A power loss then removed or tore the frame beside a newer, durable segment, which each later start takes for damage, for ever. Until then the member also voted and acknowledged by entries that were not durable.

Change: each segment is synced as it is loaded, after a torn tail was cut, so a segment is never older than a durable one and not durable itself. Costs one sync a segment and start.

Tests had crashes that lose data and none that keep it unsynced, so no start ever read what a later crash could take away.

Class: state that is observed before it is durable.

--- a/recorder/files_test.go
+++ b/recorder/files_test.go
@@ -60,7 +60,15 @@
 	return nil
 }
 
-// restart returns the file system after the crash. A random prefix of the unsynced
+// kill returns the file system after the process was killed. Names and content
+// survive, but stay as unsynced as they were.
+func (m *memoryFiles) kill() *memoryFiles {
+	killed := newMemoryFiles(m.random.Uint64())
+	killed.names, killed.durable, killed.pending = m.names, m.durable, m.pending
+	return killed
+}
+
+// restart returns the file system after a power loss. A random prefix of the unsynced
 // name changes survives, and of each file's unsynced bytes a random prefix, in which
 // a byte may be corrupted.
 func (m *memoryFiles) restart() *memoryFiles {
--- a/recorder/load.go
+++ b/recorder/load.go
@@ -89,23 +89,24 @@
 	if err != nil {
 		return err
 	}
-	if valid < len(data) {
-		p.cutBytes = len(data) - valid
-		if err := r.truncateSegment(name, int64(valid)); err != nil {
-			return &StorageError{Action: "cut " + name, Cause: err}
-		}
+	p.cutBytes = len(data) - valid
+	if err := r.syncSegment(name, int64(valid), p.cutBytes > 0); err != nil {
+		return &StorageError{Action: "sync " + name, Cause: err}
 	}
 	r.segments = append(r.segments, p.segment)
 	return nil
 }
 
-// truncateSegment removes an incomplete write at the end of a segment.
-func (r *Recorder) truncateSegment(name string, size int64) error {
+// syncSegment makes a segment's frames durable, because a killed process may have
+// written them without a sync. With truncate it first removes what follows size.
+func (r *Recorder) syncSegment(name string, size int64, truncate bool) error {
 	file, err := r.files.Append(r.path(name))
 	if err != nil {
 		return err
 	}
-	err = file.Truncate(size)
+	if truncate {
+		err = file.Truncate(size)
+	}
 	if err == nil {
 		err = file.Sync()
 	}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,6 +1,6 @@
 // Package recorder stores a member's hard state, log and snapshots in the files of
-// a folder. Appended data is durable once Sync has returned. After a failure nothing
-// more is written: the process must exit, because a later successful sync does not
+// a folder. Appended data is durable once Sync has returned, and loaded data once Open
+// has. After a failure nothing more is written: the process must exit, because a later successful sync does not
 // prove that an earlier write is durable.
 //
 // The writes of a sync are stored in a segment as one frame with a checksum of its
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -147,6 +147,49 @@
 	}
 }
 
+// TestMemberStartsAfterKillAndPowerLoss kills the process at each file system action
+// in turn, then cuts the power at another one while the folder is reopened.
+func TestMemberStartsAfterKillAndPowerLoss(t *testing.T) {
+	const seeds, openings = 12, 12
+	for seed := range uint64(seeds) {
+		for crashAt := 1; ; crashAt++ {
+			random := rand.New(rand.NewPCG(seed, 3))
+			files := newMemoryFiles(seed)
+			files.crashAt = crashAt
+			m, write := runWorkload(random, files, model{})
+			if !files.crashed {
+				break
+			}
+			files = files.kill()
+			files.crashAt = 1 + random.IntN(openings)
+			read, opened := openFolder(files)
+			files = files.restart()
+			loaded, err := loadFolder(files)
+			assert.NilError(t, err, "seed %d crash at %d", seed, crashAt)
+			if opened {
+				assert.Assert(t, cmp.Equal(loaded.HardState, read.HardState) && cmp.Equal(loaded.Entries, read.Entries),
+					"seed %d crash at %d: state that was reported as stored is lost", seed, crashAt)
+			}
+			assert.Assert(t, matches(loaded, m, write), "seed %d crash at %d", seed, crashAt)
+		}
+	}
+}
+
+// loadFolder opens a folder and returns its state.
+func loadFolder(files recorder.FileSystem) (recorder.Loaded, error) {
+	r, loaded, err := recorder.Open(recorder.Settings{Folder: folder, Files: files, SegmentBytes: segmentBytes})
+	if err == nil {
+		_ = r.Close()
+	}
+	return loaded, err
+}
+
+// openFolder is loadFolder for a folder that may crash while it is opened.
+func openFolder(files recorder.FileSystem) (recorder.Loaded, bool) {
+	loaded, err := loadFolder(files)
+	return loaded, err == nil
+}
+
 func TestFailedWritesAreFinal(t *testing.T) {
 	faults := map[string]func(*memoryFiles){
 		"failed sync": func(m *memoryFiles) { m.failSync = m.actions + 1 },
