fix(recorder): make the names seen at a start durable before they are relied on

Change: the folder is synced once at each start, before anything is built on its names.

Why tests missed it: the in-memory file system kept a prefix of the unsynced changes of names; the platform keeps or loses each independently. It does so now, which is stricter: a prefix is one of the sets that it may keep.

CreateFolder makes a folder's parent durable only where it creates the folder itself; on the platform it exists.

--- a/recorder/files_test.go
+++ b/recorder/files_test.go
@@ -68,13 +68,15 @@
 	return killed
 }
 
-// restart returns the file system after a power loss. A random prefix of the unsynced
-// name changes survives, and of each file's unsynced bytes a random prefix, in which
-// a byte may be corrupted.
+// restart returns the file system after a power loss. Each unsynced name change
+// survives or is lost independently, and of each file's unsynced bytes a random
+// prefix survives, in which a byte may be corrupted.
 func (m *memoryFiles) restart() *memoryFiles {
 	restarted := newMemoryFiles(m.random.Uint64())
-	for _, change := range m.pending[:m.random.IntN(len(m.pending)+1)] {
-		change.apply(m.durable)
+	for _, change := range m.pending {
+		if m.random.IntN(2) == 0 {
+			change.apply(m.durable)
+		}
 	}
 	for name, file := range m.durable {
 		data := slices.Clone(file.synced)
--- a/recorder/load.go
+++ b/recorder/load.go
@@ -20,6 +20,10 @@
 	if err := r.removePartial(names); err != nil {
 		return Loaded{}, err
 	}
+	// a killed process may have left names that are not durable
+	if err := r.files.SyncFolder(r.folder); err != nil {
+		return Loaded{}, &StorageError{Action: "sync folder", Cause: err}
+	}
 	var loaded Loaded
 	if loaded.Disk, err = r.loadIdentity(names); err != nil {
 		return Loaded{}, err
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -175,6 +175,65 @@
 	}
 }
 
+// TestIdentityIsKeptWhenNewFolderIsKilledAndLosesPower interrupts the first start of
+// a folder at each file system action, then the second one by a power loss.
+func TestIdentityIsKeptWhenNewFolderIsKilledAndLosesPower(t *testing.T) {
+	const seeds, openings = 40, 12
+	for seed := range uint64(seeds) {
+		for killAt := 1; killAt <= openings; killAt++ {
+			for crashAt := 1; crashAt <= openings; crashAt++ {
+				files := newMemoryFiles(seed)
+				files.crashAt = killAt
+				openFolder(files)
+				files = files.kill()
+				files.crashAt = crashAt
+				read, opened := openFolder(files)
+				loaded, err := loadFolder(files.restart())
+				assert.NilError(t, err, "seed %d kill at %d crash at %d", seed, killAt, crashAt)
+				assert.Assert(t, !opened || loaded.Disk == read.Disk, "seed %d kill at %d crash at %d", seed, killAt, crashAt)
+			}
+		}
+	}
+}
+
+// TestStateSurvivesSeriesOfKillsAndPowerLosses alternates kills and power losses at
+// random actions, also while the folder is opened.
+func TestStateSurvivesSeriesOfKillsAndPowerLosses(t *testing.T) {
+	const seeds, crashes, maxActions = 400, 8, 60
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		files := newMemoryFiles(seed)
+		m, write := model{}, (*replicator.Write)(nil)
+		for crash := range crashes {
+			files.crashAt = 1 + random.IntN(maxActions)
+			r, loaded, err := recorder.Open(recorder.Settings{Folder: folder, Files: files, SegmentBytes: segmentBytes})
+			if err == nil {
+				assert.Assert(t, matches(loaded, m, write), "seed %d crash %d", seed, crash)
+				m, write = writeUntilCrash(random, r, model{loaded.HardState, loaded.Snapshot, loaded.Entries})
+			} else {
+				assert.Assert(t, files.crashed, "seed %d crash %d: %v", seed, crash, err)
+			}
+			if random.IntN(2) == 0 {
+				files = files.kill()
+			} else {
+				files = files.restart()
+			}
+		}
+	}
+}
+
+// writeUntilCrash writes until a write fails. It returns the acknowledged state and
+// the failed write.
+func writeUntilCrash(random *rand.Rand, r *recorder.Recorder, m model) (model, *replicator.Write) {
+	for {
+		write := randomWrite(random, m)
+		if r.Append(write) != nil || r.Sync() != nil {
+			return m, &write
+		}
+		m = m.apply(write)
+	}
+}
+
 // loadFolder opens a folder and returns its state.
 func loadFolder(files recorder.FileSystem) (recorder.Loaded, error) {
 	r, loaded, err := recorder.Open(recorder.Settings{Folder: folder, Files: files, SegmentBytes: segmentBytes})
