fix(recorder,conductor): a member with damaged data rejoins instead of failing at each start

Callers saw RECOVER and CONFIG while members of the group ended by themselves again and again: a member whose data folder fails its checks exits with code 1, is started again, and does the same until somebody replaces its disk. Nobody does, and with two such members the group has no quorum.

Cause: the design knew lost disks and failed disks, but gave a damaged one to the operator. Its data can't be used any more than a lost disk's.

Change: the files are renamed within the folder, in steps that a crash at any point leaves repeatable, and the member joins as one with an empty disk and a new identity. Only a quorum of the intact voters takes it in, so more damage than the group tolerates leaves it without a quorum, as before, and never with an older state: such a member only joins, also after further starts, and never takes part in forming a group. The group's only copy (no peers) is left as it is. Data with a good checksum that can't be decoded may be a newer version's; that is now a FormatError and is never set aside.

Ruled out: removing the data (an operator may need it); waiting for a live quorum before the renames (they lose nothing, and a start would depend on the network).

--- a/conductor/formation.go
+++ b/conductor/formation.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -27,10 +28,12 @@
 func (c *Conductor) open() error {
 	loaded := recorder.Loaded{Disk: randomID()}
 	if c.config.Folder != "" {
-		opened, stored, err := recorder.Open(recorder.Settings{Folder: c.config.Folder, Files: c.config.Files})
+		opened, stored, err := c.openFolder()
 		if err != nil {
 			return err
 		}
+		// what the folder held before may include the group's only copy
+		c.config.JoinOnly = c.config.JoinOnly || stored.SetAside
 		if stored.CutBytes > 0 {
 			c.config.Log.Warn("truncated incomplete write at end of log", zap.Int("bytes", stored.CutBytes))
 		}
@@ -51,6 +54,23 @@
 	return nil
 }
 
+// openFolder opens the data folder. The content of a damaged folder is set aside if
+// there are other members from which this one can get it again.
+func (c *Conductor) openFolder() (*recorder.Recorder, recorder.Loaded, error) {
+	settings := recorder.Settings{Folder: c.config.Folder, Files: c.config.Files}
+	opened, stored, err := recorder.Open(settings)
+	var damage *recorder.CorruptionError
+	if !errors.As(err, &damage) || (len(c.config.others()) == 0 && !c.config.JoinOnly) {
+		return opened, stored, err
+	}
+	c.config.Log.Error("data folder damaged; setting its files aside to join the group with a new identity",
+		zap.String("folder", c.config.Folder), zap.String("file", damage.File), zap.String("reason", damage.Reason))
+	if err := recorder.SetAside(settings); err != nil {
+		return nil, recorder.Loaded{}, err
+	}
+	return recorder.Open(settings)
+}
+
 // releaseFolder closes the folder after a failure to open the member.
 func (c *Conductor) releaseFolder() {
 	if c.recorder == nil {
--- a/recorder/errors.go
+++ b/recorder/errors.go
@@ -25,8 +25,18 @@
 // Error describes the conflict.
 func (e *LockedError) Error() string { return "another process uses the data folder" }
 
-// CorruptionError is returned if synced data can't be read back. The disk must be
-// replaced, and the member must join again with a new identity.
+// FormatError is returned if intact data can't be decoded, for example because a newer
+// version wrote it. The data must be kept.
+type FormatError struct {
+	File   string
+	Reason string
+}
+
+// Error describes the content.
+func (e *FormatError) Error() string { return e.File + " can't be decoded: " + e.Reason }
+
+// CorruptionError is returned if synced data can't be read back. The member must join
+// again with a new identity, on a new disk or after SetAside.
 type CorruptionError struct {
 	File   string
 	Reason string
--- a/recorder/load.go
+++ b/recorder/load.go
@@ -13,18 +13,11 @@
 
 // load loads the state stored in the folder.
 func (r *Recorder) load() (Loaded, error) {
-	names, err := r.files.List(r.folder)
+	names, err := r.prepareFolder()
 	if err != nil {
-		return Loaded{}, &StorageError{Action: "list folder", Cause: err}
-	}
-	if err := r.removePartial(names); err != nil {
 		return Loaded{}, err
 	}
-	// a killed process may have left names that are not durable
-	if err := r.files.SyncFolder(r.folder); err != nil {
-		return Loaded{}, &StorageError{Action: "sync folder", Cause: err}
-	}
-	var loaded Loaded
+	loaded := Loaded{SetAside: slices.Contains(names, setAside)}
 	if loaded.Disk, err = r.loadIdentity(names); err != nil {
 		return Loaded{}, err
 	}
@@ -49,10 +42,37 @@
 	return loaded, nil
 }
 
+// prepareFolder completes what a crash interrupted and returns the names of the files.
+func (r *Recorder) prepareFolder() ([]string, error) {
+	names, err := r.listFiles()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.removePartial(names); err != nil {
+		return nil, err
+	}
+	// a killed process may have left names that are not durable
+	if err := r.files.SyncFolder(r.folder); err != nil {
+		return nil, &StorageError{Action: "sync folder", Cause: err}
+	}
+	if err := r.finishSettingAside(names); err != nil {
+		return nil, err
+	}
+	return r.listFiles()
+}
+
+func (r *Recorder) listFiles() ([]string, error) {
+	names, err := r.files.List(r.folder)
+	if err != nil {
+		return nil, &StorageError{Action: "list folder", Cause: err}
+	}
+	return names, nil
+}
+
 // removePartial removes files that were not written completely.
 func (r *Recorder) removePartial(names []string) error {
 	for _, name := range names {
-		if name != partialSnapshot && name != partialIdentity {
+		if name != partialSnapshot && name != partialIdentity && name != partialSettingAside {
 			continue
 		}
 		if err := r.remove(name); err != nil {
@@ -160,7 +180,7 @@
 func (p *replay) replayFrame(name string, content []byte) error {
 	records, ok := splitRecords(content)
 	if !ok {
-		return &CorruptionError{File: name, Reason: "a frame does not hold whole records"}
+		return &FormatError{File: name, Reason: "a frame does not hold whole records"}
 	}
 	for _, rec := range records {
 		if err := p.replayRecord(name, rec); err != nil {
@@ -185,13 +205,13 @@
 		}
 		return p.replayEntry(name, entry)
 	default:
-		return &CorruptionError{File: name, Reason: "a record has an unknown kind"}
+		return &FormatError{File: name, Reason: "a record has an unknown kind"}
 	}
 }
 
 func (p *replay) setBase(name string, rec record) error {
 	if len(rec.data) != baseRecordBytes {
-		return &CorruptionError{File: name, Reason: "a base record has a wrong length"}
+		return &FormatError{File: name, Reason: "a base record has a wrong length"}
 	}
 	p.base.index = binary.LittleEndian.Uint64(rec.data)
 	p.base.term = binary.LittleEndian.Uint64(rec.data[8:])
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -41,6 +41,8 @@
 	// CutBytes is the length of the incomplete write that was removed from the end
 	// of the log.
 	CutBytes int
+	// SetAside is set if earlier content of the folder was set aside.
+	SetAside bool
 }
 
 // Recorder writes to a folder. It is not safe for concurrent use.
@@ -76,6 +78,15 @@
 // Open loads a folder, which it creates if it is missing, and starts a new segment
 // in it.
 func Open(settings Settings) (*Recorder, Loaded, error) {
+	r := newRecorder(settings)
+	loaded, err := r.open()
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	return r, loaded, nil
+}
+
+func newRecorder(settings Settings) *Recorder {
 	r := &Recorder{folder: settings.Folder, files: settings.Files, segmentBytes: settings.SegmentBytes}
 	if r.files == nil {
 		r.files = systemFiles{}
@@ -83,11 +94,7 @@
 	if r.segmentBytes == 0 {
 		r.segmentBytes = DefaultSegmentBytes
 	}
-	loaded, err := r.open()
-	if err != nil {
-		return nil, Loaded{}, err
-	}
-	return r, loaded, nil
+	return r
 }
 
 func (r *Recorder) open() (Loaded, error) {
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -234,6 +234,41 @@
 	}
 }
 
+// TestDamagedFolderIsSetAsideOnce interrupts SetAside at each file system action, by a
+// kill or a power loss, and then opens the folder.
+func TestDamagedFolderIsSetAsideOnce(t *testing.T) {
+	const seeds = 40
+	crashes := map[string]func(*memoryFiles) *memoryFiles{
+		"kill":       (*memoryFiles).kill,
+		"power loss": (*memoryFiles).restart,
+	}
+	for name, crash := range crashes {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				for crashAt := 1; ; crashAt++ {
+					files := newMemoryFiles(seed)
+					m, _ := runWorkload(rand.New(rand.NewPCG(seed, 3)), files, model{})
+					before, err := loadFolder(files)
+					assert.NilError(t, err)
+					files.actions, files.crashAt = 0, crashAt
+					started := recorder.SetAside(recorder.Settings{Folder: folder, Files: files}) == nil
+					ended := !files.crashed
+					loaded, err := loadFolder(crash(files))
+					assert.NilError(t, err, "seed %d crash at %d", seed, crashAt)
+					if loaded.Disk == before.Disk {
+						assert.Assert(t, !started && !loaded.SetAside && matches(loaded, m, nil), "seed %d crash at %d", seed, crashAt)
+					} else {
+						assert.Assert(t, loaded.SetAside && matches(loaded, model{}, nil), "seed %d crash at %d", seed, crashAt)
+					}
+					if ended {
+						break
+					}
+				}
+			}
+		})
+	}
+}
+
 // loadFolder opens a folder and returns its state.
 func loadFolder(files recorder.FileSystem) (recorder.Loaded, error) {
 	r, loaded, err := recorder.Open(recorder.Settings{Folder: folder, Files: files, SegmentBytes: segmentBytes})
