fix(proposer,administrator): pass over a control member that has just failed to reply

What callers would see: a booking or a change of an operator that finds no leader for as long as one member that is behind names a silent one.

Cause: after each failure the next member was asked from a place that does not remember failures: the leader that another member names was called again although its call had just timed out, and so on in a circle of two.

Change: both use linker.Rotation; a member without a reply is passed over for a second.

Ruled out: seeker, reserver and delegator ask the leader that the follower knows, which is none while it is silent; gossiper takes its peers in turn and remembers failures as such.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -24,6 +24,8 @@
 	answerTimeout = 2 * time.Second
 	// retryDelay is the delay before the next member is called.
 	retryDelay = 100 * time.Millisecond
+	// silenceDuration is how long a member that failed to answer is passed over.
+	silenceDuration = time.Second
 )
 
 // Settings are the settings of an administrator.
@@ -153,12 +155,10 @@
 // askLeader calls the members in turn, or the leader that one of them names, until
 // one answers as the leader.
 func (a *Administrator) askLeader(ctx context.Context, do memberCall) error {
-	address := ""
+	members, leader := linker.NewRotation(), ""
 	var last error
-	for next := 0; ; next++ {
-		if address == "" {
-			address = a.settings.Control[next%len(a.settings.Control)]
-		}
+	for {
+		address := members.Next(leader, a.settings.Control, time.Now())
 		notLeader, err := a.callMember(ctx, address, do)
 		if err == nil && notLeader == nil {
 			return nil
@@ -166,10 +166,11 @@
 		if refused := finalError(err); refused != nil {
 			return refused
 		}
-		if err != nil {
+		if now := time.Now(); err != nil {
 			last = err
+			members.MarkSilent(address, now, now.Add(silenceDuration))
 		}
-		address = notLeader.GetLeader()
+		leader = notLeader.GetLeader()
 		if !linker.Sleep(ctx, retryDelay) {
 			return &NoAnswerError{Cause: last}
 		}
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -40,7 +40,7 @@
 
 func (s testServer) run() { _ = s.server.Serve(s.listener) }
 
-func serve(t *testing.T, m *member) string {
+func serve(t *testing.T, m wire.OperatorServer) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -94,3 +94,36 @@
 
 	assert.ErrorType(t, err, &administrator.RefusedError{})
 }
+
+// silentMember never answers a change.
+type silentMember struct{ wire.UnimplementedOperatorServer }
+
+func (silentMember) Change(ctx context.Context, _ *wire.ProposeRequest) (*wire.ProposeReply, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// namingMember names a leader.
+type namingMember struct {
+	wire.UnimplementedOperatorServer
+	leader string
+}
+
+func (m namingMember) Change(context.Context, *wire.ProposeRequest) (*wire.ProposeReply, error) {
+	return &wire.ProposeReply{Outcome: &wire.ProposeReply_NotLeader{NotLeader: &wire.NotLeader{Leader: m.leader}}}, nil
+}
+
+func TestChangeReachesLeaderAlthoughAnotherMemberNamesASilentOne(t *testing.T) {
+	silent := serve(t, silentMember{})
+	naming := serve(t, namingMember{leader: silent})
+	refusing := serve(t, &member{refusal: status.Error(codes.InvalidArgument, "reached")})
+	links := linker.New(nil, linker.NewMeter(metrics.NewRegistry()))
+	t.Cleanup(links.Close)
+	client := administrator.New(administrator.Settings{Control: []string{silent, naming, refusing}, Links: links})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	started := time.Now()
+	_, err := client.Change(ctx, "r", 0, []cataloger.Change{})
+	assert.ErrorContains(t, err, "reached")
+	assert.Assert(t, time.Since(started) < 3*time.Second, "took %v", time.Since(started))
+}
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -19,6 +19,8 @@
 	replyTimeout = 1500 * time.Millisecond
 	// retryInterval is the wait before the next attempt.
 	retryInterval = 50 * time.Millisecond
+	// silenceDuration is how long a member that failed to reply is passed over.
+	silenceDuration = time.Second
 )
 
 // Settings configure a Proposer.
@@ -57,11 +59,9 @@
 		return applier.Applied{}, err
 	}
 	request := &wire.ProposeRequest{Command: data}
-	address := p.settings.Leader()
-	for next := 0; ; next++ {
-		if address == "" {
-			address = p.settings.Control[next%len(p.settings.Control)]
-		}
+	members, leader := linker.NewRotation(), p.settings.Leader()
+	for {
+		address := members.Next(leader, p.settings.Control, time.Now())
 		reply, err := p.send(ctx, address, request)
 		if applied := reply.GetApplied(); err == nil && applied != nil {
 			return encoder.DecodeApplied(applied)
@@ -69,7 +69,10 @@
 		if linker.IsFinal(err) {
 			return applier.Applied{}, &RefusedError{Cause: err}
 		}
-		address = reply.GetNotLeader().GetLeader()
+		if now := time.Now(); err != nil {
+			members.MarkSilent(address, now, now.Add(silenceDuration))
+		}
+		leader = reply.GetNotLeader().GetLeader()
 		if !linker.Sleep(ctx, retryInterval) {
 			return applier.Applied{}, &UnconfirmedError{Cause: err}
 		}
