feat(forwarder): log the prompt parts of failed requests, and whether an answer had begun

The hypotheses of docs/incidents/issue-33-crashing-prompts.md differ in what the requests at work on an upstream that ends have in common; no line said so. Failed requests only, eight parts at most.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -37,6 +37,8 @@
 	deadline time.Time
 	attempts attempts
 	grant    *admitter.Grant
+	// headerArrived is true if the header of an answer to the last send has arrived.
+	headerArrived bool
 	// disallowed is true if the grant had lapsed when it was to be used, so that the
 	// request was not sent.
 	disallowed bool
@@ -339,7 +341,7 @@
 // send makes one attempt at the upstream that was granted.
 func (x *exchange) send(ctx context.Context) error {
 	x.attempts.sends++
-	x.disallowed = false
+	x.disallowed, x.headerArrived = false, false
 	x.grant.Started = time.Now()
 	choice := x.grant.Choice
 	path := x.r.RequestURI
@@ -358,6 +360,7 @@
 	if err != nil {
 		return x.handleSendError(err)
 	}
+	x.headerArrived = true
 	info := x.Codec.DecodeAnswer(response, time.Now())
 	x.Upstreams.ObserveNotice(choice, info.Notice, info.UnreadablePause)
 	if info.Limit.Announced || !info.Misdirected {
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -142,5 +142,8 @@
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
+	if x.result == reporter.ResultFailed && len(x.request.Parts) > 0 {
+		fields = append(fields, zap.Bool("header-arrived", x.headerArrived), zap.Strings("prompt-parts", x.request.loggedParts()))
+	}
 	x.Log.Info("request", fields...)
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -33,6 +33,18 @@
 	LastEvent string
 }
 
+// maxLoggedParts is the number of prompt parts in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the IDs of the first parts.
+func (r *Request) loggedParts() []string {
+	ids := make([]string, 0, maxLoggedParts)
+	for _, part := range r.Parts[:min(len(r.Parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // UpstreamRequest is sent to an upstream in addition to the caller's header.
 type UpstreamRequest struct {
 	Now time.Time
