feat(quarantiner): keep prompts that crash upstreams from them, over all entries

Cause: nothing compared what requests on ended upstreams have in common; the parts of a prompt were read for prefix affinity only, and each entry sent such requests as they came.

Change: an entry that sees an answer end between its header and its first event asks whether the upstream still listens. If not, it shares the crash with the request's shared parts. Parts that any entry has seen answered just before or since are harmless. Requests that hold all remaining suspects of two crashes are refused at once, with the time at which the parts are tried again; others with a suspect are tried one at a time. Why it works: one of a crash's suspects is its cause, so a request with all of them contains it, and a sound part that always travels with the deadly one is never refused for it alone.

Ruled out: repeats (each of nine ends was another request, sent once); anything held against callers or first parts (no refusal names one).

The forwarder's tests carry an incarnation now, as real upstreams do.

--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -96,7 +96,9 @@
 }
 
 // silentMember never answers a change.
-type silentMember struct{ wire.UnimplementedOperatorServer }
+type silentMember struct {
+	wire.UnimplementedOperatorServer
+}
 
 func (silentMember) Change(ctx context.Context, _ *wire.ProposeRequest) (*wire.ProposeReply, error) {
 	<-ctx.Done()
--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -18,6 +18,7 @@
 	"burdocklink/encoder"
 	"burdocklink/encoder/wire"
 	"burdocklink/linker"
+	"burdocklink/quarantiner"
 	"burdocklink/registrar"
 	"burdocklink/router"
 	"burdocklink/surveyor"
@@ -36,6 +37,9 @@
 	maxNotesPerSecond = 240
 	// repeatInterval is the interval between notes with all loads.
 	repeatInterval = 500 * time.Millisecond
+	// repeatCrashesInterval is the interval between notes with all crashes. Changes and
+	// new streams carry them at once, so it only covers notes that were dropped.
+	repeatCrashesInterval = 5 * time.Second
 	// noteQueueSize is the number of queued notes per peer. Further ones are dropped.
 	noteQueueSize = 16
 	// idleTimeout is the time without notes after which the stream to an
@@ -60,6 +64,8 @@
 	// upstream to, nil for all regular peers. A nil function means all regular peers
 	// for all upstreams.
 	InterestedEntries func(upstream string) []string
+	// Crashes shares what crashed upstreams; nil if that is not shared.
+	Crashes Crashes
 	// RegisterServices registers further services on the server; nil for none.
 	RegisterServices func(server *grpc.Server)
 	// Wake is called when the free capacity of an upstream may have changed.
@@ -67,6 +73,22 @@
 	Log  *zap.Logger
 }
 
+// Crashes holds the crashes of upstreams that are known to this entry.
+type Crashes interface {
+	// Changes returns those that changed since the last call, Crashes all.
+	Changes() []quarantiner.Crash
+	Crashes() []quarantiner.Crash
+	// Merge adds those that another entry knows.
+	Merge(crashes []quarantiner.Crash)
+}
+
+// noCrashes is used if crashes are not shared.
+type noCrashes struct{}
+
+func (noCrashes) Changes() []quarantiner.Crash { return nil }
+func (noCrashes) Crashes() []quarantiner.Crash { return nil }
+func (noCrashes) Merge([]quarantiner.Crash)    {}
+
 // Broadcaster sends notes to other entries and receives theirs.
 type Broadcaster struct {
 	wire.UnimplementedPeerServer
@@ -101,6 +123,9 @@
 
 // New returns a broadcaster that has not started.
 func New(settings Settings) *Broadcaster {
+	if settings.Crashes == nil {
+		settings.Crashes = noCrashes{}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Broadcaster{
 		settings: settings,
@@ -189,19 +214,23 @@
 	defer close(b.done)
 	timer := time.NewTimer(flushInterval)
 	defer timer.Stop()
-	repeatAt := time.Now()
+	repeatAt, repeatCrashesAt := time.Now(), time.Now()
 	for {
 		select {
 		case <-b.ctx.Done():
 			return
 		case now := <-timer.C:
 			queued := 0
-			if notes := b.collect(now.After(repeatAt)); notes != nil {
+			notes := b.addCrashes(b.collect(now.After(repeatAt)), now.After(repeatCrashesAt))
+			if notes != nil {
 				queued = b.publish(notes)
 			}
 			if now.After(repeatAt) {
 				repeatAt = now.Add(repeatInterval)
 			}
+			if now.After(repeatCrashesAt) {
+				repeatCrashesAt = now.Add(repeatCrashesInterval)
+			}
 			timer.Reset(flushDelay(queued))
 		}
 	}
@@ -226,6 +255,22 @@
 	return &wire.EntryNotes{Entry: b.settings.Entry, Loads: encoder.EncodeLoads(loads), Whole: full}
 }
 
+// addCrashes adds the changed crashes, or all of them, to notes, which may be nil.
+func (b *Broadcaster) addCrashes(notes *wire.EntryNotes, all bool) *wire.EntryNotes {
+	crashes := b.settings.Crashes.Changes()
+	if all {
+		crashes = b.settings.Crashes.Crashes()
+	}
+	if len(crashes) == 0 {
+		return notes
+	}
+	if notes == nil {
+		notes = &wire.EntryNotes{Entry: b.settings.Entry}
+	}
+	notes.Crashes = encoder.EncodeCrashes(crashes, time.Now())
+	return notes
+}
+
 // withUnchanged appends the loads of the other upstreams to the changed ones.
 func withUnchanged(changes, all []router.Load) []router.Load {
 	changed := make(map[string]bool, len(changes))
@@ -261,10 +306,11 @@
 		if extra := targeted[address]; p.interestOnly || len(extra) > 0 {
 			outgoing = &wire.EntryNotes{Entry: notes.GetEntry(), Loads: extra, Whole: notes.GetWhole()}
 			if !p.interestOnly {
+				outgoing.Crashes = shared.GetCrashes()
 				outgoing.Loads = append(outgoing.Loads, shared.GetLoads()...)
 			}
 		}
-		if len(outgoing.GetLoads()) > 0 || outgoing.GetWhole() {
+		if len(outgoing.GetLoads()) > 0 || len(outgoing.GetCrashes()) > 0 || outgoing.GetWhole() {
 			p.enqueue(outgoing)
 			queued++
 		}
@@ -279,7 +325,7 @@
 	if b.settings.InterestedEntries == nil {
 		return notes, nil
 	}
-	shared = &wire.EntryNotes{Entry: notes.GetEntry(), Whole: notes.GetWhole()}
+	shared = &wire.EntryNotes{Entry: notes.GetEntry(), Whole: notes.GetWhole(), Crashes: notes.GetCrashes()}
 	targeted = map[string][]*wire.EntryLoad{}
 	for _, load := range notes.GetLoads() {
 		interested := b.settings.InterestedEntries(load.GetUpstream())
@@ -327,6 +373,9 @@
 	if err != nil {
 		return err
 	}
+	if err := b.sendCrashes(call); err != nil {
+		return err
+	}
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -341,7 +390,17 @@
 	}
 }
 
-// Notes merges the loads received from another entry.
+// sendCrashes sends all crashes at the start of a stream, for an entry that has been
+// restarted or cut off.
+func (b *Broadcaster) sendCrashes(call grpc.ClientStreamingClient[wire.EntryNotes, wire.NotesReply]) error {
+	crashes := b.settings.Crashes.Crashes()
+	if len(crashes) == 0 {
+		return nil
+	}
+	return call.Send(&wire.EntryNotes{Entry: b.settings.Entry, Crashes: encoder.EncodeCrashes(crashes, time.Now())})
+}
+
+// Notes merges the loads and crashes received from another entry.
 func (b *Broadcaster) Notes(stream grpc.ClientStreamingServer[wire.EntryNotes, wire.NotesReply]) error {
 	for {
 		notes, err := stream.Recv()
@@ -352,6 +411,9 @@
 			return err
 		}
 		b.settings.Router.MergeLoads(time.Now(), notes.GetEntry(), encoder.DecodeLoads(notes.GetLoads()), notes.GetWhole())
+		if len(notes.GetCrashes()) > 0 {
+			b.settings.Crashes.Merge(encoder.DecodeCrashes(notes.GetCrashes(), time.Now()))
+		}
 		b.settings.Wake()
 	}
 }
--- /dev/null
+++ b/forwarder/crash_test.go
@@ -0,0 +1,100 @@
+package forwarder_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/forwarder"
+	"burdocklink/matcher"
+)
+
+// serveCrashing serves an upstream that closes all its connections and its listener once
+// it has sent the given text, with the header of a stream, for a request.
+func (r *rig) serveCrashing(text string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		r.runs.Add(1)
+		w.Header().Set("Signed", "yes")
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+		_ = server.Close()
+	})
+	go func() { _ = server.Serve(listener) }()
+	r.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// withParts adds prompt parts to the codec of the tests.
+func withParts(codec forwarder.Codec) forwarder.Codec {
+	decode := codec.DecodeRequest
+	codec.DecodeRequest = func(r *http.Request, now time.Time) (forwarder.Request, error) {
+		request, err := decode(r, now)
+		for _, id := range strings.Fields(r.Header.Get("Parts")) {
+			request.Parts = append(request.Parts, forwarder.PromptPart{ID: id, Tokens: 1})
+		}
+		return request, err
+	}
+	return codec
+}
+
+// askParts sends a streaming request with prompt parts.
+func (r *rig) askParts(parts string) reply {
+	return r.ask(http.MethodPost, "/x/1", "", map[string]string{"Parts": parts})
+}
+
+func TestRequestIsNotSentAgainAfterItCrashedAnUpstream(t *testing.T) {
+	cases := map[string]struct {
+		upstream func(r *rig) string
+		status   int
+		runs     int32
+	}{
+		"upstream no longer listens": {func(r *rig) string { return r.serveCrashing("id: 1\nda") }, http.StatusBadGateway, 1},
+		"upstream still listens":     {func(r *rig) string { return r.serve(events(1, 0, false)) }, http.StatusOK, 2},
+		"upstream sent an event":     {func(r *rig) string { return r.serveCrashing(eventText(1, 2)) }, http.StatusOK, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 3}, events(1, 5, true))
+			r.admission.upstreams = append([]string{c.upstream(r)}, r.admission.upstreams...)
+			got := r.askParts("shared deadly own")
+			assert.Equal(t, got.status, c.status)
+			assert.Equal(t, r.runs.Load(), c.runs)
+		})
+	}
+}
+
+func TestPromptsThatCrashedTwoUpstreamsAreRefusedAndSoundOnesServed(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, events(1, 5, true), events(1, 5, true), events(1, 5, true))
+	r.admission.upstreams = append([]string{r.serveCrashing("id: 1\nda"), r.serveCrashing("")}, r.admission.upstreams...)
+	for range 2 {
+		assert.Equal(t, r.askParts("shared deadly own").status, http.StatusBadGateway)
+	}
+	refused := r.askParts("shared deadly other")
+	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 290)
+	assert.Equal(t, r.runs.Load(), int32(2))
+	for range 3 {
+		assert.Equal(t, r.askParts("shared sound own").body, eventText(1, 5))
+	}
+	assert.Equal(t, r.askParts("shared deadly own").status, http.StatusServiceUnavailable)
+}
+
+func TestLastPromptPartIsNeverSuspected(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, events(1, 5, true))
+	r.admission.upstreams = append([]string{r.serveCrashing("id"), r.serveCrashing("id")}, r.admission.upstreams...)
+	for range 2 {
+		assert.Equal(t, r.askParts("own").status, http.StatusBadGateway)
+	}
+	assert.Equal(t, r.askParts("own").status, http.StatusOK)
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -16,6 +16,7 @@
 	"burdocklink/dispatcher"
 	"burdocklink/linker"
 	"burdocklink/matcher"
+	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 	"burdocklink/router"
 )
@@ -37,6 +38,10 @@
 	deadline time.Time
 	attempts attempts
 	grant    *admitter.Grant
+	// pass allows the request to be sent.
+	pass *quarantiner.Pass
+	// upstreamCrashed is true if the last upstream crashed when it began to answer.
+	upstreamCrashed bool
 	// headerArrived is true if the header of an answer to the last send has arrived.
 	headerArrived bool
 	// disallowed is true if the grant had lapsed when it was to be used, so that the
@@ -193,6 +198,10 @@
 		if err := x.waitForUpstream(ctx); err != nil {
 			return err
 		}
+		if !x.pass.Valid() {
+			x.returnGrant()
+			continue
+		}
 		err := x.send(ctx)
 		if err == nil {
 			return nil
@@ -200,6 +209,9 @@
 		if cause := context.Cause(ctx); cause != nil {
 			return x.endError(cause)
 		}
+		if x.upstreamCrashed {
+			return err
+		}
 		if !x.attempts.mayRetry(x.route, time.Now(), x.deadline) || (x.attempts.answerStarted && x.lastEventID == x.initialEventID) {
 			return err
 		}
@@ -209,6 +221,13 @@
 	}
 }
 
+// returnGrant ends a grant that was not used.
+func (x *exchange) returnGrant() {
+	x.disallowed = true
+	x.settle(router.OutcomeCancelled)
+	x.grant.MarkNotSent()
+}
+
 // endError returns the error for a request whose context ended. If an upstream may
 // have run it, the answer is lost.
 func (x *exchange) endError(cause error) error {
@@ -225,12 +244,43 @@
 	defer cancel(nil)
 	stopWatching := context.AfterFunc(x.admitCtx, func() { cancel(context.Cause(x.admitCtx)) })
 	defer stopWatching()
+	if err := x.awaitPass(ctx); err != nil {
+		return linker.CauseOf(ctx, err)
+	}
 	if err := x.chooseUpstream(ctx); err != nil {
 		return linker.CauseOf(ctx, err)
 	}
 	return nil
 }
 
+// awaitPass waits until the parts of the request may be sent to an upstream.
+func (x *exchange) awaitPass(ctx context.Context) error {
+	x.endPass()
+	pass, err := x.Quarantine.Admit(ctx, x.sharedParts(), x.usefulUntil())
+	if err != nil {
+		return err
+	}
+	x.pass = pass
+	return nil
+}
+
+func (x *exchange) endPass() {
+	if x.pass != nil {
+		x.pass.End()
+	}
+}
+
+// sharedParts returns the IDs of the prompt's parts within the service. The last part
+// belongs to the request alone.
+func (x *exchange) sharedParts() []string {
+	parts := x.request.Parts
+	shared := make([]string, 0, len(parts))
+	for i := range len(parts) - 1 {
+		shared = append(shared, x.service+"/"+parts[i].ID)
+	}
+	return shared
+}
+
 // chooseUpstream waits for an upstream that holds the requested model and adapter.
 func (x *exchange) chooseUpstream(ctx context.Context) error {
 	requirement := chooser.Requirement{
@@ -285,7 +335,7 @@
 		return x.Admitter.Reacquire(ctx, x.grant)
 	}
 	request := x.admission()
-	request.Counted = counted || x.attempts.sends > 0
+	request.Counted = counted || x.attempts.sends > 0 || x.disallowed
 	return x.Admitter.Acquire(ctx, request)
 }
 
@@ -355,7 +405,7 @@
 		Header:     x.Codec.EncodeRequest(x.r.Header, x.upstreamRequest(choice)),
 		Body:       x.body,
 		OwnsAnswer: func(header http.Header) bool { return x.Codec.OwnsAnswer(x.request.ID, header) },
-		Allowed:    func() bool { return x.Upstreams.Allows(choice) },
+		Allowed:    func() bool { return x.Upstreams.Allows(choice) && x.pass.Valid() },
 	})
 	if err != nil {
 		return x.handleSendError(err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"burdocklink/dispatcher"
 	"burdocklink/linker"
 	"burdocklink/matcher"
+	"burdocklink/quarantiner"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
 	"burdocklink/router"
@@ -68,8 +69,11 @@
 	Holders   Holders
 	Upstreams Upstreams
 	Calls     *dispatcher.Dispatcher
-	Reporter  *reporter.Reporter
-	Log       *zap.Logger
+	// Quarantine keeps requests from upstreams that they would crash; nil means one
+	// of this forwarder alone.
+	Quarantine *quarantiner.Quarantiner
+	Reporter   *reporter.Reporter
+	Log        *zap.Logger
 }
 
 // Limits of callers' connections. Configured limits are lower; these only end
@@ -94,6 +98,9 @@
 
 // New returns a forwarder that has not started.
 func New(config Config) *Forwarder {
+	if config.Quarantine == nil {
+		config.Quarantine = quarantiner.New(quarantiner.Settings{Log: config.Log})
+	}
 	f := &Forwarder{Config: config}
 	f.admitCtx, f.refuseWaiting = context.WithCancelCause(context.Background())
 	return f
@@ -133,6 +140,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(f, w, r)
 	defer x.releaseBuffer()
+	defer x.endPass()
 	// guards against request smuggling: bytes after a chunked body could be read as a
 	// new request by one parser and as part of the body by another
 	if f.draining.Load() || len(r.TransferEncoding) > 0 {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -99,7 +99,8 @@
 		return nil, a.err
 	}
 	a.next++
-	return &admitter.Grant{Choice: router.Choice{Upstream: "u" + strconv.Itoa(a.next), Address: a.upstreams[a.next-1]}}, nil
+	name := "u" + strconv.Itoa(a.next)
+	return &admitter.Grant{Choice: router.Choice{Upstream: name, Incarnation: name + "@1", Address: a.upstreams[a.next-1]}}, nil
 }
 
 func (a *admission) Reacquire(ctx context.Context, _ *admitter.Grant) (*admitter.Grant, error) {
@@ -187,7 +188,7 @@
 	calls := dispatcher.New(dispatcher.Settings{})
 	t.Cleanup(calls.Close)
 	r.forwarder = forwarder.New(forwarder.Config{
-		Listen: "127.0.0.1:0", Codec: codec(), Table: r.table.Load, Ready: func() error { return nil },
+		Listen: "127.0.0.1:0", Codec: withParts(codec()), Table: r.table.Load, Ready: func() error { return nil },
 		Admitter: r.admission, Holders: &holders{held: "unreachable"}, Calls: calls, Upstreams: r.upstreams,
 		Reporter: reporter.New(reporter.Settings{}), Log: zap.NewNop(),
 	})
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -10,6 +10,7 @@
 
 	"burdocklink/admitter"
 	"burdocklink/chooser"
+	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 	"burdocklink/router"
 )
@@ -75,6 +76,8 @@
 	var rateLimited *router.RateLimitedError
 	var absent *chooser.AbsentError
 	var notRun *NotRunError
+	var quarantined *quarantiner.QuarantinedError
+	var trialPending *quarantiner.TrialPendingError
 	switch {
 	case errors.As(err, &targetMissed):
 		return targetMissed.RetryAt
@@ -90,6 +93,10 @@
 		return absent.RetryAt
 	case errors.As(err, &notRun):
 		return notRun.RetryAt
+	case errors.As(err, &quarantined):
+		return quarantined.RetryAt
+	case errors.As(err, &trialPending):
+		return trialPending.RetryAt
 	default:
 		return time.Now().Add(shortRetryDelay)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -35,11 +35,17 @@
 		return fault
 	}
 	events := newEventReader(response.Body)
-	for {
+	for reads := 0; ; reads++ {
 		arrived, err := events.next()
+		if reads > 0 && (err == nil || err == io.EOF) {
+			x.pass.Answered()
+		}
 		if err == io.EOF {
 			return x.completeStream(response)
 		}
+		if err != nil && reads == 0 {
+			x.checkCrash()
+		}
 		if err == nil {
 			err = x.relayEvents(response, arrived)
 		}
@@ -49,6 +55,13 @@
 	}
 }
 
+// checkCrash finds out whether the upstream has crashed after it began to answer and
+// before the first event.
+func (x *exchange) checkCrash() {
+	choice := x.grant.Choice
+	x.upstreamCrashed = x.pass.Broken(x.r.Context(), choice.Incarnation, choice.Address)
+}
+
 // relayEvents writes complete events and flushes them.
 func (x *exchange) relayEvents(response *http.Response, arrived []byte) error {
 	err := forEachEvent(arrived, func(event []byte) error { return x.relayEvent(response, event) })
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -20,9 +20,11 @@
 	body, err := io.ReadAll(reader)
 	_ = response.Body.Close()
 	if err != nil {
+		x.checkCrash()
 		x.settle(router.OutcomeFailed)
 		return &LostError{Cause: err}
 	}
+	x.pass.Answered()
 	if len(body) > maxAnswerBytes {
 		x.settle(router.OutcomeFailed)
 		return &LostError{Cause: &BodyTooLargeError{Limit: maxAnswerBytes}}
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -19,6 +19,7 @@
 	"burdocklink/observer"
 	"burdocklink/platform"
 	"burdocklink/prober"
+	"burdocklink/quarantiner"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
 	"burdocklink/reserver"
@@ -84,6 +85,7 @@
 	broadcasts    *broadcaster.Broadcaster
 	holders       *seeker.Seeker
 	delegations   *delegator.Delegator
+	quarantine    *quarantiner.Quarantiner
 	upstreams     *surveyor.Surveyor
 	configuration *activeConfiguration
 }
@@ -114,12 +116,18 @@
 		Notify:    p.notify,
 		Log:       settings.Log,
 	})
+	p.quarantine = quarantiner.New(quarantiner.Settings{
+		Entry:   settings.LinkAddress,
+		Metrics: p.metrics.Registry(),
+		Log:     settings.Log,
+	})
 	p.broadcasts = broadcaster.New(broadcaster.Settings{
 		Entry:        settings.Node,
 		Listen:       settings.LinkAddress,
 		Links:        p.links,
 		Router:       p.routes,
 		ServeReading: p.upstreams.ServeReading,
+		Crashes:      p.quarantine,
 		Wake:         p.admission.Wake,
 		Log:          settings.Log,
 
@@ -152,6 +160,7 @@
 func (p *entryParts) setPeers(peers []string) {
 	p.broadcasts.SetPeers(peers)
 	p.delegations.SetPeers(peers)
+	p.quarantine.SetPeers(peers)
 	p.retries.setEntries(len(peers) + 1)
 }
 
@@ -207,6 +216,7 @@
 		Holders:          p.holders,
 		Upstreams:        p.observations,
 		Calls:            p.calls,
+		Quarantine:       p.quarantine,
 		Reporter:         p.metrics,
 		Log:              p.settings.Log,
 	})
--- /dev/null
+++ b/quarantiner/history_test.go
@@ -0,0 +1,277 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/quarantiner"
+)
+
+const (
+	step = 10 * time.Millisecond
+	// historySteps is the length of a history. Requests with the deadly part come in
+	// the first part of it.
+	historySteps = 2000
+	deadlySteps  = 1600
+	// settleTime is the time after the fifth crash from which on maxLateSends requests
+	// with the deadly part may be sent.
+	settleTime   = 3 * time.Second
+	maxLateSends = 3
+	// repeatSteps is the time between two repetitions of all that an entry knows.
+	repeatSteps = 100
+)
+
+// simulatedRequest is a request at an upstream.
+type simulatedRequest struct {
+	entry    int
+	parts    []string
+	trial    quarantiner.Trial
+	upstream int
+	beginsAt int
+}
+
+// note is a message with crashes to an entry.
+type note struct {
+	to        int
+	crashes   []quarantiner.Crash
+	arrivesAt int
+}
+
+// history is a fleet of entries and upstreams under requests with a deadly part.
+type history struct {
+	t        *testing.T
+	seed     uint64
+	random   *rand.Rand
+	tables   []*quarantiner.Table
+	absent   []int // the step until which each entry is frozen or has just started
+	upstream []int // the incarnation of each upstream
+	running  []simulatedRequest
+	notes    []note
+	at       int
+
+	crashes   int
+	fifthAt   int
+	lateSends int
+	// unrelated counts the crashes without cause that a part was under.
+	unrelated map[string]int
+	sound     int
+	refused   int
+}
+
+func newHistory(t *testing.T, seed uint64) *history {
+	random := rand.New(rand.NewPCG(seed, 1))
+	h := &history{t: t, seed: seed, random: random, unrelated: map[string]int{}}
+	for range 2 + random.IntN(10) {
+		h.tables = append(h.tables, quarantiner.NewTable())
+		h.absent = append(h.absent, 0)
+	}
+	h.upstream = make([]int, 3+random.IntN(8))
+	return h
+}
+
+func (h *history) now() time.Time { return start.Add(time.Duration(h.at) * step) }
+
+func (h *history) run() {
+	for h.at = range historySteps {
+		h.disturb()
+		h.deliver()
+		for range h.random.IntN(4) {
+			h.arrive()
+		}
+		h.begin()
+		if h.at%repeatSteps == 0 {
+			for entry, table := range h.tables {
+				h.tell(entry, table.Crashes(h.now()))
+			}
+		}
+	}
+}
+
+// disturb freezes or restarts an entry now and then, or crashes an upstream.
+func (h *history) disturb() {
+	entry := h.random.IntN(len(h.tables))
+	switch h.random.IntN(1500) {
+	case 0:
+		h.absent[entry] = h.at + 300
+	case 1:
+		h.tables[entry] = quarantiner.NewTable()
+		h.absent[entry] = h.at
+	case 2:
+		h.crash(h.random.IntN(len(h.upstream)), h.random.IntN(3) == 0)
+	}
+}
+
+// arrive decides about a new request.
+func (h *history) arrive() {
+	entry := h.random.IntN(len(h.tables))
+	if h.at < h.absent[entry] {
+		return
+	}
+	parts := []string{"common", fmt.Sprint("subject-", h.random.IntN(20))}
+	deadly := h.at > 100 && h.at < deadlySteps && h.random.IntN(20) == 0
+	if deadly {
+		parts = append(parts, "deadly")
+	}
+	request := simulatedRequest{
+		entry: entry, parts: parts, upstream: h.random.IntN(len(h.upstream)), beginsAt: h.at + 5 + h.random.IntN(30),
+	}
+	switch verdict := h.tables[entry].Decide(parts, probing(false), h.now()).(type) {
+	case quarantiner.Wait:
+		return
+	case quarantiner.Refuse:
+		h.checkRefusal(verdict, deadly)
+		return
+	case quarantiner.Trial:
+		request.trial = verdict
+	}
+	if !deadly {
+		h.sound++
+	}
+	settled := h.crashes >= 5 && h.at > h.fifthAt+int(settleTime/step) && h.at > h.absent[entry]+int(settleTime/step)
+	if deadly && settled {
+		h.lateSends++
+	}
+	h.running = append(h.running, request)
+}
+
+// checkRefusal checks that a sound request is refused only after as many crashes
+// without cause as make a quarantine.
+func (h *history) checkRefusal(verdict quarantiner.Refuse, deadly bool) {
+	if deadly {
+		return
+	}
+	h.refused++
+	unrelated := 0
+	for _, part := range verdict.Suspects {
+		unrelated = max(unrelated, h.unrelated[part])
+	}
+	assert.Assert(h.t, unrelated >= 2, "seed %d step %d: %v refused", h.seed, h.at, verdict.Suspects)
+}
+
+// begin lets upstreams begin the answers that are due.
+func (h *history) begin() {
+	var due, later []simulatedRequest
+	for _, request := range h.running {
+		if request.beginsAt <= h.at {
+			due = append(due, request)
+		} else {
+			later = append(later, request)
+		}
+	}
+	h.running = later
+	for _, request := range due {
+		if h.at < h.absent[request.entry] {
+			continue
+		}
+		table := h.tables[request.entry]
+		if len(request.parts) == 3 {
+			h.observe(request, request.upstream)
+			h.crash(request.upstream, false)
+		} else {
+			h.tell(request.entry, table.Answered(request.parts, h.now()))
+		}
+		table.EndTrial(request.trial)
+	}
+}
+
+// observe records at an entry that an upstream crashed under a request.
+func (h *history) observe(request simulatedRequest, upstream int) {
+	crash := quarantiner.Crash{
+		Upstream: fmt.Sprintf("u%d@%d", upstream, h.upstream[upstream]), Parts: request.parts, At: h.now(),
+	}
+	if crash, changed := h.tables[request.entry].Merge(crash, h.now()); changed {
+		h.tell(request.entry, []quarantiner.Crash{crash})
+	}
+}
+
+// crash ends an upstream and what runs on it. With accuse the first of these requests
+// looks like the cause.
+func (h *history) crash(upstream int, accuse bool) {
+	var others []simulatedRequest
+	for _, request := range h.running {
+		if request.upstream != upstream {
+			others = append(others, request)
+			continue
+		}
+		if accuse && len(request.parts) == 2 {
+			h.observe(request, upstream)
+			for _, part := range request.parts {
+				h.unrelated[part]++
+			}
+			accuse = false
+		}
+		h.tables[request.entry].EndTrial(request.trial)
+	}
+	h.running = others
+	h.upstream[upstream]++
+	h.crashes++
+	if h.crashes == 5 {
+		h.fifthAt = h.at
+	}
+}
+
+// tell sends crashes to all other entries. Messages are late, lost or doubled.
+func (h *history) tell(from int, crashes []quarantiner.Crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	for to := range h.tables {
+		for range []int{0, 1, 1, 1, 2}[h.random.IntN(5)] {
+			if to != from {
+				h.notes = append(h.notes, note{to: to, crashes: crashes, arrivesAt: h.at + h.random.IntN(20)})
+			}
+		}
+	}
+}
+
+func (h *history) deliver() {
+	var later []note
+	for _, n := range h.notes {
+		if n.arrivesAt > h.at || h.at < h.absent[n.to] {
+			later = append(later, n)
+			continue
+		}
+		for _, observed := range n.crashes {
+			if crash, changed := h.tables[n.to].Merge(observed, h.now()); changed {
+				h.tell(n.to, []quarantiner.Crash{crash})
+			}
+		}
+	}
+	h.notes = later
+}
+
+func TestHistories(t *testing.T) {
+	seeds := uint64(200)
+	if testing.Short() {
+		seeds = 50
+	}
+	crashes, refused, sound := 0, 0, 0
+	for seed := range seeds {
+		h := newHistory(t, seed)
+		h.run()
+		assert.Assert(t, h.lateSends <= maxLateSends, "seed %d: %d sent after the fifth crash", seed, h.lateSends)
+		crashes, refused, sound = crashes+h.crashes, refused+h.refused, sound+h.sound
+	}
+	t.Logf("%d histories: %d crashes, %d sound requests sent, %d refused", seeds, crashes, sound, refused)
+	assert.Assert(t, refused*200 < sound)
+}
+
+func FuzzMerge(f *testing.F) {
+	f.Add("u1", "a,d", "a", int64(5))
+	f.Add("", "", "x", int64(-1))
+	f.Fuzz(func(t *testing.T, upstream, part, harmless string, age int64) {
+		table := quarantiner.NewTable()
+		for range 2 {
+			table.Merge(quarantiner.Crash{
+				Upstream: upstream, Parts: []string{part, "b"}, Harmless: []string{harmless},
+				At: start.Add(-time.Duration(age)),
+			}, start)
+		}
+		_, refused := table.Decide([]string{part, harmless, "b"}, probing(false), start).(quarantiner.Refuse)
+		assert.Assert(t, !refused)
+	})
+}
--- /dev/null
+++ b/quarantiner/quarantiner.go
@@ -0,0 +1,255 @@
+package quarantiner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+)
+
+const (
+	// dialTimeout is the maximum time to find out whether an upstream still listens.
+	dialTimeout = 300 * time.Millisecond
+	// trialRetryDelay is the retry delay for callers whose requests waited for a trial.
+	trialRetryDelay = time.Second
+)
+
+// Settings configure a Quarantiner.
+type Settings struct {
+	// Entry identifies this entry among those of SetPeers, by address.
+	Entry string
+	// Dial opens a connection to an upstream; nil means TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Metrics may be nil.
+	Metrics metrics.Registry
+	Log     *zap.Logger
+}
+
+// Quarantiner decides for an entry which requests may be sent. It is safe for
+// concurrent use.
+type Quarantiner struct {
+	settings Settings
+	crashes  metrics.Counter
+	refusals metrics.Counter
+
+	mutex sync.Mutex
+	table *Table
+	peers []string
+	// changed contains the crashes that other entries have not been sent.
+	changed map[string]Crash
+	// wake is closed when requests that wait may be decided anew.
+	wake chan struct{}
+}
+
+// New returns a quarantiner that knows no crash.
+func New(settings Settings) *Quarantiner {
+	if settings.Dial == nil {
+		settings.Dial = dialTCP
+	}
+	if settings.Metrics == nil {
+		settings.Metrics = metrics.NewRegistry()
+	}
+	if settings.Log == nil {
+		settings.Log = zap.NewNop()
+	}
+	return &Quarantiner{
+		settings: settings,
+		crashes:  metrics.GetOrRegisterCounter("quarantine-crashes", settings.Metrics),
+		refusals: metrics.GetOrRegisterCounter("quarantine-refusals", settings.Metrics),
+		table:    NewTable(),
+		changed:  map[string]Crash{},
+		wake:     make(chan struct{}),
+	}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, "tcp", address)
+}
+
+// SetPeers sets the addresses of the other entries.
+func (q *Quarantiner) SetPeers(peers []string) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.peers = peers
+}
+
+// Admit waits until a request with these parts may be sent. It returns a
+// *QuarantinedError, a *TrialPendingError after the deadline, or the cause of the
+// context's end. The pass must be ended with End.
+func (q *Quarantiner) Admit(ctx context.Context, parts []string, deadline time.Time) (*Pass, error) {
+	timeout := time.NewTimer(time.Until(deadline))
+	defer timeout.Stop()
+	for {
+		pass, wake, err := q.decide(parts, time.Now())
+		if pass != nil || err != nil {
+			return pass, err
+		}
+		select {
+		case <-wake:
+		case <-timeout.C:
+			return nil, &TrialPendingError{RetryAt: time.Now().Add(trialRetryDelay)}
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// decide returns a pass, an error, or a channel that is closed when to decide again.
+func (q *Quarantiner) decide(parts []string, now time.Time) (*Pass, <-chan struct{}, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	switch verdict := q.table.Decide(parts, q.probes, now).(type) {
+	case Refuse:
+		q.refusals.Inc(1)
+		return nil, nil, &QuarantinedError{Parts: verdict.Suspects, RetryAt: verdict.RetryAt}
+	case Trial:
+		q.settings.Log.Info("trying suspected prompt parts", zap.Strings("parts", verdict.Suspects))
+		return &Pass{quarantiner: q, parts: parts, trial: verdict}, nil, nil
+	case Wait:
+		return nil, q.wake, nil
+	default:
+		return &Pass{quarantiner: q, parts: parts}, nil, nil
+	}
+}
+
+// probes reports whether this entry is the one of all entries that probes suspects. The
+// caller holds the mutex.
+func (q *Quarantiner) probes(suspects []string) bool {
+	own := score(q.settings.Entry, suspects)
+	for _, peer := range q.peers {
+		if score(peer, suspects) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// score ranks an entry for suspects.
+func score(entry string, suspects []string) uint64 {
+	hash := xxhash.New()
+	// writing to a hash never fails
+	_, _ = hash.WriteString(entry)
+	for _, part := range normalize(suspects) {
+		_, _ = hash.WriteString(" " + part)
+	}
+	return hash.Sum64()
+}
+
+// Merge adds the observations of another entry.
+func (q *Quarantiner) Merge(observed []Crash) {
+	for _, crash := range observed {
+		q.observe(crash, time.Now())
+	}
+}
+
+// observe adds an observation and queues it for other entries if it is new.
+func (q *Quarantiner) observe(observed Crash, now time.Time) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	crash, changed := q.table.Merge(observed, now)
+	if changed {
+		q.crashes.Inc(1)
+		q.publish(crash, now)
+	}
+}
+
+// publish queues a crash for other entries, logs it and wakes waiting requests. The
+// caller holds the mutex.
+func (q *Quarantiner) publish(crash Crash, now time.Time) {
+	if len(q.changed) < maxCrashes {
+		q.changed[crash.key()] = crash
+	}
+	close(q.wake)
+	q.wake = make(chan struct{})
+	q.settings.Log.Info("upstream crashed under a prompt", zap.String("upstream", crash.Upstream),
+		zap.Duration("age", now.Sub(crash.At)), zap.Strings("parts", crash.Parts), zap.Strings("suspects", crash.suspects()))
+}
+
+// Changes returns the crashes that have changed since the last call.
+func (q *Quarantiner) Changes() []Crash {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	changes := make([]Crash, 0, len(q.changed))
+	for key, crash := range q.changed {
+		changes = append(changes, crash)
+		delete(q.changed, key)
+	}
+	return changes
+}
+
+// Crashes returns all crashes that are known.
+func (q *Quarantiner) Crashes() []Crash {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.table.Crashes(time.Now())
+}
+
+// Pass allows one request to be sent, several times.
+type Pass struct {
+	quarantiner *Quarantiner
+	parts       []string
+	trial       Trial
+}
+
+// Valid reports whether the request may still be sent.
+func (p *Pass) Valid() bool {
+	q := p.quarantiner
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.table.Permits(p.parts, p.trial, time.Now())
+}
+
+// Answered records that an upstream has answered the request for some time without
+// crashing, so none of its parts is the cause of a crash.
+func (p *Pass) Answered() {
+	q, now := p.quarantiner, time.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, crash := range q.table.Answered(p.parts, now) {
+		q.publish(crash, now)
+	}
+}
+
+// Broken records that an upstream began to answer the request and closed the
+// connection before the first piece of the answer, if that upstream no longer listens.
+// It reports whether that is so.
+func (p *Pass) Broken(ctx context.Context, upstream, address string) bool {
+	at := time.Now()
+	if len(p.parts) == 0 || !p.quarantiner.isDown(ctx, address) {
+		return false
+	}
+	p.quarantiner.observe(Crash{Upstream: upstream, Parts: p.parts, At: at}, time.Now())
+	return true
+}
+
+// isDown reports whether connections to an address are refused. A connection that
+// hangs or is established does not show that an upstream crashed.
+func (q *Quarantiner) isDown(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := q.settings.Dial(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// End ends the pass. It may be called more than once.
+func (p *Pass) End() {
+	if len(p.trial.Suspects) == 0 {
+		return
+	}
+	q := p.quarantiner
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.table.EndTrial(p.trial)
+	p.trial = Trial{}
+	close(q.wake)
+	q.wake = make(chan struct{})
+}
