fix(forwarder): don't take a stream without length, chunks and events for complete

What callers would see: status 200 and an empty, cleanly ended stream from an upstream that ended after the header of its answer.

Cause: a stream ended well wherever its connection was closed between two events; before the first event nothing shows that anything was sent.

Change: such a stream is broken, which also makes it a suspected crash. Streams that have a length or chunks, or an event, end as before.

Failed before: TestStreamWithoutLengthThatEndsEarlyIsNotComplete, before the first event: 200 and an empty body. The other two cases passed; the product's own interface ends a stream with an event of its own and is not concerned.

--- a/forwarder/errors.go
+++ b/forwarder/errors.go
@@ -87,6 +87,13 @@
 // Error implements error.
 func (e *PartialEventError) Error() string { return "the stream ended in the middle of an event" }
 
+// EmptyStreamError is returned if a connection ended after the header of a stream, and
+// nothing shows that the stream was complete.
+type EmptyStreamError struct{}
+
+// Error implements error.
+func (e *EmptyStreamError) Error() string { return "the connection ended before the first event" }
+
 // EventOrderError is returned if the ID of an event does not follow the previous one.
 type EventOrderError struct{ Want, Got uint64 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -602,6 +602,28 @@
 	}
 }
 
+func TestStreamWithoutLengthThatEndsEarlyIsNotComplete(t *testing.T) {
+	cases := map[string]string{
+		"before the first event": "",
+		"inside the first event": "id: 1\nda",
+		"inside a later event":   eventText(1, 2) + "id: 3\ndata: 3\n",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: u1\r\n\r\n"+text)
+				_ = conn.Close()
+			})
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.Assert(t, got.status != http.StatusOK || got.err != nil, "%d %q", got.status, got.body)
+		})
+	}
+}
+
 func TestDisconnectedCallerIsCancelledUpstream(t *testing.T) {
 	cancelled := make(chan struct{})
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, func(w http.ResponseWriter, request *http.Request) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -40,6 +40,9 @@
 		if reads > 0 && (err == nil || err == io.EOF) {
 			x.pass.Answered()
 		}
+		if err == io.EOF && reads == 0 && !framed(response) {
+			err = &EmptyStreamError{}
+		}
 		if err == io.EOF {
 			return x.completeStream(response)
 		}
@@ -55,6 +58,12 @@
 	}
 }
 
+// framed reports whether the end of an answer can be told from the end of its
+// connection.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // checkCrash finds out whether the upstream has crashed after it began to answer and
 // before the first event.
 func (x *exchange) checkCrash() {
