fix(forwarder): a failure of an upstream does not show that a prompt part is harmless

Found by reading, before any landing: a 500 of an upstream that fails part of its requests counted as an answer and cleared the suspects of a crash, so that more upstreams end. Only a success is an answer. Failed before: TestFailureOfAnUpstreamDoesNotClearSuspects (200 where 503 is expected).

--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -90,6 +90,15 @@
 	assert.Equal(t, r.askParts("shared deadly own").status, http.StatusServiceUnavailable)
 }
 
+func TestFailureOfAnUpstreamDoesNotClearSuspects(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, respond(http.StatusInternalServerError, "overloaded"), events(1, 5, true))
+	failing, sound := r.admission.upstreams[0], r.admission.upstreams[1]
+	r.admission.upstreams = []string{r.serveCrashing("id"), failing, r.serveCrashing("id"), sound}
+	for _, want := range []int{http.StatusBadGateway, http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable} {
+		assert.Equal(t, r.askParts("deadly own").status, want)
+	}
+}
+
 func TestLastPromptPartIsNeverSuspected(t *testing.T) {
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, events(1, 5, true))
 	r.admission.upstreams = append([]string{r.serveCrashing("id"), r.serveCrashing("id")}, r.admission.upstreams...)
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -24,7 +24,9 @@
 		x.settle(router.OutcomeFailed)
 		return &LostError{Cause: err}
 	}
-	x.pass.Answered()
+	if response.StatusCode < http.StatusMultipleChoices {
+		x.pass.Answered()
+	}
 	if len(body) > maxAnswerBytes {
 		x.settle(router.OutcomeFailed)
 		return &LostError{Cause: &BodyTooLargeError{Limit: maxAnswerBytes}}
