feat(receiver,gossiper): keep prompts that crash engines from them in the product's own interface

The beginning of a prompt is its one shared part; entries share crashes with the digests that they exchange every second. A request that crashed an engine ends with 502, unknown; later ones with 503, not-run, and a retry time.

--- a/assembler/entry.go
+++ b/assembler/entry.go
@@ -18,6 +18,7 @@
 	"burdocklink/observer"
 	"burdocklink/poller"
 	"burdocklink/proposer"
+	"burdocklink/quarantiner"
 	"burdocklink/receiver"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
@@ -91,6 +92,7 @@
 	admission    *admitter.Admitter
 	calls        *dispatcher.Dispatcher
 	observations *observer.Observer
+	quarantine   *quarantiner.Quarantiner
 }
 
 func newEntryParts(settings EntrySettings) *entryParts {
@@ -117,6 +119,12 @@
 		Registry: metrics.Registry(),
 		Log:      settings.Log,
 	})
+	p.quarantine = quarantiner.New(quarantiner.Settings{
+		Entry:   settings.PeerListen,
+		Metrics: metrics.Registry(),
+		Log:     settings.Log,
+	})
+	p.quarantine.SetPeers(settings.Peers)
 	return p
 }
 
@@ -157,6 +165,7 @@
 		Meter:       p.meter,
 		Credentials: peerCredentials(p.settings.Certificates),
 		Follower:    catalogs,
+		Quarantine:  p.quarantine,
 		Log:         p.settings.Log,
 	})
 }
@@ -200,6 +209,7 @@
 		Claims:        claims,
 		Upstreams:     p.observations,
 		Dispatcher:    p.calls,
+		Quarantine:    p.quarantine,
 		Reporter:      p.metrics,
 	})
 }
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -12,8 +12,9 @@
 	"burdocklink/follower"
 )
 
-// Exchange returns this entry's digest.
-func (g *Gossiper) Exchange(context.Context, *wire.PeerDigest) (*wire.PeerDigest, error) {
+// Exchange merges the peer's crashes and returns this entry's digest.
+func (g *Gossiper) Exchange(_ context.Context, remote *wire.PeerDigest) (*wire.PeerDigest, error) {
+	g.mergeCrashes(remote, time.Now())
 	return g.digest(time.Now()), nil
 }
 
@@ -43,9 +44,14 @@
 		}
 		return err
 	}
+	g.mergeCrashes(remote, time.Now())
 	return g.enqueueOffer(ctx, link, remote, sentAt)
 }
 
+func (g *Gossiper) mergeCrashes(remote *wire.PeerDigest, now time.Time) {
+	g.settings.Quarantine.Merge(encoder.DecodeCrashes(remote.GetCrashes(), now))
+}
+
 // enqueueOffer passes the peer's confirmation, and its catalog if newer, to the
 // follower. The age of the confirmation counts from sentAt, which is before the peer
 // computed it.
@@ -89,6 +95,7 @@
 		Revision:       g.settings.Follower.Latest().Revision,
 		Confirmed:      confirmation.Revision,
 		ConfirmedAgeMs: -1,
+		Crashes:        encoder.EncodeCrashes(g.settings.Quarantine.Crashes(), now),
 	}
 	if !confirmation.At.IsZero() {
 		digest.ConfirmedAgeMs = now.Sub(confirmation.At).Milliseconds()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -1,5 +1,6 @@
-// Package gossiper distributes the latest catalog and the quorum's last confirmation
-// among entries, so that they also reach entries without a control member.
+// Package gossiper distributes the latest catalog, the quorum's last confirmation and
+// the known crashes of upstreams among entries, so that they also reach entries without
+// a control member.
 package gossiper
 
 import (
@@ -15,6 +16,7 @@
 	"burdocklink/encoder/wire"
 	"burdocklink/follower"
 	"burdocklink/linker"
+	"burdocklink/quarantiner"
 	"burdocklink/registrar"
 )
 
@@ -48,7 +50,9 @@
 	Meter       *linker.Meter
 	Credentials credentials.TransportCredentials
 	Follower    *follower.Follower
-	Log         *zap.Logger
+	// Quarantine shares what crashed upstreams; nil if that is not shared.
+	Quarantine *quarantiner.Quarantiner
+	Log        *zap.Logger
 }
 
 // Gossiper exchanges digests with the other entries.
@@ -64,6 +68,9 @@
 
 // New returns a gossiper that has not started.
 func New(settings Settings) *Gossiper {
+	if settings.Quarantine == nil {
+		settings.Quarantine = quarantiner.New(quarantiner.Settings{})
+	}
 	return &Gossiper{settings: settings, attempts: newAttemptTable(), stop: make(chan struct{})}
 }
 
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -15,14 +15,16 @@
 	"burdocklink/follower"
 	"burdocklink/linker"
 	"burdocklink/placer"
+	"burdocklink/quarantiner"
 )
 
 // waitTimeout is generous, so that slow machines do not fail the tests.
 const waitTimeout = 30 * time.Second
 
 type entry struct {
-	follower *follower.Follower
-	gossiper *Gossiper
+	follower   *follower.Follower
+	gossiper   *Gossiper
+	quarantine *quarantiner.Quarantiner
 }
 
 func freeAddress(t *testing.T) string {
@@ -45,14 +47,16 @@
 		Log:       zap.NewNop(),
 	})
 	assert.NilError(t, catalogs.Start(context.Background(), nil))
+	quarantine := quarantiner.New(quarantiner.Settings{})
 	g := New(Settings{
-		Entry:    name,
-		Listen:   address,
-		Peers:    peers,
-		Links:    links,
-		Follower: catalogs,
-		Meter:    linker.NewMeter(metrics.NewRegistry()),
-		Log:      zap.NewNop(),
+		Entry:      name,
+		Listen:     address,
+		Peers:      peers,
+		Links:      links,
+		Follower:   catalogs,
+		Quarantine: quarantine,
+		Meter:      linker.NewMeter(metrics.NewRegistry()),
+		Log:        zap.NewNop(),
 	})
 	assert.NilError(t, g.Start(context.Background(), nil))
 	t.Cleanup(func() {
@@ -60,7 +64,7 @@
 		assert.NilError(t, catalogs.Stop(time.Now().Add(waitTimeout)))
 		links.Close()
 	})
-	return entry{follower: catalogs, gossiper: g}
+	return entry{follower: catalogs, gossiper: g, quarantine: quarantine}
 }
 
 func TestAConfirmedCatalogReachesAPeerWithoutControlMembers(t *testing.T) {
@@ -84,6 +88,21 @@
 	}, poll.WithTimeout(waitTimeout))
 }
 
+func TestCrashesReachPeersInBothDirections(t *testing.T) {
+	firstAddress, secondAddress := freeAddress(t), freeAddress(t)
+	first := startEntry(t, "e-1", firstAddress, []string{secondAddress})
+	second := startEntry(t, "e-2", secondAddress, nil)
+	first.quarantine.Merge([]quarantiner.Crash{{Upstream: "u1", Parts: []string{"d"}, At: time.Now()}})
+	second.quarantine.Merge([]quarantiner.Crash{{Upstream: "u2", Parts: []string{"d"}, At: time.Now()}})
+
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(first.quarantine.Crashes()) == 2 && len(second.quarantine.Crashes()) == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("an entry knows only its own crash")
+	}, poll.WithTimeout(waitTimeout))
+}
+
 func TestAnEntryWithoutReachablePeersHasNoMajority(t *testing.T) {
 	isolated := startEntry(t, "e-1", freeAddress(t), []string{freeAddress(t), freeAddress(t)})
 
--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -74,6 +74,7 @@
 // stream or in one piece.
 func (x *exchange) relay(request *encoder.Completion, route router.Request) error {
 	opener := &streamOpener{exchange: x, request: request, route: route}
+	defer opener.endPass()
 	collected := &collector{}
 	var sink relayer.Sink = collected
 	if request.Stream {
--- /dev/null
+++ b/receiver/crash_test.go
@@ -0,0 +1,79 @@
+package receiver_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+	"burdocklink/quarantiner"
+	"burdocklink/receiver"
+)
+
+// fragileEngine crashes when it begins to answer a prompt with the word deadly. Afterwards
+// it runs no request.
+type fragileEngine struct {
+	engine
+	crashed atomic.Bool
+	crashes *atomic.Int32
+}
+
+func (e *fragileEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if e.crashed.Load() {
+		w.Header().Set(encoder.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !strings.Contains(string(body), "deadly") {
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		e.engine.ServeHTTP(w, r)
+		return
+	}
+	e.crashed.Store(true)
+	e.crashes.Add(1)
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, "id: 1\nda")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// refuseConnections makes each engine whose stream broke look crashed.
+func refuseConnections(config *receiver.Config) {
+	config.Quarantine = quarantiner.New(quarantiner.Settings{
+		Dial: func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED },
+	})
+}
+
+func TestPromptDoesNotCrashOneEngineAfterTheOther(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			var crashes atomic.Int32
+			engines := map[string]http.Handler{}
+			for i := range 6 {
+				engines[fmt.Sprintf("engine-%d", i)] = &fragileEngine{crashes: &crashes}
+			}
+			r := newRig(t, engines, refuseConnections)
+			deadly := strings.Replace(chat(stream, 8), "torta", "deadly", 1)
+			for request := range int32(2) {
+				got := r.send("POST", encoder.PathChat, deadly)
+				assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+				assert.Equal(t, got.outcome(), encoder.OutcomeUnknown)
+				assert.Equal(t, crashes.Load(), request+1)
+			}
+			got := r.send("POST", encoder.PathChat, deadly)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Equal(t, got.outcome(), encoder.OutcomeNotRun)
+			assert.Equal(t, crashes.Load(), int32(2))
+			assert.Equal(t, r.send("POST", encoder.PathChat, chat(stream, 8)).status, http.StatusOK)
+		})
+	}
+}
--- a/receiver/engine_stream.go
+++ b/receiver/engine_stream.go
@@ -9,10 +9,13 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"burdocklink/admitter"
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
 	"burdocklink/linker"
+	"burdocklink/quarantiner"
 	"burdocklink/relayer"
 	"burdocklink/router"
 )
@@ -34,6 +37,10 @@
 	grant        *admitter.Grant
 	attemptID    string
 	streamTokens int
+	// pass allows the prompt to be sent. engineCrashed is set once an engine crashed when
+	// it began to answer.
+	pass          *quarantiner.Pass
+	engineCrashed bool
 	// resumeOutcome is the outcome of the last failed resume on the current engine.
 	resumeOutcome router.Outcome
 }
@@ -49,6 +56,12 @@
 	return "the engine refused the request with status " + strconv.Itoa(e.answer.Status)
 }
 
+// engineCrashedError reports that an engine crashed when it began to answer, so the
+// request is not sent to another one.
+type engineCrashedError struct{}
+
+func (e *engineCrashedError) Error() string { return "the engine crashed when it began to answer" }
+
 // streamMismatchError reports that a stream belongs to another request.
 type streamMismatchError struct{ got string }
 
@@ -58,6 +71,12 @@
 // has.
 func (o *streamOpener) Open(ctx context.Context, from relayer.Prefix) (relayer.Source, error) {
 	for tries := 1; ; tries++ {
+		if o.engineCrashed {
+			return nil, &engineCrashedError{}
+		}
+		if err := o.awaitPass(ctx); err != nil {
+			return nil, err
+		}
 		if err := o.selectEngine(ctx, from); err != nil {
 			return nil, linker.CauseOf(ctx, err)
 		}
@@ -73,6 +92,30 @@
 	}
 }
 
+// awaitPass waits until the prompt may be sent to an engine.
+func (o *streamOpener) awaitPass(ctx context.Context) error {
+	o.endPass()
+	pass, err := o.Quarantine.Admit(ctx, o.promptParts(), o.deadline)
+	if err != nil {
+		return err
+	}
+	o.pass = pass
+	return nil
+}
+
+func (o *streamOpener) endPass() {
+	if o.pass != nil {
+		o.pass.End()
+	}
+}
+
+// promptParts returns the part of the prompt that other requests of the model's service
+// may share: its beginning.
+func (o *streamOpener) promptParts() []string {
+	hash := strconv.FormatUint(xxhash.Sum64(o.request.PromptHead), 16)
+	return []string{o.route.Service + "/" + hash}
+}
+
 // selectEngine finishes the current stream and acquires an engine for the next one.
 func (o *streamOpener) selectEngine(ctx context.Context, from relayer.Prefix) error {
 	o.finishStream(cmp.Or(o.resumeOutcome, router.OutcomeFailed))
@@ -183,6 +226,9 @@
 // connection. If the engine's rate limit permits no request now, it returns an
 // *relayer.UnknownStreamError, so that the answer is continued elsewhere.
 func (o *streamOpener) Resume(ctx context.Context, after uint64) (relayer.Source, error) {
+	if o.engineCrashed {
+		return nil, &relayer.UnknownStreamError{}
+	}
 	if !o.Upstreams.TakePermit(o.grant.Choice) {
 		return nil, &relayer.UnknownStreamError{}
 	}
@@ -293,6 +339,7 @@
 	}
 	event, err := s.Stream.Next()
 	if err != nil {
+		s.opener.checkCrash()
 		return event, err
 	}
 	s.opener.recordEvent()
@@ -303,9 +350,21 @@
 	return event, nil
 }
 
+// checkCrash finds out whether the engine has crashed after it began to answer and
+// before the first event.
+func (o *streamOpener) checkCrash() {
+	if o.tokens == 0 && o.streamTokens == 0 {
+		choice := o.grant.Choice
+		o.engineCrashed = o.pass.Broken(o.ctx, choice.Incarnation, choice.Address)
+	}
+}
+
 func (o *streamOpener) recordEvent() {
 	o.streamTokens++
 	o.tokens++
+	if o.streamTokens == 2 {
+		o.pass.Answered()
+	}
 	if o.streamTokens > 1 {
 		return
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -16,6 +16,7 @@
 	"burdocklink/authenticator"
 	"burdocklink/claimer"
 	"burdocklink/linker"
+	"burdocklink/quarantiner"
 	"burdocklink/registrar"
 )
 
@@ -51,6 +52,9 @@
 // New returns a Receiver that has not been started.
 func New(config Config) *Receiver {
 	config.Settings = config.Settings.withDefaults()
+	if config.Quarantine == nil {
+		config.Quarantine = quarantiner.New(quarantiner.Settings{Log: config.Log})
+	}
 	r := &Receiver{Config: config}
 	r.claimRecorder = newClaimRecorder(config.Claims, config.Log)
 	r.canceller = newCanceller(config.Dispatcher)
--- a/receiver/refuse.go
+++ b/receiver/refuse.go
@@ -14,6 +14,7 @@
 	"burdocklink/authenticator"
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
+	"burdocklink/quarantiner"
 	"burdocklink/relayer"
 	"burdocklink/reporter"
 	"burdocklink/router"
@@ -191,6 +192,8 @@
 	var paused *router.PausedError
 	var rateLimited *router.RateLimitedError
 	var saturated *router.SaturatedError
+	var quarantined *quarantiner.QuarantinedError
+	var trialPending *quarantiner.TrialPendingError
 	retryAt := time.Now().Add(shortRetryDelay)
 	reply := refusal{status: http.StatusServiceUnavailable, retryAt: retryAt}
 	switch {
@@ -206,6 +209,10 @@
 		reply.errorType, reply.retryAt = "upstreams-rate-limited", rateLimited.RetryAt
 	case errors.As(err, &saturated):
 		reply.errorType, reply.retryAt = "overloaded", saturated.RetryAt
+	case errors.As(err, &quarantined):
+		reply.errorType, reply.retryAt = "prompt-quarantined", quarantined.RetryAt
+	case errors.As(err, &trialPending):
+		reply.errorType, reply.retryAt = "prompt-suspected", trialPending.RetryAt
 	case is[*admitter.RetryBudgetError](err):
 		reply.errorType = "retries-spent"
 	case is[*admitter.StoppedError](err), is[*NotReadyError](err):
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -9,6 +9,7 @@
 	"burdocklink/cataloger"
 	"burdocklink/claimer"
 	"burdocklink/dispatcher"
+	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 )
 
@@ -99,7 +100,10 @@
 	Claims        Claims
 	Upstreams     Upstreams
 	Dispatcher    *dispatcher.Dispatcher
-	Reporter      *reporter.Reporter
+	// Quarantine keeps completions from engines that they would crash; nil means one of
+	// this receiver alone.
+	Quarantine *quarantiner.Quarantiner
+	Reporter   *reporter.Reporter
 }
 
 func (s Settings) withDefaults() Settings {
