fix(quarantiner): crashes at the same moment don't count as two

Found by reading, before any landing: upstreams that are killed together (a kill of several, a rack) could each have a request of the same rare part between its header and its first event, and the part was refused for minutes. Prompts crash upstreams one by one. Crashes less than 0.1 s apart count as one now, and those of one incarnation too, however late an entry observes them.

--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -33,6 +33,9 @@
 	return listener.Addr().String()
 }
 
+// crashInterval is longer than the time within which crashes count as one.
+const crashInterval = 150 * time.Millisecond
+
 // withParts adds prompt parts to the codec of the tests.
 func withParts(codec forwarder.Codec) forwarder.Codec {
 	decode := codec.DecodeRequest
@@ -77,6 +80,7 @@
 	r.admission.upstreams = append([]string{r.serveCrashing("id: 1\nda"), r.serveCrashing("")}, r.admission.upstreams...)
 	for range 2 {
 		assert.Equal(t, r.askParts("shared deadly own").status, http.StatusBadGateway)
+		time.Sleep(crashInterval)
 	}
 	refused := r.askParts("shared deadly other")
 	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
@@ -96,6 +100,7 @@
 	r.admission.upstreams = []string{r.serveCrashing("id"), failing, r.serveCrashing("id"), sound}
 	for _, want := range []int{http.StatusBadGateway, http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable} {
 		assert.Equal(t, r.askParts("deadly own").status, want)
+		time.Sleep(crashInterval)
 	}
 }
 
@@ -104,6 +109,7 @@
 	r.admission.upstreams = append([]string{r.serveCrashing("id"), r.serveCrashing("id")}, r.admission.upstreams...)
 	for range 2 {
 		assert.Equal(t, r.askParts("own").status, http.StatusBadGateway)
+		time.Sleep(crashInterval)
 	}
 	assert.Equal(t, r.askParts("own").status, http.StatusOK)
 }
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -18,6 +18,9 @@
 	// quarantineCrashes is the number of crashes that must be explained by the parts of
 	// a request before it is refused. One may have another cause.
 	quarantineCrashes = 2
+	// minCrashInterval is the time between two crashes that count as two. Upstreams that
+	// end at the same moment have another cause in common than the parts of a prompt.
+	minCrashInterval = 100 * time.Millisecond
 	// crashLifetime is how long a crash counts after the last one that shares a part
 	// with it.
 	crashLifetime = 10 * time.Minute
@@ -88,6 +91,7 @@
 // Table holds the crashes known to an entry. Observations merge in any order and any
 // number of times. It is not safe for concurrent use.
 type Table struct {
+	// crashes are in ascending order of time.
 	crashes []*Crash
 	// trials are the suspects of requests that are being sent.
 	trials []string
@@ -130,9 +134,11 @@
 type assessment struct {
 	// suspects are the parts that may be the cause of a crash.
 	suspects []string
-	// explained are the upstreams whose crash has no suspect besides these parts, so
-	// that a request with all of them contains the cause.
-	explained []string
+	// explained are the upstreams whose crashes, at different times, have no suspect
+	// besides these parts, so that a request with all of them contains the cause.
+	// lastExplained is the time of the last of them.
+	explained     []string
+	lastExplained time.Time
 	// last is the time of the last crash with a suspect among the parts.
 	last time.Time
 }
@@ -140,6 +146,18 @@
 func (a *assessment) quarantined() bool  { return len(a.explained) >= quarantineCrashes }
 func (a *assessment) probeAt() time.Time { return a.last.Add(probeAfter) }
 
+// explain counts a crash if it is of another upstream and later than those before.
+func (a *assessment) explain(crash *Crash) {
+	if slices.Contains(a.explained, crash.Upstream) {
+		return
+	}
+	if len(a.explained) > 0 && crash.At.Before(a.lastExplained.Add(minCrashInterval)) {
+		return
+	}
+	a.explained = append(a.explained, crash.Upstream)
+	a.lastExplained = crash.At
+}
+
 func (t *Table) assess(parts []string) assessment {
 	var found assessment
 	for _, crash := range t.crashes {
@@ -150,7 +168,7 @@
 		}
 		found.suspects = union(found.suspects, common)
 		if len(common) == len(remaining) {
-			found.explained = union(found.explained, []string{crash.Upstream})
+			found.explain(crash)
 		}
 		found.last = later(found.last, crash.At)
 	}
@@ -202,7 +220,10 @@
 		t.add(known)
 	}
 	// delays make a crash look later than it was
-	known.At = earlier(known.At, observed.At)
+	if observed.At.Before(known.At) {
+		known.At = observed.At
+		t.sort()
+	}
 	if known.clear(observed.Harmless) {
 		changed = true
 	}
@@ -239,6 +260,10 @@
 		t.crashes = slices.Delete(t.crashes, max(drop, 0), max(drop, 0)+1)
 	}
 	t.crashes = append(t.crashes, crash)
+	t.sort()
+}
+
+func (t *Table) sort() {
 	slices.SortStableFunc(t.crashes, func(a, b *Crash) int { return a.At.Compare(b.At) })
 }
 
@@ -310,13 +335,6 @@
 	return a
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/receiver/crash_test.go
+++ b/receiver/crash_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -68,6 +69,8 @@
 				assert.Equal(t, got.status, http.StatusBadGateway, got.body)
 				assert.Equal(t, got.outcome(), encoder.OutcomeUnknown)
 				assert.Equal(t, crashes.Load(), request+1)
+				// crashes at the same moment count as one
+				time.Sleep(150 * time.Millisecond)
 			}
 			got := r.send("POST", encoder.PathChat, deadly)
 			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
