perf(quarantiner): keep the suspects of each crash

A request cost 108 µs with 128 known crashes and 2.0 µs with two (BenchmarkRequest, three calls of the table and an answer), because suspects were computed anew for each crash; now 14 µs and 0.20 µs, 0.17 µs without crashes as before.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -168,7 +168,7 @@
 	close(q.wake)
 	q.wake = make(chan struct{})
 	q.settings.Log.Info("upstream crashed under a prompt", zap.String("upstream", crash.Upstream),
-		zap.Duration("age", now.Sub(crash.At)), zap.Strings("parts", crash.Parts), zap.Strings("suspects", crash.suspects()))
+		zap.Duration("age", now.Sub(crash.At)), zap.Strings("parts", crash.Parts), zap.Strings("suspects", crash.Suspects()))
 }
 
 // Changes returns the crashes that have changed since the last call.
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -58,11 +58,18 @@
 // key identifies a crash.
 func (c *Crash) key() string { return c.Upstream + " " + strings.Join(c.Parts, " ") }
 
-// suspects returns the parts that are not harmless.
-func (c *Crash) suspects() []string {
+// Suspects returns the parts that are not harmless.
+func (c *Crash) Suspects() []string {
 	return slices.DeleteFunc(slices.Clone(c.Parts), func(part string) bool { return slices.Contains(c.Harmless, part) })
 }
 
+// knownCrash is a crash in a Table.
+type knownCrash struct {
+	Crash
+	key      string
+	suspects []string
+}
+
 // Verdict states whether a request may be sent. It is an Allow, Trial, Wait or Refuse.
 type Verdict interface{ verdict() }
 
@@ -92,7 +99,7 @@
 // number of times. It is not safe for concurrent use.
 type Table struct {
 	// crashes are in ascending order of time.
-	crashes []*Crash
+	crashes []*knownCrash
 	// trials are the suspects of requests that are being sent.
 	trials []string
 	// answered and answeredBefore contain the parts of recent answers. The former
@@ -161,14 +168,13 @@
 func (t *Table) assess(parts []string) assessment {
 	var found assessment
 	for _, crash := range t.crashes {
-		remaining := crash.suspects()
-		common := intersection(remaining, parts)
+		common := intersection(crash.suspects, parts)
 		if len(common) == 0 {
 			continue
 		}
 		found.suspects = union(found.suspects, common)
-		if len(common) == len(remaining) {
-			found.explain(crash)
+		if len(common) == len(crash.suspects) {
+			found.explain(&crash.Crash)
 		}
 		found.last = later(found.last, crash.At)
 	}
@@ -192,17 +198,21 @@
 	var changed []Crash
 	for _, crash := range t.crashes {
 		if crash.clear(parts) {
-			changed = append(changed, *crash)
+			changed = append(changed, crash.Crash)
 		}
 	}
 	return changed
 }
 
 // clear marks parts as harmless and reports whether that is new.
-func (c *Crash) clear(parts []string) bool {
-	found := intersection(c.suspects(), parts)
+func (c *knownCrash) clear(parts []string) bool {
+	found := intersection(c.suspects, parts)
+	if len(found) == 0 {
+		return false
+	}
 	c.Harmless = append(c.Harmless, found...)
-	return len(found) > 0
+	c.suspects = c.Suspects()
+	return true
 }
 
 // Merge adds an observation of this or another entry. It returns the crash as it is
@@ -216,7 +226,7 @@
 	}
 	known, changed := t.find(observed), false
 	if known == nil {
-		known, changed = &Crash{Upstream: observed.Upstream, Parts: observed.Parts, At: observed.At}, true
+		known, changed = newKnownCrash(observed), true
 		t.add(known)
 	}
 	// delays make a crash look later than it was
@@ -230,7 +240,16 @@
 	if known.clear(t.recentlyAnswered(known.Parts)) {
 		changed = true
 	}
-	return *known, changed
+	return known.Crash, changed
+}
+
+// newKnownCrash returns an observed crash of which all parts are suspects.
+func newKnownCrash(observed Crash) *knownCrash {
+	return &knownCrash{
+		Crash:    Crash{Upstream: observed.Upstream, Parts: observed.Parts, At: observed.At},
+		key:      observed.key(),
+		suspects: observed.Parts,
+	}
 }
 
 // Crashes returns all crashes that are known.
@@ -238,14 +257,15 @@
 	t.expire(now)
 	crashes := make([]Crash, 0, len(t.crashes))
 	for _, crash := range t.crashes {
-		crashes = append(crashes, *crash)
+		crashes = append(crashes, crash.Crash)
 	}
 	return crashes
 }
 
-func (t *Table) find(observed Crash) *Crash {
+func (t *Table) find(observed Crash) *knownCrash {
+	key := observed.key()
 	for _, crash := range t.crashes {
-		if crash.key() == observed.key() {
+		if crash.key == key {
 			return crash
 		}
 	}
@@ -254,9 +274,9 @@
 
 // add adds a crash. If the table is full, it drops the oldest one without suspects, or
 // else the oldest one.
-func (t *Table) add(crash *Crash) {
+func (t *Table) add(crash *knownCrash) {
 	if len(t.crashes) >= maxCrashes {
-		drop := slices.IndexFunc(t.crashes, func(c *Crash) bool { return len(c.suspects()) == 0 })
+		drop := slices.IndexFunc(t.crashes, func(c *knownCrash) bool { return len(c.suspects) == 0 })
 		t.crashes = slices.Delete(t.crashes, max(drop, 0), max(drop, 0)+1)
 	}
 	t.crashes = append(t.crashes, crash)
@@ -264,7 +284,7 @@
 }
 
 func (t *Table) sort() {
-	slices.SortStableFunc(t.crashes, func(a, b *Crash) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(t.crashes, func(a, b *knownCrash) int { return a.At.Compare(b.At) })
 }
 
 // expire drops the crashes that no longer count.
@@ -272,16 +292,16 @@
 	if len(t.crashes) == 0 || now.Before(t.crashes[0].At.Add(crashLifetime)) {
 		return
 	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(crash *Crash) bool {
+	t.crashes = slices.DeleteFunc(t.crashes, func(crash *knownCrash) bool {
 		return !now.Before(t.lastRelated(crash).Add(crashLifetime))
 	})
 }
 
 // lastRelated returns the time of the last crash that shares a suspect with a crash.
-func (t *Table) lastRelated(crash *Crash) time.Time {
-	last, suspects := crash.At, crash.suspects()
+func (t *Table) lastRelated(crash *knownCrash) time.Time {
+	last := crash.At
 	for _, other := range t.crashes {
-		if len(intersection(other.suspects(), suspects)) > 0 {
+		if len(intersection(other.suspects, crash.suspects)) > 0 {
 			last = later(last, other.At)
 		}
 	}
