--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -37,7 +37,7 @@
 	events := newEventReader(response.Body)
 	for reads := 0; ; reads++ {
 		arrived, err := events.next()
-		if reads > 0 && (err == nil || err == io.EOF) {
+		if reads == 1 && (err == nil || err == io.EOF) {
 			x.pass.Answered()
 		}
 		if err == io.EOF && reads == 0 && !framed(response) {
