--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -68,7 +68,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 3}, events(1, 5, true))
 			r.admission.upstreams = append([]string{c.upstream(r)}, r.admission.upstreams...)
-			got := r.askParts("shared deadly own")
+			got := r.askParts("shared crashing own")
 			assert.Equal(t, got.status, c.status)
 			assert.Equal(t, r.runs.Load(), c.runs)
 		})
@@ -79,10 +79,10 @@
 	r := newRig(t, matcher.Route{Kind: matcher.Streaming}, events(1, 5, true), events(1, 5, true), events(1, 5, true))
 	r.admission.upstreams = append([]string{r.serveCrashing("id: 1\nda"), r.serveCrashing("")}, r.admission.upstreams...)
 	for range 2 {
-		assert.Equal(t, r.askParts("shared deadly own").status, http.StatusBadGateway)
+		assert.Equal(t, r.askParts("shared crashing own").status, http.StatusBadGateway)
 		time.Sleep(crashInterval)
 	}
-	refused := r.askParts("shared deadly other")
+	refused := r.askParts("shared crashing other")
 	assert.Equal(t, refused.status, http.StatusServiceUnavailable)
 	seconds, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
 	assert.NilError(t, err)
@@ -91,7 +91,7 @@
 	for range 3 {
 		assert.Equal(t, r.askParts("shared sound own").body, eventText(1, 5))
 	}
-	assert.Equal(t, r.askParts("shared deadly own").status, http.StatusServiceUnavailable)
+	assert.Equal(t, r.askParts("shared crashing own").status, http.StatusServiceUnavailable)
 }
 
 func TestFailureOfAnUpstreamDoesNotClearSuspects(t *testing.T) {
@@ -99,7 +99,7 @@
 	failing, sound := r.admission.upstreams[0], r.admission.upstreams[1]
 	r.admission.upstreams = []string{r.serveCrashing("id"), failing, r.serveCrashing("id"), sound}
 	for _, want := range []int{http.StatusBadGateway, http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable} {
-		assert.Equal(t, r.askParts("deadly own").status, want)
+		assert.Equal(t, r.askParts("crashing own").status, want)
 		time.Sleep(crashInterval)
 	}
 }
--- a/prover/crash_test.go
+++ b/prover/crash_test.go
@@ -15,10 +15,10 @@
 )
 
 // crashingServer is a model engine that crashes when it begins to answer a request with
-// the deadly part in its prompt. It is back after crashDowntime.
+// the crashing part in its prompt. It is back after crashDowntime.
 type crashingServer struct {
 	*platformServer
-	deadly string
+	crashing string
 
 	guard  sync.Mutex
 	server *http.Server
@@ -28,9 +28,9 @@
 
 const crashDowntime = 700 * time.Millisecond
 
-func (s *platformSite) addCrashingServer(id, deadly string, models ...string) *crashingServer {
+func (s *platformSite) addCrashingServer(id, crashing string, models ...string) *crashingServer {
 	s.t.Helper()
-	c := &crashingServer{deadly: deadly}
+	c := &crashingServer{crashing: crashing}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(s.t, err)
 	c.platformServer = &platformServer{
@@ -60,7 +60,7 @@
 }
 
 func (c *crashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.Contains(r.Header.Get("Burdocklink-Prompt-Prefix"), c.deadly) {
+	if !strings.Contains(r.Header.Get("Burdocklink-Prompt-Prefix"), c.crashing) {
 		c.platformServer.ServeHTTP(w, r)
 		return
 	}
@@ -97,14 +97,14 @@
 	number  int
 }
 
-const deadlyPart = "dead0001"
+const crashingPart = "badc0de1"
 
 func newCrashSite(t *testing.T, subnet int) *crashSite {
 	s := &crashSite{platformSite: newPlatformSite(t)}
 	s.subnet = subnet
 	s.servers = s.servers[2:] // the engines that don't crash
 	for i := range 6 {
-		s.engines = append(s.engines, s.addCrashingServer(fmt.Sprintf("fragile-%d", i+1), deadlyPart, "m1", "m2"))
+		s.engines = append(s.engines, s.addCrashingServer(fmt.Sprintf("fragile-%d", i+1), crashingPart, "m1", "m2"))
 	}
 	s.start()
 	s.entries = []string{"front-1", "front-2"}
@@ -142,14 +142,14 @@
 	})
 }
 
-// sendMixed sends requests by turns at all entries, every fifth with the deadly part. It
+// sendMixed sends requests by turns at all entries, every fifth with the crashing part. It
 // returns how many of the others were asked and served.
 func (s *crashSite) sendMixed(length time.Duration) (asked, served int) {
 	for until := time.Now().Add(length); time.Now().Before(until); {
 		for i, entry := range s.entries {
 			part := fmt.Sprintf("50b1ec%02d", s.number%7)
 			if (s.number+i)%5 == 0 {
-				s.sendDraft(entry, deadlyPart)
+				s.sendDraft(entry, crashingPart)
 				continue
 			}
 			asked++
@@ -168,7 +168,7 @@
 	assert.Assert(t, before >= 2 && before <= 5, "%d crashes", before)
 
 	for _, entry := range s.entries {
-		refused := s.sendDraft(entry, deadlyPart)
+		refused := s.sendDraft(entry, crashingPart)
 		assert.Equal(t, refused.status, http.StatusServiceUnavailable, entry)
 		seconds, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
 		assert.NilError(t, err)
@@ -183,6 +183,6 @@
 	eventually(t, "the restarted entry knows the crashes", func() bool {
 		return len(s.logLines("front-3", "upstream crashed under a prompt")) >= 2
 	})
-	assert.Equal(t, s.sendDraft("front-3", deadlyPart).status, http.StatusServiceUnavailable)
+	assert.Equal(t, s.sendDraft("front-3", crashingPart).status, http.StatusServiceUnavailable)
 	assert.Equal(t, s.crashes(), before)
 }
--- a/quarantiner/history_test.go
+++ b/quarantiner/history_test.go
@@ -13,12 +13,12 @@
 
 const (
 	step = 10 * time.Millisecond
-	// historySteps is the length of a history. Requests with the deadly part come in
+	// historySteps is the length of a history. Requests with the crashing part come in
 	// the first part of it.
 	historySteps = 2000
-	deadlySteps  = 1600
+	crashingSteps  = 1600
 	// settleTime is the time after the fifth crash from which on maxLateSends requests
-	// with the deadly part may be sent.
+	// with the crashing part may be sent.
 	settleTime   = 3 * time.Second
 	maxLateSends = 3
 	// repeatSteps is the time between two repetitions of all that an entry knows.
@@ -41,7 +41,7 @@
 	arrivesAt int
 }
 
-// history is a fleet of entries and upstreams under requests with a deadly part.
+// history is a fleet of entries and upstreams under requests with a crashing part.
 type history struct {
 	t        *testing.T
 	seed     uint64
@@ -112,9 +112,9 @@
 		return
 	}
 	parts := []string{"common", fmt.Sprint("subject-", h.random.IntN(20))}
-	deadly := h.at > 100 && h.at < deadlySteps && h.random.IntN(20) == 0
-	if deadly {
-		parts = append(parts, "deadly")
+	crashing := h.at > 100 && h.at < crashingSteps && h.random.IntN(20) == 0
+	if crashing {
+		parts = append(parts, "crashing")
 	}
 	request := simulatedRequest{
 		entry: entry, parts: parts, upstream: h.random.IntN(len(h.upstream)), beginsAt: h.at + 5 + h.random.IntN(30),
@@ -123,16 +123,16 @@
 	case quarantiner.Wait:
 		return
 	case quarantiner.Refuse:
-		h.checkRefusal(verdict, deadly)
+		h.checkRefusal(verdict, crashing)
 		return
 	case quarantiner.Trial:
 		request.trial = verdict
 	}
-	if !deadly {
+	if !crashing {
 		h.sound++
 	}
 	settled := h.crashes >= 5 && h.at > h.fifthAt+int(settleTime/step) && h.at > h.absent[entry]+int(settleTime/step)
-	if deadly && settled {
+	if crashing && settled {
 		h.lateSends++
 	}
 	h.running = append(h.running, request)
@@ -140,8 +140,8 @@
 
 // checkRefusal checks that a sound request is refused only after as many crashes
 // without cause as make a quarantine.
-func (h *history) checkRefusal(verdict quarantiner.Refuse, deadly bool) {
-	if deadly {
+func (h *history) checkRefusal(verdict quarantiner.Refuse, crashing bool) {
+	if crashing {
 		return
 	}
 	h.refused++
@@ -188,21 +188,21 @@
 	}
 }
 
-// crash ends an upstream and what runs on it. With accuse the first of these requests
+// crash ends an upstream and what runs on it. With suspect the first of these requests
 // looks like the cause.
-func (h *history) crash(upstream int, accuse bool) {
+func (h *history) crash(upstream int, suspect bool) {
 	var others []simulatedRequest
 	for _, request := range h.running {
 		if request.upstream != upstream {
 			others = append(others, request)
 			continue
 		}
-		if accuse && len(request.parts) == 2 {
+		if suspect && len(request.parts) == 2 {
 			h.observe(request, upstream)
 			for _, part := range request.parts {
 				h.unrelated[part]++
 			}
-			accuse = false
+			suspect = false
 		}
 		h.tables[request.entry].EndTrial(request.trial)
 	}
--- a/receiver/crash_test.go
+++ b/receiver/crash_test.go
@@ -19,7 +19,7 @@
 	"burdocklink/receiver"
 )
 
-// fragileEngine crashes when it begins to answer a prompt with the word deadly. Afterwards
+// fragileEngine crashes when it begins to answer a prompt with the word crashing. Afterwards
 // it runs no request.
 type fragileEngine struct {
 	engine
@@ -34,7 +34,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if !strings.Contains(string(body), "deadly") {
+	if !strings.Contains(string(body), "crashing") {
 		r.Body = io.NopCloser(strings.NewReader(string(body)))
 		e.engine.ServeHTTP(w, r)
 		return
@@ -63,16 +63,16 @@
 				engines[fmt.Sprintf("engine-%d", i)] = &fragileEngine{crashes: &crashes}
 			}
 			r := newRig(t, engines, refuseConnections)
-			deadly := strings.Replace(chat(stream, 8), "torta", "deadly", 1)
+			crashing := strings.Replace(chat(stream, 8), "torta", "crashing", 1)
 			for request := range int32(2) {
-				got := r.send("POST", encoder.PathChat, deadly)
+				got := r.send("POST", encoder.PathChat, crashing)
 				assert.Equal(t, got.status, http.StatusBadGateway, got.body)
 				assert.Equal(t, got.outcome(), encoder.OutcomeUnknown)
 				assert.Equal(t, crashes.Load(), request+1)
 				// crashes at the same moment count as one
 				time.Sleep(150 * time.Millisecond)
 			}
-			got := r.send("POST", encoder.PathChat, deadly)
+			got := r.send("POST", encoder.PathChat, crashing)
 			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
 			assert.Equal(t, got.outcome(), encoder.OutcomeNotRun)
 			assert.Equal(t, crashes.Load(), int32(2))
