--- a/quarantiner/history_test.go
+++ b/quarantiner/history_test.go
@@ -15,8 +15,8 @@
 	step = 10 * time.Millisecond
 	// historySteps is the length of a history. Requests with the crashing part come in
 	// the first part of it.
-	historySteps = 2000
-	crashingSteps  = 1600
+	historySteps  = 2000
+	crashingSteps = 1600
 	// settleTime is the time after the fifth crash from which on maxLateSends requests
 	// with the crashing part may be sent.
 	settleTime   = 3 * time.Second
