fix(follower): don't pass over members that restart, or that another member names as leader

Cause: any stream without an update made its member be passed over for two seconds. After a restart of all, entries met refused connections at each seed, and then waited although the members were back within a second. After its own suspension an entry took the silence for the leader's, and did not believe the others that named it.

A leader that another member names is called again at once: an election takes less time than the silence is noticed in.

The decision is a method of its own now; failed before: there was no such method (the table of TestMemberIsCalledAgainWhenSilenceWasShortOrOwn describes it).

--- a/follower/loop.go
+++ b/follower/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -28,7 +29,8 @@
 	// silentAfter is the time without an update from which on a member whose stream
 	// ended counts as silent. It exceeds the interval of heartbeats.
 	silentAfter = time.Second
-	// silenceDuration is how long a silent member is passed over.
+	// silenceDuration is how long a silent member is passed over, unless another one
+	// names it as the leader.
 	silenceDuration = 2 * time.Second
 )
 
@@ -43,19 +45,46 @@
 		now := time.Now()
 		f.settings.Log.Info("control stream ended", zap.String("member", address), zap.Duration("lasted", now.Sub(opened)),
 			zap.Time("heard-at", heardAt), zap.String("leader", f.Leader()), zap.Error(err))
-		if now.Sub(heardAt) >= silentAfter {
-			f.leaveSilent(members, address, now)
-		}
+		f.rate(members, streamEnd{address: address, opened: opened, heardAt: heardAt, endedAt: now, err: err})
 		if !f.awaitRedial() {
 			return
 		}
 	}
 }
 
-// leaveSilent passes over a member for silenceDuration, also as the leader.
-func (f *Follower) leaveSilent(members *linker.Rotation, address string, now time.Time) {
-	members.MarkSilent(address, now, now.Add(silenceDuration))
-	if f.Leader() == address {
+// streamEnd describes a stream that has ended. heardAt is zero if there was no update.
+type streamEnd struct {
+	address string
+	opened  time.Time
+	heardAt time.Time
+	endedAt time.Time
+	err     error
+}
+
+// silence returns how long there was no update before the end.
+func (e streamEnd) silence() time.Duration {
+	if e.heardAt.IsZero() {
+		return e.endedAt.Sub(e.opened)
+	}
+	return e.endedAt.Sub(e.heardAt)
+}
+
+// rate decides whether a member is passed over after its stream has ended. A member that
+// fails at once costs no time and may be back soon. A leader that another member names
+// is called again: the silence may have been this entry's own.
+func (f *Follower) rate(members *linker.Rotation, end streamEnd) {
+	var other *NotLeaderError
+	if errors.As(end.err, &other) {
+		members.MarkHeard(other.Leader)
+	}
+	silent := end.silence() >= connectTimeout
+	if !end.heardAt.IsZero() {
+		silent = end.silence() >= silentAfter
+	}
+	if silent {
+		members.MarkSilent(end.address, end.endedAt, end.endedAt.Add(silenceDuration))
+	}
+	if (silent || end.heardAt.IsZero()) && f.Leader() == end.address {
 		unknown := ""
 		f.leader.Store(&unknown)
 	}
--- a/follower/silent_leader_test.go
+++ b/follower/silent_leader_test.go
@@ -117,3 +117,37 @@
 		})
 	}
 }
+
+// A member is passed over without need if it restarts or if this entry was suspended.
+func TestMemberIsCalledAgainWhenSilenceWasShortOrOwn(t *testing.T) {
+	opened := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	cases := map[string]struct {
+		end    streamEnd
+		named  string
+		silent bool
+		leader string
+	}{
+		"restarting":                       {streamEnd{endedAt: opened.Add(time.Millisecond)}, "", false, ""},
+		"no connection":                    {streamEnd{endedAt: opened.Add(connectTimeout)}, "", true, ""},
+		"silent":                           {streamEnd{heardAt: opened.Add(time.Second), endedAt: opened.Add(3 * time.Second)}, "", true, ""},
+		"connection reset":                 {streamEnd{heardAt: opened.Add(time.Second), endedAt: opened.Add(time.Second)}, "", false, "a"},
+		"silent, but another one names it": {streamEnd{heardAt: opened.Add(time.Second), endedAt: opened.Add(3 * time.Second)}, "a", false, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f, members := newTestFollower(func(*cataloger.Catalog) {}), linker.NewRotation()
+			leader := "a"
+			f.leader.Store(&leader)
+			c.end.address, c.end.opened = "a", opened
+			f.rate(members, c.end)
+			if c.named != "" {
+				f.rate(members, streamEnd{
+					address: "b", opened: c.end.endedAt, heardAt: c.end.endedAt, endedAt: c.end.endedAt,
+					err: &NotLeaderError{Leader: c.named},
+				})
+			}
+			assert.Equal(t, members.Silent("a", c.end.endedAt), c.silent)
+			assert.Equal(t, f.Leader(), c.leader)
+		})
+	}
+}
--- a/linker/rotation.go
+++ b/linker/rotation.go
@@ -23,6 +23,9 @@
 	r.silentUntil[address] = until
 }
 
+// MarkHeard ends the time for which an address is passed over.
+func (r *Rotation) MarkHeard(address string) { delete(r.silentUntil, address) }
+
 // Silent reports whether an address is passed over.
 func (r *Rotation) Silent(address string, now time.Time) bool {
 	return now.Before(r.silentUntil[address])
--- a/linker/rotation_test.go
+++ b/linker/rotation_test.go
@@ -9,6 +9,14 @@
 	"burdocklink/linker"
 )
 
+func TestAddressIsCalledAgainOnceHeard(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := linker.NewRotation()
+	r.MarkSilent("a", now, now.Add(time.Second))
+	r.MarkHeard("a")
+	assert.Equal(t, r.Next("a", []string{"a", "b"}, now), "a")
+}
+
 func TestRotation(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	cases := map[string]struct {
