feat(forwarder): log the fingerprint of failed requests, and whether the upstream had crashed

Without it the log can't tell whether the same request comes again at other entries. Credentials identify the caller, where there are any.

--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -270,6 +270,12 @@
 	}
 }
 
+// fingerprint identifies requests that repeat this one, which come under other request IDs
+// and at any entry.
+func (x *exchange) fingerprint() string {
+	return quarantiner.Fingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(x.request.Caller), x.body)
+}
+
 // sharedParts returns the IDs of the prompt's parts within the service. The last part
 // belongs to the request alone.
 func (x *exchange) sharedParts() []string {
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -149,8 +149,9 @@
 	if err != nil {
 		fields = append(fields, zap.Error(err))
 	}
-	if x.result == reporter.ResultFailed && len(x.request.Parts) > 0 {
-		fields = append(fields, zap.Bool("header-arrived", x.headerArrived), zap.Strings("prompt-parts", x.request.loggedParts()))
+	if x.result == reporter.ResultFailed {
+		fields = append(fields, zap.String("fingerprint", x.fingerprint()), zap.Bool("header-arrived", x.headerArrived),
+			zap.Bool("upstream-crashed", x.upstreamCrashed), zap.Strings("prompt-parts", x.request.loggedParts()))
 	}
 	x.Log.Info("request", fields...)
 }
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -17,6 +17,8 @@
 type Request struct {
 	// ID is set by the caller, and new for each of its attempts.
 	ID string
+	// Caller identifies who sent the request, at any address; empty if it does not say.
+	Caller string
 	// Model and Adapter are empty if the request names none.
 	Model   string
 	Adapter string
