fix(receiver): keep a request that crashes upstreams from the next one in the product's own interface

What callers saw: a look-up of a service that ends it ran at all five upstreams of a test, with one request; a booking without a key, or a completion that ends its engine before the header, ended one upstream for each time it was sent.

Only streamed completions were checked, and only once a header had come; calls of services and completions in one piece never were.

Change: each request has a guard with its fingerprint, in which the caller is the authenticated identity. An interrupted call is repeated at the same upstream only if that still listens.

--- a/receiver/completion.go
+++ b/receiver/completion.go
@@ -73,8 +73,8 @@
 // relay reads the answer from engines as a stream, and passes it to the caller as a
 // stream or in one piece.
 func (x *exchange) relay(request *encoder.Completion, route router.Request) error {
-	opener := &streamOpener{exchange: x, request: request, route: route}
-	defer opener.endPass()
+	opener := &streamOpener{guard: x.newGuard(request.Body(), promptParts(request, route)), request: request, route: route}
+	defer opener.end()
 	collected := &collector{}
 	var sink relayer.Sink = collected
 	if request.Stream {
--- a/receiver/crash_test.go
+++ b/receiver/crash_test.go
@@ -80,3 +80,48 @@
 		})
 	}
 }
+
+// fragileService is a plain service that crashes when it gets a request with the word
+// crashing.
+type fragileService struct {
+	crashes *atomic.Int32
+	crashed atomic.Bool
+}
+
+func (s *fragileService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if s.crashed.Load() {
+		w.Header().Set(encoder.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if strings.Contains(string(body)+r.URL.Path, "crashing") {
+		s.crashed.Store(true)
+		s.crashes.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "ok")
+}
+
+func TestSameRequestDoesNotCrashOneServiceAfterTheOther(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var crashes atomic.Int32
+			services := map[string]http.Handler{}
+			for i := range 5 {
+				services[fmt.Sprintf("naptar-%d", i)] = &fragileService{crashes: &crashes}
+			}
+			r := newRig(t, services, refuseConnections)
+			for range 3 {
+				got := r.send(method, "/services/naptar/crashing", "")
+				assert.Assert(t, got.status >= http.StatusInternalServerError, got.body)
+				time.Sleep(150 * time.Millisecond)
+			}
+			got := r.send(method, "/services/naptar/crashing", "")
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Equal(t, got.outcome(), encoder.OutcomeNotRun)
+			assert.Equal(t, crashes.Load(), int32(2))
+			assert.Equal(t, r.send(method, "/services/naptar/sound", "").status, http.StatusOK)
+		})
+	}
+}
--- a/receiver/engine_stream.go
+++ b/receiver/engine_stream.go
@@ -15,7 +15,6 @@
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
 	"burdocklink/linker"
-	"burdocklink/quarantiner"
 	"burdocklink/relayer"
 	"burdocklink/router"
 )
@@ -30,17 +29,13 @@
 // streamOpener opens the engine streams of one answer. It is not safe for concurrent
 // use.
 type streamOpener struct {
-	*exchange
+	*guard
 	request *encoder.Completion
 	route   router.Request
 	// grant, attemptID and streamTokens belong to the current stream.
 	grant        *admitter.Grant
 	attemptID    string
 	streamTokens int
-	// pass allows the prompt to be sent. engineCrashed is set once an engine crashed when
-	// it began to answer.
-	pass          *quarantiner.Pass
-	engineCrashed bool
 	// resumeOutcome is the outcome of the last failed resume on the current engine.
 	resumeOutcome router.Outcome
 }
@@ -56,8 +51,8 @@
 	return "the engine refused the request with status " + strconv.Itoa(e.answer.Status)
 }
 
-// engineCrashedError reports that an engine crashed when it began to answer, so the
-// request is not sent to another one.
+// engineCrashedError reports that engines crashed under a request, so it is not sent to
+// another one.
 type engineCrashedError struct{}
 
 func (e *engineCrashedError) Error() string { return "the engine crashed when it began to answer" }
@@ -71,15 +66,20 @@
 // has.
 func (o *streamOpener) Open(ctx context.Context, from relayer.Prefix) (relayer.Source, error) {
 	for tries := 1; ; tries++ {
-		if o.engineCrashed {
+		if !o.mayRetry() {
 			return nil, &engineCrashedError{}
 		}
-		if err := o.awaitPass(ctx); err != nil {
+		if err := o.await(ctx); err != nil {
 			return nil, err
 		}
 		if err := o.selectEngine(ctx, from); err != nil {
 			return nil, linker.CauseOf(ctx, err)
 		}
+		if !o.pass.Valid() {
+			returnGrant(o.grant)
+			o.attemptID = ""
+			continue
+		}
 		source, err := o.startStream(ctx, from)
 		if err == nil {
 			return source, nil
@@ -92,28 +92,11 @@
 	}
 }
 
-// awaitPass waits until the prompt may be sent to an engine.
-func (o *streamOpener) awaitPass(ctx context.Context) error {
-	o.endPass()
-	pass, err := o.Quarantine.Admit(ctx, quarantiner.Subject{Parts: o.promptParts()}, o.deadline)
-	if err != nil {
-		return err
-	}
-	o.pass = pass
-	return nil
-}
-
-func (o *streamOpener) endPass() {
-	if o.pass != nil {
-		o.pass.End()
-	}
-}
-
 // promptParts returns the part of the prompt that other requests of the model's service
 // may share: its beginning.
-func (o *streamOpener) promptParts() []string {
-	hash := strconv.FormatUint(xxhash.Sum64(o.request.PromptHead), 16)
-	return []string{o.route.Service + "/" + hash}
+func promptParts(request *encoder.Completion, route router.Request) []string {
+	hash := strconv.FormatUint(xxhash.Sum64(request.PromptHead), 16)
+	return []string{route.Service + "/" + hash}
 }
 
 // selectEngine finishes the current stream and acquires an engine for the next one.
@@ -182,7 +165,7 @@
 	}
 	source, err := o.openStream(ctx, call)
 	var interrupted *dispatcher.InterruptedError
-	if ctx.Err() != nil || !errors.As(err, &interrupted) {
+	if ctx.Err() != nil || !errors.As(err, &interrupted) || o.checkCrash(ctx, o.grant.Choice, false) {
 		return source, err
 	}
 	return o.restartStream(ctx, call)
@@ -226,7 +209,7 @@
 // connection. If the engine's rate limit permits no request now, it returns an
 // *relayer.UnknownStreamError, so that the answer is continued elsewhere.
 func (o *streamOpener) Resume(ctx context.Context, after uint64) (relayer.Source, error) {
-	if o.engineCrashed {
+	if o.crashed {
 		return nil, &relayer.UnknownStreamError{}
 	}
 	if !o.Upstreams.TakePermit(o.grant.Choice) {
@@ -339,7 +322,7 @@
 	}
 	event, err := s.Stream.Next()
 	if err != nil {
-		s.opener.checkCrash()
+		s.opener.checkFirstEvent()
 		return event, err
 	}
 	s.opener.recordEvent()
@@ -350,14 +333,11 @@
 	return event, nil
 }
 
-// checkCrash finds out whether the engine has crashed after it began to answer and
+// checkFirstEvent finds out whether the engine has crashed after it began to answer and
 // before the first event.
-func (o *streamOpener) checkCrash() {
+func (o *streamOpener) checkFirstEvent() {
 	if o.tokens == 0 && o.streamTokens == 0 {
-		choice := o.grant.Choice
-		o.engineCrashed = o.pass.Broken(o.ctx, quarantiner.Break{
-			Upstream: choice.Incarnation, Address: choice.Address, Begun: true,
-		})
+		o.checkCrash(o.ctx, o.grant.Choice, true)
 	}
 }
 
--- /dev/null
+++ b/receiver/guard.go
@@ -0,0 +1,100 @@
+package receiver
+
+import (
+	"context"
+	"time"
+
+	"burdocklink/admitter"
+	"burdocklink/quarantiner"
+	"burdocklink/router"
+)
+
+// maxCrashes is the number of upstreams that may crash under one request before it is no
+// longer sent. One crash may have another cause.
+const maxCrashes = 2
+
+// guard keeps one request from upstreams that it would crash. It is not safe for
+// concurrent use.
+type guard struct {
+	*exchange
+	subject quarantiner.Subject
+	pass    *quarantiner.Pass
+	// crashed is set if the last upstream crashed before the first piece of its answer,
+	// begun if it had begun to answer. crashes counts such upstreams.
+	crashed, begun bool
+	crashes        int
+}
+
+// newGuard returns the guard of a request with this body and these shared prompt parts.
+func (x *exchange) newGuard(body []byte, parts []string) *guard {
+	fingerprint := quarantiner.Fingerprint([]byte(x.r.Method), []byte(x.r.URL.RequestURI()), []byte(x.identity.Name), body)
+	return &guard{exchange: x, subject: quarantiner.Subject{Fingerprint: fingerprint, Parts: parts}}
+}
+
+// await waits until the request may be sent.
+func (g *guard) await(ctx context.Context) error {
+	g.end()
+	g.crashed = false
+	pass, err := g.Quarantine.Admit(ctx, g.subject, g.deadline)
+	if err != nil {
+		return err
+	}
+	g.pass = pass
+	return nil
+}
+
+// acquire waits for an upstream until the request may be sent to it.
+func (g *guard) acquire(route router.Request) (*admitter.Grant, error) {
+	for {
+		if err := g.await(g.ctx); err != nil {
+			return nil, err
+		}
+		grant, err := g.Admitter.Acquire(g.ctx, g.admissionRequest(route))
+		if err != nil || g.pass.Valid() {
+			return grant, err
+		}
+		returnGrant(grant)
+	}
+}
+
+// reacquire waits for the next upstream after a grant, unless crashes since then keep the
+// request from being sent.
+func (g *guard) reacquire(grant *admitter.Grant) (*admitter.Grant, error) {
+	if !g.pass.Valid() {
+		if err := g.await(g.ctx); err != nil {
+			return nil, err
+		}
+	}
+	return g.Admitter.Reacquire(g.ctx, grant)
+}
+
+// returnGrant ends a grant that was not used.
+func returnGrant(grant *admitter.Grant) {
+	grant.Done(admitter.Result{Ended: time.Now(), Outcome: router.OutcomeCancelled})
+	grant.MarkNotSent()
+}
+
+// end ends the pass, if there is one.
+func (g *guard) end() {
+	if g.pass != nil {
+		g.pass.End()
+	}
+}
+
+// checkCrash reports whether the upstream has crashed before the first piece of its
+// answer. One that is leaving may have stopped.
+func (g *guard) checkCrash(ctx context.Context, choice router.Choice, begun bool) bool {
+	broken := quarantiner.Break{
+		Upstream: choice.Incarnation, Address: choice.Address, Begun: begun, Repeated: g.crashes > 0,
+	}
+	if g.Upstreams.Leaving(choice) || !g.pass.Broken(ctx, broken) {
+		return false
+	}
+	g.crashed, g.begun = true, begun
+	g.crashes++
+	return true
+}
+
+// mayRetry reports whether the request may be sent again. An upstream that had begun to
+// answer has most likely crashed for its sake.
+func (g *guard) mayRetry() bool { return !g.crashed || (!g.begun && g.crashes < maxCrashes) }
--- a/receiver/non_idempotent.go
+++ b/receiver/non_idempotent.go
@@ -63,19 +63,21 @@
 // previous one certainly did not run it. The error is an *OutcomeUnknownError if the
 // request may have run; after any other error it has not run.
 func (x *exchange) dispatchOnce(request unaryRequest, deadline time.Time) (string, dispatcher.Answer, error) {
-	grant, err := x.Admitter.Acquire(x.ctx, x.admissionRequest(request.route))
+	guard := x.newGuard(request.body, nil)
+	defer guard.end()
+	grant, err := guard.acquire(request.route)
 	if err != nil {
 		return "", dispatcher.Answer{}, linker.CauseOf(x.ctx, err)
 	}
 	for tries := 1; ; tries++ {
-		answer, err := x.tryOnce(request, grant, deadline)
+		answer, err := guard.tryOnce(request, grant, deadline)
 		if err == nil || is[*OutcomeUnknownError](err) {
 			return grant.Choice.Upstream, answer, err
 		}
 		if tries >= maxDispatchTries || x.ctx.Err() != nil {
 			return "", dispatcher.Answer{}, err
 		}
-		next, failure := x.Admitter.Reacquire(x.ctx, grant)
+		next, failure := guard.reacquire(grant)
 		if is[*router.PausedError](failure) || is[*router.RateLimitedError](failure) {
 			return "", dispatcher.Answer{}, failure
 		}
@@ -87,29 +89,33 @@
 }
 
 // tryOnce dispatches the request to the upstream of the grant.
-func (x *exchange) tryOnce(request unaryRequest, grant *admitter.Grant, deadline time.Time) (dispatcher.Answer, error) {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.ctx), deadline.Add(-finishMargin))
+func (g *guard) tryOnce(request unaryRequest, grant *admitter.Grant, deadline time.Time) (dispatcher.Answer, error) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(g.ctx), deadline.Add(-finishMargin))
 	defer cancel()
-	if ctx.Err() != nil || x.ctx.Err() != nil {
+	if ctx.Err() != nil || g.ctx.Err() != nil {
 		grant.Done(admitter.Result{Ended: time.Now(), Outcome: dispatchOutcome(dispatcher.Answer{}, ctx.Err())})
-		return dispatcher.Answer{}, linker.CauseOf(x.ctx, &DeadlinePassedError{})
+		return dispatcher.Answer{}, linker.CauseOf(g.ctx, &DeadlinePassedError{})
 	}
-	answer, err := x.Dispatcher.Once(ctx, x.call(request, grant))
+	answer, err := g.Dispatcher.Once(ctx, g.call(request, grant))
 	grant.Done(admitter.Result{Ended: time.Now(), Outcome: dispatchOutcome(answer, err)})
+	g.acquit(answer, err)
+	if err != nil && !is[*dispatcher.NotSentError](err) && ctx.Err() == nil {
+		g.checkCrash(ctx, grant.Choice, false)
+	}
 	var notSent *dispatcher.NotSentError
 	switch {
 	case errors.As(err, &notSent):
 		return dispatcher.Answer{}, err
 	case err != nil:
-		x.mayHaveRun = true
+		g.mayHaveRun = true
 		return dispatcher.Answer{}, &OutcomeUnknownError{Cause: err}
 	case reportsNotRun(answer):
 		return dispatcher.Answer{}, &UpstreamRefusedError{Status: answer.Status}
 	case isUnavailable(answer.Status):
-		x.mayHaveRun = true
+		g.mayHaveRun = true
 		return answer, &OutcomeUnknownError{Cause: &UpstreamStatusError{Status: answer.Status}}
 	default:
-		x.mayHaveRun = true
+		g.mayHaveRun = true
 		return answer, nil
 	}
 }
--- a/receiver/notice.go
+++ b/receiver/notice.go
@@ -20,6 +20,9 @@
 	// TakePermit uses a permit for one more request to the chosen upstream. It returns
 	// false if the upstream has a rate limit and there is no permit.
 	TakePermit(choice router.Choice) bool
+	// Leaving reports whether the chosen upstream may stop at any time, because it is
+	// leaving.
+	Leaving(choice router.Choice) bool
 }
 
 // onHeader returns the callback for the header of an answer of the chosen upstream.
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -1,7 +1,6 @@
 package receiver
 
 import (
-	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -115,19 +114,24 @@
 
 // runIdempotent runs an idempotent request and retries it on other upstreams.
 func (x *exchange) runIdempotent(request unaryRequest) error {
-	grant, err := x.Admitter.Acquire(x.ctx, x.admissionRequest(request.route))
+	guard := x.newGuard(request.body, nil)
+	defer guard.end()
+	grant, err := guard.acquire(request.route)
 	if err != nil {
 		return linker.CauseOf(x.ctx, err)
 	}
 	for {
-		answer, failure := x.tryIdempotent(request, grant)
+		answer, failure := guard.tryIdempotent(request, grant)
 		if failure == nil && !isUnavailable(answer.Status) {
 			return x.passAnswer(grant.Choice.Upstream, answer)
 		}
 		if x.ctx.Err() != nil {
 			return linker.CauseOf(x.ctx, failure)
 		}
-		next, err := x.Admitter.Reacquire(x.ctx, grant)
+		if !guard.mayRetry() {
+			return linker.CauseOf(x.ctx, failure)
+		}
+		next, err := guard.reacquire(grant)
 		if err != nil && failure == nil {
 			return x.passAnswer(grant.Choice.Upstream, answer)
 		}
@@ -139,21 +143,28 @@
 }
 
 // tryIdempotent dispatches the request once, and repeats it on a new connection if the
-// connection was interrupted.
-func (x *exchange) tryIdempotent(request unaryRequest, grant *admitter.Grant) (dispatcher.Answer, error) {
-	call := x.call(request, grant)
-	answer, err := x.Dispatcher.Do(x.ctx, call)
-	var interrupted *dispatcher.InterruptedError
-	if errors.As(err, &interrupted) && x.ctx.Err() == nil {
-		x.mayHaveRun = true
+// connection was interrupted and the upstream still listens.
+func (g *guard) tryIdempotent(request unaryRequest, grant *admitter.Grant) (dispatcher.Answer, error) {
+	call := g.call(request, grant)
+	answer, err := g.Dispatcher.Do(g.ctx, call)
+	if is[*dispatcher.InterruptedError](err) && g.ctx.Err() == nil && !g.checkCrash(g.ctx, grant.Choice, false) {
+		g.mayHaveRun = true
 		call.NewConnection = true
-		answer, err = x.Dispatcher.Do(x.ctx, call)
+		answer, err = g.Dispatcher.Do(g.ctx, call)
 	}
-	x.mayHaveRun = x.mayHaveRun || !cannotHaveRun(answer, err)
+	g.mayHaveRun = g.mayHaveRun || !cannotHaveRun(answer, err)
+	g.acquit(answer, err)
 	grant.Done(admitter.Result{Ended: time.Now(), Outcome: dispatchOutcome(answer, err)})
 	return answer, err
 }
 
+// acquit records that an upstream has answered the request with success.
+func (g *guard) acquit(answer dispatcher.Answer, err error) {
+	if err == nil && answer.Status < http.StatusMultipleChoices {
+		g.pass.Answered()
+	}
+}
+
 // cannotHaveRun reports whether the upstream certainly did not run the request.
 func cannotHaveRun(answer dispatcher.Answer, err error) bool {
 	if err != nil {
