feat(platform,router,forwarder): read the software versions of upstreams and log them with each request

The platform's list names the version of an upstream's software; nothing read it, so that the log could not tell whether a stream went on at another one. A take-up logs its last event and the request that it resumes.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -70,8 +70,11 @@
 	AvailabilityZone string
 	// Service is the service that the upstream belongs to.
 	Service string
-	Kind    UpstreamKind
-	State   UpstreamState
+	// Software is the version of the upstream's software, empty if unknown. A stream
+	// continues only at the version that began it.
+	Software string
+	Kind     UpstreamKind
+	State    UpstreamState
 	// MemoryBytes is the total accelerator memory of the upstream.
 	MemoryBytes  int64
 	Accelerators int
--- a/encoder/admission.go
+++ b/encoder/admission.go
@@ -99,6 +99,7 @@
 		PredictedIn:  choice.PredictedFirstToken.Sub(now).Microseconds(),
 		PermitIn:     microsecondsUntil(choice.PermitExpiresAt, receivedAt),
 		Paid:         grant.RetryCovered(),
+		Software:     choice.Software,
 	}
 	return &wire.AdmitReply{Reply: &wire.AdmitReply_Grant{Grant: message}}
 }
@@ -109,6 +110,7 @@
 func DecodeGrant(message *wire.AdmitGrant, sentAt, now time.Time) router.Choice {
 	choice := router.Choice{
 		Upstream: message.GetUpstream(), Incarnation: message.GetIncarnation(), Address: message.GetAddress(),
+		Software:            message.GetSoftware(),
 		CachedTokens:        int(min(message.GetCachedTokens(), maxTokens)),
 		PredictedFirstToken: now.Add(clampMicroseconds(message.GetPredictedIn())),
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -221,7 +221,7 @@
 			return err
 		}
 		x.Log.Info("sent again", zap.String("request-id", x.request.ID),
-			zap.String("upstream", x.grant.Choice.Upstream), zap.Int("sends", x.attempts.sends),
+			zap.String("upstream", x.grant.Choice.Upstream), zap.String("software", x.grant.Choice.Software), zap.Int("sends", x.attempts.sends),
 			zap.Int("runs", x.attempts.runs), zap.Error(err))
 	}
 }
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -134,12 +134,15 @@
 		fields = append(fields, zap.Uint64("configuration", x.table.Configuration.Version))
 	}
 	if x.grant != nil {
-		fields = append(fields, zap.String("upstream", x.grant.Choice.Upstream),
+		fields = append(fields, zap.String("upstream", x.grant.Choice.Upstream), zap.String("software", x.grant.Choice.Software),
 			zap.Duration("queued", x.granted.Sub(x.arrived)))
 		if x.grant.Entry != "" {
 			fields = append(fields, zap.String("admitted-by", x.grant.Entry))
 		}
 	}
+	if x.request.LastEvent != "" {
+		fields = append(fields, zap.String("last-event", x.request.LastEvent), zap.String("resumes", x.request.Resumes))
+	}
 	if x.rateLimit.Announced {
 		fields = append(fields, zap.Float64("limit", x.rateLimit.PerSecond))
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -31,8 +31,11 @@
 	Parts []PromptPart
 	// Deadline is when the caller gives up; zero if it does not say.
 	Deadline time.Time
-	// LastEvent is the ID of the last event of the stream that the caller has.
+	// LastEvent is the ID of the last event of the stream that the caller has. Resumes is
+	// the ID of the request that brought the stream's first event; empty if the caller
+	// does not say.
 	LastEvent string
+	Resumes   string
 }
 
 // maxLoggedParts is the number of prompt parts in a log line.
--- a/router/choice.go
+++ b/router/choice.go
@@ -39,6 +39,8 @@
 	Upstream    string
 	Incarnation string
 	Address     string
+	// Software is the version of the upstream's software; empty if unknown.
+	Software string
 	// CachedTokens is the length of the prompt prefix that the upstream is expected to
 	// have in its prefix cache.
 	CachedTokens int
--- a/router/choose.go
+++ b/router/choose.go
@@ -67,6 +67,7 @@
 		Upstream:            s.best.info.Name,
 		Incarnation:         s.best.info.Incarnation,
 		Address:             s.best.info.Address,
+		Software:            s.best.info.Software,
 		PredictedFirstToken: now.Add(s.firstToken),
 
 		CachedTokens: s.cachedTokens,
--- a/surveyor/list_feed.go
+++ b/surveyor/list_feed.go
@@ -41,7 +41,7 @@
 // to an upstream.
 func equalListed(a, b Upstream) bool {
 	return a.Incarnation == b.Incarnation && a.State == b.State && a.Address == b.Address &&
-		a.Service == b.Service && a.AvailabilityZone == b.AvailabilityZone && a.Slots == b.Slots
+		a.Service == b.Service && a.AvailabilityZone == b.AvailabilityZone && a.Software == b.Software && a.Slots == b.Slots
 }
 
 // Reset clears the feed, for when another process starts to read the list.
--- a/surveyor/publish.go
+++ b/surveyor/publish.go
@@ -86,6 +86,7 @@
 		Address:          upstream.Address,
 		AvailabilityZone: upstream.AvailabilityZone,
 		Service:          upstream.Service,
+		Software:         upstream.Software,
 		Kind:             cataloger.PlainUpstream,
 		State:            cataloger.UpstreamLive,
 		Slots:            upstream.Slots,
--- a/surveyor/reading.go
+++ b/surveyor/reading.go
@@ -158,7 +158,7 @@
 // hashInto hashes the fields that entries exchange.
 func (u Upstream) hashInto(hash *xxhash.Digest) {
 	var numbers [16]byte
-	hashStrings(hash, u.Name, u.Incarnation, u.Service, u.Address, u.AvailabilityZone)
+	hashStrings(hash, u.Name, u.Incarnation, u.Service, u.Address, u.AvailabilityZone, u.Software)
 	binary.LittleEndian.PutUint64(numbers[:8], uint64(u.Slots))
 	binary.LittleEndian.PutUint64(numbers[8:], uint64(u.State))
 	_, _ = hash.Write(numbers[:])
--- a/surveyor/upstream.go
+++ b/surveyor/upstream.go
@@ -35,8 +35,10 @@
 	Service          string
 	Address          string
 	AvailabilityZone string
-	Slots            int
-	State            State
+	// Software is the version of the server's software; empty if unknown.
+	Software string
+	Slots    int
+	State    State
 	// GoneAt is when a leaving upstream terminates; zero if unknown.
 	GoneAt time.Time
 	Holds  []HeldModel
