fix(router,forwarder): continue a broken stream only at the software version that began it

Cause: an upstream was chosen by model, load and time only; the version of its software was not known to routing.

Change: the upstream that brings the first event is the origin of the stream. The next send asks for one of the same version, or the same incarnation; an unknown version equals no other. The request for admission carries the origin to the entry that owns the model. Where no live upstream of the version is left, the answer breaks off at once.

--- a/admitter/grant.go
+++ b/admitter/grant.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// Continue makes retries after this grant continue a stream.
+func (g *Grant) Continue(origin router.Origin) { g.request.Route.Origin = origin }
+
 // RetryRequest returns the request for a retry after a failed grant, and whether
 // it needs no further retry budget.
 func (g *Grant) RetryRequest() (Request, bool) { return newRetry(g).request, g.retryCovered }
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -333,7 +333,8 @@
 		t.holderDeadline = time.Time{}
 		return q.refuseRateLimited(now, t, limited)
 	}
-	if t.waitsForHolder(now) {
+	var gone *router.OriginGoneError
+	if !errors.As(err, &gone) && t.waitsForHolder(now) {
 		return false
 	}
 	if !t.request.Counted {
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"burdocklink/router"
 )
 
 // Ticket is one request in a queue.
@@ -78,21 +80,25 @@
 // requestKind is what determines the room for a request.
 type requestKind struct {
 	service, holds, class string
+	origin                router.Origin
 	yields                bool
 	// avoiding is true for a retry, which must avoid some upstreams.
 	avoiding bool
 }
 
 // pool returns the upstreams that tickets of this kind wait for.
-func (k requestKind) pool() pool { return pool{service: k.service, holds: k.holds} }
+func (k requestKind) pool() pool { return pool{service: k.service, holds: k.holds, origin: k.origin} }
 
-// pool identifies the upstreams of a service that hold a model.
-type pool struct{ service, holds string }
+// pool identifies the upstreams of a service that hold a model and may continue a stream.
+type pool struct {
+	service, holds string
+	origin         router.Origin
+}
 
 func (t *Ticket) kind() requestKind {
 	route := &t.request.Route
 	return requestKind{
-		service: route.Service, holds: route.Model, class: t.request.Class.Name,
+		service: route.Service, holds: route.Model, class: t.request.Class.Name, origin: route.Origin,
 		yields: route.OverFairShare, avoiding: len(route.Avoid) > 0,
 	}
 }
--- a/encoder/admission.go
+++ b/encoder/admission.go
@@ -44,6 +44,8 @@
 		Avoid:            route.Avoid, Seed: route.Seed,
 		Retry: retry, Paid: paid, Counted: request.Counted,
 		Rank: uint32(max(0, request.Rank)),
+
+		OriginSoftware: route.Origin.Software, OriginIncarnation: route.Origin.Incarnation,
 	}
 	for _, part := range route.Prefixes {
 		message.Parts = append(message.Parts, &wire.PromptPart{Hash: part.Hash, Tokens: uint32(max(0, part.Tokens))})
@@ -73,6 +75,7 @@
 			AnswerTokens:     int(min(message.GetAnswerTokens(), maxTokens)),
 			AvailabilityZone: message.GetAvailabilityZone(),
 			Seed:             message.GetSeed(),
+			Origin:           router.Origin{Software: message.GetOriginSoftware(), Incarnation: message.GetOriginIncarnation()},
 		},
 	}
 	if message != nil {
@@ -166,7 +169,10 @@
 	var retryBudget *admitter.RetryBudgetError
 	var absent *chooser.AbsentError
 	var stopped *admitter.StoppedError
+	var originGone *router.OriginGoneError
 	switch {
+	case errors.As(err, &originGone):
+		return wire.AdmitRefusal_ORIGIN_GONE, time.Time{}
 	case errors.As(err, &targetMissed):
 		return wire.AdmitRefusal_HOPELESS, targetMissed.RetryAt
 	case errors.As(err, &overloaded):
@@ -202,6 +208,8 @@
 		return &router.PausedError{Service: route.Service, Model: route.Model, RetryAt: retryAt}
 	case wire.AdmitRefusal_RATIONED:
 		return &router.RateLimitedError{Service: route.Service, Model: route.Model, RetryAt: retryAt}
+	case wire.AdmitRefusal_ORIGIN_GONE:
+		return &router.OriginGoneError{Service: route.Service, Origin: route.Origin}
 	case wire.AdmitRefusal_BUDGET:
 		return &admitter.RetryBudgetError{}
 	case wire.AdmitRefusal_ABSENT:
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -56,7 +56,9 @@
 	// lastEventID is the ID of the last event that the caller has, initialEventID the
 	// one that its request named. Zero means none.
 	lastEventID, initialEventID uint64
-	events                      int
+	// origin is the upstream that began the stream; zero if none has.
+	origin router.Origin
+	events int
 	// eventTokens is the number of tokens per event.
 	eventTokens int
 	firstToken  time.Time
@@ -343,6 +345,7 @@
 // again.
 func (x *exchange) acquire(ctx context.Context, counted bool) (*admitter.Grant, error) {
 	if x.attempts.sends > 0 && !x.disallowed {
+		x.grant.Continue(x.origin)
 		return x.Admitter.Reacquire(ctx, x.grant)
 	}
 	request := x.admission()
@@ -364,6 +367,7 @@
 			AnswerTokens:     x.expectedAnswerTokens(),
 			AvailabilityZone: x.AvailabilityZone,
 			Seed:             xxhash.Sum64String(x.request.ID),
+			Origin:           x.origin,
 		},
 	}
 	if x.request.Model != "" && x.table.Configuration.Services[x.service].Engine != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -76,6 +76,8 @@
 	mutex     sync.Mutex
 	upstreams []string
 	next      int
+	// software maps upstreams by name to their software version.
+	software map[string]string
 	// err is returned if no upstream is left; block makes Acquire wait.
 	err   error
 	block bool
@@ -95,16 +97,25 @@
 	if !request.Counted {
 		a.counted++
 	}
-	if a.next >= len(a.upstreams) {
-		return nil, a.err
+	for a.next < len(a.upstreams) {
+		a.next++
+		name := "u" + strconv.Itoa(a.next)
+		origin := request.Route.Origin
+		if !origin.IsZero() && a.software[name] != origin.Software {
+			continue
+		}
+		choice := router.Choice{Upstream: name, Incarnation: name + "@1", Address: a.upstreams[a.next-1], Software: a.software[name]}
+		return admitter.NewGrant("", choice, request, false, nil), nil
+	}
+	if origin := request.Route.Origin; origin.Software != "" {
+		return nil, &router.OriginGoneError{Origin: origin}
 	}
-	a.next++
-	name := "u" + strconv.Itoa(a.next)
-	return &admitter.Grant{Choice: router.Choice{Upstream: name, Incarnation: name + "@1", Address: a.upstreams[a.next-1]}}, nil
+	return nil, a.err
 }
 
-func (a *admission) Reacquire(ctx context.Context, _ *admitter.Grant) (*admitter.Grant, error) {
-	return a.Acquire(ctx, admitter.Request{})
+func (a *admission) Reacquire(ctx context.Context, grant *admitter.Grant) (*admitter.Grant, error) {
+	request, _ := grant.RetryRequest()
+	return a.Acquire(ctx, admitter.Request{Route: router.Request{Origin: request.Route.Origin}})
 }
 
 // holders reports all models but one as absent.
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -78,7 +78,11 @@
 	var notRun *NotRunError
 	var quarantined *quarantiner.QuarantinedError
 	var trialPending *quarantiner.TrialPendingError
+	var originGone *router.OriginGoneError
 	switch {
+	case errors.As(err, &originGone):
+		// the stream can't go on at any time
+		return time.Time{}
 	case errors.As(err, &targetMissed):
 		return targetMissed.RetryAt
 	case errors.As(err, &overload):
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -130,6 +130,9 @@
 	if numbered {
 		x.lastEventID = id
 	}
+	if x.origin.IsZero() {
+		x.origin = x.grant.Choice.Origin()
+	}
 	x.events++
 	return nil
 }
--- a/router/choice.go
+++ b/router/choice.go
@@ -2,7 +2,11 @@
 // does not allocate.
 package router
 
-import "time"
+import (
+	"time"
+
+	"burdocklink/cataloger"
+)
 
 // Request describes the request that an upstream is chosen for.
 type Request struct {
@@ -25,6 +29,8 @@
 	// Thorough compares all candidates, up to thoroughCandidates, instead of a sample.
 	// It pays off on an entry that sees all requests for a model.
 	Thorough bool
+	// Origin is the upstream that began the stream to be continued; zero for a new request.
+	Origin Origin
 	// Avoid lists upstreams already tried.
 	Avoid []string
 	// OverFairShare is set if the subscriber has used more than its fair share. Such a
@@ -34,6 +40,29 @@
 	Seed uint64
 }
 
+// Origin identifies the software that began a stream. The zero value means that no stream
+// has begun.
+type Origin struct {
+	// Software is the version, empty if unknown. Unknown versions are never equal.
+	Software string
+	// Incarnation is the upstream's.
+	Incarnation string
+}
+
+// IsZero reports whether no stream has begun.
+func (o Origin) IsZero() bool { return o == Origin{} }
+
+// admits reports whether a stream may continue at an upstream.
+func (o Origin) admits(info *cataloger.Upstream) bool {
+	if o.IsZero() || o.Incarnation == info.Incarnation {
+		return true
+	}
+	return o.Software != "" && o.Software == info.Software
+}
+
+// Origin returns the origin of a stream that the upstream begins.
+func (c Choice) Origin() Origin { return Origin{Software: c.Software, Incarnation: c.Incarnation} }
+
 // Choice is the upstream to send a request to.
 type Choice struct {
 	Upstream    string
@@ -61,6 +90,17 @@
 // Error describes the refusal.
 func (e *NoUpstreamError) Error() string { return "no upstream can take the request" }
 
+// OriginGoneError reports that no live upstream runs the software that began a stream.
+type OriginGoneError struct {
+	Service string
+	Origin  Origin
+}
+
+// Error describes the refusal.
+func (e *OriginGoneError) Error() string {
+	return "no upstream runs the software that began the stream"
+}
+
 // PausedError reports that every upstream that could serve the request is paused.
 type PausedError struct {
 	Service, Model string
--- a/router/choose.go
+++ b/router/choose.go
@@ -42,7 +42,7 @@
 // Choose returns the upstream for a request. It compares a few sampled candidates,
 // never the whole fleet, and requests a reservation if a rate limit kept it from the
 // cheapest one. It returns *NoUpstreamError if no live upstream holds the model,
-// *PausedError if all live ones are paused, *SaturatedError if some are at their
+// *OriginGoneError if none may continue the request's stream, *PausedError if all live ones are paused, *SaturatedError if some are at their
 // concurrency limits and *RateLimitedError if only rate limits are in the way.
 func (r *Router) Choose(now time.Time, request *Request) (Choice, error) {
 	r.mutex.RLock()
@@ -91,7 +91,8 @@
 
 // compare considers all candidates if they are few, and a sample of them otherwise.
 func (r *Router) compare(s *search, candidates []*upstream) {
-	if len(candidates) > sampledCandidates && (!s.request.Thorough || len(candidates) > thoroughCandidates) {
+	few := !s.request.Origin.IsZero()
+	if !few && len(candidates) > sampledCandidates && (!s.request.Thorough || len(candidates) > thoroughCandidates) {
 		r.sample(s, candidates)
 		return
 	}
@@ -129,6 +130,9 @@
 // consider compares one candidate with the best so far. It reports whether the candidate
 // could take the request.
 func (r *Router) consider(s *search, u *upstream) bool {
+	if !s.request.Origin.admits(&u.info) {
+		return false
+	}
 	s.examined++
 	if slices.Contains(s.request.Avoid, u.info.Name) {
 		s.recordPause(u)
@@ -191,6 +195,9 @@
 
 // refuse returns the reason why none of the candidates takes the request.
 func (r *Router) refuse(s *search, candidateCount int) error {
+	if !r.table.runs(s.request.Service, s.request.Origin) {
+		return &OriginGoneError{Service: s.request.Service, Origin: s.request.Origin}
+	}
 	if s.rateLimited != nil && s.rateLimited.recordWaiting(s.now, s.request.Seed) {
 		r.signalReservations()
 	}
--- a/router/table.go
+++ b/router/table.go
@@ -148,6 +148,11 @@
 
 func (u *upstream) live() bool { return u.info.State == cataloger.UpstreamLive }
 
+// runs reports whether a live upstream of a service may continue a stream.
+func (t *table) runs(service string, origin Origin) bool {
+	return origin.IsZero() || slices.ContainsFunc(t.services[service], func(u *upstream) bool { return origin.admits(&u.info) })
+}
+
 func include(lists map[string][]*upstream, name string, u *upstream) {
 	if at, found := position(lists[name], u); !found {
 		lists[name] = slices.Insert(lists[name], at, u)
