fix(historian,forwarder): continue a stream that a caller takes up only at the version that began it

Cause: no process remembered which version began a stream; the ID that a take-up names was not read.

Change: an entry keeps where each stream that may be taken up began. While several versions of a service are in use, it sends that to the leader of the control group, which keeps it in memory and answers any entry; a new leader is sent it again. The versions in use, and when one left the list, are part of the replicated catalog, so they outlive the memory of all processes: where nothing is remembered, a stream continues only if one version can have begun every stream that may be taken up. Otherwise, and where no upstream of its version is left, the take-up is refused at once with 503, without Retry-After.

Release: control members must be replaced before entries; an entry that asks an older member refuses take-ups that it doesn't know itself.

--- a/applier/check.go
+++ b/applier/check.go
@@ -97,12 +97,23 @@
 		return validateUpstream(change.Upstream)
 	case cataloger.RemoveUpstream:
 		return validateName("upstream", change.Name)
+	case cataloger.PutRelease:
+		return validateRelease(change.Release.ReleaseKey)
+	case cataloger.RemoveRelease:
+		return validateRelease(change.ReleaseKey)
 	default:
 		return "unknown kind of change"
 	}
 	return ""
 }
 
+func validateRelease(key cataloger.ReleaseKey) string {
+	if len(key.Software) > MaxNameBytes {
+		return "name of a release too long"
+	}
+	return validateName("service", key.Service)
+}
+
 func validateName(kind, name string) string {
 	switch {
 	case name == "":
--- a/applier/watch.go
+++ b/applier/watch.go
@@ -43,7 +43,7 @@
 func allowedForWatchers(step cataloger.Change) bool {
 	switch step.(type) {
 	case cataloger.PutUpstream, cataloger.RemoveUpstream, cataloger.PutModel, cataloger.RemoveModel,
-		cataloger.PutAdapter, cataloger.RemoveAdapter:
+		cataloger.PutAdapter, cataloger.RemoveAdapter, cataloger.PutRelease, cataloger.RemoveRelease:
 		return true
 	default:
 		return false
@@ -75,6 +75,14 @@
 		if s.catalog.Adapters[change.Adapter.Name] == change.Adapter {
 			return nil
 		}
+	case cataloger.PutRelease:
+		if current, known := s.catalog.Releases[change.Release.ReleaseKey]; known && current.GoneAt.Equal(change.Release.GoneAt) {
+			return nil
+		}
+	case cataloger.RemoveRelease:
+		if _, known := s.catalog.Releases[change.ReleaseKey]; !known {
+			return nil
+		}
 	case cataloger.RemoveModel:
 		if _, listed := s.catalog.Models[change.Name]; !listed {
 			return nil
@@ -177,6 +185,10 @@
 		return "weights " + step.Adapter.Name
 	case cataloger.RemoveAdapter:
 		return "weights " + step.Name
+	case cataloger.PutRelease:
+		return "release " + step.Release.Service + " " + step.Release.Software
+	case cataloger.RemoveRelease:
+		return "release " + step.ReleaseKey.Service + " " + step.ReleaseKey.Software
 	default:
 		return ""
 	}
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -3,7 +3,13 @@
 // returns a new one.
 package cataloger
 
-import "burdocklink/classifier"
+import (
+	"cmp"
+	"strings"
+	"time"
+
+	"burdocklink/classifier"
+)
 
 // UpstreamKind distinguishes model engines from plain services.
 type UpstreamKind int
@@ -88,6 +94,21 @@
 	ChecksFence bool
 }
 
+// ReleaseKey identifies a software version of a service; an empty version is unknown.
+type ReleaseKey struct{ Service, Software string }
+
+// Compare orders keys by service and software.
+func (k ReleaseKey) Compare(other ReleaseKey) int {
+	return cmp.Or(strings.Compare(k.Service, other.Service), strings.Compare(k.Software, other.Software))
+}
+
+// Release is a software version that upstreams of a service run or have run.
+type Release struct {
+	ReleaseKey
+	// GoneAt is when the platform no longer listed an upstream of it; zero while it does.
+	GoneAt time.Time
+}
+
 // Placement lists the weights that an upstream incarnation is confirmed to hold.
 type Placement struct {
 	Upstream    string
@@ -117,6 +138,7 @@
 	Adapters   map[string]Adapter
 	Upstreams  map[string]Upstream
 	Placements map[string]Placement
+	Releases   map[ReleaseKey]Release
 	// Holders maps a model or adapter name to the sorted names of the upstreams
 	// that hold it. It is derived from Placements.
 	Holders map[string][]string
--- a/cataloger/change.go
+++ b/cataloger/change.go
@@ -32,6 +32,12 @@
 // PutPlacement replaces the placement of an upstream.
 type PutPlacement struct{ Placement Placement }
 
+// PutRelease adds or replaces a software version of a service.
+type PutRelease struct{ Release Release }
+
+// RemoveRelease removes a software version of a service.
+type RemoveRelease struct{ ReleaseKey ReleaseKey }
+
 // PutConfiguration replaces the routing configuration.
 type PutConfiguration struct{ Configuration Configuration }
 
@@ -45,6 +51,8 @@
 func (PutUpstream) change()      {}
 func (RemoveUpstream) change()   {}
 func (PutPlacement) change()     {}
+func (PutRelease) change()       {}
+func (RemoveRelease) change()    {}
 
 // Delta holds the changes from one revision to a later one.
 type Delta struct {
--- a/cataloger/with.go
+++ b/cataloger/with.go
@@ -15,6 +15,7 @@
 		Adapters:   map[string]Adapter{},
 		Upstreams:  map[string]Upstream{},
 		Placements: map[string]Placement{},
+		Releases:   map[ReleaseKey]Release{},
 		Holders:    map[string][]string{},
 		Services:   map[string][]string{},
 	}
@@ -53,6 +54,9 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Placements)) {
 		changes = append(changes, PutPlacement{Placement: c.Placements[name]})
 	}
+	for _, key := range slices.SortedFunc(maps.Keys(c.Releases), ReleaseKey.Compare) {
+		changes = append(changes, PutRelease{Release: c.Releases[key]})
+	}
 	if c.Configuration.Version > 0 {
 		changes = append(changes, PutConfiguration{Configuration: c.Configuration})
 	}
@@ -60,7 +64,7 @@
 }
 
 // affectedMaps tells which maps a delta modifies.
-type affectedMaps struct{ classes, models, adapters, upstreams, placements bool }
+type affectedMaps struct{ classes, models, adapters, upstreams, placements, releases bool }
 
 func affectedBy(changes []Change) affectedMaps {
 	var t affectedMaps
@@ -79,6 +83,8 @@
 			t.placements = true
 		case PutPlacement:
 			t.placements = true
+		case PutRelease, RemoveRelease:
+			t.releases = true
 		}
 	}
 	return t
@@ -104,6 +110,9 @@
 		next.Placements = maps.Clone(c.Placements)
 		next.Holders = maps.Clone(c.Holders)
 	}
+	if t.releases {
+		next.Releases = maps.Clone(c.Releases)
+	}
 	return &next
 }
 
@@ -127,6 +136,10 @@
 		c.removeUpstream(change.Name)
 	case PutPlacement:
 		c.putPlacement(change.Placement)
+	case PutRelease:
+		c.Releases[change.Release.ReleaseKey] = change.Release
+	case RemoveRelease:
+		delete(c.Releases, change.ReleaseKey)
 	case PutConfiguration:
 		c.Configuration = change.Configuration
 	}
--- a/cataloger/with_test.go
+++ b/cataloger/with_test.go
@@ -25,7 +25,7 @@
 func randomChange(random *rand.Rand) cataloger.Change {
 	number := random.IntN(4)
 	name := fmt.Sprintf("n-%d", number)
-	switch random.IntN(9) {
+	switch random.IntN(11) {
 	case 0:
 		return cataloger.PutClass{Class: classifier.Class{Name: name, RepeatForbidden: random.IntN(2) == 0}}
 	case 1:
@@ -44,6 +44,10 @@
 		return cataloger.PutUpstream{Upstream: changed}
 	case 7:
 		return cataloger.RemoveUpstream{Name: upstream(number).Name}
+	case 8:
+		return cataloger.PutRelease{Release: cataloger.Release{ReleaseKey: cataloger.ReleaseKey{Service: "s", Software: name}}}
+	case 9:
+		return cataloger.RemoveRelease{ReleaseKey: cataloger.ReleaseKey{Service: "s", Software: name}}
 	default:
 		return cataloger.PutPlacement{Placement: cataloger.Placement{
 			Upstream: upstream(number).Name,
--- a/encoder/catalog.go
+++ b/encoder/catalog.go
@@ -94,6 +94,12 @@
 		message.Change = &wire.CatalogChange_RemoveUpstream{RemoveUpstream: change.Name}
 	case cataloger.PutPlacement:
 		message.Change = &wire.CatalogChange_PutPlacement{PutPlacement: encodePlacement(change.Placement)}
+	case cataloger.PutRelease:
+		message.Change = &wire.CatalogChange_PutRelease{PutRelease: encodeRelease(change.Release)}
+	case cataloger.RemoveRelease:
+		message.Change = &wire.CatalogChange_RemoveRelease{
+			RemoveRelease: encodeRelease(cataloger.Release{ReleaseKey: change.ReleaseKey}),
+		}
 	case cataloger.PutConfiguration:
 		message.Change = &wire.CatalogChange_PutConfiguration{
 			PutConfiguration: encodeCatalogConfiguration(change.Configuration),
@@ -126,6 +132,10 @@
 	case *wire.CatalogChange_PutPlacement:
 		placement, err := decodePlacement(change.PutPlacement)
 		return cataloger.PutPlacement{Placement: placement}, err
+	case *wire.CatalogChange_PutRelease:
+		return cataloger.PutRelease{Release: decodeRelease(change.PutRelease)}, nil
+	case *wire.CatalogChange_RemoveRelease:
+		return cataloger.RemoveRelease{ReleaseKey: decodeRelease(change.RemoveRelease).ReleaseKey}, nil
 	case *wire.CatalogChange_PutConfiguration:
 		return cataloger.PutConfiguration{
 			Configuration: decodeCatalogConfiguration(change.PutConfiguration),
@@ -143,6 +153,17 @@
 	return cataloger.Configuration{Version: message.GetVersion(), Content: message.GetContent()}
 }
 
+func encodeRelease(release cataloger.Release) *wire.Release {
+	return &wire.Release{Service: release.Service, Software: release.Software, GoneAt: encodeTime(release.GoneAt)}
+}
+
+func decodeRelease(message *wire.Release) cataloger.Release {
+	return cataloger.Release{
+		ReleaseKey: cataloger.ReleaseKey{Service: message.GetService(), Software: message.GetSoftware()},
+		GoneAt:     decodeTime(message.GetGoneAt()),
+	}
+}
+
 func encodeClass(class classifier.Class) *wire.Class {
 	return &wire.Class{
 		Name:               class.Name,
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -92,6 +92,10 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	if err := x.findOrigin(ctx); err != nil {
+		return err
+	}
+	x.subject = quarantiner.Subject{Fingerprint: x.fingerprint(), Parts: x.sharedParts()}
 	err := x.forward(ctx)
 	if err != nil && x.fallback != nil && !x.attempts.answerStarted && x.r.Context().Err() == nil {
 		return x.writeAnswer(x.fallback)
@@ -194,7 +198,6 @@
 		return &BodyError{Cause: err}
 	}
 	x.body = body
-	x.subject = quarantiner.Subject{Fingerprint: x.fingerprint(), Parts: x.sharedParts()}
 	return nil
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,6 +57,15 @@
 	Leaving(choice router.Choice) bool
 }
 
+// Streams knows which software began the streams of callers.
+type Streams interface {
+	// Begun records where the stream of a request began.
+	Begun(id string, stream router.Stream)
+	// Find returns where the stream that a request began may continue, or a
+	// *historian.UnknownOriginError. One of the services served it.
+	Find(ctx context.Context, id string, services []string) (router.Stream, error)
+}
+
 // Config configures a Forwarder.
 type Config struct {
 	// Listen is the IP address and port that serve callers.
@@ -75,8 +84,10 @@
 	// Quarantine keeps requests from upstreams that they would crash; nil means one
 	// of this forwarder alone.
 	Quarantine *quarantiner.Quarantiner
-	Reporter   *reporter.Reporter
-	Log        *zap.Logger
+	// Streams is nil if the software of upstreams does not differ.
+	Streams  Streams
+	Reporter *reporter.Reporter
+	Log      *zap.Logger
 }
 
 // Limits of callers' connections. Configured limits are lower; these only end
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -30,7 +30,7 @@
 func codec() forwarder.Codec {
 	return forwarder.Codec{
 		DecodeRequest: func(r *http.Request, now time.Time) (forwarder.Request, error) {
-			request := forwarder.Request{ID: r.Header.Get("Id"), LastEvent: r.Header.Get("After"), Model: r.Header.Get("Model")}
+			request := forwarder.Request{ID: r.Header.Get("Id"), LastEvent: r.Header.Get("After"), Resumes: r.Header.Get("Resumes"), Model: r.Header.Get("Model")}
 			if request.ID == "" {
 				return request, &forwarder.MalformedError{Field: "Id"}
 			}
--- /dev/null
+++ b/forwarder/origin.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+
+	"burdocklink/linker"
+	"burdocklink/matcher"
+	"burdocklink/router"
+)
+
+// findOrigin finds the upstream that began the stream which the caller takes up again.
+func (x *exchange) findOrigin(ctx context.Context) error {
+	if x.Streams == nil || x.initialEventID == 0 {
+		return nil
+	}
+	services := servicesOf(x.route)
+	stream, err := x.Streams.Find(ctx, x.request.Resumes, services)
+	if err != nil {
+		return linker.CauseOf(ctx, err)
+	}
+	if !slices.Contains(services, stream.Service) {
+		return &router.OriginGoneError{Service: stream.Service, Origin: stream.Origin}
+	}
+	x.service, x.origin = stream.Service, stream.Origin
+	return nil
+}
+
+// servicesOf returns the services of a route that get requests.
+func servicesOf(route *matcher.Route) []string {
+	var services []string
+	for _, part := range route.Split {
+		if part.Weight > 0 && !slices.Contains(services, part.Service) {
+			services = append(services, part.Service)
+		}
+	}
+	return services
+}
+
+// beginStream records the upstream that sends the first event of a stream which may be
+// taken up again.
+func (x *exchange) beginStream() {
+	id := x.request.ID
+	if x.initialEventID > 0 {
+		id = x.request.Resumes
+	}
+	if x.origin.Incarnation == "" {
+		// the stream is new, or any upstream of the version may have begun it
+		x.origin = x.grant.Choice.Origin()
+	}
+	if x.Streams != nil && x.route.Resumable {
+		x.Streams.Begun(id, router.Stream{Service: x.service, Origin: x.origin})
+	}
+}
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -10,6 +10,7 @@
 
 	"burdocklink/admitter"
 	"burdocklink/chooser"
+	"burdocklink/historian"
 	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 	"burdocklink/router"
@@ -79,7 +80,10 @@
 	var quarantined *quarantiner.QuarantinedError
 	var trialPending *quarantiner.TrialPendingError
 	var originGone *router.OriginGoneError
+	var unknownOrigin *historian.UnknownOriginError
 	switch {
+	case errors.As(err, &unknownOrigin):
+		return unknownOrigin.RetryAt
 	case errors.As(err, &originGone):
 		// the stream can't go on at any time
 		return time.Time{}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -101,6 +101,7 @@
 		return
 	}
 	x.attempts.answerStarted = true
+	x.beginStream()
 	x.firstToken = time.Now()
 	x.grant.FirstToken(x.firstToken)
 	x.Codec.AnswerHeader(x.w.Header(), response.Header)
@@ -130,9 +131,6 @@
 	if numbered {
 		x.lastEventID = id
 	}
-	if x.origin.IsZero() {
-		x.origin = x.grant.Choice.Origin()
-	}
 	x.events++
 	return nil
 }
--- a/mover/events.go
+++ b/mover/events.go
@@ -32,6 +32,9 @@
 	err         error
 }
 
+// releasesProposed is the outcome of a change of the releases.
+type releasesProposed struct{ err error }
+
 // orderAnswered is the outcome of an order.
 type orderAnswered struct {
 	term    uint64
@@ -47,10 +50,11 @@
 	answer chan WantResult
 }
 
-func (listRead) event()      {}
-func (reportRead) event()    {}
-func (orderAnswered) event() {}
-func (wantReceived) event()  {}
+func (listRead) event()         {}
+func (releasesProposed) event() {}
+func (reportRead) event()       {}
+func (orderAnswered) event()    {}
+func (wantReceived) event()     {}
 
 func (m *Mover) handle(ev event, now time.Time) {
 	m.tally.events++
@@ -58,6 +62,11 @@
 	switch ev := ev.(type) {
 	case listRead:
 		m.handleList(ev, now)
+	case releasesProposed:
+		m.releasesInFlight = false
+		if ev.err != nil {
+			m.settings.Log.Info("software versions could not be recorded", zap.Error(ev.err))
+		}
 	case reportRead:
 		m.handleReport(ev, now)
 		m.engineChanged(ev.engine.Name)
@@ -116,6 +125,7 @@
 		m.settings.Log.Info("platform list could not be read", zap.Error(read.err))
 		return
 	}
+	m.updateReleases(read.listed, now)
 	m.settings.Listed.Replace(read.listed, read.requestedAt)
 	for name, upstream := range read.listed {
 		if m.engineSpec(upstream.Service) == nil {
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -12,6 +12,7 @@
 	"burdocklink/applier"
 	"burdocklink/cataloger"
 	"burdocklink/conductor"
+	"burdocklink/historian"
 	"burdocklink/matcher"
 	"burdocklink/placer"
 	"burdocklink/registrar"
@@ -24,6 +25,7 @@
 
 // Group is the control member that the mover runs on.
 type Group interface {
+	Propose(ctx context.Context, command applier.Command) (applier.Applied, error)
 	Read(ctx context.Context, read func(*applier.State)) error
 	Status() conductor.Status
 }
@@ -61,6 +63,8 @@
 	PropagationTime func() time.Duration
 	// Listed receives the list as read, for followers of this member.
 	Listed *surveyor.ListFeed
+	// Streams receives the software versions in the list; nil for none.
+	Streams *historian.Archive
 	// Limits are the rate limits of engines; nil for none.
 	Limits Limits
 	// Lease is the minimum time between the orders of two leaders.
@@ -119,6 +123,8 @@
 	reviewAt     time.Time
 	listAt       time.Time
 	listInFlight bool
+	// releasesInFlight is set while a change of the releases is proposed.
+	releasesInFlight bool
 	// waitingModels are models that entries requested and no engine holds,
 	// by held name.
 	waitingModels map[string]waitPeriod
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -24,6 +24,8 @@
 	mutex  sync.Mutex
 	status conductor.Status
 	state  *applier.State
+	// index is that of the last command.
+	index uint64
 }
 
 func (g *fakeGroup) setLeading(term uint64, leading bool) {
@@ -38,6 +40,13 @@
 	return g.status
 }
 
+func (g *fakeGroup) Propose(_ context.Context, command applier.Command) (applier.Applied, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.index++
+	return g.state.Apply(g.index, time.Now(), command), nil
+}
+
 func (g *fakeGroup) Read(_ context.Context, read func(*applier.State)) error {
 	read(g.state)
 	return nil
--- a/prover/crash_test.go
+++ b/prover/crash_test.go
@@ -34,7 +34,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(s.t, err)
 	c.platformServer = &platformServer{
-		id: id, service: "engines", models: models, state: "ready", born: 7, runs: map[string]int{},
+		id: id, service: "engines", models: models, state: "ready", software: "v1", born: 7, runs: map[string]int{},
 		address: listener.Addr().String(), eventInterval: 20 * time.Millisecond,
 	}
 	s.servers = append(s.servers, c.platformServer)
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -24,7 +24,9 @@
 	id      string
 	service string
 	address string
-	born    int64
+	// software is the version in the list; it should be a string.
+	software any
+	born     int64
 	// started is when each later incarnation started, by born.
 	started map[int64]time.Time
 
@@ -33,6 +35,8 @@
 	adapters []string
 	sequence int
 	state    string
+	// unlisted servers are not in the platform's list.
+	unlisted bool
 	// runs counts the runs by request ID.
 	runs map[string]int
 	// streamsToBreak is how many further streams break off after two events.
@@ -58,6 +62,18 @@
 	leavingReceived string
 }
 
+func (s *platformServer) setUnlisted(unlisted bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.unlisted = unlisted
+}
+
+func (s *platformServer) isUnlisted() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.unlisted
+}
+
 func (s *platformServer) describe() map[string]any {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -66,7 +82,7 @@
 		models = append(models, map[string]any{"name": name, "version": 1, "adapters": s.adapters})
 	}
 	return map[string]any{
-		"id": s.id, "service": s.service, "address": s.address, "zone": "z1", "version": "v1", "slots": 8,
+		"id": s.id, "service": s.service, "address": s.address, "zone": "z1", "version": s.software, "slots": 8,
 		"state": s.state, "coldRemainingMs": 0, "born": s.born, "models": models,
 		"sequence": s.sequence, "busy": false, "queued": 0, "running": 0,
 		"cachedModels": map[string]any{"inMemory": []string{}, "onDisk": s.models},
@@ -241,7 +257,7 @@
 }
 
 func (s *platformSite) addServer(id, service string, models ...string) *platformServer {
-	server := &platformServer{id: id, service: service, models: models, state: "ready", born: 7, runs: map[string]int{}}
+	server := &platformServer{id: id, service: service, models: models, state: "ready", software: "v1", born: 7, runs: map[string]int{}}
 	server.address = s.listen(server)
 	s.servers = append(s.servers, server)
 	return server
@@ -250,7 +266,9 @@
 func (s *platformSite) serveListing(w http.ResponseWriter, _ *http.Request) {
 	lines := []any{map[string]any{"id": "spoiled", "state": 7}}
 	for _, server := range s.servers {
-		lines = append(lines, server.describe())
+		if !server.isUnlisted() {
+			lines = append(lines, server.describe())
+		}
 	}
 	_ = json.NewEncoder(w).Encode(map[string]any{"instances": lines, "nextToken": nil})
 }
@@ -380,7 +398,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return callerResponse{status: -1, body: string(body)}
+		return callerResponse{status: -1, signature: response.Header.Get("Burdocklink-Server-Signature"), body: string(body)}
 	}
 	return callerResponse{response.StatusCode, response.Header.Get("Burdocklink-Server-Signature"), string(body), response.Header}
 }
--- a/provisioner/control.go
+++ b/provisioner/control.go
@@ -9,6 +9,7 @@
 	"burdocklink/conductor"
 	"burdocklink/configurator"
 	"burdocklink/dispatcher"
+	"burdocklink/historian"
 	"burdocklink/linker"
 	"burdocklink/mover"
 	"burdocklink/placer"
@@ -82,6 +83,7 @@
 	calls := dispatcher.New(dispatcher.Settings{DialTimeout: dialTimeout})
 	client := platform.NewClient(settings.List.Address, calls)
 	listed := surveyor.NewListFeed()
+	streams := historian.NewArchive()
 	limits := throttler.New(throttler.Settings{
 		Leadership: func() (uint64, bool) { state := member.Status(); return state.Term, state.Leading },
 		Registry:   metrics.Registry(),
@@ -98,6 +100,7 @@
 		Loads:           func() map[string]router.Load { return server.Loads() },
 		PropagationTime: func() time.Duration { return server.PropagationTime() },
 		Listed:          listed,
+		Streams:         streams,
 		Limits:          limits,
 		Lease:           settings.Bounds.Lease,
 		StoreWindow:     settings.Bounds.StoreWindow,
@@ -112,6 +115,7 @@
 		Holdings:          moves,
 		Limits:            limits,
 		PlatformList:      listed,
+		Streams:           streams,
 		HeartbeatInterval: loadReportInterval,
 		Meter:             linker.NewMeter(metrics.Registry()),
 		Log:               settings.Log,
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -15,6 +15,7 @@
 	"burdocklink/dispatcher"
 	"burdocklink/follower"
 	"burdocklink/forwarder"
+	"burdocklink/historian"
 	"burdocklink/linker"
 	"burdocklink/observer"
 	"burdocklink/platform"
@@ -50,6 +51,7 @@
 	parts := newEntryParts(settings)
 	catalogs := parts.newFollower()
 	parts.initDelegation(catalogs.Leader)
+	parts.initStreams(catalogs.Leader)
 	callers := parts.newForwarder()
 	reservations := reserver.New(reserver.Settings{
 		Entry:  settings.Node,
@@ -67,7 +69,7 @@
 		Log:       settings.Log,
 	})
 	return &Node{
-		Services: []registrar.Service{health, parts.admission, parts.broadcasts, parts.upstreams, catalogs, reservations, callers},
+		Services: []registrar.Service{health, parts.admission, parts.broadcasts, parts.upstreams, catalogs, reservations, parts.streams, callers},
 		Reload:   func(changed platform.Settings) { catalogs.SetControl(changed.SeedLinks()) },
 	}, nil
 }
@@ -87,6 +89,7 @@
 	delegations   *delegator.Delegator
 	quarantine    *quarantiner.Quarantiner
 	upstreams     *surveyor.Surveyor
+	streams       *historian.Historian
 	configuration *activeConfiguration
 }
 
@@ -171,7 +174,7 @@
 		AvailabilityZone:    p.settings.AvailabilityZone,
 		Control:             p.settings.SeedLinks(),
 		Links:               p.links,
-		OnCatalog:           p.configuration.apply,
+		OnCatalog:           p.applyCatalog,
 		Demand:              p.admission.Demand,
 		Loads:               p.routes.Loads,
 		PeerAddress:         p.settings.LinkAddress,
@@ -187,6 +190,19 @@
 	})
 }
 
+// applyCatalog puts a catalog in force.
+func (p *entryParts) applyCatalog(catalog *cataloger.Catalog) {
+	p.streams.SetReleases(catalog.Releases)
+	p.configuration.apply(catalog)
+}
+
+// initStreams sets up the memory of which software began the streams of callers.
+func (p *entryParts) initStreams(leader func() string) {
+	p.streams = historian.New(historian.Settings{
+		Entry: p.settings.Node, Links: p.links, Leader: leader, Listed: p.routes.Software, Log: p.settings.Log,
+	})
+}
+
 // initDelegation sets up the delegation of admission: if there are many entries, the
 // requests for a model are admitted by one of them.
 func (p *entryParts) initDelegation(leader func() string) {
@@ -217,6 +233,7 @@
 		Upstreams:        p.observations,
 		Calls:            p.calls,
 		Quarantine:       p.quarantine,
+		Streams:          p.streams,
 		Reporter:         p.metrics,
 		Log:              p.settings.Log,
 	})
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -15,6 +15,7 @@
 
 	"burdocklink/conductor"
 	"burdocklink/encoder/wire"
+	"burdocklink/historian"
 	"burdocklink/linker"
 	"burdocklink/mover"
 	"burdocklink/registrar"
@@ -79,6 +80,8 @@
 	Holdings Holdings
 	// Limits is nil if this member grants no permits.
 	Limits Limits
+	// Streams keeps which software began streams; nil if this member does not.
+	Streams *historian.Archive
 	// PlatformList is the platform's list as read by the leader; nil if it reads none.
 	PlatformList *surveyor.ListFeed
 	// HeartbeatInterval is the minimum time between two heartbeats; zero for the
--- a/router/choice.go
+++ b/router/choice.go
@@ -63,6 +63,12 @@
 // Origin returns the origin of a stream that the upstream begins.
 func (c Choice) Origin() Origin { return Origin{Software: c.Software, Incarnation: c.Incarnation} }
 
+// Stream is where a stream began.
+type Stream struct {
+	Service string
+	Origin  Origin
+}
+
 // Choice is the upstream to send a request to.
 type Choice struct {
 	Upstream    string
--- a/router/table.go
+++ b/router/table.go
@@ -148,6 +148,20 @@
 
 func (u *upstream) live() bool { return u.info.State == cataloger.UpstreamLive }
 
+// Software returns the software versions of the upstreams of a service that are listed,
+// also of those that are leaving.
+func (r *Router) Software(service string) []string {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	var software []string
+	for _, u := range r.table.upstreams {
+		if u.info.Service == service && !slices.Contains(software, u.info.Software) {
+			software = append(software, u.info.Software)
+		}
+	}
+	return software
+}
+
 // runs reports whether a live upstream of a service may continue a stream.
 func (t *table) runs(service string, origin Origin) bool {
 	return origin.IsZero() || slices.ContainsFunc(t.services[service], func(u *upstream) bool { return origin.admits(&u.info) })
