fix(mover,allocator,seeker): find copies for streams at their own software version

Cause: holders were asked for, reported and loaded without regard to the version. The leader answered that there is one, of the other version, and the entry asked again until its time was up; the copy that a take-up waited for was loaded at the other version, and the last copy of its own was evicted.

Change: an entry asks for a holder of the stream's version. The leader reports only such ones, has the model restored at an engine of the version that has it in memory or on disk, or room for it, keeps the last copy there while streams wait, and otherwise says that there will be none, so that the take-up is refused at once.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -28,6 +28,9 @@
 	// AdaptersWaitingSince is when requests began to wait for adapters that no
 	// holder has room for; zero if none wait.
 	AdaptersWaitingSince time.Time
+	// SoftwareWaitingSince is when streams of a software version began to wait for a holder
+	// that runs it, by version.
+	SoftwareWaitingSince map[string]time.Time
 	// RequestedAt is the time of the last request; zero if there was none.
 	RequestedAt time.Time
 }
@@ -52,7 +55,9 @@
 
 // Engine is an engine and what it holds.
 type Engine struct {
-	Name         string
+	Name string
+	// Software is the version of the engine's software; empty if unknown.
+	Software     string
 	MemoryBytes  int64
 	AdapterSlots int
 	// Copies are by model and include one that is still loading.
@@ -165,6 +170,13 @@
 	return held != nil && !held.Draining && e.Loading != model && !e.Leaving
 }
 
+// RestoresFor reports whether the engine can soon hold a model for streams of a software
+// version: from its own memory or disk, or beside what it holds. They are too few to
+// displace other models for as long as a load from the weight store takes.
+func (e *Engine) RestoresFor(model *Model, software string, models map[string]*Model) bool {
+	return e.Software == software && (!e.loadsFromStore(model.Name) || e.freeMemory(models) >= model.MemoryBytes)
+}
+
 // LoadTime returns how long the engine takes to load a model.
 func (e *Engine) LoadTime(model *Model) time.Duration {
 	switch {
--- a/allocator/plan.go
+++ b/allocator/plan.go
@@ -64,6 +64,7 @@
 	p.unloadDrained()
 	p.loadPlanned()
 	p.addAwaited()
+	p.addAwaitedSoftware()
 	p.addAdapterRoom()
 	p.relieveOverloaded()
 	p.addFirstCopies()
@@ -85,6 +86,8 @@
 	uses          map[string][]string
 	moves         []Move
 	reviews       []Review
+	// software is the version of the engines that a search considers; empty for all.
+	software string
 	// moved are the engines that a move of this plan concerns.
 	moved map[string]bool
 }
@@ -179,6 +182,34 @@
 	}
 }
 
+// addAwaitedSoftware loads models at engines of a software version that streams wait for
+// and no engine of it holds.
+func (p *planner) addAwaitedSoftware() {
+	defer func() { p.software = "" }()
+	for _, name := range p.models {
+		model := p.view.Models[name]
+		for _, software := range slices.Sorted(maps.Keys(model.SoftwareWaitingSince)) {
+			if p.heldAt(name, software, "") {
+				continue
+			}
+			p.software = software
+			awaited := *model
+			awaited.WaitingSince = model.SoftwareWaitingSince[software]
+			if option, found := p.bestFirstCopy(&awaited); found && option.gain > 0 {
+				p.begin(option, "wanted by streams")
+			}
+		}
+	}
+}
+
+// heldAt reports whether an engine of a software version, other than the one named, holds
+// a model or soon will.
+func (p *planner) heldAt(model, software, except string) bool {
+	return slices.ContainsFunc(p.holders[model], func(name string) bool {
+		return name != except && p.view.Engines[name].Software == software
+	})
+}
+
 // awaitedGain is the gain of the first copy of a model that requests wait for,
 // beside its demand: more than the longest load costs. awaitedGainPerSecond is
 // added for each second of waiting. A rarely requested model thus waits a short
--- a/allocator/search.go
+++ b/allocator/search.go
@@ -45,6 +45,9 @@
 		if !engine.AcceptsOrders || engine.Leaving || p.moved[name] || engine.Planned != "" || engine.Copies[model.Name] != nil {
 			continue
 		}
+		if p.software != "" && !engine.RestoresFor(model, p.software, p.view.Models) {
+			continue
+		}
 		switch {
 		case !engine.loadsFromStore(model.Name):
 			cached = append(cached, name)
@@ -152,6 +155,9 @@
 	if model == nil || engine.Loading == name || p.view.Now.Sub(held.Since) < minResidency {
 		return false
 	}
+	if _, awaited := model.SoftwareWaitingSince[engine.Software]; awaited && !p.heldAt(name, engine.Software, engine.Name) {
+		return false
+	}
 	if p.servedElsewhere(name, engine.Name) {
 		return true
 	}
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -14,9 +14,9 @@
 
 // Holders has models and adapters loaded.
 type Holders interface {
-	// Want asks for a holder and waits until there may be one. It returns an
-	// *AbsentError if there will be none before by.
-	Want(ctx context.Context, service, model, adapter string, by time.Time) error
+	// Want asks for a holder that meets the requirement and waits until there may be one.
+	// It returns an *AbsentError if there will be none before the deadline.
+	Want(ctx context.Context, requirement Requirement) error
 }
 
 // AbsentError reports that no upstream will hold a model or adapter in time.
@@ -35,10 +35,18 @@
 	// Model is empty if any upstream of the service will do.
 	Model   string
 	Adapter string
+	// Origin is the upstream that began the stream to be continued; zero for a new request.
+	Origin router.Origin
 	// Deadline is the latest time at which a grant is useful.
 	Deadline time.Time
 }
 
+// attainable reports whether another upstream may be made to meet the requirement. A stream
+// of unknown software goes on only where it began.
+func (r Requirement) attainable() bool {
+	return r.Model != "" && (r.Origin.IsZero() || r.Origin.Software != "")
+}
+
 // Acquire makes one attempt to acquire an upstream. Counted is set if an earlier
 // attempt has already counted the request.
 type Acquire func(ctx context.Context, counted bool) (*admitter.Grant, error)
@@ -57,7 +65,7 @@
 	for attempts := 0; ; attempts++ {
 		grant, err := acquire(ctx, attempts > 0)
 		var noUpstream *router.NoUpstreamError
-		if !errors.As(err, &noUpstream) || requirement.Model == "" {
+		if !errors.As(err, &noUpstream) || !requirement.attainable() {
 			return grant, err
 		}
 		if attempts > 0 && !linker.Sleep(ctx, holderPollInterval) {
@@ -66,7 +74,7 @@
 		if time.Now().After(requirement.Deadline) {
 			return nil, &AbsentError{Model: requirement.Model, RetryAt: time.Now().Add(absentRetryDelay)}
 		}
-		if err := holders.Want(ctx, requirement.Service, requirement.Model, requirement.Adapter, requirement.Deadline); err != nil {
+		if err := holders.Want(ctx, requirement); err != nil {
 			return nil, err
 		}
 	}
--- a/chooser/chooser_test.go
+++ b/chooser/chooser_test.go
@@ -16,7 +16,7 @@
 // fakeHolders counts the calls of Want and loads nothing.
 type fakeHolders struct{ wantCalls int }
 
-func (h *fakeHolders) Want(context.Context, string, string, string, time.Time) error {
+func (h *fakeHolders) Want(context.Context, chooser.Requirement) error {
 	h.wantCalls++
 	return nil
 }
@@ -59,3 +59,16 @@
 		})
 	}
 }
+
+func TestStreamOfUnknownSoftwareWaitsForNoOtherHolder(t *testing.T) {
+	h := &fakeHolders{}
+	requirement := chooser.Requirement{
+		Service: "s", Model: "m", Origin: router.Origin{Incarnation: "u@1"}, Deadline: time.Now().Add(time.Second),
+	}
+	_, err := chooser.Choose(t.Context(), h, requirement, func(context.Context, bool) (*admitter.Grant, error) {
+		return nil, &router.NoUpstreamError{}
+	})
+	var noUpstream *router.NoUpstreamError
+	assert.Assert(t, errors.As(err, &noUpstream))
+	assert.Equal(t, h.wantCalls, 0)
+}
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -89,7 +89,8 @@
 // fakeHolders finds no holder, except for models that can be loaded.
 type fakeHolders struct{ holdable string }
 
-func (h fakeHolders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
+func (h fakeHolders) Want(_ context.Context, requirement chooser.Requirement) error {
+	model := requirement.Model
 	if model == h.holdable {
 		return nil
 	}
--- a/delegator/server.go
+++ b/delegator/server.go
@@ -73,7 +73,7 @@
 	defer close(r.decided)
 	request := encoder.DecodeAdmission(r.message, r.receivedAt)
 	request.Route.Thorough = true
-	requirement := chooser.Requirement{Service: request.Route.Service, Deadline: request.UsefulUntil}
+	requirement := chooser.Requirement{Service: request.Route.Service, Origin: request.Route.Origin, Deadline: request.UsefulUntil}
 	if _, model, adapter, ok := surveyor.ParseHeldName(request.Route.Model); ok {
 		requirement.Model, requirement.Adapter = model, adapter
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -300,7 +300,8 @@
 // chooseUpstream waits for an upstream that holds the requested model and adapter.
 func (x *exchange) chooseUpstream(ctx context.Context) error {
 	requirement := chooser.Requirement{
-		Service: x.service, Model: x.request.Model, Adapter: x.request.Adapter, Deadline: x.usefulUntil(),
+		Service: x.service, Model: x.request.Model, Adapter: x.request.Adapter,
+		Origin: x.origin, Deadline: x.usefulUntil(),
 	}
 	grant, err := chooser.Choose(ctx, x.Holders, requirement, x.acquire)
 	if err != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -123,11 +123,11 @@
 
 func (*holders) Name(service, model, _ string) string { return service + model }
 
-func (h *holders) Want(_ context.Context, _, model, _ string, _ time.Time) error {
-	if model == h.held {
+func (h *holders) Want(_ context.Context, requirement chooser.Requirement) error {
+	if requirement.Model == h.held {
 		return nil
 	}
-	return &chooser.AbsentError{Model: model, RetryAt: time.Now().Add(7 * time.Second)}
+	return &chooser.AbsentError{Model: requirement.Model, RetryAt: time.Now().Add(7 * time.Second)}
 }
 
 // upstreams records notices and limits, and disallows one upstream by name, and lets one leave.
--- a/mover/adapter.go
+++ b/mover/adapter.go
@@ -18,7 +18,7 @@
 		return
 	}
 	m.waiters = slices.DeleteFunc(m.waiters, func(w waiter) bool {
-		if engine.upstream.Service != w.want.Service || !engine.holds(w.want) {
+		if !engine.mayServe(w.want) || !engine.holds(w.want) {
 			return false
 		}
 		m.tally.served++
@@ -52,7 +52,7 @@
 			continue
 		}
 		seen[w.want] = true
-		model := Want{Service: w.want.Service, Model: w.want.Model}
+		model := Want{Service: w.want.Service, Model: w.want.Model, Software: w.want.Software}
 		if views[model] == nil {
 			views[model] = m.holdersView(model, now)
 		}
@@ -77,7 +77,7 @@
 	var view *allocator.View
 	seen := map[Want]bool{}
 	for _, w := range m.waiters {
-		if engine.upstream.Service != w.want.Service || engine.copies[w.want.Model] == nil || seen[w.want] {
+		if !engine.mayServe(w.want) || engine.copies[w.want.Model] == nil || seen[w.want] {
 			continue
 		}
 		seen[w.want] = true
@@ -96,7 +96,7 @@
 func (m *Mover) holdersView(want Want, now time.Time) *allocator.View {
 	view := m.newAdapterView(now)
 	for _, e := range m.engines {
-		if e.upstream.Service == want.Service && e.copies[want.Model] != nil && e.acceptsAdapterOrders(now) {
+		if e.mayServe(want) && e.copies[want.Model] != nil && e.acceptsAdapterOrders(now) {
 			m.addEngine(view, e, now)
 		}
 	}
--- a/mover/engine.go
+++ b/mover/engine.go
@@ -187,6 +187,7 @@
 func (e *engine) view(service *matcher.Engine, now time.Time, inFlight int, capacity float64) *allocator.Engine {
 	return &allocator.Engine{
 		Name:          e.upstream.Name,
+		Software:      e.upstream.Software,
 		MemoryBytes:   service.MemoryBytes,
 		AdapterSlots:  service.AdapterSlots,
 		Copies:        e.copies,
--- a/mover/handover_test.go
+++ b/mover/handover_test.go
@@ -18,7 +18,7 @@
 	h.advance(roundInterval)
 	for range 60 {
 		for _, model := range []string{"m", "n", "o"} {
-			h.mover.recordWaiting(surveyor.HeldName("s", model, ""), h.now)
+			h.mover.recordWaiting(surveyor.HeldName("s", model, ""), "", h.now)
 		}
 		h.advance(250 * time.Millisecond)
 	}
--- a/mover/limit_test.go
+++ b/mover/limit_test.go
@@ -70,7 +70,7 @@
 	h.mover.settings.Limits = limits
 	h.group.setLeading(firstTerm, true)
 	for range 20 {
-		h.mover.recordWaiting(surveyor.HeldName("s", "n", ""), h.now)
+		h.mover.recordWaiting(surveyor.HeldName("s", "n", ""), "", h.now)
 		h.advance(time.Second)
 	}
 	assert.Assert(t, len(h.engines.sentOrders()) > 0, "no order in 20 s")
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -125,9 +125,8 @@
 	listInFlight bool
 	// releasesInFlight is set while a change of the releases is proposed.
 	releasesInFlight bool
-	// waitingModels are models that entries requested and no engine holds,
-	// by held name.
-	waitingModels map[string]waitPeriod
+	// waitingModels are models that entries requested and no engine holds.
+	waitingModels map[awaitedModel]waitPeriod
 	// waitingAdapters are models whose holders had no room for an adapter that
 	// an entry waited for.
 	waitingAdapters map[string]waitPeriod
@@ -266,7 +265,7 @@
 	m.dismissWaiters()
 	m.engines = map[string]*engine{}
 	m.meter = newMeter()
-	m.waitingModels, m.waitingAdapters = map[string]waitPeriod{}, map[string]waitPeriod{}
+	m.waitingModels, m.waitingAdapters = map[awaitedModel]waitPeriod{}, map[string]waitPeriod{}
 	m.listAt, m.demandAt, m.loadsAt = time.Time{}, time.Time{}, time.Time{}
 	m.listInFlight = false
 	m.announced.Clear()
--- a/mover/mover_test.go
+++ b/mover/mover_test.go
@@ -440,7 +440,7 @@
 	h.advance(time.Second)
 	for range 20 {
 		for _, model := range []string{"m", "n", "o"} {
-			h.mover.recordWaiting(surveyor.HeldName("s", model, ""), h.now)
+			h.mover.recordWaiting(surveyor.HeldName("s", model, ""), "", h.now)
 		}
 		h.advance(250 * time.Millisecond)
 	}
--- a/mover/plan.go
+++ b/mover/plan.go
@@ -78,9 +78,10 @@
 	for name, model := range spec.Models {
 		view.Models[name] = newModel(model)
 		held := surveyor.HeldName(service, name, "")
-		view.Models[name].WaitingSince = waitingSince(m.waitingModels, held, now)
+		view.Models[name].WaitingSince = waitingSince(m.waitingModels, awaitedModel{name: held}, now)
 		view.Models[name].AdaptersWaitingSince = waitingSince(m.waitingAdapters, held, now)
 	}
+	m.addAwaitedSoftware(service, view)
 	m.meter.addDemand(service, view.Models)
 	for name, e := range m.engines {
 		if e.upstream.Service != service {
@@ -96,6 +97,21 @@
 	return view
 }
 
+// addAwaitedSoftware adds the models that streams of a software version wait for.
+func (m *Mover) addAwaitedSoftware(service string, view *allocator.View) {
+	for awaited := range m.waitingModels {
+		of, model, _, ok := surveyor.ParseHeldName(awaited.name)
+		since := waitingSince(m.waitingModels, awaited, view.Now)
+		if !ok || of != service || awaited.software == "" || since.IsZero() || view.Models[model] == nil {
+			continue
+		}
+		if view.Models[model].SoftwareWaitingSince == nil {
+			view.Models[model].SoftwareWaitingSince = map[string]time.Time{}
+		}
+		view.Models[model].SoftwareWaitingSince[awaited.software] = since
+	}
+}
+
 // newModel returns a model as input of a plan, without its demand.
 func newModel(model matcher.Model) *allocator.Model {
 	return &allocator.Model{
--- a/mover/types.go
+++ b/mover/types.go
@@ -18,6 +18,8 @@
 	Model   string
 	// Adapter is empty if the model itself is wanted.
 	Adapter string
+	// Software is the version that the holder must run; empty for any.
+	Software string
 }
 
 // WantResult is the answer to a Want.
--- a/mover/want.go
+++ b/mover/want.go
@@ -24,22 +24,31 @@
 		return
 	}
 	want := call.want
-	if m.isServed(want.Service, want.Model) {
+	if m.isServed(want) {
 		m.waiters = append(m.waiters, waiter{want: want, answer: call.answer, deadline: now.Add(adapterWaitTimeout)})
 		m.loadAdapter(want, now)
 		return
 	}
-	m.recordWaiting(surveyor.HeldName(want.Service, want.Model, ""), now)
+	m.recordWaiting(surveyor.HeldName(want.Service, want.Model, ""), want.Software, now)
 	m.plan(now)
 	readyIn, known := m.readyIn(want, now)
+	if want.Software != "" {
+		readyIn, known = m.readyForStreams(want, now)
+	}
 	call.answer <- WantResult{ReadyIn: readyIn, Known: known}
 }
 
-// recordWaiting records a request for a model that no engine holds.
-func (m *Mover) recordWaiting(name string, now time.Time) { extendWait(m.waitingModels, name, now) }
+// awaitedModel is a model by its held name, and the software version that its holder must
+// run; empty for any.
+type awaitedModel struct{ name, software string }
+
+// recordWaiting records a request for a model that no engine of a software version holds.
+func (m *Mover) recordWaiting(name, software string, now time.Time) {
+	extendWait(m.waitingModels, awaitedModel{name, software}, now)
+}
 
 // extendWait extends the wait for a name, or begins a new one after a long gap.
-func extendWait(periods map[string]waitPeriod, name string, now time.Time) {
+func extendWait[K comparable](periods map[K]waitPeriod, name K, now time.Time) {
 	period, known := periods[name]
 	if !known || now.Sub(period.last) > maxWantGap {
 		period.since = now
@@ -50,7 +59,7 @@
 
 // waitingSince returns when the current wait for a name began; zero if there is
 // none.
-func waitingSince(periods map[string]waitPeriod, name string, now time.Time) time.Time {
+func waitingSince[K comparable](periods map[K]waitPeriod, name K, now time.Time) time.Time {
 	period := periods[name]
 	if now.Sub(period.last) >= wantLifetime {
 		return time.Time{}
@@ -62,7 +71,7 @@
 func (m *Mover) holders(want Want) []surveyor.EngineHoldings {
 	var holders []surveyor.EngineHoldings
 	for _, e := range m.engines {
-		if e.upstream.Service == want.Service && e.holds(want) {
+		if e.mayServe(want) && e.holds(want) {
 			holders = append(holders, e.announcement())
 		}
 	}
@@ -85,11 +94,16 @@
 	return loaded
 }
 
-// isServed reports whether any engine serves a model.
-func (m *Mover) isServed(service, model string) bool {
-	want := Want{Service: service, Model: model}
+// mayServe reports whether an engine is of the service and software version of a want.
+func (e *engine) mayServe(want Want) bool {
+	return e.upstream.Service == want.Service && (want.Software == "" || e.upstream.Software == want.Software)
+}
+
+// isServed reports whether any engine serves the model of a want.
+func (m *Mover) isServed(want Want) bool {
+	want.Adapter = ""
 	for _, e := range m.engines {
-		if e.upstream.Service == service && e.holds(want) {
+		if e.mayServe(want) && e.holds(want) {
 			return true
 		}
 	}
@@ -105,7 +119,7 @@
 	ready := evictionEstimate + model.LoadTime
 	for _, e := range m.engines {
 		switch {
-		case e.upstream.Service != want.Service:
+		case !e.mayServe(want):
 		case e.loading == want.Model || e.orderedModel == want.Model:
 			ready = min(ready, max(roundInterval, e.loadedAt.Sub(now))+busyReportInterval)
 		case e.planned == want.Model:
@@ -115,6 +129,34 @@
 	return ready, true
 }
 
+// streamHolderTime is the time until an engine of a software version holds a model that
+// none of them can restore: streams of that version are refused at once.
+const streamHolderTime = time.Minute
+
+// readyForStreams estimates when an engine of a software version will hold a model.
+func (m *Mover) readyForStreams(want Want, now time.Time) (time.Duration, bool) {
+	spec := m.engineSpec(want.Service)
+	model, known := spec.Models[want.Model]
+	if !known {
+		return 0, false
+	}
+	view, ready := m.newAdapterView(now), streamHolderTime
+	for _, e := range m.engines {
+		if !e.mayServe(want) {
+			continue
+		}
+		m.addEngine(view, e, now)
+		described := view.Engines[e.upstream.Name]
+		switch {
+		case e.loading == want.Model || e.orderedModel == want.Model:
+			ready = min(ready, max(roundInterval, e.loadedAt.Sub(now))+busyReportInterval)
+		case !described.Leaving && (e.planned == want.Model || described.RestoresFor(newModel(model), want.Software, view.Models)):
+			ready = min(ready, evictionEstimate+e.loadTime(model))
+		}
+	}
+	return ready, true
+}
+
 // loadTime returns how long the engine takes to load a model.
 func (e *engine) loadTime(model matcher.Model) time.Duration {
 	cached := allocator.Engine{Warm: e.warm, OnDisk: e.disk}
--- a/prover/grown_test.go
+++ b/prover/grown_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"burdocklink/cataloger"
+	"burdocklink/chooser"
 	"burdocklink/follower"
 	"burdocklink/linker"
 	"burdocklink/placer"
@@ -239,7 +240,9 @@
 	name := e.seeker.Name("engines", model, adapter)
 	count, _ := e.counts.LoadOrStore(name, uint64(0))
 	e.counts.Store(name, count.(uint64)+1)
-	err := e.seeker.Want(context.Background(), "engines", model, adapter, time.Now().Add(adapterWait))
+	err := e.seeker.Want(context.Background(), chooser.Requirement{
+		Service: "engines", Model: model, Adapter: adapter, Deadline: time.Now().Add(adapterWait),
+	})
 	e.site.mutex.Lock()
 	defer e.site.mutex.Unlock()
 	e.site.requested[name]++
--- a/responder/want.go
+++ b/responder/want.go
@@ -22,6 +22,8 @@
 		Service: request.GetService(),
 		Model:   request.GetModel(),
 		Adapter: request.GetAdapter(),
+
+		Software: request.GetSoftware(),
 	})
 	reply := &wire.WantReply{
 		Leading:   true,
--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -125,9 +126,12 @@
 	return r.table.placements[upstream].Models
 }
 
-// HasHolder reports whether a live upstream holds a model or adapter.
-func (r *Router) HasHolder(name string) bool {
+// HasHolder reports whether a live upstream holds a model or adapter, at a software version
+// if that is not empty.
+func (r *Router) HasHolder(name, software string) bool {
 	r.mutex.RLock()
 	defer r.mutex.RUnlock()
-	return len(r.table.holders[name]) > 0
+	return slices.ContainsFunc(r.table.holders[name], func(u *upstream) bool {
+		return software == "" || u.info.Software == software
+	})
 }
--- a/seeker/seeker.go
+++ b/seeker/seeker.go
@@ -41,8 +41,8 @@
 	// UpdateHoldings merges holdings in an answer of the leader.
 	UpdateHoldings func([]surveyor.EngineHoldings)
 	// Held reports whether this entry knows a holder of the model or adapter with the
-	// router's name; nil if this is not known.
-	Held func(name string) bool
+	// router's name, at a software version if that is not empty; nil if this is not known.
+	Held func(name, software string) bool
 	Log  *zap.Logger
 }
 
@@ -54,8 +54,8 @@
 	mutex sync.Mutex
 	// queries are the queries in flight, and found is the time until which a holder that
 	// was found is assumed to be there, both by the router's name.
-	queries map[string]*leaderQuery
-	found   map[string]time.Time
+	queries map[wantKey]*leaderQuery
+	found   map[wantKey]time.Time
 }
 
 // leaderQuery is one call to the leader that several requests wait for.
@@ -67,7 +67,7 @@
 
 // New returns a seeker.
 func New(settings Settings) *Seeker {
-	return &Seeker{settings: settings, queries: map[string]*leaderQuery{}, found: map[string]time.Time{}}
+	return &Seeker{settings: settings, queries: map[wantKey]*leaderQuery{}, found: map[wantKey]time.Time{}}
 }
 
 // Name returns the router's name of a model or adapter of a service.
@@ -75,12 +75,20 @@
 	return surveyor.HeldName(service, model, adapter)
 }
 
+// wantKey identifies a query: the router's name of a model or adapter, and the software
+// version of its holders, empty for any.
+type wantKey struct{ name, software string }
+
 // Want requests a holder and waits until there is one. It returns a
 // *chooser.AbsentError if there will be none by the deadline, or the cause of the
 // context's end.
-func (s *Seeker) Want(ctx context.Context, service, model, adapter string, deadline time.Time) error {
-	name := s.Name(service, model, adapter)
-	if s.recentlyFound(name, time.Now()) {
+func (s *Seeker) Want(ctx context.Context, requirement chooser.Requirement) error {
+	model, deadline := requirement.Model, requirement.Deadline
+	key := wantKey{
+		name:     s.Name(requirement.Service, model, requirement.Adapter),
+		software: requirement.Origin.Software,
+	}
+	if s.recentlyFound(key, time.Now()) {
 		return nil
 	}
 	for {
@@ -90,14 +98,14 @@
 			}
 			continue
 		}
-		reply, err := s.queryUntil(ctx, service, model, adapter, deadline)
+		reply, err := s.queryUntil(ctx, key, requirement)
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
 		interval := retryInterval
 		switch {
 		case err == nil && len(reply.GetHoldings()) > 0:
-			s.recordFound(name, time.Now())
+			s.recordFound(key, time.Now())
 			return nil
 		case err == nil && reply.GetLeading() && reply.GetReadyInMs() >= 0:
 			ready := time.Duration(reply.GetReadyInMs()) * time.Millisecond
@@ -108,12 +116,12 @@
 		case err == nil && reply.GetLeading():
 			interval = unknownReadyInterval
 		}
-		held, err := s.pollHeld(ctx, name, model, interval, deadline)
+		held, err := s.pollHeld(ctx, key, model, interval, deadline)
 		if err != nil {
 			return err
 		}
 		if held {
-			s.recordFound(name, time.Now())
+			s.recordFound(key, time.Now())
 			return nil
 		}
 	}
@@ -124,23 +132,23 @@
 // or two to notice its loss.
 const foundValidity = time.Second
 
-func (s *Seeker) recentlyFound(name string, now time.Time) bool {
+func (s *Seeker) recentlyFound(key wantKey, now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return now.Before(s.found[name])
+	return now.Before(s.found[key])
 }
 
-func (s *Seeker) recordFound(name string, now time.Time) {
+func (s *Seeker) recordFound(key wantKey, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	maps.DeleteFunc(s.found, func(_ string, until time.Time) bool { return !now.Before(until) })
-	s.found[name] = now.Add(foundValidity)
+	maps.DeleteFunc(s.found, func(_ wantKey, until time.Time) bool { return !now.Before(until) })
+	s.found[key] = now.Add(foundValidity)
 }
 
 // pollHeld waits for the interval, and returns true as soon as this entry knows a holder.
-func (s *Seeker) pollHeld(ctx context.Context, name, model string, interval time.Duration, deadline time.Time) (bool, error) {
+func (s *Seeker) pollHeld(ctx context.Context, key wantKey, model string, interval time.Duration, deadline time.Time) (bool, error) {
 	for until := time.Now().Add(interval); ; {
-		if s.settings.Held != nil && s.settings.Held(name) {
+		if s.settings.Held != nil && s.settings.Held(key.name, key.software) {
 			return true, nil
 		}
 		left := time.Until(until)
@@ -166,21 +174,22 @@
 }
 
 // queryUntil is query with a deadline. The call itself continues for other requests.
-func (s *Seeker) queryUntil(ctx context.Context, service, model, adapter string, deadline time.Time) (*wire.WantReply, error) {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+func (s *Seeker) queryUntil(ctx context.Context, key wantKey, requirement chooser.Requirement) (*wire.WantReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, requirement.Deadline)
 	defer cancel()
-	return s.query(ctx, service, model, adapter)
+	return s.query(ctx, key, requirement)
 }
 
 // query joins the query in flight for a name, or starts one.
-func (s *Seeker) query(ctx context.Context, service, model, adapter string) (*wire.WantReply, error) {
-	name := s.Name(service, model, adapter)
+func (s *Seeker) query(ctx context.Context, key wantKey, requirement chooser.Requirement) (*wire.WantReply, error) {
 	s.mutex.Lock()
-	query := s.queries[name]
+	query := s.queries[key]
 	if query == nil {
 		query = &leaderQuery{done: make(chan struct{})}
-		s.queries[name] = query
-		go s.run(query, name, &wire.WantRequest{Service: service, Model: model, Adapter: adapter})
+		s.queries[key] = query
+		go s.run(query, key, &wire.WantRequest{
+			Service: requirement.Service, Model: requirement.Model, Adapter: requirement.Adapter, Software: key.software,
+		})
 	}
 	s.mutex.Unlock()
 	select {
@@ -192,7 +201,7 @@
 }
 
 // run makes one call to the leader.
-func (s *Seeker) run(query *leaderQuery, name string, request *wire.WantRequest) {
+func (s *Seeker) run(query *leaderQuery, key wantKey, request *wire.WantRequest) {
 	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -202,11 +211,11 @@
 		s.settings.UpdateHoldings(encoder.DecodeHoldings(holdings, time.Now()))
 	}
 	s.mutex.Lock()
-	delete(s.queries, name)
+	delete(s.queries, key)
 	s.mutex.Unlock()
 	s.throttle.done(query.err == nil && query.reply.GetLeading(), time.Now())
 	close(query.done)
-	s.settings.Log.Info("holder wanted", zap.String("name", name), zap.String("leader", address),
+	s.settings.Log.Info("holder wanted", zap.String("name", key.name), zap.String("software", key.software), zap.String("leader", address),
 		zap.Int("holders", len(query.reply.GetHoldings())), zap.Int64("ready-in-ms", query.reply.GetReadyInMs()),
 		zap.Duration("took", time.Since(startedAt)), zap.Error(query.err))
 }
--- a/seeker/seeker_test.go
+++ b/seeker/seeker_test.go
@@ -46,7 +46,7 @@
 }
 
 // newSeekerWithHeld is newSeeker for an entry that may know holders itself.
-func newSeekerWithHeld(t *testing.T, held func(string) bool, reply func(call int32) *wire.WantReply) (*seeker.Seeker, *leader, *[]surveyor.EngineHoldings) {
+func newSeekerWithHeld(t *testing.T, held func(string, string) bool, reply func(call int32) *wire.WantReply) (*seeker.Seeker, *leader, *[]surveyor.EngineHoldings) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -83,7 +83,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s, l, received := newSeeker(t, c.reply)
-			err := s.Want(t.Context(), "s", "m", "a1", time.Now().Add(10*time.Second))
+			err := s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "a1", Deadline: time.Now().Add(10 * time.Second)})
 			assert.Equal(t, l.calls.Load(), c.calls)
 			if c.found {
 				assert.NilError(t, err)
@@ -99,7 +99,7 @@
 
 func TestWantEndsAtDeadline(t *testing.T) {
 	s, _, _ := newSeeker(t, func(int32) *wire.WantReply { return &wire.WantReply{ReadyInMs: -1} })
-	err := s.Want(t.Context(), "s", "m", "", time.Now().Add(100*time.Millisecond))
+	err := s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "", Deadline: time.Now().Add(100 * time.Millisecond)})
 	var absent *chooser.AbsentError
 	assert.Assert(t, errors.As(err, &absent))
 }
@@ -113,7 +113,7 @@
 		<-ctx.Done()
 		ended.Add(1)
 	}
-	err := s.Want(t.Context(), "s", "m", "a1", time.Now().Add(50*time.Millisecond))
+	err := s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "a1", Deadline: time.Now().Add(50 * time.Millisecond)})
 	var absent *chooser.AbsentError
 	assert.Assert(t, errors.As(err, &absent))
 	assert.Equal(t, ended.Load(), int32(0))
@@ -128,8 +128,8 @@
 		return &wire.WantReply{Leading: true, ReadyInMs: 60_000}
 	})
 	defer close(release)
-	assert.Assert(t, s.Want(t.Context(), "s", "m", "slow", time.Now().Add(200*time.Millisecond)) != nil)
-	assert.Assert(t, s.Want(t.Context(), "s", "m", "other", time.Now().Add(20*time.Millisecond)) != nil)
+	assert.Assert(t, s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "slow", Deadline: time.Now().Add(200 * time.Millisecond)}) != nil)
+	assert.Assert(t, s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "other", Deadline: time.Now().Add(20 * time.Millisecond)}) != nil)
 	for end := time.Now().Add(5 * time.Second); l.calls.Load() < 2 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
@@ -146,7 +146,9 @@
 	by := time.Now().Add(10 * time.Second)
 	var ended sync.WaitGroup
 	for range callers {
-		ended.Go(func() { _ = s.Want(t.Context(), "s", "m", "a1", by) })
+		ended.Go(func() {
+			_ = s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "a1", Deadline: by})
+		})
 	}
 	for l.calls.Load() == 0 {
 		time.Sleep(time.Millisecond)
@@ -162,7 +164,9 @@
 	by := time.Now().Add(2 * time.Second)
 	var ended sync.WaitGroup
 	for i := range 50 {
-		ended.Go(func() { _ = s.Want(t.Context(), "s", "m", strconv.Itoa(i), by) })
+		ended.Go(func() {
+			_ = s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: strconv.Itoa(i), Deadline: by})
+		})
 	}
 	ended.Wait()
 	// the first ones at the same time, then one after another
@@ -171,9 +175,9 @@
 
 func TestWaitEndsWhenHolderBecomesKnown(t *testing.T) {
 	knownAt := time.Now().Add(300 * time.Millisecond)
-	held := func(name string) bool { return name == surveyor.HeldName("s", "m", "") && time.Now().After(knownAt) }
+	held := func(name, _ string) bool { return name == surveyor.HeldName("s", "m", "") && time.Now().After(knownAt) }
 	s, l, _ := newSeekerWithHeld(t, held, func(int32) *wire.WantReply { return &wire.WantReply{Leading: true, ReadyInMs: 5000} })
-	assert.NilError(t, s.Want(t.Context(), "s", "m", "", time.Now().Add(20*time.Second)))
+	assert.NilError(t, s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "", Deadline: time.Now().Add(20 * time.Second)}))
 	assert.Assert(t, time.Since(knownAt) < time.Second)
 	assert.Equal(t, l.calls.Load(), int32(1))
 }
@@ -182,22 +186,22 @@
 	held := &wire.WantReply{Leading: true, Holdings: []*wire.Holding{{Upstream: "e1", Incarnation: "e1@1"}}}
 	s, l, _ := newSeeker(t, func(int32) *wire.WantReply { return held })
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		assert.NilError(t, s.Want(t.Context(), "s", "m", "a1", end.Add(time.Second)))
+		assert.NilError(t, s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "a1", Deadline: end.Add(time.Second)}))
 	}
 	assert.Assert(t, l.calls.Load() <= 5, "%d queries in a second", l.calls.Load())
 }
 
 func TestLocallyKnownHolderIsNotQueriedOnEachAttempt(t *testing.T) {
-	held := func(string) bool { return true }
+	held := func(string, string) bool { return true }
 	s, l, _ := newSeekerWithHeld(t, held, func(int32) *wire.WantReply { return &wire.WantReply{Leading: true, ReadyInMs: 100} })
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		assert.NilError(t, s.Want(t.Context(), "s", "m", "a1", end.Add(time.Second)))
+		assert.NilError(t, s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "a1", Deadline: end.Add(time.Second)}))
 	}
 	assert.Assert(t, l.calls.Load() <= 5, "%d queries in a second", l.calls.Load())
 }
 
 func TestQueryRateIsLimitedIfReadyTimeIsUnknown(t *testing.T) {
 	s, l, _ := newSeeker(t, func(int32) *wire.WantReply { return &wire.WantReply{Leading: true, ReadyInMs: -1} })
-	_ = s.Want(t.Context(), "s", "m", "a1", time.Now().Add(2*time.Second))
+	_ = s.Want(t.Context(), chooser.Requirement{Service: "s", Model: "m", Adapter: "a1", Deadline: time.Now().Add(2 * time.Second)})
 	assert.Assert(t, l.calls.Load() <= 9, "%d queries in two seconds", l.calls.Load())
 }
