fix(receiver): continue an answer only at the engine software that began it

What callers saw: in the product's own interface a broken answer was continued at any other engine, also at another software version.

Change: the platform's list may name the software version of an upstream ('software'). Where any upstream of the service has one, an answer continues only at the same version; an engine without one differs from all others. Where none is named, nothing changes.

Evidence: without the change, TestAnswerIsNotContinuedAtAnotherSoftwareVersion fails in two cases (the answer is complete, joined from two versions).

--- a/encoder/command_test.go
+++ b/encoder/command_test.go
@@ -32,9 +32,13 @@
 		cataloger.PutUpstream{Upstream: cataloger.Upstream{
 			Name: "u", Incarnation: "i", Address: "127.0.0.1:1", AvailabilityZone: "bp-a", Service: "s",
 			Kind: cataloger.EngineUpstream, State: cataloger.UpstreamLive, MemoryBytes: 6, Accelerators: 7,
-			Slots: 8, ChecksFence: true,
+			Slots: 8, ChecksFence: true, Software: "v1",
 		}},
 		cataloger.RemoveUpstream{Name: "w"},
+		cataloger.PutRelease{Release: cataloger.Release{
+			ReleaseKey: cataloger.ReleaseKey{Service: "s", Software: "v1"}, GoneAt: noon,
+		}},
+		cataloger.RemoveRelease{ReleaseKey: cataloger.ReleaseKey{Service: "s", Software: "v0"}},
 		cataloger.PutPlacement{Placement: cataloger.Placement{
 			Upstream: "u", Incarnation: "i", Models: []string{"m"}, Adapters: []string{"a"}, Role: cataloger.RoleDecode,
 		}},
--- a/encoder/placement.go
+++ b/encoder/placement.go
@@ -18,6 +18,7 @@
 		Accelerators:     int32(upstream.Accelerators),
 		Slots:            int32(upstream.Slots),
 		ChecksFence:      upstream.ChecksFence,
+		Software:         upstream.Software,
 	}
 }
 
@@ -34,6 +35,7 @@
 		Accelerators:     int(message.GetAccelerators()),
 		Slots:            int(message.GetSlots()),
 		ChecksFence:      message.GetChecksFence(),
+		Software:         message.GetSoftware(),
 	}
 	if upstream.Kind > cataloger.PlainUpstream || upstream.State > cataloger.UpstreamLeaving {
 		return cataloger.Upstream{}, &NewerVersionError{Message: nameOf(message)}
--- a/encoder/platform.go
+++ b/encoder/platform.go
@@ -25,6 +25,7 @@
 		Address:          wire.Address,
 		AvailabilityZone: wire.AvailabilityZone,
 		Service:          wire.Service,
+		Software:         wire.Software,
 		State:            cataloger.UpstreamLive,
 		MemoryBytes:      wire.MemoryBytes,
 		Accelerators:     wire.Accelerators,
--- a/encoder/upstream.go
+++ b/encoder/upstream.go
@@ -121,6 +121,8 @@
 	Address          string `json:"address"`
 	AvailabilityZone string `json:"availability-zone"`
 	Service          string `json:"service"`
+	// Software is the version of its software; empty where upstreams do not differ.
+	Software string `json:"software,omitempty"`
 	// Kind is engine or service.
 	Kind string `json:"kind"`
 	// State is live or leaving.
--- a/receiver/engine_stream.go
+++ b/receiver/engine_stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,6 +33,9 @@
 	*guard
 	request *encoder.Completion
 	route   router.Request
+	// origin is the engine that began the answer; zero before the first event, and where the
+	// platform names no software versions.
+	origin router.Origin
 	// grant, attemptID and streamTokens belong to the current stream.
 	grant        *admitter.Grant
 	attemptID    string
@@ -144,6 +148,7 @@
 		request.Route.PromptTokens += from.Events
 	}
 	request.Route.Avoid = avoid
+	request.Route.Origin = o.origin
 	return request
 }
 
@@ -344,6 +349,9 @@
 func (o *streamOpener) recordEvent() {
 	o.streamTokens++
 	o.tokens++
+	if o.tokens == 1 && o.softwareDiffers() {
+		o.origin = o.grant.Choice.Origin()
+	}
 	if o.streamTokens == 2 {
 		o.pass.Answered()
 	}
@@ -357,6 +365,14 @@
 	}
 }
 
+// softwareDiffers reports whether the platform names a software version of any engine of
+// the service. An engine without one then differs from all others.
+func (o *streamOpener) softwareDiffers() bool {
+	return slices.ContainsFunc(o.catalog.Services[o.route.Service], func(name string) bool {
+		return o.catalog.Upstreams[name].Software != ""
+	})
+}
+
 // openOutcome returns the outcome that the router records for a failed start or
 // resume.
 func openOutcome(err error) router.Outcome {
--- a/receiver/refuse.go
+++ b/receiver/refuse.go
@@ -194,6 +194,7 @@
 	var saturated *router.SaturatedError
 	var quarantined *quarantiner.QuarantinedError
 	var trialPending *quarantiner.TrialPendingError
+	var originGone *router.OriginGoneError
 	retryAt := time.Now().Add(shortRetryDelay)
 	reply := refusal{status: http.StatusServiceUnavailable, retryAt: retryAt}
 	switch {
@@ -213,6 +214,8 @@
 		reply.errorType, reply.retryAt = "prompt-quarantined", quarantined.RetryAt
 	case errors.As(err, &trialPending):
 		reply.errorType, reply.retryAt = "prompt-suspected", trialPending.RetryAt
+	case errors.As(err, &originGone):
+		reply.status, reply.errorType = http.StatusBadGateway, "answer-broken"
 	case is[*admitter.RetryBudgetError](err):
 		reply.errorType = "retries-spent"
 	case is[*admitter.StoppedError](err), is[*NotReadyError](err):
--- a/receiver/stream_test.go
+++ b/receiver/stream_test.go
@@ -83,6 +83,46 @@
 	assert.Assert(t, !ended)
 }
 
+func TestAnswerIsNotContinuedAtAnotherSoftwareVersion(t *testing.T) {
+	cases := map[string]struct {
+		software map[string]string
+		complete bool
+	}{
+		"another engine of the version": {map[string]string{"engine-1": "v1", "engine-2": "v1"}, true},
+		"only other versions":           {map[string]string{"engine-1": "v1", "engine-2": "v2"}, false},
+		"one version unknown":           {map[string]string{"engine-1": "v1"}, false},
+		"no version named":              {nil, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var cuts atomic.Int32
+			engines := map[string]http.Handler{}
+			for _, name := range []string{"engine-1", "engine-2"} {
+				broken := &engine{noResume: true}
+				broken.cutAt = func(_ string, at int) bool {
+					if at != 3 || cuts.Add(1) > 1 {
+						return false
+					}
+					broken.down.Store(true)
+					return true
+				}
+				engines[name] = broken
+			}
+			r := newRig(t, engines)
+			for name, software := range c.software {
+				listed := r.catalog.Upstreams[name]
+				listed.Software = software
+				r.catalog.Upstreams[name] = listed
+			}
+			r.router.Update(r.catalog)
+			got := r.send("POST", encoder.PathChat, chat(true, 8))
+			_, _, ended := readStream(got.body)
+			assert.Equal(t, ended, c.complete)
+			assert.Equal(t, got.err == nil, c.complete)
+		})
+	}
+}
+
 func TestRejectionIsNotAppendedToAStream(t *testing.T) {
 	cut := cutAfter(3, 1)
 	r := newRig(t, map[string]http.Handler{
