fix(quarantiner): pass a crash on once, also when more come than are kept

Cause: an entry that had dropped a crash for lack of room took it for new when another one sent it, dropped a different one and passed the crash on, and so did the others, for ever. Since whole requests are suspects, an upstream's end adds as many crashes as it had requests without an answer.

Change: a crash that was known before is not added again. What is dropped first is a crash of the upstream with the most requests at work, where each says the least.

Evidence: TestMoreCrashesThanAreKeptArePassedOnOnce never came to an end before (ended at twice its bound); TestCrashWithOneRequestAtWorkOutlastsOnesWithMany failed.

--- a/quarantiner/request_test.go
+++ b/quarantiner/request_test.go
@@ -196,3 +196,56 @@
 		t.Run(name, func(t *testing.T) { assert.Assert(t, quarantiner.Fingerprint(other...) != same) })
 	}
 }
+
+func TestMoreCrashesThanAreKeptArePassedOnOnce(t *testing.T) {
+	const entries, crashes = 20, 400
+	var tables []*quarantiner.Table
+	for range entries {
+		tables = append(tables, quarantiner.NewTable())
+	}
+	type delivery struct {
+		to    int
+		crash quarantiner.Crash
+	}
+	var queue []delivery
+	for i := range crashes {
+		queue = append(queue, delivery{i % entries, under(fmt.Sprint("u", i/20), i, fmt.Sprint("request-", i))})
+	}
+	passedOn := 0
+	deliver := func() {
+		for len(queue) > 0 && passedOn <= 2*entries*crashes {
+			next := queue[0]
+			queue = queue[1:]
+			crash, changed := tables[next.to].Merge(next.crash, start.Add(time.Second))
+			if !changed {
+				continue
+			}
+			passedOn++
+			for _, step := range []int{1, 2, 5, 9} {
+				queue = append(queue, delivery{(next.to + step) % entries, crash})
+			}
+		}
+	}
+	deliver()
+	for range 3 {
+		// entries repeat all that they know
+		for from, table := range tables {
+			for _, crash := range table.Crashes(start.Add(time.Second)) {
+				queue = append(queue, delivery{(from + 1) % entries, crash})
+			}
+		}
+		deliver()
+	}
+	assert.Assert(t, passedOn <= entries*crashes, "%d crashes passed on", passedOn)
+}
+
+func TestCrashWithOneRequestAtWorkOutlastsOnesWithMany(t *testing.T) {
+	table := quarantiner.NewTable()
+	table.Merge(under("u1", 0, "f"), start)
+	for i := range 300 {
+		table.Merge(under(fmt.Sprint("many-", i%4), 500, fmt.Sprint("sound-", i)), start)
+	}
+	table.Merge(under("u2", 1000, "f"), start)
+	_, refused := table.Decide(request("f"), probing(false), start).(quarantiner.Refuse)
+	assert.Assert(t, refused)
+}
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -41,6 +43,9 @@
 	recentAnswer = time.Second
 	// maxCrashes is the number of crashes that are kept.
 	maxCrashes = 128
+	// maxSeen is the number of crashes that are recognised after they were dropped, in
+	// each of two generations.
+	maxSeen = 4096
 	// maxParts is the number of parts of a prompt that are considered, maxPartBytes the
 	// length of an ID. Longer ones are ignored.
 	maxParts     = 64
@@ -153,6 +158,8 @@
 type Table struct {
 	// crashes are in ascending order of time.
 	crashes []*knownCrash
+	// seen contains the crashes that were known before.
+	seen seenKeys
 	// evidence is drawn from crashes; nil after a change of them.
 	evidence *evidence
 	// expireAt is when crashes are checked for their age again.
@@ -166,7 +173,9 @@
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{answered: map[string]bool{}} }
+func NewTable() *Table {
+	return &Table{answered: map[string]bool{}, seen: seenKeys{recent: map[uint64]bool{}}}
+}
 
 // Decide returns whether a request may be sent. A Trial must be ended with EndTrial.
 // Probes reports whether this entry is the one that probes suspects.
@@ -242,6 +251,10 @@
 		return observed, false
 	}
 	known, changed := t.find(observed), false
+	if known == nil && !t.seen.add(observed.key()) {
+		// it was dropped, and others may still repeat it
+		return observed, false
+	}
 	if known == nil {
 		known, changed = newKnownCrash(observed), true
 		t.add(known)
@@ -308,21 +321,39 @@
 	t.sort()
 }
 
-// drop removes the oldest crash without suspects, or else the oldest one under a request
-// without suspected parts that no other crash has come under, or else the oldest one.
+// drop removes the oldest crash without suspects. If there is none, it removes a crash under
+// a request without suspected parts that no other crash has come under, at the upstream with
+// the most of these, since they say the least; and otherwise the oldest one.
 func (t *Table) drop() {
-	found := t.evidenceOf()
 	at := slices.IndexFunc(t.crashes, func(c *knownCrash) bool { return len(c.suspects) == 0 })
 	if at < 0 {
-		at = slices.IndexFunc(t.crashes, func(c *knownCrash) bool {
-			return len(c.suspectedParts()) == 0 && len(found.requests[c.Fingerprint].upstreams) < quarantineCrashes
-		})
+		at = t.weakest()
 	}
 	at = max(at, 0)
 	t.crashes = slices.Delete(t.crashes, at, at+1)
 	t.evidence = nil
 }
 
+// weakest returns the index of the crash that says the least, or -1.
+func (t *Table) weakest() int {
+	requests, single := t.evidenceOf().requests, map[string]int{}
+	isSingle := func(c *knownCrash) bool {
+		return len(c.suspectedParts()) == 0 && len(requests[c.Fingerprint].upstreams) < quarantineCrashes
+	}
+	for _, crash := range t.crashes {
+		if isSingle(crash) {
+			single[crash.Upstream]++
+		}
+	}
+	found := -1
+	for at, crash := range t.crashes {
+		if isSingle(crash) && (found < 0 || single[crash.Upstream] > single[t.crashes[found].Upstream]) {
+			found = at
+		}
+	}
+	return found
+}
+
 func (t *Table) sort() {
 	slices.SortStableFunc(t.crashes, func(a, b *knownCrash) int { return a.At.Compare(b.At) })
 }
@@ -359,6 +390,22 @@
 	return last
 }
 
+// seenKeys recognises keys by their hashes, in two generations of limited size.
+type seenKeys struct{ recent, older map[uint64]bool }
+
+// add adds a key and reports whether it is new.
+func (s *seenKeys) add(key string) bool {
+	hash := xxhash.Sum64String(key)
+	if s.recent[hash] || s.older[hash] {
+		return false
+	}
+	if len(s.recent) >= maxSeen {
+		s.older, s.recent = s.recent, map[uint64]bool{}
+	}
+	s.recent[hash] = true
+	return true
+}
+
 func (t *Table) rotate(now time.Time) {
 	if now.Before(t.rotateAt) {
 		return
