fix(platform,watcher): an odd item of a list doesn't affect the others

A port of 70000 or '+80', -5 or slots, an ID with a line break (unusable in a header) or of 5 MB (over the limit of messages between processes) was taken for a server's.

Items have limits.

--- a/encoder/platform.go
+++ b/encoder/platform.go
@@ -1,6 +1,12 @@
 package encoder
 
-import "burdocklink/cataloger"
+import (
+	"net/netip"
+	"strings"
+	"unicode"
+
+	"burdocklink/cataloger"
+)
 
 // Names of kinds and states in the platform's and the weight store's lists.
 const (
@@ -16,9 +22,50 @@
 // Error implements error.
 func (e *UnknownKindError) Error() string { return "unknown kind " + e.Kind + " of " + e.Name }
 
+// UnusableVMError reports a VM of the platform's list with a field that is missing or out of
+// range.
+type UnusableVMError struct{ Name, Field string }
+
+// Error implements error.
+func (e *UnusableVMError) Error() string { return "unusable " + e.Field + " of " + e.Name }
+
+// Limits of a VM in the platform's list.
+const (
+	maxVMNameBytes = 128
+	maxVMSlots     = 1 << 16
+)
+
+// check returns an *UnusableVMError if the VM can't be an upstream.
+func (wire *VM) check() error {
+	address, err := netip.ParseAddrPort(wire.Address)
+	switch {
+	case !isUsableName(wire.Name):
+		return &UnusableVMError{Name: wire.Name, Field: "name"}
+	case !isUsableName(wire.Incarnation):
+		return &UnusableVMError{Name: wire.Name, Field: "incarnation"}
+	case !isUsableName(wire.Service):
+		return &UnusableVMError{Name: wire.Name, Field: "service"}
+	case err != nil || address.Port() == 0:
+		return &UnusableVMError{Name: wire.Name, Field: "address"}
+	case wire.MemoryBytes < 0 || wire.Accelerators < 0:
+		return &UnusableVMError{Name: wire.Name, Field: "memory"}
+	case wire.Slots < 0 || wire.Slots > maxVMSlots:
+		return &UnusableVMError{Name: wire.Name, Field: "slots"}
+	default:
+		return nil
+	}
+}
+
+func isUsableName(name string) bool {
+	return name != "" && len(name) <= maxVMNameBytes && !strings.ContainsFunc(name, unicode.IsControl)
+}
+
 // DecodeVM converts a VM of the platform's list to an upstream. The error is an
-// *UnknownKindError.
+// *UnknownKindError or an *UnusableVMError.
 func DecodeVM(wire VM) (cataloger.Upstream, error) {
+	if err := wire.check(); err != nil {
+		return cataloger.Upstream{}, err
+	}
 	upstream := cataloger.Upstream{
 		Name:             wire.Name,
 		Incarnation:      wire.Incarnation,
