--- a/checker/checker.go
+++ b/checker/checker.go
@@ -3,6 +3,7 @@
 package checker
 
 import (
+	"math"
 	"net"
 	"os"
 	"strconv"
@@ -133,7 +134,7 @@
 // Rate returns a number above zero.
 func (r *Reader) Rate(name string) float64 {
 	value, err := strconv.ParseFloat(r.Text(name), 64)
-	if err != nil || value <= 0 {
+	if err != nil || !(value > 0) || math.IsInf(value, 1) {
 		r.AddFault(name, "must be a number above zero")
 	}
 	return value
--- a/encoder/demand.go
+++ b/encoder/demand.go
@@ -91,6 +91,9 @@
 	return counts, nil
 }
 
+// maxBusyMs limits the time in a message, in milliseconds.
+const maxBusyMs = uint64(maxAge / time.Millisecond)
+
 func decodeCount(message *wire.Demand) placer.Count {
 	return placer.Count{
 		Arrivals:     message.GetArrivals(),
@@ -99,7 +102,7 @@
 		AnswerTokens: message.GetAnswerTokens(),
 		Refused:      message.GetRefused(),
 		Missed:       message.GetMissed(),
-		Busy:         time.Duration(message.GetBusyMs()) * time.Millisecond,
+		Busy:         time.Duration(min(message.GetBusyMs(), maxBusyMs)) * time.Millisecond,
 	}
 }
 
--- a/encoder/reading.go
+++ b/encoder/reading.go
@@ -19,7 +19,7 @@
 func DecodeReadingRequest(message *wire.ReadingRequest, receivedAt time.Time) surveyor.ReadingRequest {
 	return surveyor.ReadingRequest{
 		Digest:    message.GetDigest(),
-		NotBefore: receivedAt.Add(-time.Duration(message.GetMostAgeMs()) * time.Millisecond),
+		NotBefore: receivedAt.Add(-clampAge(message.GetMostAgeMs())),
 	}
 }
 
@@ -36,8 +36,16 @@
 // reading's age counts from sentAt, since the reply may have been delayed.
 func DecodeReading(reply *wire.ReadingReply, sentAt time.Time) surveyor.Reading {
 	return surveyor.Reading{
-		ReadAt:    sentAt.Add(-time.Duration(reply.GetAgeMs()) * time.Millisecond),
+		ReadAt:    sentAt.Add(-clampAge(reply.GetAgeMs())),
 		Unchanged: reply.GetListing() == nil,
 		Upstreams: DecodeListing(reply.GetListing()).Upstreams,
 	}
 }
+
+// maxAge is the greatest age in a message about the platform's list.
+const maxAge = 365 * 24 * time.Hour
+
+// clampAge returns a number of milliseconds as an age of up to maxAge.
+func clampAge(count int64) time.Duration {
+	return time.Duration(min(max(0, count), int64(maxAge/time.Millisecond))) * time.Millisecond
+}
