fix(dispatcher,forwarder): don't take an earlier refusal for the answer to a request that runs

A faulty upstream writes an earlier refusal once more on a kept connection.

Cause: a request that was refused may be sent again on the connection that carried the refusal, under the same ID, so the repeated refusal passed for the answer. A refusal without an ID passed for that of any request.

Change: a call is not made again on a connection that has carried its refusal, and after a refusal that names no call the connection is not reused. A connection with 16 refusals is closed.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -58,6 +58,13 @@
 	// answers are skipped: on a reused connection, a late answer to an earlier call may
 	// come first. Nil accepts every answer. Only Send uses it.
 	OwnsAnswer func(header http.Header) bool
+	// ID identifies the request at the upstream; empty if it has no ID. Only Send uses it.
+	ID string
+	// Refuses reports whether an answer states that the call was not run, and whether it
+	// names the call by its ID. A faulty upstream may repeat such an answer, so the call is
+	// not made again on a connection that has carried it. Nil means that none does. Only
+	// Send uses it.
+	Refuses func(response *http.Response) (refused, named bool)
 	// StallTimeout bounds the wait for progress; zero for that of Settings.
 	StallTimeout time.Duration
 	// Allowed is called once there is a connection, and reports whether the call may
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	// maxAnswerHeaders bounds the answers read for one call, including informational
 	// ones and answers to other calls.
 	maxAnswerHeaders = 8
+	// maxRefusals is the number of refusals that a connection carries before it is closed.
+	maxRefusals = 16
 	// maxForeignBytes bounds the size of a skipped answer to another call.
 	maxForeignBytes = 1 << 20
 )
@@ -52,6 +55,8 @@
 	remaining int64
 	// expiresAt is when the connection must no longer be used.
 	expiresAt time.Time
+	// refused are the IDs of the calls that were refused on the connection.
+	refused []string
 }
 
 // Send makes a call over a new or reused connection, and returns the response as soon
@@ -66,7 +71,7 @@
 			return nil, err
 		}
 		call.preserveTarget(request)
-		conn, reused, err := d.connect(ctx, call.Address)
+		conn, reused, err := d.connect(ctx, call)
 		if err != nil {
 			return nil, &NotSentError{Address: call.Address, Cause: err}
 		}
@@ -104,10 +109,12 @@
 	request.URL.ForceQuery = hasQuery && query == ""
 }
 
-// connect returns an idle connection that is still open, or a new one.
-func (d *Dispatcher) connect(ctx context.Context, address string) (*pooledConn, bool, error) {
+// connect returns an idle connection that is still open and may carry the call, or a new
+// one.
+func (d *Dispatcher) connect(ctx context.Context, call Call) (*pooledConn, bool, error) {
+	address := call.Address
 	for {
-		pooled := d.pool.get(address, time.Now())
+		pooled := d.pool.get(address, call.ID, time.Now())
 		if pooled == nil {
 			break
 		}
@@ -131,22 +138,24 @@
 }
 
 // get returns the most recently used connection, since it is the most likely to be
-// open, or nil.
-func (p *pool) get(address string, now time.Time) *pooledConn {
+// open, that has not carried a refusal of the call with an ID; nil if there is none.
+func (p *pool) get(address, id string, now time.Time) *pooledConn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for {
-		conns := p.idle[address]
-		if len(conns) == 0 {
-			return nil
+	p.evictExpired(address, now)
+	conns := p.idle[address]
+	for at := len(conns) - 1; at >= 0; at-- {
+		conn := conns[at]
+		if id != "" && slices.Contains(conn.refused, id) {
+			continue
 		}
-		conn := conns[len(conns)-1]
-		p.idle[address] = conns[:len(conns)-1]
+		p.idle[address] = slices.Delete(conns, at, at+1)
 		if now.Before(conn.expiresAt) {
 			return conn
 		}
 		_ = conn.Close()
 	}
+	return nil
 }
 
 func (p *pool) put(conn *pooledConn, now time.Time) {
@@ -254,6 +263,7 @@
 		c.abort()
 		return nil, err
 	}
+	c.recordRefusal(response, call)
 	response.Body = &pooledBody{
 		ReadCloser: response.Body, conn: c, pool: pool, stopCancel: stopCancel,
 		writer: writer, response: response,
@@ -261,6 +271,23 @@
 	return response, nil
 }
 
+// recordRefusal keeps a refused call from being made again on the connection. After a
+// refusal that names no call, the connection is not reused: nothing would tell a repetition
+// from the refusal of another call.
+func (c *pooledConn) recordRefusal(response *http.Response, call Call) {
+	if call.Refuses == nil {
+		return
+	}
+	refused, named := call.Refuses(response)
+	if !refused {
+		return
+	}
+	c.refused = append(c.refused, call.ID)
+	if !named || len(c.refused) >= maxRefusals {
+		response.Close = true
+	}
+}
+
 // readHeader skips informational answers and answers to other calls.
 func (c *pooledConn) readHeader(request *http.Request, ownsAnswer func(http.Header) bool) (*http.Response, error) {
 	for range maxAnswerHeaders {
--- a/dispatcher/pool_test.go
+++ b/dispatcher/pool_test.go
@@ -324,5 +324,95 @@
 	p := &pool{idle: map[string][]*pooledConn{}}
 	conn := &pooledConn{Conn: client, address: "a", reader: bufio.NewReader(client), expiresAt: start.Add(time.Second)}
 	p.put(conn, start)
-	assert.Assert(t, p.get("a", start.Add(2*time.Second)) == nil)
+	assert.Assert(t, p.get("a", "", start.Add(2*time.Second)) == nil)
+}
+
+// refusalText is a refusal that names a call; an empty ID names none.
+func refusalText(id string) string {
+	name := ""
+	if id != "" {
+		name = "Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + name + "Content-Length: 0\r\n\r\n"
+}
+
+// serveRepeatedRefusals refuses the first call on the first connection. It then writes that
+// refusal once more, before each later answer on the connection.
+func serveRepeatedRefusals(named bool) func(net.Conn, *bufio.Reader, *scriptedUpstream) {
+	return func(conn net.Conn, reader *bufio.Reader, upstream *scriptedUpstream) {
+		first, refusal := upstream.accepted.Load() == 1, ""
+		for {
+			request, _, err := upstream.readRequest(reader)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get("Id")
+			if first && refusal == "" {
+				refusal = refusalText("")
+				if named {
+					refusal = refusalText(id)
+				}
+				_, _ = io.WriteString(conn, refusal)
+				continue
+			}
+			_, _ = io.WriteString(conn, refusal+answerText(id, "ran "+id))
+		}
+	}
+}
+
+func TestEarlierRefusalIsNotTakenForTheAnswer(t *testing.T) {
+	cases := map[string]struct {
+		named  bool
+		second string
+		// connections is the number of connections that both calls need.
+		connections int32
+	}{
+		"same call":                       {true, "r1", 2},
+		"another call":                    {true, "r2", 1},
+		"same call, refusal unnamed":      {false, "r1", 2},
+		"another call, refusal not named": {false, "r2", 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			upstream := newScriptedUpstream(t, serveRepeatedRefusals(c.named))
+			d := New(Settings{})
+			defer d.Close()
+			for at, id := range []string{"r1", c.second} {
+				call := upstream.call(http.MethodPost)
+				call.ID = id
+				call.Header.Set("Id", id)
+				call.OwnsAnswer = func(header http.Header) bool { return header.Get("Id") == "" || header.Get("Id") == id }
+				call.Refuses = func(response *http.Response) (refused, named bool) {
+					return response.Header.Get("Not-Run") != "", response.Header.Get("Id") != ""
+				}
+				body, err := send(t, d, call)
+				assert.NilError(t, err)
+				assert.Equal(t, body, []string{"", "ran " + c.second}[at])
+			}
+			assert.Equal(t, upstream.accepted.Load(), c.connections)
+		})
+	}
+}
+
+func TestConnectionWithManyRefusalsIsClosed(t *testing.T) {
+	upstream := newScriptedUpstream(t, func(conn net.Conn, reader *bufio.Reader, upstream *scriptedUpstream) {
+		for {
+			request, _, err := upstream.readRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, refusalText(request.Header.Get("Id")))
+		}
+	})
+	d := New(Settings{})
+	defer d.Close()
+	for i := range 2*maxRefusals + 1 {
+		call := upstream.call(http.MethodPost)
+		call.ID = fmt.Sprint("r", i)
+		call.Header.Set("Id", call.ID)
+		call.Refuses = func(*http.Response) (refused, named bool) { return true, true }
+		_, err := send(t, d, call)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, upstream.accepted.Load(), int32(3))
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -423,7 +423,9 @@
 		Host:       x.r.Host,
 		Header:     x.Codec.EncodeRequest(x.r.Header, x.upstreamRequest(choice)),
 		Body:       x.body,
+		ID:         x.request.ID,
 		OwnsAnswer: func(header http.Header) bool { return x.Codec.OwnsAnswer(x.request.ID, header) },
+		Refuses:    x.refuses,
 		Allowed:    func() bool { return x.Upstreams.Allows(choice) && x.pass.Valid() },
 	})
 	if err != nil {
@@ -450,6 +452,13 @@
 	return x.forwardWhole(ctx, response, info)
 }
 
+// refuses reports whether an answer states that the request was not run, and whether it
+// names the request.
+func (x *exchange) refuses(response *http.Response) (refused, named bool) {
+	info := x.Codec.DecodeAnswer(response, time.Now())
+	return info.NotRun, info.RequestID != ""
+}
+
 func (x *exchange) upstreamRequest(choice router.Choice) UpstreamRequest {
 	request := UpstreamRequest{
 		Now:       time.Now(),
