fix(receiver): an answer that names another request doesn't say that this one did not run

The ID that an upstream of the product's own interface returns was checked for streams that begin, not for refusals and other answers.

Evidence: TestRefusalOfAnotherRequestDoesNotSayNotRun failed before. Requests that must not be repeated have a connection of their own and were not affected.

--- a/receiver/engine_stream.go
+++ b/receiver/engine_stream.go
@@ -61,10 +61,10 @@
 
 func (e *engineCrashedError) Error() string { return "the engine crashed when it began to answer" }
 
-// streamMismatchError reports that a stream belongs to another request.
-type streamMismatchError struct{ got string }
+// answerMismatchError reports that an answer belongs to another request.
+type answerMismatchError struct{ got string }
 
-func (e *streamMismatchError) Error() string { return "the stream belongs to request " + e.got }
+func (e *answerMismatchError) Error() string { return "the answer belongs to request " + e.got }
 
 // Open starts the answer on an engine, or continues it from the part that the caller
 // has.
@@ -252,14 +252,15 @@
 		o.mayHaveRun = o.mayHaveRun || !is[*dispatcher.NotSentError](err)
 		return nil, err
 	}
+	if got := response.Header.Get(encoder.HeaderRequestID); got != "" && got != o.attemptID {
+		o.mayHaveRun = true
+		_ = response.Body.Close()
+		return nil, &answerMismatchError{got: got}
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, o.responseError(call.Address, response)
 	}
 	o.mayHaveRun = true
-	if got := response.Header.Get(encoder.HeaderRequestID); got != "" && got != o.attemptID {
-		_ = response.Body.Close()
-		return nil, &streamMismatchError{got: got}
-	}
 	if !o.headerSent {
 		o.w.Header().Set(encoder.HeaderUpstream, o.grant.Choice.Upstream)
 	}
--- a/receiver/refuse_test.go
+++ b/receiver/refuse_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,3 +147,25 @@
 		})
 	}
 }
+
+// staleService answers the first call of a request with the refusal of another one.
+type staleService struct{ calls atomic.Int32 }
+
+func (s *staleService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.calls.Add(1) == 1 {
+		w.Header().Set(encoder.HeaderRequestID, "earlier")
+		w.Header().Set(encoder.HeaderNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set(encoder.HeaderRequestID, r.Header.Get(encoder.HeaderRequestID))
+	_, _ = io.WriteString(w, "ok")
+}
+
+func TestRefusalOfAnotherRequestDoesNotSayNotRun(t *testing.T) {
+	service := &staleService{}
+	r := newRig(t, map[string]http.Handler{"naptar-1": service})
+	got := r.send(http.MethodGet, "/services/naptar/free", "")
+	assert.Assert(t, got.outcome() != encoder.OutcomeNotRun, got.body)
+	assert.Assert(t, got.status != http.StatusServiceUnavailable, got.body)
+}
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -152,6 +152,9 @@
 		call.NewConnection = true
 		answer, err = g.Dispatcher.Do(g.ctx, call)
 	}
+	if got := answer.Header.Get(encoder.HeaderRequestID); err == nil && got != "" && got != call.Header.Get(encoder.HeaderRequestID) {
+		answer, err = dispatcher.Answer{}, &answerMismatchError{got: got}
+	}
 	g.mayHaveRun = g.mayHaveRun || !cannotHaveRun(answer, err)
 	g.acquit(answer, err)
 	grant.Done(admitter.Result{Ended: time.Now(), Outcome: dispatchOutcome(answer, err)})
