--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -24,14 +24,6 @@
 	answerStarted bool
 }
 
-// maxCrashes is the number of upstreams that may crash under one request before it is no
-// longer sent. One crash may have another cause.
-const maxCrashes = 2
-
-// mayRetryCrash reports whether the request may be sent to another upstream after crashes
-// under it. An upstream that had begun to answer has most likely crashed for its sake.
-func (attempts) mayRetryCrash(crashes int, begun bool) bool { return !begun && crashes < maxCrashes }
-
 // mayRetry reports whether the request may be sent to another upstream, as when
 // upstreams crash, leave or refuse while requests are in flight. A request that may
 // have run is sent again only if the route is repeatable and has attempts left. One
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -40,10 +40,8 @@
 	grant    *admitter.Grant
 	// pass allows the request to be sent.
 	pass *quarantiner.Pass
-	// upstreamCrashed is true if the last upstream crashed before the first piece of its
-	// answer; crashes counts such upstreams.
-	upstreamCrashed bool
-	crashes         int
+	// crashes are those of upstreams under the request.
+	crashes quarantiner.Sends
 	// subject is what may make the request crash upstreams.
 	subject quarantiner.Subject
 	// headerArrived is true if the header of an answer to the last send has arrived.
@@ -219,10 +217,8 @@
 		if cause := context.Cause(ctx); cause != nil {
 			return x.endError(cause)
 		}
-		if x.upstreamCrashed && !x.attempts.mayRetryCrash(x.crashes, x.headerArrived) {
-			return err
-		}
-		if !x.attempts.mayRetry(x.route, time.Now(), x.deadline) || (x.attempts.answerStarted && x.lastEventID == x.initialEventID) {
+		unnumbered := x.attempts.answerStarted && x.lastEventID == x.initialEventID
+		if unnumbered || !x.crashes.MayRetry() || !x.attempts.mayRetry(x.route, time.Now(), x.deadline) {
 			return err
 		}
 		x.Log.Info("sent again", zap.String("request-id", x.request.ID),
@@ -263,40 +259,6 @@
 	return nil
 }
 
-// awaitPass waits until the request may be sent to an upstream that it might crash.
-func (x *exchange) awaitPass(ctx context.Context) error {
-	x.endPass()
-	pass, err := x.Quarantine.Admit(ctx, x.subject, x.usefulUntil())
-	if err != nil {
-		return err
-	}
-	x.pass = pass
-	return nil
-}
-
-func (x *exchange) endPass() {
-	if x.pass != nil {
-		x.pass.End()
-	}
-}
-
-// fingerprint identifies requests that repeat this one, which come under other request IDs
-// and at any entry.
-func (x *exchange) fingerprint() string {
-	return quarantiner.Fingerprint([]byte(x.r.Method), []byte(x.r.Host), []byte(x.r.RequestURI), []byte(x.request.Caller), x.body)
-}
-
-// sharedParts returns the IDs of the prompt's parts within the service. The last part
-// belongs to the request alone.
-func (x *exchange) sharedParts() []string {
-	parts := x.request.Parts
-	shared := make([]string, 0, len(parts))
-	for i := range len(parts) - 1 {
-		shared = append(shared, x.service+"/"+parts[i].ID)
-	}
-	return shared
-}
-
 // chooseUpstream waits for an upstream that holds the requested model and adapter.
 func (x *exchange) chooseUpstream(ctx context.Context) error {
 	requirement := chooser.Requirement{
@@ -410,7 +372,8 @@
 // send makes one attempt at the upstream that was granted.
 func (x *exchange) send(ctx context.Context) error {
 	x.attempts.sends++
-	x.disallowed, x.headerArrived, x.upstreamCrashed = false, false, false
+	x.disallowed, x.headerArrived = false, false
+	x.crashes.Begin()
 	x.grant.Started = time.Now()
 	choice := x.grant.Choice
 	path := x.r.RequestURI
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -162,7 +162,7 @@
 	}
 	if x.result == reporter.ResultFailed {
 		fields = append(fields, zap.String("fingerprint", x.subject.Fingerprint), zap.Bool("header-arrived", x.headerArrived),
-			zap.Bool("upstream-crashed", x.upstreamCrashed), zap.Strings("prompt-parts", x.request.loggedParts()))
+			zap.Bool("upstream-crashed", x.crashes.Crashed), zap.Strings("prompt-parts", x.request.loggedParts()))
 	}
 	x.Log.Info("request", fields...)
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 	"burdocklink/router"
 )
@@ -66,20 +65,6 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// checkCrash finds out whether the upstream has crashed before the first piece of its
-// answer. One that is leaving may have stopped.
-func (x *exchange) checkCrash(ctx context.Context) {
-	choice := x.grant.Choice
-	broken := quarantiner.Break{
-		Upstream: choice.Incarnation, Address: choice.Address, Begun: x.headerArrived, Repeated: x.crashes > 0,
-	}
-	if x.Upstreams.Leaving(choice) || !x.pass.Broken(ctx, broken) {
-		return
-	}
-	x.upstreamCrashed = true
-	x.crashes++
-}
-
 // relayEvents writes complete events and flushes them.
 func (x *exchange) relayEvents(response *http.Response, arrived []byte) error {
 	err := forEachEvent(arrived, func(event []byte) error { return x.relayEvent(response, event) })
--- a/receiver/engine_stream.go
+++ b/receiver/engine_stream.go
@@ -70,7 +70,7 @@
 // has.
 func (o *streamOpener) Open(ctx context.Context, from relayer.Prefix) (relayer.Source, error) {
 	for tries := 1; ; tries++ {
-		if !o.mayRetry() {
+		if !o.sends.MayRetry() {
 			return nil, &engineCrashedError{}
 		}
 		if err := o.await(ctx); err != nil {
@@ -214,7 +214,7 @@
 // connection. If the engine's rate limit permits no request now, it returns an
 // *relayer.UnknownStreamError, so that the answer is continued elsewhere.
 func (o *streamOpener) Resume(ctx context.Context, after uint64) (relayer.Source, error) {
-	if o.crashed {
+	if o.sends.Crashed {
 		return nil, &relayer.UnknownStreamError{}
 	}
 	if !o.Upstreams.TakePermit(o.grant.Choice) {
--- a/receiver/guard.go
+++ b/receiver/guard.go
@@ -9,20 +9,13 @@
 	"burdocklink/router"
 )
 
-// maxCrashes is the number of upstreams that may crash under one request before it is no
-// longer sent. One crash may have another cause.
-const maxCrashes = 2
-
 // guard keeps one request from upstreams that it would crash. It is not safe for
 // concurrent use.
 type guard struct {
 	*exchange
 	subject quarantiner.Subject
 	pass    *quarantiner.Pass
-	// crashed is set if the last upstream crashed before the first piece of its answer,
-	// begun if it had begun to answer. crashes counts such upstreams.
-	crashed, begun bool
-	crashes        int
+	sends   quarantiner.Sends
 }
 
 // newGuard returns the guard of a request with this body and these shared prompt parts.
@@ -34,7 +27,7 @@
 // await waits until the request may be sent.
 func (g *guard) await(ctx context.Context) error {
 	g.end()
-	g.crashed = false
+	g.sends.Begin()
 	pass, err := g.Quarantine.Admit(ctx, g.subject, g.deadline)
 	if err != nil {
 		return err
@@ -85,16 +78,11 @@
 // answer. One that is leaving may have stopped.
 func (g *guard) checkCrash(ctx context.Context, choice router.Choice, begun bool) bool {
 	broken := quarantiner.Break{
-		Upstream: choice.Incarnation, Address: choice.Address, Begun: begun, Repeated: g.crashes > 0,
+		Upstream: choice.Incarnation, Address: choice.Address, Begun: begun, Repeated: g.sends.Repeated(),
 	}
 	if g.Upstreams.Leaving(choice) || !g.pass.Broken(ctx, broken) {
 		return false
 	}
-	g.crashed, g.begun = true, begun
-	g.crashes++
+	g.sends.Crash(begun)
 	return true
 }
-
-// mayRetry reports whether the request may be sent again. An upstream that had begun to
-// answer has most likely crashed for its sake.
-func (g *guard) mayRetry() bool { return !g.crashed || (!g.begun && g.crashes < maxCrashes) }
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -128,7 +128,7 @@
 		if x.ctx.Err() != nil {
 			return linker.CauseOf(x.ctx, failure)
 		}
-		if !guard.mayRetry() {
+		if !guard.sends.MayRetry() {
 			return linker.CauseOf(x.ctx, failure)
 		}
 		next, err := guard.reacquire(grant)
