--- a/quarantiner/fingerprint.go
+++ b/quarantiner/fingerprint.go
@@ -14,9 +14,11 @@
 // unlike the names of prompt parts.
 func Fingerprint(fields ...[]byte) string {
 	hash := sha256.New()
+	var length [8]byte
 	for _, field := range fields {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
 		// writing to a hash never fails
-		_ = binary.Write(hash, binary.LittleEndian, uint64(len(field)))
+		_, _ = hash.Write(length[:])
 		_, _ = hash.Write(field)
 	}
 	return hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
