--- a/historian/archive.go
+++ b/historian/archive.go
@@ -1,7 +1,6 @@
 package historian
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -92,14 +91,6 @@
 	return Unknown{}
 }
 
-// Several reports whether streams of several versions of a service may be taken up.
-func (a *Archive) Several(service string, releases map[cataloger.ReleaseKey]cataloger.Release, now time.Time) bool {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	possible := Possible(releases, service, a.listed[service], now)
-	return len(possible) != 1 || slices.Contains(possible, "")
-}
-
 // enter begins a term. The list must be read again in it.
 func (a *Archive) enter(term uint64, now time.Time) {
 	if term != a.term {
--- a/mover/want.go
+++ b/mover/want.go
@@ -31,10 +31,11 @@
 	}
 	m.recordWaiting(surveyor.HeldName(want.Service, want.Model, ""), want.Software, now)
 	m.plan(now)
-	readyIn, known := m.readyIn(want, now)
+	estimate := m.readyIn
 	if want.Software != "" {
-		readyIn, known = m.readyForStreams(want, now)
+		estimate = m.readyForStreams
 	}
+	readyIn, known := estimate(want, now)
 	call.answer <- WantResult{ReadyIn: readyIn, Known: known}
 }
 
@@ -119,7 +120,7 @@
 	ready := evictionEstimate + model.LoadTime
 	for _, e := range m.engines {
 		switch {
-		case !e.mayServe(want):
+		case e.upstream.Service != want.Service:
 		case e.loading == want.Model || e.orderedModel == want.Model:
 			ready = min(ready, max(roundInterval, e.loadedAt.Sub(now))+busyReportInterval)
 		case e.planned == want.Model:
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -28,13 +28,13 @@
 	last      time.Time
 }
 
-// explain counts a crash if it is of another upstream and later than those before. What
-// was sent after a crash is later.
-func (e *explained) explain(upstream string, at time.Time, later bool) {
+// add counts a crash if it is of another upstream and later than those before. One under a
+// request that was sent after an earlier crash is later.
+func (e *explained) add(upstream string, at time.Time, repeated bool) {
 	if slices.Contains(e.upstreams, upstream) {
 		return
 	}
-	if !later && len(e.upstreams) > 0 && at.Before(e.last.Add(minCrashInterval)) {
+	if !repeated && len(e.upstreams) > 0 && at.Before(e.last.Add(minCrashInterval)) {
 		return
 	}
 	e.upstreams = append(e.upstreams, upstream)
@@ -83,7 +83,7 @@
 			continue
 		}
 		request := e.requests[fingerprint]
-		request.explain(crash.Upstream, crash.At, crash.Repeated)
+		request.add(crash.Upstream, crash.At, crash.Repeated)
 		e.requests[fingerprint] = request
 	}
 	for fingerprint, request := range e.requests {
@@ -136,7 +136,7 @@
 		}
 		last = later(last, crash.At)
 		if len(shared) == len(parts) {
-			byParts.explain(crash, requests.causes[crash.Upstream])
+			byParts.addCrash(crash, requests.causes[crash.Upstream])
 		}
 	}
 	if byParts.quarantined() {
@@ -157,14 +157,10 @@
 	requests []string
 }
 
-// explain counts a crash. Those with the same quarantined request as their cause count as
+// addCrash counts a crash. Those with the same quarantined request as their cause count as
 // one, since the request explains them without its parts.
-func (p *partsEvidence) explain(crash *knownCrash, cause string) {
-	by := crash.Upstream
-	if cause != "" {
-		by = cause
-	}
-	p.explained.explain(by, crash.At, false)
+func (p *partsEvidence) addCrash(crash *knownCrash, cause string) {
+	p.add(cmp.Or(cause, crash.Upstream), crash.At, false)
 	p.requests = union(p.requests, []string{cmp.Or(crash.suspectedRequest(), crash.Upstream)})
 }
 
