fix(forwarder): ask an engine who it is before a stream continues there

What callers would see: a stream joined from two software versions, where an upstream has started again under its ID with other software and the platform's list does not show it yet.

Cause: the version of an upstream is that of the list, which lags; a request names the ID of the upstream that it expects, which the new start bears, too.

Change: before a stream continues, the engine's report is read, as it tells the start. Another incarnation, or no report within 0.3 s, counts as not reached.

Evidence: without the change TestStreamDoesNotGoOnAtAnEngineThatStartedAgainUnderItsName fails in all three cases (a joined stream in two).

--- a/forwarder/errors.go
+++ b/forwarder/errors.go
@@ -87,6 +87,13 @@
 // Error implements error.
 func (e *PartialEventError) Error() string { return "the stream ended in the middle of an event" }
 
+// IncarnationError is returned if another incarnation of an upstream answers than the one
+// that was chosen.
+type IncarnationError struct{ Want, Got string }
+
+// Error returns both incarnations.
+func (e *IncarnationError) Error() string { return e.Got + " answers in place of " + e.Want }
+
 // EmptyStreamError is returned if a connection ended after the header of a stream, and
 // nothing shows that the stream was complete.
 type EmptyStreamError struct{}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -379,6 +379,9 @@
 	path := x.r.RequestURI
 	sentAt := x.grant.Started
 	x.rateLimit = x.Upstreams.Limit(choice)
+	if err := x.identify(ctx, choice); err != nil {
+		return x.handleSendError(ctx, err)
+	}
 	response, err := x.Calls.Send(ctx, dispatcher.Call{
 		Address:    choice.Address,
 		Method:     x.r.Method,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -85,7 +85,11 @@
 	// of this forwarder alone.
 	Quarantine *quarantiner.Quarantiner
 	// Streams is nil if the software of upstreams does not differ.
-	Streams  Streams
+	Streams Streams
+	// Identify returns the incarnation that an engine reports at the address of a choice.
+	// The engine may have started again, with other software, since the choice was listed.
+	// Nil means that this can't happen.
+	Identify func(ctx context.Context, choice router.Choice) (string, error)
 	Reporter *reporter.Reporter
 	Log      *zap.Logger
 }
--- a/forwarder/origin.go
+++ b/forwarder/origin.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"slices"
+	"time"
 
+	"burdocklink/dispatcher"
 	"burdocklink/linker"
 	"burdocklink/matcher"
 	"burdocklink/router"
@@ -26,6 +28,27 @@
 	return nil
 }
 
+// identifyTimeout bounds the wait for an engine's report before a stream continues there.
+const identifyTimeout = 300 * time.Millisecond
+
+// identify returns a *dispatcher.NotSentError if a stream is to continue at an engine that
+// is not the incarnation chosen.
+func (x *exchange) identify(ctx context.Context, choice router.Choice) error {
+	if x.Identify == nil || x.origin.IsZero() || x.table.Configuration.Services[x.service].Engine == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	incarnation, err := x.Identify(ctx, choice)
+	if err == nil && incarnation != choice.Incarnation {
+		err = &IncarnationError{Want: choice.Incarnation, Got: incarnation}
+	}
+	if err != nil {
+		return &dispatcher.NotSentError{Address: choice.Address, Cause: err}
+	}
+	return nil
+}
+
 // servicesOf returns the services of a route that get requests.
 func servicesOf(route *matcher.Route) []string {
 	var services []string
--- a/forwarder/origin_test.go
+++ b/forwarder/origin_test.go
@@ -115,3 +115,36 @@
 		})
 	}
 }
+
+func TestStreamDoesNotGoOnAtAnEngineThatStartedAgainUnderItsName(t *testing.T) {
+	cases := map[string]struct {
+		incarnation string
+		err         error
+		next        int
+	}{
+		"as listed":       {"u2@1", nil, 2},
+		"started again":   {"u2@2", nil, 3},
+		"does not report": {"", context.DeadlineExceeded, 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 3},
+				events(1, 2, false), events(1, 5, true), events(1, 5, true))
+			r.admission.software = map[string]string{"u1": "v1", "u2": "v1", "u3": "v1"}
+			var asked []string
+			r.forwarder.Identify = func(_ context.Context, choice router.Choice) (string, error) {
+				asked = append(asked, choice.Upstream)
+				if choice.Upstream == "u2" {
+					return c.incarnation, c.err
+				}
+				return choice.Incarnation, nil
+			}
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 5))
+			assert.Equal(t, r.admission.next, c.next)
+			assert.Equal(t, r.runs.Load(), int32(2))
+			assert.Equal(t, asked[0], "u2")
+		})
+	}
+}
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -83,6 +83,7 @@
 	admission     *admitter.Admitter
 	calls         *dispatcher.Dispatcher
 	observations  *observer.Observer
+	platform      *platform.Client
 	links         *linker.Linker
 	broadcasts    *broadcaster.Broadcaster
 	holders       *seeker.Seeker
@@ -112,8 +113,9 @@
 		Log:      settings.Log,
 	})
 	p.links = linker.New(nil, linker.NewMeter(p.metrics.Registry()))
+	p.platform = platform.NewClient(settings.List.Address, p.calls)
 	p.upstreams = surveyor.New(surveyor.Settings{
-		FetchPage: platform.NewClient(settings.List.Address, p.calls).FetchList,
+		FetchPage: p.platform.FetchList,
 		AskPeer:   p.askPeer,
 		Interval:  listInterval(settings.Bounds.Drain),
 		Notify:    p.notify,
@@ -203,6 +205,12 @@
 	})
 }
 
+// identify returns the incarnation that an engine reports at the address of a choice.
+func (p *entryParts) identify(ctx context.Context, choice router.Choice) (string, error) {
+	report, err := p.platform.Report(ctx, surveyor.Upstream{Name: choice.Upstream, Address: choice.Address})
+	return report.Incarnation, err
+}
+
 // initDelegation sets up the delegation of admission: if there are many entries, the
 // requests for a model are admitted by one of them.
 func (p *entryParts) initDelegation(leader func() string) {
@@ -234,6 +242,7 @@
 		Calls:            p.calls,
 		Quarantine:       p.quarantine,
 		Streams:          p.streams,
+		Identify:         p.identify,
 		Reporter:         p.metrics,
 		Log:              p.settings.Log,
 	})
