refactor(verifier,authenticator): an index of keys by digest that others can use

Keys of organisations come with the configuration, and those of the product's own interface from a file. Behaviour is unchanged; the tests of authenticator pass as they are.

--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -5,8 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"os"
 	"sync/atomic"
 	"time"
@@ -15,6 +13,7 @@
 
 	"burdocklink/encoder"
 	"burdocklink/registrar"
+	"burdocklink/verifier"
 )
 
 // Settings are the settings of an authenticator.
@@ -38,16 +37,8 @@
 	stopped  chan struct{}
 }
 
-// keys groups the keys by the first two bytes of their hashes, so that few are
-// compared per request.
-type keys struct {
-	groups map[[2]byte][]keyEntry
-}
-
-type keyEntry struct {
-	sum      digest
-	identity Identity
-}
+// keys maps the keys of a file to their owners.
+type keys = verifier.Index[Identity]
 
 // New returns an authenticator with the keys of its file. The error is that of
 // Reload.
@@ -89,16 +80,8 @@
 	if key == "" {
 		return Identity{}, &MissingKeyError{}
 	}
-	sum := sha256.Sum256([]byte(key))
-	var owner Identity
-	found := 0
-	for _, candidate := range a.keys.Load().groups[[2]byte(sum[:2])] {
-		if subtle.ConstantTimeCompare(candidate.sum[:], sum[:]) == 1 {
-			owner = candidate.identity
-			found++
-		}
-	}
-	if found == 0 {
+	owner, found := a.keys.Load().Find(key)
+	if !found {
 		return Identity{}, &UnknownKeyError{}
 	}
 	return owner, nil
@@ -144,34 +127,29 @@
 	if err != nil {
 		return nil, err
 	}
-	parsed := &keys{groups: map[[2]byte][]keyEntry{}}
-	seen := map[digest]bool{}
+	parsed := verifier.New[Identity]()
 	for i, line := range file.Keys {
-		added, err := parseLine(line)
-		if err == nil && seen[added.sum] {
-			err = &DuplicateKeyError{}
+		sum, identity, err := parseLine(line)
+		if err == nil {
+			if _, added := parsed.Add(sum, identity); !added {
+				err = &DuplicateKeyError{}
+			}
 		}
 		if err != nil {
 			return nil, &LineError{Line: i + 1, Cause: err}
 		}
-		seen[added.sum] = true
-		group := [2]byte(added.sum[:2])
-		parsed.groups[group] = append(parsed.groups[group], added)
 	}
 	return parsed, nil
 }
 
-func parseLine(line encoder.KeyLine) (keyEntry, error) {
+func parseLine(line encoder.KeyLine) (verifier.Digest, Identity, error) {
 	if line.Name == "" {
-		return keyEntry{}, &EmptyNameError{}
+		return verifier.Digest{}, Identity{}, &EmptyNameError{}
 	}
 	role, err := ParseRole(line.Role)
 	if err != nil {
-		return keyEntry{}, err
+		return verifier.Digest{}, Identity{}, err
 	}
 	sum, err := parseHash(line.Hash)
-	if err != nil {
-		return keyEntry{}, err
-	}
-	return keyEntry{sum: sum, identity: Identity{Name: line.Name, Role: role}}, nil
+	return sum, Identity{Name: line.Name, Role: role}, err
 }
--- a/authenticator/key.go
+++ b/authenticator/key.go
@@ -2,12 +2,12 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
 	"strings"
 
 	"burdocklink/encoder"
+	"burdocklink/verifier"
 )
 
 // Role determines what the owner of a key may do.
@@ -62,8 +62,6 @@
 	keyBytes   = 32
 )
 
-type digest [sha256.Size]byte
-
 // NewKey returns a random key. Only its hash is stored.
 func NewKey() string {
 	var secret [keyBytes]byte
@@ -73,7 +71,7 @@
 
 // Hash returns the hash of a key as the keys file stores it.
 func Hash(key string) string {
-	sum := sha256.Sum256([]byte(key))
+	sum := verifier.Sum(key)
 	return hashPrefix + hex.EncodeToString(sum[:])
 }
 
@@ -105,15 +103,15 @@
 	return written, nil
 }
 
-func parseHash(word string) (digest, error) {
-	var sum digest
+func parseHash(word string) (verifier.Digest, error) {
+	var sum verifier.Digest
 	text, ok := strings.CutPrefix(word, hashPrefix)
 	if !ok {
-		return digest{}, &MalformedHashError{}
+		return verifier.Digest{}, &MalformedHashError{}
 	}
 	raw, err := hex.DecodeString(text)
 	if err != nil || len(raw) != len(sum) {
-		return digest{}, &MalformedHashError{}
+		return verifier.Digest{}, &MalformedHashError{}
 	}
 	copy(sum[:], raw)
 	return sum, nil
