--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -6,7 +6,6 @@
 package throttler
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -22,10 +21,6 @@
 	// maxReserveCallsPerSecond bounds the calls of Reserve by all entries together. A
 	// call takes a leader about 100 µs, so that this is a hundredth of a core.
 	maxReserveCallsPerSecond = 100
-	// entryTTL is how long an entry counts as active after its last call;
-	// pruneInterval is the time between two removals of inactive ones.
-	entryTTL      = time.Second
-	pruneInterval = 100 * time.Millisecond
 	// minPause is the shortest pause between two calls by an entry.
 	minPause = 20 * time.Millisecond
 	// endedLimitPause is the delay before the retry of a request under a limit that
@@ -74,10 +69,8 @@
 	term       uint64
 	firstDueAt time.Time
 	limits     map[incarnation]*limit
-	// lastCalls is when each entry last called Reserve. Entries that were inactive at
-	// prunedAt have been removed.
-	lastCalls map[string]time.Time
-	prunedAt  time.Time
+	// pace spreads the calls of Reserve.
+	pace *limiter.Pace
 }
 
 // New returns a throttler without limits.
@@ -89,8 +82,8 @@
 		observed: surveyor.NewChangelog(func(a, b router.ObservedLimit) bool {
 			return a.RateLimit == b.RateLimit
 		}),
-		limits:    map[incarnation]*limit{},
-		lastCalls: map[string]time.Time{},
+		limits: map[incarnation]*limit{},
+		pace:   limiter.NewPace(maxReserveCallsPerSecond, minPause),
 	}
 }
 
@@ -116,7 +109,7 @@
 			reservations = append(reservations, t.schedule(now, lim, request))
 		}
 	}
-	return reservations, t.pause(now, entry), true
+	return reservations, t.pace.Pause(now, entry), true
 }
 
 // ObserveAnswer records the limit in the answer to a request of this member, or its
@@ -222,17 +215,6 @@
 	return reservation
 }
 
-// pause returns the time until an entry may call again, which grows with the number
-// of active entries. The mutex must be held.
-func (t *Throttler) pause(now time.Time, entry string) time.Duration {
-	t.lastCalls[entry] = now
-	if now.Sub(t.prunedAt) >= pruneInterval {
-		t.prunedAt = now
-		maps.DeleteFunc(t.lastCalls, func(_ string, at time.Time) bool { return now.Sub(at) > entryTTL })
-	}
-	return max(minPause, time.Duration(len(t.lastCalls))*time.Second/maxReserveCallsPerSecond)
-}
-
 // evict makes room for one more limit. The mutex must be held.
 func (t *Throttler) evict(now time.Time) {
 	if len(t.limits) < maxLimits {
