feat(admitter): fair shares between organisations, by their quotas

A hot organisation yields where room is short: it is above 1.5 times what its weight gives it by the others' use. The rule for subscribers, three times the mean over 30 s, would judge the large organisations by nature.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -26,7 +26,7 @@
 	waiting      []*Ticket
 	demand       *demandCounter
 	retryBudgets retryBudgets
-	shares       *shares
+	shares       fairShares
 	grantRate    grantRate
 	retryTimes   retryTimes
 	drainRates   drainRates
@@ -52,7 +52,7 @@
 		router:       router,
 		demand:       newDemandCounter(now),
 		retryBudgets: newRetryBudgets(limiter.DefaultBudget()),
-		shares:       newShares(maxTracked),
+		shares:       newFairShares(),
 		groups:       map[requestKind]int{},
 		retryTimes:   retryTimes{},
 		drainRates:   drainRates{},
@@ -216,7 +216,7 @@
 		q.decide(Decision{Ticket: t, Err: q.retryRefusal(now, t)})
 		return
 	}
-	t.request.Route.OverFairShare = q.shares.overFairShare(now, t.request.Subscriber)
+	t.request.Route.OverFairShare = q.shares.over(now, &t.request)
 	if q.tryGrant(now, t) {
 		return
 	}
@@ -377,7 +377,7 @@
 	choice.PermitExpiresAt = q.router.Started(choice, &t.request.Route, now)
 	q.drainRates.countGrant(drainRateKey(&t.request), now)
 	q.grantRate.record(now)
-	q.shares.add(now, t.request.Subscriber, cost(&t.request))
+	q.shares.add(now, &t.request)
 	q.decide(Decision{Ticket: t, Grant: &Grant{
 		Choice:   choice,
 		Priority: priority(t.request.Class),
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -15,7 +15,10 @@
 // Request asks for an upstream.
 type Request struct {
 	Subscriber string
-	Class      classifier.Class
+	// Weight is the part of the room that the subscriber is entitled to, relative to
+	// others; zero if all are entitled to the same.
+	Weight float64
+	Class  classifier.Class
 	// Rank is the importance of the route as configured by operators; 0 is the
 	// highest.
 	Rank int
--- a/admitter/shares_test.go
+++ b/admitter/shares_test.go
@@ -38,9 +38,9 @@
 	t.Helper()
 	q, _ := newTestQueue(t, 4)
 	for i := range 40 {
-		q.shares.add(epoch, fmt.Sprintf("light-%d", i), 200)
+		q.shares.subscribers.add(epoch, fmt.Sprintf("light-%d", i), 200)
 	}
-	q.shares.add(epoch, "heavy", 1e6)
+	q.shares.subscribers.add(epoch, "heavy", 1e6)
 	return q, saturate(q, epoch.Add(time.Second))
 }
 
@@ -68,10 +68,10 @@
 func TestHeavySubscriberMayUseAnIdleFleet(t *testing.T) {
 	q, _ := newTestQueue(t, 4)
 	for i := range 40 {
-		q.shares.add(epoch, fmt.Sprintf("light-%d", i), 200)
+		q.shares.subscribers.add(epoch, fmt.Sprintf("light-%d", i), 200)
 	}
-	q.shares.add(epoch, "heavy", 1e6)
-	assert.Assert(t, q.shares.overFairShare(epoch, "heavy"))
+	q.shares.subscribers.add(epoch, "heavy", 1e6)
+	assert.Assert(t, q.shares.subscribers.overFairShare(epoch, "heavy"))
 	for range 4 {
 		q.Arrive(epoch, requestAt(epoch, "heavy"))
 	}
--- a/encoder/admission.go
+++ b/encoder/admission.go
@@ -28,6 +28,7 @@
 	route := &request.Route
 	message := &wire.AdmitRequest{
 		Subscriber: request.Subscriber,
+		Weight:     request.Weight,
 		Class: &wire.AdmitClass{
 			Name: request.Class.Name, RepeatForbidden: request.Class.RepeatForbidden,
 			FirstToken:    request.Class.Target.FirstToken.Microseconds(),
@@ -58,6 +59,7 @@
 	class := message.GetClass()
 	request := admitter.Request{
 		Subscriber: message.GetSubscriber(),
+		Weight:     clampUnits(message.GetWeight()),
 		Class: classifier.Class{
 			Name: class.GetName(), RepeatForbidden: class.GetRepeatForbidden(),
 			Target: classifier.Target{
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -346,6 +346,7 @@
 func (x *exchange) admission() admitter.Request {
 	request := admitter.Request{
 		Subscriber: x.subscriber(),
+		Weight:     x.weight(),
 
 		Class:    x.class,
 		Rank:     x.rank(),
--- a/forwarder/organisation.go
+++ b/forwarder/organisation.go
@@ -99,6 +99,15 @@
 	return x.organisation.Name
 }
 
+// weight returns the part of the room that the caller's organisation is entitled to,
+// relative to others: its quota. It is zero without one.
+func (x *exchange) weight() float64 {
+	if x.organisation == nil {
+		return 0
+	}
+	return x.organisation.Quota.PerSecond
+}
+
 // targetFraction is the fraction of the target that a request may wait for a quota that is
 // used up. The rest is for its answer.
 const targetFraction = 0.5
