fix(allocator): models in great demand get more than eight holders

Cause: a plan distributed the demand of a model in eight parts, each to the least utilised holder. A model that needs 20 engines then reaches eight holders at most; a ninth gains nothing, and the other models on these eight look overloaded and get copies instead.

The number of parts follows the demand; up to four fully utilised engines it is eight as before, so that small fleets are planned as before. Ruled out: the store's rate (not used up after 7 s) and busy engines (37 options were left at 8.5 s, all at a loss).

--- a/allocator/balance.go
+++ b/allocator/balance.go
@@ -16,9 +16,20 @@
 	shares map[string]map[string]float64
 }
 
-// distributionSteps is the number of equal parts of a model's demand, each of
-// which goes to the least utilised holder.
-const distributionSteps = 8
+const (
+	// minParts and maxParts bound the number of equal parts of a model's demand, each of
+	// which goes to the least utilised holder.
+	minParts = 8
+	maxParts = 128
+	// maxPart is the largest part, in fully utilised engines. With larger ones a model in
+	// great demand reaches no more holders than it has parts, and more copies seem useless.
+	maxPart = 0.5
+)
+
+// parts returns the number of parts of a demand.
+func parts(demand float64) int {
+	return max(minParts, int(math.Ceil(min(demand/maxPart, maxParts))))
+}
 
 // balance distributes the demand of each model over its holders.
 func (v *View) balance(holders map[string][]string) distribution {
@@ -33,9 +44,15 @@
 		}
 	}
 	models := v.fewestHoldersFirst(holders)
-	for range distributionSteps {
+	for round := range maxParts {
+		distributed := true
 		for _, model := range models {
-			demand := v.Models[model].Demand / distributionSteps
+			count := parts(v.Models[model].Demand)
+			if round >= count {
+				continue
+			}
+			distributed = false
+			demand := v.Models[model].Demand / float64(count)
 			least := d.leastUtilised(holders[model], demand)
 			part := v.Engines[least].utilisation(demand)
 			d.utilisation[least] += part
@@ -44,6 +61,9 @@
 			}
 			d.shares[model][least] += part
 		}
+		if distributed {
+			break
+		}
 	}
 	return d
 }
@@ -119,8 +139,9 @@
 	for _, name := range holders {
 		r.add(name, 0)
 	}
-	demand := model.Demand / distributionSteps
-	for range distributionSteps {
+	count := parts(model.Demand)
+	demand := model.Demand / float64(count)
+	for range count {
 		least := r.after.leastUtilised(holders, demand)
 		r.add(least, r.after.view.Engines[least].utilisation(demand))
 	}
