feat(listener,budgeter,forwarder): clients that don't behave stay within the memory of the VM

Cause: bodies were read whole with io.ReadAll before the request's time counted, without a bound for the process; nothing bounded connections, headers of many fields, or the time in which an answer is read. Measured before: 48 bodies of 4 MiB less a byte took 320 to 356 MB of heap, 200 headers of short fields 231 MB, on VMs of 144 MB.

A budget from the VM's memory covers headers and bodies. Buffers grow with what has arrived; once the budget is used up, the slowest bodies are given up, and large bodies leave a quarter to small ones. Connections are bounded per process and per source; those without a request make way. An answer must be read at a rate, not within a time. The probers', the operators' and the internal ports get the same bounds or fixed ones.

--- a/burdocklink-node/main.go
+++ b/burdocklink-node/main.go
@@ -42,9 +42,10 @@
 	// of a large fleet is a few megabytes, and at the default it would be
 	// collected several times a second.
 	controlGCPercent = 400
-	// memoryLimitBytes is the runtime's soft memory limit, above which it collects
-	// sooner. It is below the memory of the smallest VMs.
-	memoryLimitBytes = 120 << 20
+	// memoryLimitBytes is the highest soft memory limit of the runtime, above which it
+	// collects sooner, and memoryLimitFraction the part of the VM's memory that it may be.
+	memoryLimitBytes    = 120 << 20
+	memoryLimitFraction = 0.75
 )
 
 func run(arguments []string) int {
@@ -72,14 +73,23 @@
 	for _, each := range roles {
 		if each.command.Used {
 			debug.SetGCPercent(each.gcPercent)
-			debug.SetMemoryLimit(memoryLimitBytes)
-			return start(launcher.Node{Path: path, Assemble: each.assemble, CheckOnly: check}, minLevel)
+			return start(launcher.Node{Path: path, Assemble: each.limited, CheckOnly: check}, minLevel)
 		}
 	}
 	parser.ShowHelp()
 	return exitUsage
 }
 
+// limited assembles a node whose runtime keeps within the memory of the VM.
+func (r role) limited(settings provisioner.Settings) (*provisioner.Node, error) {
+	limit := int64(memoryLimitBytes)
+	if settings.MemoryBytes > 0 {
+		limit = min(limit, int64(memoryLimitFraction*float64(settings.MemoryBytes)))
+	}
+	debug.SetMemoryLimit(limit)
+	return r.assemble(settings)
+}
+
 func subcommand(name, usage string) *flaggy.Subcommand {
 	command := flaggy.NewSubcommand(name)
 	command.Description = usage
--- a/configurator/configurator.go
+++ b/configurator/configurator.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -13,9 +12,11 @@
 	"go.uber.org/zap"
 
 	"burdocklink/applier"
+	"burdocklink/budgeter"
 	"burdocklink/cataloger"
 	"burdocklink/conductor"
 	"burdocklink/linker"
+	"burdocklink/listener"
 	"burdocklink/matcher"
 	"burdocklink/registrar"
 )
@@ -61,6 +62,11 @@
 	// headerTimeout and idleTimeout bound the connections of operators.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
+	readTimeout   = 20 * time.Second
+	// maxConnections bounds the connections of operators, and bodyMemory the memory of
+	// configurations that arrive.
+	maxConnections = 128
+	bodyMemory     = 48 << 20
 	// leaderPollInterval is how often a member that knows no leader checks for one.
 	leaderPollInterval = 50 * time.Millisecond
 )
@@ -73,17 +79,21 @@
 type Configurator struct {
 	settings Settings
 	server   *http.Server
+	// bodies is the memory of requests.
+	bodies *budgeter.Budget
 	// decodeSlots has an element for each configuration that is being decoded.
 	decodeSlots chan struct{}
 }
 
 // New returns a configurator that has not been started.
 func New(settings Settings) *Configurator {
-	c := &Configurator{settings: settings, decodeSlots: make(chan struct{}, maxConcurrentDecodes)}
+	c := &Configurator{
+		settings: settings, decodeSlots: make(chan struct{}, maxConcurrentDecodes), bodies: budgeter.New(bodyMemory),
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+settings.Codec.PathPut, c.put)
 	mux.HandleFunc("GET "+settings.Codec.PathGet, c.get)
-	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	c.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	return c
 }
 
@@ -92,16 +102,18 @@
 
 // Start listens and serves calls.
 func (c *Configurator) Start(context.Context, *registrar.Registrar) error {
-	listener, err := linker.Listen(c.settings.Listen)
+	accepted, err := linker.Listen(c.settings.Listen)
 	if err != nil {
 		return err
 	}
-	go c.run(listener)
+	guarded := listener.New(accepted, listener.Settings{Connections: maxConnections, Budget: c.bodies, Log: c.settings.Log})
+	c.server.ConnState = guarded.Track
+	go c.run(guarded)
 	return nil
 }
 
-func (c *Configurator) run(listener net.Listener) {
-	if err := c.server.Serve(listener); err != http.ErrServerClosed {
+func (c *Configurator) run(accepted net.Listener) {
+	if err := c.server.Serve(accepted); err != http.ErrServerClosed {
 		c.settings.Log.Error("API listener failed", zap.Error(err))
 	}
 }
@@ -115,11 +127,16 @@
 
 // put stores a configuration.
 func (c *Configurator) put(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	control := http.NewResponseController(w)
+	memory := c.bodies.Open(time.Now(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	defer memory.Release()
+	data, err := memory.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength)
 	if err != nil {
-		c.fail(w, "configuration refused", http.StatusBadRequest, err)
+		c.failBody(w, err)
 		return
 	}
+	// the server watches the connection for its end from here on
+	_ = control.SetReadDeadline(time.Time{})
 	if c.redirect(w, r) {
 		return
 	}
@@ -146,6 +163,19 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// failBody answers a call whose body could not be read. One that found no memory may be
+// sent again.
+func (c *Configurator) failBody(w http.ResponseWriter, err error) {
+	var full *budgeter.FullError
+	var evicted *budgeter.EvictedError
+	if errors.As(err, &full) || errors.As(err, &evicted) {
+		w.Header().Set("Connection", "close")
+		c.fail(w, "configuration not read", http.StatusServiceUnavailable, err)
+		return
+	}
+	c.fail(w, "configuration refused", http.StatusBadRequest, err)
+}
+
 // decode validates a configuration and packs it for the log. It returns
 // *InvalidError if the configuration is invalid, and *BusyError if no decode slot
 // became free in time.
--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -5,13 +5,15 @@
 	"sync/atomic"
 )
 
-// maxBufferedBytes is the limit for the whole answers that an entry buffers at the same
-// time. Growing buffers take up to three times as much, upstreams may send without end,
-// and the smallest entry VM has 184 MB.
-const maxBufferedBytes = 32 << 20
-
-// bufferedBytes counts the bytes of answers that an entry buffers.
-type bufferedBytes struct{ bytes atomic.Int64 }
+// defaultAnswerBytes is the limit for the whole answers that an entry buffers at the same
+// time. Growing buffers take up to three times as much, and upstreams may send without end.
+const defaultAnswerBytes = 32 << 20
+
+// bufferedBytes counts the bytes of answers that an entry buffers, up to a limit.
+type bufferedBytes struct {
+	bytes atomic.Int64
+	limit int64
+}
 
 // BufferLimitError is returned if the buffered answers exceed Limit, in bytes.
 type BufferLimitError struct{ Limit int64 }
@@ -30,10 +32,10 @@
 func (r *limitedReader) Read(into []byte) (int, error) {
 	n, err := r.source.Read(into)
 	*r.own += int64(n)
-	if r.total.bytes.Add(int64(n)) > maxBufferedBytes {
+	if r.total.bytes.Add(int64(n)) > r.total.limit {
 		r.total.bytes.Add(-*r.own)
 		*r.own = 0
-		return n, &BufferLimitError{Limit: maxBufferedBytes}
+		return n, &BufferLimitError{Limit: r.total.limit}
 	}
 	return n, err
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -11,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/admitter"
+	"burdocklink/budgeter"
 	"burdocklink/charger"
 	"burdocklink/chooser"
 	"burdocklink/classifier"
@@ -43,6 +43,10 @@
 	// charge is what the request uses of the organisation's quota; nil for nothing.
 	charge *charger.Charge
 	body   []byte
+	// memory is that of the body; nil if none was read. bodyRead is true once the whole
+	// body has been read.
+	memory   *budgeter.Body
+	bodyRead bool
 	// deadline is the caller's deadline or the route's timeout, whichever is earlier.
 	deadline time.Time
 	attempts attempts
@@ -197,24 +201,6 @@
 	return class
 }
 
-func (x *exchange) readBody() error {
-	limit := x.table.Configuration.Limits.BodyBytes
-	from := io.Reader(x.r.Body)
-	if limit > 0 {
-		from = http.MaxBytesReader(x.w, x.r.Body, limit)
-	}
-	body, err := io.ReadAll(from)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &BodyTooLargeError{Limit: limit}
-	}
-	if err != nil {
-		return &BodyError{Cause: err}
-	}
-	x.body = body
-	return nil
-}
-
 // forward sends the request to one upstream after another until one answers or no
 // further attempt is allowed.
 func (x *exchange) forward(ctx context.Context) error {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,10 +12,12 @@
 	"go.uber.org/zap"
 
 	"burdocklink/admitter"
+	"burdocklink/budgeter"
 	"burdocklink/charger"
 	"burdocklink/chooser"
 	"burdocklink/dispatcher"
 	"burdocklink/linker"
+	"burdocklink/listener"
 	"burdocklink/matcher"
 	"burdocklink/quarantiner"
 	"burdocklink/registrar"
@@ -82,7 +83,14 @@
 	AvailabilityZone string
 	// Linger is how long the listener stays open after readiness fails.
 	Linger time.Duration
-	Codec  Codec
+	// Connections is the maximum number of callers' connections; zero means
+	// listener.DefaultConnections.
+	Connections int
+	// BodyBytes and AnswerBytes bound the memory for headers and bodies of requests, and
+	// for whole answers; zero means 32 MiB each.
+	BodyBytes   int64
+	AnswerBytes int64
+	Codec       Codec
 	// Table returns the routes in force; nil before there are any.
 	Table     func() *matcher.Table
 	Ready     func() error
@@ -116,14 +124,18 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 64 << 10
+	// defaultBodyBytes bounds the memory for headers and bodies of requests.
+	defaultBodyBytes = 32 << 20
 )
 
 // Forwarder serves callers.
 type Forwarder struct {
 	Config
 	server   *http.Server
-	listener net.Listener
+	listener *listener.Listener
 	draining atomic.Bool
+	// bodies is the memory for headers and bodies of requests.
+	bodies   *budgeter.Budget
 	buffered bufferedBytes
 	// admitCtx ends when waiting requests are to be refused.
 	admitCtx      context.Context
@@ -135,7 +147,15 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantiner.New(quarantiner.Settings{Log: config.Log})
 	}
-	f := &Forwarder{Config: config}
+	if config.BodyBytes <= 0 {
+		config.BodyBytes = defaultBodyBytes
+	}
+	if config.AnswerBytes <= 0 {
+		config.AnswerBytes = defaultAnswerBytes
+	}
+	f := &Forwarder{
+		Config: config, bodies: budgeter.New(config.BodyBytes), buffered: bufferedBytes{limit: config.AnswerBytes},
+	}
 	f.admitCtx, f.refuseWaiting = context.WithCancelCause(context.Background())
 	return f
 }
@@ -148,13 +168,16 @@
 
 // Start opens the listener and serves.
 func (f *Forwarder) Start(context.Context, *registrar.Registrar) error {
-	listener, err := linker.Listen(f.Listen)
+	accepted, err := linker.Listen(f.Listen)
 	if err != nil {
 		return err
 	}
-	f.listener = listener
+	f.listener = listener.New(accepted, listener.Settings{
+		Connections: f.Connections, Budget: f.bodies, Registry: f.Reporter.Registry(), Log: f.Log,
+	})
 	f.server = &http.Server{
 		Handler:           f,
+		ConnState:         f.listener.Track,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -174,6 +197,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(f, w, r)
 	defer x.releaseBuffer()
+	defer x.releaseBody()
 	defer x.endPass()
 	defer x.returnCharge()
 	// guards against request smuggling: bytes after a chunked body could be read as a
--- a/forwarder/refuse.go
+++ b/forwarder/refuse.go
@@ -46,6 +46,7 @@
 		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	header.Set("Content-Length", "0")
+	x.endUnreadBody(err)
 	x.w.WriteHeader(x.status)
 }
 
@@ -89,7 +90,10 @@
 	var overQuota *charger.QuotaError
 	var quotaUnavailable *charger.UnavailableError
 	var unconfirmedKey *UnconfirmedKeyError
+	var bodyMemory *BodyMemoryError
 	switch {
+	case errors.As(err, &bodyMemory):
+		return bodyMemory.RetryAt
 	case errors.As(err, &overQuota):
 		return overQuota.RetryAt
 	case errors.As(err, &quotaUnavailable):
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -21,6 +21,16 @@
 	maxMessageBytes = 64 << 20
 )
 
+// Limits for clients that are no processes of the system.
+const (
+	// HandshakeTimeout bounds the time until a connection speaks the protocol.
+	HandshakeTimeout = 5 * time.Second
+	// MaxStreams bounds the calls in flight on one connection.
+	MaxStreams = 1000
+	// MaxHeaderListBytes bounds the header of a call.
+	MaxHeaderListBytes = 16 << 10
+)
+
 // Backoff between attempts to connect. A process must be reconnected within a fraction of
 // a second after its restart or after the end of a partition.
 const (
@@ -47,6 +57,9 @@
 	return []grpc.ServerOption{
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
+		grpc.ConnectionTimeout(HandshakeTimeout),
+		grpc.MaxConcurrentStreams(MaxStreams),
+		grpc.MaxHeaderListSize(MaxHeaderListBytes),
 	}
 }
 
--- a/messenger/dial.go
+++ b/messenger/dial.go
@@ -20,6 +20,9 @@
 	return []grpc.ServerOption{
 		grpc.StaticStreamWindowSize(windowBytes),
 		grpc.StaticConnWindowSize(windowBytes),
+		grpc.ConnectionTimeout(linker.HandshakeTimeout),
+		grpc.MaxConcurrentStreams(linker.MaxStreams),
+		grpc.MaxHeaderListSize(linker.MaxHeaderListBytes),
 	}
 }
 
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -3,13 +3,14 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"burdocklink/budgeter"
 	"burdocklink/linker"
+	"burdocklink/listener"
 	"burdocklink/registrar"
 	"burdocklink/reporter"
 )
@@ -17,10 +18,15 @@
 // Name is the service name in the kernel.
 const Name = "prober"
 
-// Timeouts of a request.
+// Limits of requests. Bodies are not read.
 const (
-	headerTimeout = 5 * time.Second
-	writeTimeout  = 20 * time.Second
+	readTimeout    = 5 * time.Second
+	writeTimeout   = 20 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 16 << 10
+	// maxConnections and maxHeaderMemory bound the connections of a process's probers.
+	maxConnections  = 128
+	maxHeaderMemory = 4 << 20
 )
 
 // Settings hold the configuration and dependencies of a Prober.
@@ -39,7 +45,7 @@
 type Prober struct {
 	settings Settings
 	server   *http.Server
-	listener net.Listener
+	listener *listener.Listener
 }
 
 // New returns a Prober that has not been started.
@@ -52,7 +58,10 @@
 	if settings.ReadyPath != "" {
 		mux.HandleFunc("GET "+settings.ReadyPath, p.answerReady)
 	}
-	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout}
+	p.server = &http.Server{
+		Handler: mux, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
 	return p
 }
 
@@ -64,11 +73,14 @@
 
 // Start opens the listener and begins to serve.
 func (p *Prober) Start(context.Context, *registrar.Registrar) error {
-	listener, err := linker.Listen(p.settings.Listen)
+	accepted, err := linker.Listen(p.settings.Listen)
 	if err != nil {
 		return err
 	}
-	p.listener = listener
+	p.listener = listener.New(accepted, listener.Settings{
+		Connections: maxConnections, Budget: budgeter.New(maxHeaderMemory), Log: p.settings.Log,
+	})
+	p.server.ConnState = p.listener.Track
 	go p.run()
 	return nil
 }
--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -221,6 +221,10 @@
 	hosts          map[string]string
 	// models are the engines' models in the JSON format of the configuration.
 	models string
+	// bodyBytes is the limit of bodies in the configuration.
+	bodyBytes int
+	// memoryMb is the memory of each VM.
+	memoryMb int
 	// subnet separates the addresses of sites that run at the same time.
 	subnet int
 }
@@ -236,7 +240,7 @@
 
 func newPlatformSite(t *testing.T) *platformSite {
 	t.Helper()
-	s := &platformSite{t: t, root: t.TempDir(), nodes: map[string]*process{}, hosts: map[string]string{}}
+	s := &platformSite{t: t, root: t.TempDir(), nodes: map[string]*process{}, hosts: map[string]string{}, bodyBytes: 1000, memoryMb: 284}
 	s.models = `{"name":"m1","weightsMb":70,"loadTimeS":1,"adapters":3,"adapterMb":1},{"name":"m2","weightsMb":70,"loadTimeS":1}`
 	// all VMs use the same ports, as each has its own address
 	s.port = 20_000 + os.Getpid()%1000*portsPerVM
@@ -303,6 +307,7 @@
 		"node": name, "role": role, "ip": host, "zone": "z1", "listen": listen, "seeds": seeds, "bootstrap": first,
 		"portRange": []int{s.port + rangeOffset, s.port + portsPerVM - 1}, "dataDir": folder,
 		"faultTolerance": map[string]any{"machines": 1},
+		"limits":         map[string]any{"memoryMb": s.memoryMb, "fileDescriptors": 3075},
 		"cloud":          map[string]any{"address": s.listingAddress, "ratePerS": 40, "lagMs": 100},
 		"bounds": map[string]any{
 			"drainMs": 3000, "graceS": 8, "leaseMs": 300, "retryBudgetRatio": 0.2, "budgetSlack": 50,
@@ -358,7 +363,7 @@
 {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":3000,"service":"%s","maxAttempts":1}],
 "services":[{"name":"engines","engine":{"slots":8,"kvCapacity":100000,"stride":1,"weightsMb":200,"adapterSlots":4,"loadsPerS":1,
 "models":[%s]}},{"name":"calendar"},{"name":"calendar-2"}],
-"limits":{"maxBodyBytes":1000}}`, version, bookings, s.models)
+"limits":{"maxBodyBytes":%d}}`, version, bookings, s.models, s.bodyBytes)
 	for i := range 3 {
 		response, err := http.Post("http://"+s.address(s.coreHost(i), controlOffset)+"/api/Config.Put", "application/json", strings.NewReader(text))
 		if err != nil {
