feat(admitter): under overload, requests that would be answered after their target make way

Cause: the queue put requests after others once their target had passed, without the time that upstreams take.

The queue measures the time from grant to first token by model and counts it, up to half of the target.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -30,6 +30,7 @@
 	grantRate    grantRate
 	retryTimes   retryTimes
 	drainRates   drainRates
+	serviceTimes serviceTimes
 	// queuedAhead counts, by drain rate key, the requests that Pump has kept
 	// waiting so far.
 	queuedAhead map[string]int
@@ -56,6 +57,7 @@
 		groups:       map[requestKind]int{},
 		retryTimes:   retryTimes{},
 		drainRates:   drainRates{},
+		serviceTimes: serviceTimes{},
 		queuedAhead:  map[string]int{},
 	}
 }
@@ -79,6 +81,9 @@
 	e := completedDispatch{grant: grant, firstToken: grant.firstToken, result: result}
 	q.router.Finished(grant.Choice, e.sample())
 	q.demand.countCompletion(&e)
+	if result.Outcome == router.OutcomeFinished {
+		q.serviceTimes.observe(&e)
+	}
 }
 
 // Withdraw removes a waiting ticket whose caller has gone, with err as its
@@ -127,10 +132,14 @@
 
 // sort orders waiting requests for overload: those that can still meet their target
 // come before overdue ones, since serving overdue requests first would make all
-// later ones overdue too. Subscribers above their fair share come after the others,
+// later ones overdue too. The time that upstreams take counts: otherwise requests are
+// granted just before their target, and answered after it. Subscribers above their fair share come after the others,
 // then requests with little time left before those with more, then lower ranks
 // before higher ones. The sort is stable.
 func (q *Queue) sort(now time.Time) {
+	for _, t := range q.waiting {
+		t.serviceTime = q.serviceTimes.expected(t)
+	}
 	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
 		if first, second := a.overdue(now), b.overdue(now); first != second {
 			return falseFirst(first)
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -21,6 +21,8 @@
 	// failed is the failed grant that this retry follows, which spends retry
 	// budget; nil for a first dispatch.
 	failed *Grant
+	// serviceTime is how long the request is expected to take from its grant on.
+	serviceTime time.Duration
 	// group numbers tickets of the same kind.
 	group int
 	// waited is true once the ticket has been enqueued.
@@ -113,8 +115,9 @@
 	return now.Before(t.holderDeadline)
 }
 
-// overdue reports whether the target has passed.
-func (t *Ticket) overdue(now time.Time) bool { return now.After(t.target) }
+// overdue reports whether the target will have passed when the request is served, if it is
+// granted now.
+func (t *Ticket) overdue(now time.Time) bool { return now.Add(t.serviceTime).After(t.target) }
 
 // urgentWindow is the time left below which requests go before those with more.
 const urgentWindow = time.Second
