feat(estimator,router): engines that are slower than others get prompts at their own rate

Cause: speed was known by model only, and the bucket of prompts followed the fastest engines. On the stalls engines differ by 0.6 : 1.0 : 1.6; mean gaps of a stream were 0.030 to 0.093 s an event by fifths of the engines, and streams on slow ones paused beyond 300 ms.

The time per token of each engine against the fastest ones for the same model sets its rate and burst of prompts and its predictions. TestPromptsDontStallStreamsOfSlowEngines without it: pauses of 305 and 348 ms where 300 are allowed.

--- a/router/router.go
+++ b/router/router.go
@@ -90,6 +90,7 @@
 		u.finished(&sample, choice.PredictedFirstToken)
 		if sample.Outcome == OutcomeFinished && sample.AnswerTokens >= minSpeedSampleTokens {
 			r.speeds.Observe(sample.BaseModel, sample.TimeBetweenTokens())
+			u.observeTokenTime(sample.TimeBetweenTokens(), r.speeds.Of(sample.BaseModel))
 		}
 		r.dispatches.markChanged(choice.Upstream)
 	}
@@ -126,6 +127,23 @@
 	return r.table.placements[upstream].Models
 }
 
+// ServiceOf returns the service of an upstream; empty if it is unknown.
+func (r *Router) ServiceOf(upstream string) string {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	if known := r.table.upstreams[upstream]; known != nil {
+		return known.info.Service
+	}
+	return ""
+}
+
+// CountUpstreams returns the number of live upstreams of a service.
+func (r *Router) CountUpstreams(service string) int {
+	r.mutex.RLock()
+	defer r.mutex.RUnlock()
+	return len(r.table.services[service])
+}
+
 // HasHolder reports whether a live upstream holds a model or adapter, at a software version
 // if that is not empty.
 func (r *Router) HasHolder(name, software string) bool {
--- a/router/settings.go
+++ b/router/settings.go
@@ -48,6 +48,10 @@
 	nearDeadlineTime   = 1400 * time.Millisecond
 	overFairShareLimit = 0.6
 	contendedTime      = 10 * time.Second
+	// pipelinedShare is the part of the limit of a plain upstream that one entry uses
+	// which admits all its requests: its slots would be idle while an answer and the next
+	// request are on their way.
+	pipelinedShare = 1.34
 	// queuedPerSlot is how many requests may queue on an engine for each slot, so that
 	// its batch does not run dry between two reports.
 	queuedPerSlot = 0.1
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -174,6 +174,9 @@
 	if s.request.OverFairShare && s.now.Before(m.contendedUntil) {
 		return overFairShareLimit
 	}
+	if s.request.Thorough && s.request.Model == "" {
+		return pipelinedShare
+	}
 	return 1
 }
 
@@ -237,6 +240,13 @@
 	m.limit.Observe(load, sample.TimeBetweenTokens(), sample.BetweenTokensTarget)
 }
 
+// observeTokenTime records the decode time per token of an answer for a model.
+func (m *measurements) observeTokenTime(timePerToken time.Duration, speed *estimator.Speed) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.engine.ObserveTokenTime(timePerToken, speed)
+}
+
 // releaseModel counts down the requests in flight for a model.
 func (m *measurements) releaseModel(model string) {
 	m.inFlightByModel[model]--
