feat(delegator): one entry admits the requests for a plain service; entries own by capacity

Cause: entries of large fleets chose among three plain servers by their own requests and those of 24 others. Entries of 0.144 cores owned as many models as ones of 0.48.

From 26 entries on, a plain service with up to eight servers has an owner, as a model has. InterestedEntries names the owner instead of all entries.

--- a/delegator/call.go
+++ b/delegator/call.go
@@ -28,7 +28,11 @@
 	sentAt := time.Now()
 	c := newCall(wire.NewAdmissionsClient(link), delegated, sentAt)
 	go c.run()
-	unanswered := time.NewTimer(firstReplyTimeout)
+	timeout := firstReplyTimeout
+	if delegated.request.Route.BaseModel == "" {
+		timeout = plainReplyTimeout
+	}
+	unanswered := time.NewTimer(timeout)
 	defer unanswered.Stop()
 	for {
 		select {
--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -18,12 +18,20 @@
 	"burdocklink/admitter"
 	"burdocklink/chooser"
 	"burdocklink/linker"
+	"burdocklink/router"
 )
 
 const (
 	// minEntries is the smallest number of entries with delegation. In smaller fleets
 	// the entries share all their dispatches.
 	minEntries = 26
+	// maxOwnedUpstreams is the largest number of upstreams of a plain service that one
+	// entry admits the requests for. Where there are more, few entries choose the same one
+	// at a time, and one entry could not admit the requests for all.
+	maxOwnedUpstreams = 8
+	// plainReplyTimeout bounds the wait for the first reply about a plain service, whose
+	// answers are due in a fraction of a second.
+	plainReplyTimeout = 60 * time.Millisecond
 	// firstReplyTimeout bounds the wait for an entry's first reply, including a new
 	// connection, and replyTimeout the time between two replies. After the first one
 	// expires, a target of half a second can still be met.
@@ -55,12 +63,19 @@
 type Settings struct {
 	// Listen is the IP address and port at which other entries reach this one.
 	Listen string
-	Links  *linker.Linker
-	Local  Admitter
+	// Capacity is this entry's share of a core, in thousandths; zero if unknown.
+	Capacity int
+	Links    *linker.Linker
+	Local    Admitter
 	// Holders has models loaded for requests of other entries.
 	Holders chooser.Holders
 	// HeldModels returns the models that an upstream holds, by the router's names.
 	HeldModels func(upstream string) []string
+	// ServiceOf returns the service of an upstream, and Upstreams the number of upstreams of
+	// a plain service, zero for other services. Nil if requests for plain services are
+	// admitted where they arrive.
+	ServiceOf func(upstream string) string
+	Upstreams func(service string) int
 	// Metrics registers the counters; nil for none.
 	Metrics metrics.Registry
 	Log     *zap.Logger
@@ -83,7 +98,7 @@
 	}
 	return &Delegator{
 		settings: settings,
-		ring:     newRing(settings.Listen),
+		ring:     newRing(settings.Listen, settings.Capacity),
 		counters: counters{
 			delegated:  metrics.GetOrRegisterCounter("admissions-delegated", settings.Metrics),
 			unanswered: metrics.GetOrRegisterCounter("admissions-unanswered", settings.Metrics),
@@ -92,17 +107,17 @@
 	}
 }
 
-// SetPeers sets the addresses of the other entries.
-func (d *Delegator) SetPeers(others []string) { d.ring.setPeers(others) }
+// SetPeers sets the addresses of the other entries, and their capacities.
+func (d *Delegator) SetPeers(others map[string]int) { d.ring.setPeers(others) }
 
-// Acquire waits for an upstream at the entry that owns the model, at its deputy if the owner
-// does not answer, and otherwise in this process. It returns what the admitter returns,
+// Acquire waits for an upstream at the entry that owns the model or plain service, at its
+// deputy if the owner does not answer, and otherwise in this process. It returns what the admitter returns,
 // or a *chooser.AbsentError.
 func (d *Delegator) Acquire(ctx context.Context, request admitter.Request) (*admitter.Grant, error) {
 	delegated := delegation{request: request}
 	return d.admit(ctx, &delegated, func() (*admitter.Grant, error) {
 		local := delegated.request
-		local.Route.Thorough = d.delegates(local.Route.BaseModel)
+		local.Route.Thorough = d.delegates(d.subject(&local.Route))
 		return d.settings.Local.Acquire(ctx, local)
 	})
 }
@@ -115,19 +130,43 @@
 	return d.admit(ctx, &delegated, func() (*admitter.Grant, error) { return d.settings.Local.Reacquire(ctx, grant) })
 }
 
-// delegates reports whether requests for a model are admitted by one entry.
-func (d *Delegator) delegates(model string) bool {
-	return model != "" && d.ring.size() >= minEntries
+// subject returns what the entry that admits a request owns: a model, or a plain service
+// with few upstreams. It is empty if the request is admitted where it arrives.
+func (d *Delegator) subject(route *router.Request) string {
+	if route.BaseModel != "" {
+		return route.BaseModel
+	}
+	return d.ownedService(route.Service)
+}
+
+// servicePrefix distinguishes plain services from models.
+const servicePrefix = "service "
+
+// ownedService returns the subject of a plain service; empty if its requests are admitted
+// where they arrive.
+func (d *Delegator) ownedService(service string) string {
+	if d.settings.Upstreams == nil {
+		return ""
+	}
+	if count := d.settings.Upstreams(service); count == 0 || count > maxOwnedUpstreams {
+		return ""
+	}
+	return servicePrefix + service
+}
+
+// delegates reports whether requests for a subject are admitted by one entry.
+func (d *Delegator) delegates(subject string) bool {
+	return subject != "" && d.ring.size() >= minEntries
 }
 
 // admit asks the entries that may admit a request in order, and admits it locally when
 // this entry is next.
 func (d *Delegator) admit(ctx context.Context, delegated *delegation, local func() (*admitter.Grant, error)) (*admitter.Grant, error) {
-	model := delegated.request.Route.BaseModel
-	if !d.delegates(model) {
+	subject := d.subject(&delegated.request.Route)
+	if !d.delegates(subject) {
 		return local()
 	}
-	for _, address := range d.ring.candidates(model, time.Now()) {
+	for _, address := range d.ring.candidates(subject, time.Now()) {
 		if address == d.settings.Listen {
 			return local()
 		}
@@ -139,7 +178,7 @@
 		}
 		d.counters.unanswered.Inc(1)
 		d.ring.avoid(address, time.Now().Add(avoidDuration))
-		d.settings.Log.Info("entry did not answer; admitting request elsewhere", zap.String("entry", address), zap.String("model", model),
+		d.settings.Log.Info("entry did not answer; admitting request elsewhere", zap.String("entry", address), zap.String("subject", subject),
 			zap.Duration("waited", time.Since(start)), zap.Error(err))
 		// The entry may have counted the request before it stopped answering.
 		delegated.request.Counted = true
@@ -148,17 +187,25 @@
 }
 
 // InterestedEntries returns the entries to share this entry's dispatches to an upstream
-// with, which are those that admit requests for its models. It returns nil for all
-// entries, as for plain services.
+// with, which are those that admit requests for its models or plain service. It returns nil
+// for all entries.
 func (d *Delegator) InterestedEntries(upstream string) []string {
-	models := d.settings.HeldModels(upstream)
-	if len(models) == 0 || d.ring.size() < minEntries {
+	if d.ring.size() < minEntries {
+		return nil
+	}
+	subjects := d.settings.HeldModels(upstream)
+	if len(subjects) == 0 && d.settings.ServiceOf != nil {
+		if subject := d.ownedService(d.settings.ServiceOf(upstream)); subject != "" {
+			subjects = []string{subject}
+		}
+	}
+	if len(subjects) == 0 {
 		return nil
 	}
 	now := time.Now()
-	interested := make([]string, 0, len(models))
-	for _, model := range models {
-		candidates := d.ring.candidates(model, now)
+	interested := make([]string, 0, len(subjects))
+	for _, subject := range subjects {
+		candidates := d.ring.candidates(subject, now)
 		if len(candidates) > 0 && candidates[0] != d.settings.Listen {
 			interested = append(interested, candidates[0])
 		}
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -124,6 +124,15 @@
 	return e
 }
 
+// capacities returns entries of equal capacity.
+func capacities(addresses ...string) map[string]int {
+	equal := map[string]int{}
+	for _, address := range addresses {
+		equal[address] = 0
+	}
+	return equal
+}
+
 // fleet is an entry that receives requests and one that admits them. The other members
 // do not exist.
 type fleet struct {
@@ -139,8 +148,8 @@
 	for number := range 40 {
 		members = append(members, fmt.Sprintf("127.0.0.2:%d", 1+number))
 	}
-	f.receiving.SetPeers(members)
-	f.admitting.SetPeers(members)
+	f.receiving.SetPeers(capacities(members...))
+	f.admitting.SetPeers(capacities(members...))
 	f.model = modelAdmittedBy(f.receiving.Delegator, f.admitting.address)
 	return f
 }
@@ -274,7 +283,7 @@
 		defer func() { _ = listener.Close() }()
 		members = append(members, listener.Addr().String())
 	}
-	f.receiving.SetPeers(members)
+	f.receiving.SetPeers(capacities(members...))
 	start := time.Now()
 	grant, err := f.receiving.Acquire(t.Context(), f.request())
 	assert.NilError(t, err)
@@ -339,7 +348,7 @@
 	for number := range 40 {
 		members = append(members, fmt.Sprintf("127.0.0.2:%d", 1+number))
 	}
-	departing.SetPeers(members)
+	departing.SetPeers(capacities(members...))
 	f.model = modelAdmittedBy(departing, f.admitting.address)
 	grant, err := departing.Acquire(t.Context(), f.request())
 	assert.NilError(t, err)
@@ -355,7 +364,7 @@
 
 func TestSmallFleetDoesNotDelegate(t *testing.T) {
 	f := newFleet(t)
-	f.receiving.SetPeers([]string{f.admitting.address})
+	f.receiving.SetPeers(capacities(f.admitting.address))
 	_, err := f.receiving.Acquire(t.Context(), f.request())
 	assert.NilError(t, err)
 	assert.Equal(t, len(f.receiving.local.requests()), 1)
--- a/delegator/ring.go
+++ b/delegator/ring.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,34 +15,41 @@
 // the model, and its deputy.
 const maxCandidates = 2
 
-// ring assigns models to entries by rendezvous hashing: an entry that joins or leaves
-// moves only its own models. It is safe for concurrent use.
+// ring assigns models and plain services to entries by weighted rendezvous hashing: an
+// entry that joins or leaves moves only its own, and an entry owns as many as its capacity
+// allows. It is safe for concurrent use.
 type ring struct {
-	self string
+	self     string
+	capacity int
 
 	mutex   sync.Mutex
 	entries []string
-	// ranked caches the first entries of each requested model until the entries change.
+	// capacities are by entry.
+	capacities map[string]int
+	// ranked caches the first entries of each requested subject until the entries change.
 	ranked map[string][]string
 	// avoided maps entries that did not answer to when they may be asked again.
 	avoided map[string]time.Time
 }
 
-func newRing(self string) *ring {
-	return &ring{self: self, ranked: map[string][]string{}, avoided: map[string]time.Time{}}
+func newRing(self string, capacity int) *ring {
+	return &ring{self: self, capacity: capacity, ranked: map[string][]string{}, avoided: map[string]time.Time{}}
 }
 
-// setPeers sets the addresses of the other entries.
-func (r *ring) setPeers(others []string) {
-	entries := append(slices.Clone(others), r.self)
-	slices.Sort(entries)
-	entries = slices.Compact(entries)
+// setPeers sets the other entries and their capacities.
+func (r *ring) setPeers(others map[string]int) {
+	capacities := maps.Clone(others)
+	if capacities == nil {
+		capacities = map[string]int{}
+	}
+	capacities[r.self] = r.capacity
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if slices.Equal(entries, r.entries) {
+	if maps.Equal(capacities, r.capacities) {
 		return
 	}
-	r.entries = entries
+	entries := slices.Sorted(maps.Keys(capacities))
+	r.entries, r.capacities = entries, capacities
 	clear(r.ranked)
 	for address := range r.avoided {
 		if !slices.Contains(entries, address) {
@@ -86,13 +95,27 @@
 	if ranked, ok := r.ranked[model]; ok {
 		return ranked
 	}
-	weights := make(map[string]uint64, len(r.entries))
+	scores := make(map[string]float64, len(r.entries))
 	for _, address := range r.entries {
-		weights[address] = xxhash.Sum64String(address + " " + model)
+		scores[address] = score(xxhash.Sum64String(address+" "+model), r.capacities[address])
 	}
 	ordered := slices.Clone(r.entries)
-	slices.SortFunc(ordered, func(a, b string) int { return cmp.Compare(weights[b], weights[a]) })
+	slices.SortStableFunc(ordered, func(a, b string) int { return cmp.Compare(scores[b], scores[a]) })
 	ordered = slices.Clip(ordered[:min(len(ordered), maxRankedEntries)])
 	r.ranked[model] = ordered
 	return ordered
 }
+
+// defaultCapacity is that of entries which report none, in thousandths of a core.
+const defaultCapacity = 400
+
+// score returns the score of an entry with a hash. The chance to have the highest one is in
+// proportion to the capacity. Among equal capacities the order is that of the hashes.
+func score(hash uint64, capacity int) float64 {
+	if capacity <= 0 {
+		capacity = defaultCapacity
+	}
+	const steps = 1 << 53
+	fraction := (float64(hash>>11) + 0.5) / steps
+	return -float64(capacity) / math.Log(fraction)
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -41,9 +41,10 @@
 	// PeerAddress is where the entry listens for other entries' broadcasts;
 	// empty if it does not.
 	PeerAddress string
-	// OnPeers is called with the peer addresses of the other entries. May be
-	// nil.
-	OnPeers func([]string)
+	// Capacity is the entry's share of a core, in thousandths; zero if unknown.
+	Capacity int
+	// OnPeers is called with the other entries. May be nil.
+	OnPeers func([]Peer)
 	// OnHoldings is called with updates of the engines' holdings, and
 	// OnHoldingsConfirmed with the time until which the holdings received so far
 	// are valid at least. Both may be nil.
@@ -63,6 +64,14 @@
 	Log            *zap.Logger
 }
 
+// Peer is another entry.
+type Peer struct {
+	// Address is where it listens for other entries.
+	Address string
+	// Capacity is its share of a core, in thousandths; zero if unknown.
+	Capacity int
+}
+
 // Confirmation states that a quorum confirmed a revision at a time.
 type Confirmation struct {
 	Revision uint64
--- a/follower/holdings_test.go
+++ b/follower/holdings_test.go
@@ -55,13 +55,13 @@
 }
 
 func TestAHeartbeatWithoutPeersKeepsThem(t *testing.T) {
-	var calls [][]string
-	f := New(Settings{PeerAddress: "own", OnPeers: func(peers []string) { calls = append(calls, peers) }})
+	var calls [][]Peer
+	f := New(Settings{PeerAddress: "own", OnPeers: func(peers []Peer) { calls = append(calls, peers) }})
 	for _, peers := range [][]string{{"other", "own"}, nil, {"own"}} {
-		heartbeat := &wire.Heartbeat{Leading: true, Peers: peers}
+		heartbeat := &wire.Heartbeat{Leading: true, Peers: peers, Capacities: []uint32{192}}
 		assert.NilError(t, f.handleHeartbeat("m", newSentReports(), heartbeat))
 	}
-	assert.DeepEqual(t, calls, [][]string{{"other"}, {}})
+	assert.DeepEqual(t, calls, [][]Peer{{{Address: "other", Capacity: 192}}, {}})
 }
 
 func TestReportIntervalGrowsWithEntries(t *testing.T) {
--- a/follower/loop.go
+++ b/follower/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -192,6 +191,7 @@
 		AvailabilityZone: f.settings.AvailabilityZone,
 		Revision:         f.Latest().Revision,
 		InForce:          f.Catalog() != nil,
+		Capacity:         uint32(f.settings.Capacity),
 	}
 	if f.settings.Loads != nil {
 		report.Address = f.settings.PeerAddress
@@ -279,7 +279,7 @@
 		f.entries.Store(int64(len(peers)))
 	}
 	if f.settings.OnPeers != nil && len(peers) > 0 {
-		f.settings.OnPeers(slices.DeleteFunc(peers, func(peer string) bool { return peer == f.settings.PeerAddress }))
+		f.settings.OnPeers(f.otherEntries(peers, heartbeat.GetCapacities()))
 	}
 	leader := heartbeat.GetLeader()
 	f.leader.Store(&leader)
@@ -297,6 +297,25 @@
 	return nil
 }
 
+// maxCapacity bounds the capacity that an entry reports.
+const maxCapacity = 1 << 20
+
+// otherEntries returns the entries of a heartbeat without this one.
+func (f *Follower) otherEntries(addresses []string, capacities []uint32) []Peer {
+	peers := make([]Peer, 0, len(addresses))
+	for i, address := range addresses {
+		if address == f.settings.PeerAddress {
+			continue
+		}
+		peer := Peer{Address: address}
+		if i < len(capacities) {
+			peer.Capacity = int(min(capacities[i], maxCapacity))
+		}
+		peers = append(peers, peer)
+	}
+	return peers
+}
+
 // handleHoldings handles an update of the engines' holdings. An empty update
 // confirms the holdings received so far. If it comes after they have expired, as
 // when the process was suspended, the stream ends with a *StaleHoldingsError,
--- a/provisioner/entry.go
+++ b/provisioner/entry.go
@@ -164,11 +164,17 @@
 	return p.broadcasts.RequestReading(ctx, request)
 }
 
-// setPeers sets the addresses of the other entries.
-func (p *entryParts) setPeers(peers []string) {
-	p.broadcasts.SetPeers(peers)
-	p.delegations.SetPeers(peers)
-	p.quarantine.SetPeers(peers)
+// setPeers sets the other entries.
+func (p *entryParts) setPeers(peers []follower.Peer) {
+	addresses := make([]string, 0, len(peers))
+	capacities := make(map[string]int, len(peers))
+	for _, peer := range peers {
+		addresses = append(addresses, peer.Address)
+		capacities[peer.Address] = peer.Capacity
+	}
+	p.broadcasts.SetPeers(addresses)
+	p.delegations.SetPeers(capacities)
+	p.quarantine.SetPeers(addresses)
 	p.retries.setEntries(len(peers) + 1)
 }
 
@@ -184,6 +190,7 @@
 		Loads:               p.routes.Loads,
 		PeerAddress:         p.settings.LinkAddress,
 		OnPeers:             p.setPeers,
+		Capacity:            capacityOf(p.settings.Cores),
 		OnHoldings:          p.upstreams.UpdateHoldings,
 		OnHoldingsConfirmed: p.upstreams.ExtendHoldings,
 		OnListing:           p.upstreams.ApplyChanges,
@@ -222,10 +229,13 @@
 	})
 	p.delegations = delegator.New(delegator.Settings{
 		Listen:     p.settings.LinkAddress,
+		Capacity:   capacityOf(p.settings.Cores),
 		Links:      p.links,
 		Local:      p.admission,
 		Holders:    p.holders,
 		HeldModels: p.routes.HeldModels,
+		ServiceOf:  p.routes.ServiceOf,
+		Upstreams:  p.plainUpstreams,
 		Metrics:    p.metrics.Registry(),
 		Log:        p.settings.Log,
 	})
@@ -238,6 +248,25 @@
 	})
 }
 
+// capacityOf returns a share of a core in thousandths.
+func capacityOf(cores float64) int { return int(min(max(0, cores), maxCores) * 1000) }
+
+// maxCores bounds the cores of a VM.
+const maxCores = 1024
+
+// plainUpstreams returns the number of live upstreams of a plain service; zero for engines
+// and unknown services.
+func (p *entryParts) plainUpstreams(service string) int {
+	table := p.configuration.table.Load()
+	if table == nil {
+		return 0
+	}
+	if known, ok := table.Configuration.Services[service]; !ok || known.Engine != nil {
+		return 0
+	}
+	return p.routes.CountUpstreams(service)
+}
+
 // newForwarder returns the service for callers. SyncedAt returns when the catalog in force
 // was last known to be the newest.
 func (p *entryParts) newForwarder(syncedAt func() time.Time) *forwarder.Forwarder {
--- a/responder/entries.go
+++ b/responder/entries.go
@@ -26,9 +26,10 @@
 	entries map[string]entryRecord
 	// newDemand is the demand since the last call of TakeDemand.
 	newDemand demandCounts
-	// addresses are the addresses of active entries in ascending order, as of
-	// refreshedAt. serial counts their changes.
+	// addresses are the addresses of active entries in ascending order, and capacities
+	// their capacities, as of refreshedAt. serial counts their changes.
 	addresses   []string
+	capacities  []uint32
 	refreshedAt time.Time
 	serial      uint64
 }
@@ -88,30 +89,34 @@
 		return
 	}
 	t.refreshedAt = now
-	var addresses []string
+	capacities := map[string]uint32{}
 	for name, record := range t.entries {
 		age := now.Sub(record.receivedAt)
 		if age <= loadValidity && record.request.GetAddress() != "" {
-			addresses = append(addresses, record.request.GetAddress())
+			capacities[record.request.GetAddress()] = record.request.GetCapacity()
 		}
 		if age > entryRetention {
 			delete(t.entries, name)
 		}
 	}
-	slices.Sort(addresses)
-	if !slices.Equal(addresses, t.addresses) {
-		t.addresses = addresses
+	addresses := slices.Sorted(maps.Keys(capacities))
+	inOrder := make([]uint32, 0, len(addresses))
+	for _, address := range addresses {
+		inOrder = append(inOrder, capacities[address])
+	}
+	if !slices.Equal(addresses, t.addresses) || !slices.Equal(inOrder, t.capacities) {
+		t.addresses, t.capacities = addresses, inOrder
 		t.serial++
 	}
 }
 
-// peers returns the addresses of all active entries in ascending order, and the serial
-// number of this list. The list must not be modified.
-func (t *entryTable) peers(now time.Time) ([]string, uint64) {
+// peers returns the addresses of all active entries in ascending order, their capacities,
+// and the serial number of these lists. They must not be modified.
+func (t *entryTable) peers(now time.Time) (addresses []string, capacities []uint32, serial uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refreshAddresses(now)
-	return t.addresses, t.serial
+	return t.addresses, t.capacities, t.serial
 }
 
 // countActive returns the number of active entries.
--- a/responder/entries_test.go
+++ b/responder/entries_test.go
@@ -28,7 +28,7 @@
 				request := &wire.FollowRequest{Entry: fmt.Sprint(i), Address: fmt.Sprint(i)}
 				r.entries.put(request, nil, now)
 			}
-			addresses, _ := r.entries.peers(now)
+			addresses, _, _ := r.entries.peers(now)
 			assert.Equal(t, len(addresses), c.entries)
 			assert.Equal(t, r.heartbeatInterval(), c.heartbeat)
 			assert.Equal(t, r.PropagationTime(), c.propagation)
--- a/responder/follow.go
+++ b/responder/follow.go
@@ -251,8 +251,9 @@
 	last := s.responder.confirmer.latest()
 	state := s.responder.settings.Group.Status()
 	var peers []string
-	if all, serial := s.responder.entries.peers(now); serial != s.peersSerial {
-		peers, s.peersSerial = all, serial
+	var capacities []uint32
+	if all, each, serial := s.responder.entries.peers(now); serial != s.peersSerial {
+		peers, capacities, s.peersSerial = all, each, serial
 	}
 	return &wire.FollowReply{Update: &wire.FollowReply_Heartbeat{Heartbeat: &wire.Heartbeat{
 		Echo:     s.echo(last.startedAt),
@@ -260,7 +261,8 @@
 		Leader:   leaderAddress(state),
 		Leading:  state.Leading,
 
-		Peers:     peers,
-		ListAgeMs: s.listAge(now),
+		Peers:      peers,
+		Capacities: capacities,
+		ListAgeMs:  s.listAge(now),
 	}}}
 }
