fix(estimator): a busy engine isn't taken for a slow one

Cause: gaps of engines of equal speed differ by up to 1.7 with their load.

Below a factor of 2 the rate of prompts keeps the floor for unknown speed, and the decode rate isn't corrected.

--- a/estimator/engine.go
+++ b/estimator/engine.go
@@ -154,7 +154,7 @@
 // streams.
 func (e *Engine) AllowsPrompt(now time.Time, size RequestSize) bool {
 	if size.Speed.Known() {
-		e.promptBucket.SetSpeed(size.Speed, e.slowness.factor())
+		e.promptBucket.SetSpeed(size.Speed, e.slowness.measured())
 	}
 	return e.promptBucket.Allows(now, float64(size.PromptTokens-size.CachedTokens))
 }
@@ -268,7 +268,7 @@
 func (e *Engine) rates() (prefill, decode float64) {
 	prefill, decode = defaultPrefillRate, defaultDecodeRate
 	if e.speed.Known() {
-		prefill = promptRate(e.speed, e.slowness.factor())
+		prefill = promptRate(e.speed, e.slowness.measured())
 		decode /= e.slowness.factor()
 	}
 	if e.report.PrefillTokensPerSecond > 0 {
--- a/estimator/prompt_bucket.go
+++ b/estimator/prompt_bucket.go
@@ -35,13 +35,14 @@
 }
 
 // promptRate returns the rate for an engine that is slower than those of known speed by a
-// factor. For the fastest ones it never goes below the rate for unknown speed, because
-// engines under constant load look slow.
+// factor. Unless it is much slower, the rate never goes below that for unknown speed,
+// because engines under constant load look slow.
 func promptRate(speed *Speed, slowness float64) float64 {
-	if slowness <= 1 {
-		return max(defaultPromptRate, prefillShare*speed.PrefillRate())
+	rate := prefillShare * speed.PrefillRate() / slowness
+	if slowness < slowFrom {
+		return max(defaultPromptRate, rate)
 	}
-	return prefillShare * speed.PrefillRate() / slowness
+	return rate
 }
 
 // Add adds prompt tokens that were sent.
--- a/estimator/slowness.go
+++ b/estimator/slowness.go
@@ -4,8 +4,8 @@
 
 const (
 	// slowFrom is the slowness from which on an engine counts as slower than others. Less
-	// is the difference between a busy engine and an idle one.
-	slowFrom = 1.5
+	// may be the difference between a busy engine and an idle one.
+	slowFrom = 2.0
 	// quickerWeight and laggingWeight are the weights of a new measurement. A low one shows
 	// what the engine can do, a high one often that it was busy.
 	quickerWeight = 0.5
@@ -41,3 +41,6 @@
 	}
 	return s.ratio
 }
+
+// measured returns the slowness as measured, which may show load; 1 if unknown.
+func (s *slowness) measured() float64 { return max(1, s.ratio) }
