--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -133,7 +133,8 @@
 // sort orders waiting requests for overload: those that can still meet their target
 // come before overdue ones, since serving overdue requests first would make all
 // later ones overdue too. The time that upstreams take counts: otherwise requests are
-// granted just before their target, and answered after it. Subscribers above their fair share come after the others,
+// granted just before their target, and answered after it. Requests that continue a stream
+// go before all others. Subscribers above their fair share come after the others,
 // then requests with little time left before those with more, then lower ranks
 // before higher ones. The sort is stable.
 func (q *Queue) sort(now time.Time) {
@@ -141,6 +142,9 @@
 		t.serviceTime = q.serviceTimes.expected(t)
 	}
 	slices.SortStableFunc(q.waiting, func(a, b *Ticket) int {
+		if first, second := a.continues(), b.continues(); first != second {
+			return falseFirst(second)
+		}
 		if first, second := a.overdue(now), b.overdue(now); first != second {
 			return falseFirst(first)
 		}
--- a/admitter/service_time_test.go
+++ b/admitter/service_time_test.go
@@ -86,3 +86,25 @@
 	times.get(drainRateKey(&ticket.request)).observe(10 * time.Second)
 	assert.Equal(t, times.expected(ticket), 250*time.Millisecond)
 }
+
+// Load answered: twice the requests that an engine can serve, while callers take up streams
+// again that broke off. Guards against streams that are not continued because new ones go
+// first.
+func TestContinuedStreamsGoBeforeNewOnes(t *testing.T) {
+	q, _ := newTestQueue(t, 2)
+	grants := saturate(q, epoch)
+	q.waiting = nil
+	now := epoch.Add(100 * time.Millisecond)
+	for range 5 {
+		q.Arrive(now, requestAt(now, "new"))
+	}
+	taken := requestAt(now.Add(10*time.Millisecond), "taken up")
+	taken.Route.Origin = router.Origin{Incarnation: "i1"}
+	q.Arrive(now.Add(10*time.Millisecond), taken)
+	assert.Equal(t, len(takeGrants(q)), 0)
+	q.End(grants[0], Result{Ended: now, Outcome: router.OutcomeFinished})
+	q.Pump(now.Add(20 * time.Millisecond))
+	granted := takeGrants(q)
+	assert.Equal(t, len(granted), 1)
+	assert.Equal(t, granted[0].request.Subscriber, "taken up")
+}
--- a/admitter/ticket.go
+++ b/admitter/ticket.go
@@ -79,6 +79,10 @@
 	return t.target.Before(other.target)
 }
 
+// continues reports whether the request continues a stream. It has fewer upstreams to go to
+// than a new one, and a part of its answer has been delivered.
+func (t *Ticket) continues() bool { return !t.request.Route.Origin.IsZero() }
+
 // requestKind is what determines the room for a request.
 type requestKind struct {
 	service, holds, class string
