--- a/estimator/engine.go
+++ b/estimator/engine.go
@@ -80,8 +80,6 @@
 	bias float64
 	// speed is that of the model dispatched last; nil if it was never measured.
 	speed *Speed
-	// slowness is that of this engine.
-	slowness slowness
 }
 
 // New returns an estimate for an upstream that batches up to slots requests and
@@ -154,7 +152,7 @@
 // streams.
 func (e *Engine) AllowsPrompt(now time.Time, size RequestSize) bool {
 	if size.Speed.Known() {
-		e.promptBucket.SetSpeed(size.Speed, e.slowness.measured())
+		e.promptBucket.SetSpeed(size.Speed)
 	}
 	return e.promptBucket.Allows(now, float64(size.PromptTokens-size.CachedTokens))
 }
@@ -205,16 +203,6 @@
 	e.bias = max(0, e.bias+biasWeight*lateness.Seconds())
 }
 
-// ObserveTokenTime records the mean decode time per token of an answer for a model whose
-// speed is given.
-func (e *Engine) ObserveTokenTime(timePerToken time.Duration, speed *Speed) {
-	e.slowness.observe(timePerToken, speed)
-}
-
-// Slowness returns how many times as long the engine takes as the fastest ones; 1 if it is
-// not known to be slower.
-func (e *Engine) Slowness() float64 { return e.slowness.factor() }
-
 // InFlight returns the number of own dispatches that have not ended.
 func (e *Engine) InFlight() int { return e.inFlight }
 
@@ -268,8 +256,7 @@
 func (e *Engine) rates() (prefill, decode float64) {
 	prefill, decode = defaultPrefillRate, defaultDecodeRate
 	if e.speed.Known() {
-		prefill = promptRate(e.speed, e.slowness.measured())
-		decode /= e.slowness.factor()
+		prefill = max(prefill, prefillShare*e.speed.PrefillRate())
 	}
 	if e.report.PrefillTokensPerSecond > 0 {
 		prefill = e.report.PrefillTokensPerSecond
--- a/estimator/prompt_bucket.go
+++ b/estimator/prompt_bucket.go
@@ -23,26 +23,12 @@
 	at    time.Time
 	// rate is in prompt tokens per second; zero for defaultPromptRate.
 	rate float64
-	// burst is how many prompt tokens are sent at once; zero for promptBurst.
-	burst float64
 }
 
-// SetSpeed sets the rate for an engine that is slower than those of known speed by a factor.
-func (b *PromptBucket) SetSpeed(speed *Speed, slowness float64) {
-	b.rate = promptRate(speed, slowness)
-	// a burst takes no longer than at the rate for unknown speed
-	b.burst = promptBurst * min(1, b.rate/defaultPromptRate)
-}
-
-// promptRate returns the rate for an engine that is slower than those of known speed by a
-// factor. Unless it is much slower, the rate never goes below that for unknown speed,
-// because engines under constant load look slow.
-func promptRate(speed *Speed, slowness float64) float64 {
-	rate := prefillShare * speed.PrefillRate() / slowness
-	if slowness < slowFrom {
-		return max(defaultPromptRate, rate)
-	}
-	return rate
+// SetSpeed sets the rate for an engine of known speed. It never goes below the rate for
+// unknown speed, because engines under constant load look slow.
+func (b *PromptBucket) SetSpeed(speed *Speed) {
+	b.rate = max(defaultPromptRate, prefillShare*speed.PrefillRate())
 }
 
 // Add adds prompt tokens that were sent.
@@ -57,11 +43,7 @@
 // once the bucket is empty.
 func (b *PromptBucket) Allows(now time.Time, tokens float64) bool {
 	remaining := b.remaining(now)
-	burst := b.burst
-	if burst <= 0 {
-		burst = promptBurst
-	}
-	return remaining <= 0 || remaining+tokens <= burst
+	return remaining <= 0 || remaining+tokens <= promptBurst
 }
 
 // remaining returns the tokens that have not drained yet.
--- a/estimator/speed_test.go
+++ b/estimator/speed_test.go
@@ -47,14 +47,14 @@
 	var fast Speed
 	fast.Observe(4 * time.Millisecond)
 	var bucket PromptBucket
-	bucket.SetSpeed(&fast, 1)
+	bucket.SetSpeed(&fast)
 	bucket.Add(epoch, 2*promptBurst)
 	assert.Assert(t, !bucket.Allows(epoch, 800))
 	// The bucket drains 40,000 tokens per second.
 	assert.Assert(t, bucket.Allows(epoch.Add(150*time.Millisecond), 800))
 	var slow Speed
 	slow.Observe(40 * time.Millisecond)
-	bucket.SetSpeed(&slow, 1)
+	bucket.SetSpeed(&slow)
 	assert.Equal(t, bucket.rate, defaultPromptRate)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -90,7 +90,6 @@
 		u.finished(&sample, choice.PredictedFirstToken)
 		if sample.Outcome == OutcomeFinished && sample.AnswerTokens >= minSpeedSampleTokens {
 			r.speeds.Observe(sample.BaseModel, sample.TimeBetweenTokens())
-			u.observeTokenTime(sample.TimeBetweenTokens(), r.speeds.Of(sample.BaseModel))
 		}
 		r.dispatches.markChanged(choice.Upstream)
 	}
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -240,13 +240,6 @@
 	m.limit.Observe(load, sample.TimeBetweenTokens(), sample.BetweenTokensTarget)
 }
 
-// observeTokenTime records the decode time per token of an answer for a model.
-func (m *measurements) observeTokenTime(timePerToken time.Duration, speed *estimator.Speed) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.engine.ObserveTokenTime(timePerToken, speed)
-}
-
 // releaseModel counts down the requests in flight for a model.
 func (m *measurements) releaseModel(model string) {
 	m.inFlightByModel[model]--
