feat(auditor,cmd): check a configuration before it is sent

burdocklink check lists all faults for which the running system would refuse a configuration, from the same code (matcher.Faults), entries without effect, limits that contradict each other, and what differs from the configuration in force. Text or JSON; exit code 4 if it would be refused.

--- a/cmd/command.go
+++ b/cmd/command.go
@@ -42,6 +42,7 @@
 		statusCommand(),
 		historyCommand(),
 		lossesCommand(),
+		checkCommand(),
 		memberCommand(),
 		standInCommand(),
 		loadCommand(),
--- a/cmd/execute.go
+++ b/cmd/execute.go
@@ -90,7 +90,11 @@
 	var invalid *administrator.InvalidError
 	var refused *administrator.RefusedError
 	var noAnswer *administrator.NoAnswerError
+	var faulty *FaultyConfigurationError
+	var unreadable *ConfigurationFileError
 	switch {
+	case errors.As(err, &faulty), errors.As(err, &unreadable):
+		return exitRefused
 	case errors.As(err, &usage), errors.As(err, &settings):
 		return exitUsage
 	case errors.As(err, &conflict):
--- a/cmd/execute_test.go
+++ b/cmd/execute_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -68,3 +70,40 @@
 		assert.Equal(t, strings.Count(errOut.String(), "  "+name+" "), 1, errOut.String())
 	}
 }
+
+// Guards against a check that passes what the system refuses, or that doesn't tell where a
+// fault is.
+func TestCheckTellsWhatTheSystemWouldRefuse(t *testing.T) {
+	const sound = `{"version":3,"routes":[
+{"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":800,"targetLatencyMs":300,"service":"calendar","maxAttempts":1}],
+"services":[{"name":"calendar"}]}`
+	cases := map[string]struct {
+		content, inForce string
+		arguments        []string
+		code             int
+		want             string
+	}{
+		"sound":        {content: sound, code: exitOK},
+		"fault":        {content: strings.Replace(sound, `"service":"calendar"`, `"service":"nobody"`, 1), code: exitRefused, want: "route book"},
+		"not JSON":     {content: strings.Replace(sound, `"services":[`, `"services":`, 1), code: exitRefused, want: "line 3"},
+		"warning":      {content: strings.Replace(sound, `"/book/"`, `"/book"`, 1), code: exitOK, want: "never matches"},
+		"JSON":         {content: strings.Replace(sound, `"/book/"`, `"/book"`, 1), arguments: []string{"--output", "json"}, code: exitOK, want: `"severity": "warning"`},
+		"differences":  {content: strings.Replace(sound, `"version":3`, `"version":4`, 1), inForce: strings.Replace(sound, "800", "900", 1), code: exitOK, want: "changed"},
+		"not in force": {content: sound, inForce: "{", code: exitRefused, want: "in-force.json"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			path, inForce := filepath.Join(folder, "new.json"), filepath.Join(folder, "in-force.json")
+			assert.NilError(t, os.WriteFile(path, []byte(c.content), 0o600))
+			arguments := append([]string{"check", "--configuration", path}, c.arguments...)
+			if c.inForce != "" {
+				assert.NilError(t, os.WriteFile(inForce, []byte(c.inForce), 0o600))
+				arguments = append(arguments, "--in-force", inForce)
+			}
+			var out, errOut bytes.Buffer
+			assert.Equal(t, execute(context.Background(), arguments, &out, &errOut), c.code, out.String()+errOut.String())
+			assert.Assert(t, strings.Contains(out.String()+errOut.String(), c.want), out.String()+errOut.String())
+		})
+	}
+}
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -135,22 +135,31 @@
 
 // Check returns the first fault of a configuration as an *InvalidError.
 func (c *Configuration) Check() error {
+	if faults := c.Faults(); len(faults) > 0 {
+		return faults[0]
+	}
+	return nil
+}
+
+// Faults returns all faults of a configuration.
+func (c *Configuration) Faults() []*InvalidError {
+	var faults []*InvalidError
 	if c.Version == 0 {
-		return &InvalidError{Reason: "no version"}
+		faults = append(faults, &InvalidError{Reason: "no version"})
 	}
 	seen := make(map[routeKey]bool, len(c.Routes))
 	for i := range c.Routes {
 		route := &c.Routes[i]
 		if reason := c.invalidReason(route); reason != "" {
-			return &InvalidError{Route: route.Name, Reason: reason}
+			faults = append(faults, &InvalidError{Route: route.Name, Reason: reason})
 		}
 		key := routeKey{host: route.Host, prefix: route.Prefix}
 		if seen[key] {
-			return &InvalidError{Route: route.Name, Reason: "another route has the same host and prefix"}
+			faults = append(faults, &InvalidError{Route: route.Name, Reason: "another route has the same host and prefix"})
 		}
 		seen[key] = true
 	}
-	return c.checkOrganisations()
+	return append(faults, c.organisationFaults()...)
 }
 
 func (c *Configuration) invalidReason(route *Route) string {
--- a/matcher/organisation.go
+++ b/matcher/organisation.go
@@ -71,29 +71,30 @@
 	return b.Overage*(quota.PerSecond*b.Window.Seconds()+quota.Burst) + b.Slack
 }
 
-// checkOrganisations returns the first fault of the organisations as an *InvalidError.
-func (c *Configuration) checkOrganisations() error {
+// organisationFaults returns all faults of the organisations.
+func (c *Configuration) organisationFaults() []*InvalidError {
+	var faults []*InvalidError
 	names := make(map[string]bool, len(c.Organisations))
 	owners := verifier.New[string]()
 	for i := range c.Organisations {
 		organisation := &c.Organisations[i]
-		fault := func(reason string) error {
-			return &InvalidError{Organisation: organisation.Name, Reason: reason}
+		add := func(reason string) {
+			faults = append(faults, &InvalidError{Organisation: organisation.Name, Reason: reason})
 		}
 		switch {
 		case organisation.Name == "":
-			return fault("no name")
+			faults = append(faults, &InvalidError{Reason: "an organisation has no name"})
 		case names[organisation.Name]:
-			return fault("another organisation has the same name")
+			add("another organisation has the same name")
 		case organisation.Quota.PerSecond < 0 || organisation.Quota.Burst < 0 || organisation.Quota.PlainTokens < 0:
-			return fault("negative quota")
+			add("negative quota")
 		}
 		names[organisation.Name] = true
 		for _, key := range organisation.Keys {
 			if owner, added := owners.Add(key, organisation.Name); !added && owner != organisation.Name {
-				return fault("shares a key with " + owner)
+				add("shares a key with " + owner)
 			}
 		}
 	}
-	return nil
+	return faults
 }
