--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -1,6 +1,7 @@
 package accountant_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,23 @@
 	}
 	assert.Equal(t, pause, 890*time.Millisecond)
 }
+
+// BenchmarkCharge answers one question of 890 entries about four organisations of 1,000,
+// without the call.
+func BenchmarkCharge(b *testing.B) {
+	m := newMember()
+	organisations := make([]matcher.Organisation, 1000)
+	for i := range organisations {
+		organisations[i] = limited(fmt.Sprint("o", i), 1e6)
+	}
+	m.Configure(start, configuration(organisations...))
+	wants := make([]accountant.Want, 4)
+	now, entry := start, 0
+	for b.Loop() {
+		now, entry = now.Add(time.Millisecond), (entry+1)%890
+		for i := range wants {
+			wants[i] = accountant.Want{Organisation: organisations[(entry*7+i)%1000].Name, Costs: []float64{1540, 1540}, Spare: 1540}
+		}
+		m.Charge(now, fmt.Sprint(entry), wants)
+	}
+}
