--- a/auditor/compare.go
+++ b/auditor/compare.go
@@ -38,15 +38,18 @@
 	}
 }
 
-func (a *audit) compareRoutes(before []matcher.Route) {
-	routes := func(all []matcher.Route) map[string]matcher.Route {
-		byName := make(map[string]matcher.Route, len(all))
-		for _, route := range all {
-			byName[route.Name] = route
-		}
-		return byName
+// byName maps entries to their names.
+func byName[Entry any](entries []Entry, name func(Entry) string) map[string]Entry {
+	named := make(map[string]Entry, len(entries))
+	for _, entry := range entries {
+		named[name(entry)] = entry
 	}
-	old, now := routes(before), routes(a.configuration.Routes)
+	return named
+}
+
+func (a *audit) compareRoutes(before []matcher.Route) {
+	name := func(route matcher.Route) string { return route.Name }
+	old, now := byName(before, name), byName(a.configuration.Routes, name)
 	for _, name := range union(now, old) {
 		first, known := old[name]
 		second, kept := now[name]
@@ -55,14 +58,8 @@
 }
 
 func (a *audit) compareOrganisations(before []matcher.Organisation) {
-	organisations := func(all []matcher.Organisation) map[string]matcher.Organisation {
-		byName := make(map[string]matcher.Organisation, len(all))
-		for _, organisation := range all {
-			byName[organisation.Name] = organisation
-		}
-		return byName
-	}
-	old, now := organisations(before), organisations(a.configuration.Organisations)
+	name := func(organisation matcher.Organisation) string { return organisation.Name }
+	old, now := byName(before, name), byName(a.configuration.Organisations, name)
 	for _, name := range union(now, old) {
 		first, known := old[name]
 		second, kept := now[name]
--- a/cmd/check.go
+++ b/cmd/check.go
@@ -11,6 +11,7 @@
 
 	"burdocklink/auditor"
 	"burdocklink/checker"
+	"burdocklink/encoder"
 	"burdocklink/matcher"
 	"burdocklink/platform"
 )
@@ -92,22 +93,13 @@
 	return 1 + strings.Count(string(content[:offset]), "\n")
 }
 
-// jsonFinding is the JSON form of a finding.
-type jsonFinding struct {
-	Severity string `json:"severity"`
-	Place    string `json:"place"`
-	Text     string `json:"text"`
-}
-
 func writeFindings(call *invocation, findings []auditor.Finding, format string) error {
 	if format == outputJSON {
-		list := make([]jsonFinding, 0, len(findings))
-		for _, finding := range findings {
-			list = append(list, jsonFinding{Severity: finding.Severity.String(), Place: finding.Place, Text: finding.Text})
+		content, err := encoder.EncodeFindings(findings)
+		if err == nil {
+			_, err = call.out.Write(content)
 		}
-		encoder := json.NewEncoder(call.out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(list)
+		return err
 	}
 	table := tabwriter.NewWriter(call.out, 0, 0, 2, ' ', 0)
 	for _, finding := range findings {
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -29,7 +29,7 @@
 	PromptTokens         int
 	AnswerTokens         int
 	ExpectedAnswerTokens int
-	// TokensStated is true if the request gives its numbers of tokens.
+	// TokensStated is true if the request gives a number of tokens.
 	TokensStated bool
 	// Parts are the parts of the prompt in order.
 	Parts []PromptPart
