--- a/prover/platform_test.go
+++ b/prover/platform_test.go
@@ -60,6 +60,10 @@
 	// concatenated leaving headers of these requests.
 	arrivals        []arrival
 	leavingReceived string
+	// keysReceived are the callers' keys in these requests, concatenated.
+	// runsByOrganisation are the times of arrival by the organisation that was named.
+	keysReceived       string
+	runsByOrganisation map[string][]time.Time
 }
 
 func (s *platformServer) setUnlisted(unlisted bool) {
@@ -173,6 +177,8 @@
 	s.mutex.Lock()
 	remaining := s.recordArrival(id)
 	s.leavingReceived += r.Header.Get("Server-Leaving")
+	s.keysReceived += r.Header.Get("Authorization")
+	s.runsByOrganisation[r.Header.Get("Burdocklink-Tenant")] = append(s.runsByOrganisation[r.Header.Get("Burdocklink-Tenant")], time.Now())
 	hold := s.release
 	s.mutex.Unlock()
 	if s.refuseWhilePaused(w, remaining) {
@@ -221,6 +227,9 @@
 	hosts          map[string]string
 	// models are the engines' models in the JSON format of the configuration.
 	models string
+	// organisations returns the organisations of a version of the configuration in its JSON
+	// format; nil for none.
+	organisations func(version int) string
 	// bodyBytes is the limit of bodies in the configuration.
 	bodyBytes int
 	// memoryMb is the memory of each VM.
@@ -261,7 +270,7 @@
 }
 
 func (s *platformSite) addServer(id, service string, models ...string) *platformServer {
-	server := &platformServer{id: id, service: service, models: models, state: "ready", software: "v1", born: 7, runs: map[string]int{}}
+	server := &platformServer{id: id, service: service, models: models, state: "ready", software: "v1", born: 7, runs: map[string]int{}, runsByOrganisation: map[string][]time.Time{}}
 	server.address = s.listen(server)
 	s.servers = append(s.servers, server)
 	return server
@@ -312,6 +321,8 @@
 		"bounds": map[string]any{
 			"drainMs": 3000, "graceS": 8, "leaseMs": 300, "retryBudgetRatio": 0.2, "budgetSlack": 50,
 			"budgetWindowS": 10, "ceilingWindowS": 5, "ceilingOverage": 1.1,
+			"failClosed": true, "revokeMs": revokeTime.Milliseconds(),
+			"quotaWindowS": quotaWindow.Seconds(), "quotaOverage": quotaOverage, "quotaSlack": quotaSlack,
 		},
 	})
 	assert.NilError(s.t, err)
@@ -358,12 +369,16 @@
 // putConfiguration puts a configuration that routes bookings to a service. It
 // returns the status, 0 if no member has answered.
 func (s *platformSite) putConfiguration(version int, bookings string) int {
-	text := fmt.Sprintf(`{"version":%d,"routes":[
+	organisations := "[]"
+	if s.organisations != nil {
+		organisations = s.organisations(version)
+	}
+	text := fmt.Sprintf(`{"version":%d,"tenants":%s,"routes":[
 {"name":"draft","host":"a.example","pathPrefix":"/draft/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":500,"gapTargetMs":250,"service":"engines","maxAttempts":2,"resumable":true},
 {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":3000,"service":"%s","maxAttempts":1}],
 "services":[{"name":"engines","engine":{"slots":8,"kvCapacity":100000,"stride":1,"weightsMb":200,"adapterSlots":4,"loadsPerS":1,
 "models":[%s]}},{"name":"calendar"},{"name":"calendar-2"}],
-"limits":{"maxBodyBytes":%d}}`, version, bookings, s.models, s.bodyBytes)
+"limits":{"maxBodyBytes":%d}}`, version, organisations, bookings, s.models, s.bodyBytes)
 	for i := range 3 {
 		response, err := http.Post("http://"+s.address(s.coreHost(i), controlOffset)+"/api/Config.Put", "application/json", strings.NewReader(text))
 		if err != nil {
--- a/prover/soak_callers_test.go
+++ b/prover/soak_callers_test.go
@@ -162,6 +162,7 @@
 	request.GetBody = nil // the client must not retry
 	request.Header.Set("Burdocklink-Request-Id", id)
 	request.Header.Set("Burdocklink-Request-Timeout-Ms", "3000")
+	request.Header.Set("Authorization", "Bearer "+soakKey)
 	if kind == "draft" {
 		request.Header.Set("Burdocklink-Model", "m1")
 	}
--- a/prover/soak_faults_test.go
+++ b/prover/soak_faults_test.go
@@ -86,7 +86,7 @@
 	process := s.processes[s.random.IntN(len(s.processes))]
 	proxy := s.links[s.random.IntN(len(s.links))]
 	server := s.servers[s.random.IntN(len(s.servers))]
-	kind := s.random.IntN(16)
+	kind := s.random.IntN(17)
 	s.t.Logf("%s fault %d at %s, link %s, server %s", time.Now().Format(time.TimeOnly+".000"), kind, process.name,
 		proxy.proxy.Upstream, server.id)
 	switch kind {
@@ -113,6 +113,8 @@
 		server.startPause(s.randomDuration(800, 2500))
 	case 14, 15:
 		s.limitServer(server)
+	case 16:
+		s.sendCrowd(s.processes[s.random.IntN(2)])
 	}
 }
 
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -100,6 +100,7 @@
 	t.Helper()
 	s := &soak{platformSite: newPlatformSite(t), random: rand.New(rand.NewPCG(seed, 1))}
 	s.subnet = block
+	s.organisations = soakOrganisations
 	s.addServer("calendar-2", "calendar-2")
 	for _, server := range s.servers {
 		server.eventInterval = 15 * time.Millisecond
@@ -136,9 +137,11 @@
 			go s.runCaller(process, i)
 		}
 	}
-	s.callers.Add(2)
+	s.callers.Add(4)
 	go s.runOperator()
 	go s.runReader()
+	go s.runRevoked()
+	go s.runHot()
 	for range soakFaults {
 		s.runFaultsFor(s.randomDuration(50, 500))
 		s.beginFault()
@@ -153,6 +156,7 @@
 	s.checkRuns()
 	s.checkNotices()
 	s.checkLimits()
+	s.checkOrganisations()
 	s.checkExits()
 	for _, broken := range s.observations.takeViolations() {
 		s.t.Error(broken)
@@ -178,7 +182,7 @@
 		s.awaitReady(process.name)
 		eventually(s.t, process.name+" applies the last configuration", func() bool {
 			id := fmt.Sprintf("last-%s-%d", process.name, time.Now().UnixNano())
-			got := s.send(process.name, "/book/1", id, nil)
+			got := s.send(process.name, "/book/1", id, map[string]string{"Authorization": "Bearer " + soakKey})
 			return got.status == http.StatusOK && got.signature == "signed-by-"+bookingServer(last)
 		})
 	}
