budgeter, receiver: give stopped bodies up within half a second, bound the product's own interface

A body that was sent at once and stopped just short of its end had a high mean rate for up to a minute and kept its memory, so large requests were refused for so long. The rate is now that of the last half a second. The product's own interface shares the memory and connection bounds of the platform door. Measured: eight bodies that stop in a budget for three; a large request is served 0.6 s later, small ones at once (receiver test).

--- a/admitter/service_time.go
+++ b/admitter/service_time.go
@@ -72,7 +72,7 @@
 // that is not known.
 func (s serviceTimes) expected(t *Ticket) time.Duration {
 	known := s[drainRateKey(&t.request)]
-	if known == nil || t.target == farFuture {
+	if known == nil || t.target.Equal(farFuture) {
 		return 0
 	}
 	target := t.target.Sub(t.request.Arrived)
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -4,6 +4,7 @@
 package budgeter
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -14,7 +15,10 @@
 	smallBytes = 64 << 10
 	// largeFraction is the part of the budget that is open to larger bodies.
 	largeFraction = 0.75
-	// graceTime is how long a body may take to arrive before it counts as slow.
+	// graceTime is the time over which the rate of a body is measured, and how long it may
+	// take before it counts as slow. A body that sends nothing for so long has stopped. The
+	// rate is not measured over the whole body: one that is sent at once and stops just short
+	// of its end would keep its memory for up to 64 s.
 	graceTime = 500 * time.Millisecond
 	// slowBytesPerSecond is the rate below which a body is slow. A body of 4 MiB takes
 	// 64 s at this rate, longer than any caller waits.
@@ -59,9 +63,17 @@
 	// evict makes reading the body fail; nil for a body that can't be given up.
 	evict    func()
 	openedAt time.Time
-	// size is the number of bytes reserved, received how many have arrived.
-	size     int64
-	received int64
+	// size is the number of bytes reserved, received how many have arrived, the last of them
+	// at receivedAt.
+	size       int64
+	received   int64
+	receivedAt time.Time
+	// windowAt is the start of the time over which the rate is being measured, and
+	// windowReceived how many bytes had arrived by then. rate is that of the time before, in
+	// bytes per second.
+	windowAt       time.Time
+	windowReceived int64
+	rate           float64
 	// gone is true once the bytes have been given back or to others.
 	gone bool
 }
@@ -70,7 +82,7 @@
 // the body is given up while it arrives; nil if that is not possible. Release must be
 // called in the end.
 func (b *Budget) Open(now time.Time, evict func()) *Body {
-	body := &Body{budget: b, evict: evict, openedAt: now}
+	body := &Body{budget: b, evict: evict, openedAt: now, receivedAt: now, windowAt: now, rate: math.Inf(1)}
 	if evict != nil {
 		b.mutex.Lock()
 		b.arriving[body] = struct{}{}
@@ -89,7 +101,7 @@
 		b.mutex.Unlock()
 		return &EvictedError{}
 	}
-	o.received = received
+	o.advance(now, received)
 	limit := b.limit
 	if size > smallBytes {
 		limit = int64(largeFraction * float64(b.limit))
@@ -121,17 +133,45 @@
 	return nil
 }
 
-// slowest returns the slow body with the lowest rate other than the given one, or nil. The
-// mutex must be held.
+// Advance records how many bytes have arrived.
+func (o *Body) Advance(now time.Time, received int64) {
+	o.budget.mutex.Lock()
+	defer o.budget.mutex.Unlock()
+	o.advance(now, received)
+}
+
+// advance records how many bytes have arrived. The mutex of the budget must be held.
+func (o *Body) advance(now time.Time, received int64) {
+	if received > o.received {
+		o.received, o.receivedAt = received, now
+	}
+	if elapsed := now.Sub(o.windowAt); elapsed >= graceTime {
+		o.rate = float64(o.received-o.windowReceived) / elapsed.Seconds()
+		o.windowAt, o.windowReceived = now, o.received
+	}
+}
+
+// currentRate returns the rate at which the body arrives, in bytes per second; zero if it
+// has stopped. The mutex of the budget must be held.
+func (o *Body) currentRate(now time.Time) float64 {
+	if now.Sub(o.receivedAt) >= graceTime {
+		return 0
+	}
+	return o.rate
+}
+
+// slowest returns the slow body with the lowest rate other than the given one, or nil. Of
+// bodies with the same rate it returns the one that has waited longest. The mutex must be
+// held.
 func (b *Budget) slowest(now time.Time, other *Body) *Body {
 	var slowest *Body
 	lowest := float64(slowBytesPerSecond)
 	for body := range b.arriving {
-		age := now.Sub(body.openedAt)
-		if body == other || body.size == 0 || age < graceTime {
+		if body == other || body.size == 0 || now.Sub(body.openedAt) < graceTime {
 			continue
 		}
-		if rate := float64(body.received) / age.Seconds(); rate < lowest {
+		rate := body.currentRate(now)
+		if rate < lowest || slowest != nil && rate == lowest && body.receivedAt.Before(slowest.receivedAt) {
 			slowest, lowest = body, rate
 		}
 	}
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -46,10 +46,14 @@
 		assert.NilError(t, body.Reserve(start, 2*mebibyte, received))
 		return body
 	}
-	open("stopped", 1000)
-	open("slow", 20000)
-	open("fast", 2*mebibyte-1)
-	later := start.Add(time.Second)
+	open("stopped", 2*mebibyte-1)
+	slow, fast := open("slow", 1000), open("fast", 1000)
+	later := start
+	for received := int64(1000); later.Before(start.Add(2 * time.Second)); {
+		later, received = later.Add(100*time.Millisecond), received+50<<10
+		fast.Advance(later, received)
+		slow.Advance(later, 1000+later.Sub(start).Milliseconds())
+	}
 	assert.Equal(t, len(evicted), 0)
 	assert.NilError(t, b.Open(later, nil).Reserve(later, 2*mebibyte, 0))
 	assert.DeepEqual(t, evicted, map[string]bool{"stopped": true})
--- a/budgeter/reader.go
+++ b/budgeter/reader.go
@@ -30,6 +30,7 @@
 		}
 		n, err := from.Read(content[len(content):cap(content)])
 		content = content[:len(content)+n]
+		o.Advance(time.Now(), int64(len(content)))
 		if err == io.EOF {
 			return content, o.Complete()
 		}
--- a/receiver/errors.go
+++ b/receiver/errors.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"burdocklink/authenticator"
+	"burdocklink/budgeter"
 )
 
 // ShutdownError reports that requests in flight were cut at the shutdown deadline.
@@ -98,6 +99,19 @@
 // Error describes the refusal.
 func (e *BodyTimeoutError) Error() string { return "the body did not arrive in time" }
 
+// BodyMemoryError reports that there is no memory for a request body, or that it arrived too
+// slowly while others needed the memory.
+type BodyMemoryError struct {
+	Cause   error
+	RetryAt time.Time
+}
+
+// Error describes the refusal.
+func (e *BodyMemoryError) Error() string { return "the body was not read: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *BodyMemoryError) Unwrap() error { return e.Cause }
+
 // DeadlinePassedError reports that the request's deadline has passed.
 type DeadlinePassedError struct{}
 
@@ -197,6 +211,11 @@
 	if errors.As(err, &large) {
 		return &BodyTooLargeError{Limit: limit}
 	}
+	var full *budgeter.FullError
+	var evicted *budgeter.EvictedError
+	if errors.As(err, &full) || errors.As(err, &evicted) {
+		return &BodyMemoryError{Cause: err, RetryAt: time.Now().Add(shortRetryDelay)}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return &BodyTimeoutError{}
 	}
--- a/receiver/exchange.go
+++ b/receiver/exchange.go
@@ -1,7 +1,6 @@
 package receiver
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"regexp"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"burdocklink/authenticator"
+	"burdocklink/budgeter"
 	"burdocklink/cataloger"
 	"burdocklink/classifier"
 	"burdocklink/encoder"
@@ -41,6 +41,8 @@
 	// headerSent is set once the header of the answer is being written.
 	headerSent bool
 	result     reporter.Result
+	// memory is that of the body; nil if none was read.
+	memory *budgeter.Body
 }
 
 // requestIDPattern matches the request IDs that callers may choose.
@@ -48,10 +50,6 @@
 
 const bearerPrefix = "Bearer "
 
-// maxPreallocatedBytes bounds the buffer that is allocated for the announced length
-// of a body.
-const maxPreallocatedBytes = 64 << 10
-
 func (r *Receiver) newExchange(ctx iris.Context) *exchange {
 	x := &exchange{
 		Receiver: r,
@@ -129,23 +127,28 @@
 	return at, nil
 }
 
-// readBody reads the whole body, within MaxBodyBytes and BodyTimeout.
+// readBody reads the whole body, within MaxBodyBytes, BodyTimeout and the memory of the
+// process.
 func (x *exchange) readBody() ([]byte, error) {
+	if x.r.ContentLength > x.Settings.MaxBodyBytes {
+		return nil, &BodyTooLargeError{Limit: x.Settings.MaxBodyBytes}
+	}
 	_ = x.control.SetReadDeadline(x.arrived.Add(x.Settings.BodyTimeout))
-	// a buffer of the announced length leaves no unused capacity
-	expected := max(0, min(x.r.ContentLength, maxPreallocatedBytes))
-	body := bytes.NewBuffer(make([]byte, 0, expected+bytes.MinRead))
-	_, err := body.ReadFrom(http.MaxBytesReader(x.w, x.r.Body, x.Settings.MaxBodyBytes))
+	x.memory = x.bodies.Open(time.Now(), func() { _ = x.control.SetReadDeadline(time.Unix(1, 0)) })
+	body, err := x.memory.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.Settings.MaxBodyBytes), x.r.ContentLength)
 	if err != nil {
 		return nil, bodyError(err, x.Settings.MaxBodyBytes)
 	}
 	_ = x.control.SetReadDeadline(time.Time{})
-	return body.Bytes(), nil
+	return body, nil
 }
 
 // finish releases the context and records the request in metrics and the log.
 func (x *exchange) finish() {
 	x.cancel()
+	if x.memory != nil {
+		x.memory.Release()
+	}
 	_ = x.control.SetWriteDeadline(time.Time{})
 	if x.class.Name == "" {
 		return
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,8 +13,10 @@
 
 	"burdocklink/admitter"
 	"burdocklink/authenticator"
+	"burdocklink/budgeter"
 	"burdocklink/claimer"
 	"burdocklink/linker"
+	"burdocklink/listener"
 	"burdocklink/quarantiner"
 	"burdocklink/registrar"
 )
@@ -42,7 +43,9 @@
 	Config
 	app      *iris.Application
 	server   *http.Server
-	listener net.Listener
+	listener *listener.Listener
+	// bodies is the memory for headers and bodies of requests.
+	bodies   *budgeter.Budget
 	draining atomic.Bool
 	// claimRecorder and canceller work in the background.
 	claimRecorder *claimRecorder
@@ -55,7 +58,7 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantiner.New(quarantiner.Settings{Log: config.Log})
 	}
-	r := &Receiver{Config: config}
+	r := &Receiver{Config: config, bodies: budgeter.New(config.Settings.BodyMemory)}
 	r.claimRecorder = newClaimRecorder(config.Claims, config.Log)
 	r.canceller = newCanceller(config.Dispatcher)
 	return r
@@ -75,13 +78,16 @@
 		return err
 	}
 	r.app = app
-	listener, err := linker.Listen(r.Settings.Listen)
+	accepted, err := linker.Listen(r.Settings.Listen)
 	if err != nil {
 		return err
 	}
-	r.listener = listener
+	r.listener = listener.New(accepted, listener.Settings{
+		Connections: r.Settings.Connections, Budget: r.bodies, Encrypted: r.TLS != nil, Registry: r.Reporter.Registry(), Log: r.Log,
+	})
 	r.server = &http.Server{
 		Handler:           app,
+		ConnState:         r.listener.Track,
 		ReadHeaderTimeout: r.Settings.HeaderTimeout,
 		IdleTimeout:       r.Settings.IdleTimeout,
 		MaxHeaderBytes:    r.Settings.MaxHeaderBytes,
--- a/receiver/refuse.go
+++ b/receiver/refuse.go
@@ -84,7 +84,7 @@
 	if reply.status == http.StatusUnauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
-	if reply.status == http.StatusRequestTimeout || reply.status == http.StatusRequestEntityTooLarge {
+	if reply.status == http.StatusRequestTimeout || reply.status == http.StatusRequestEntityTooLarge || is[*BodyMemoryError](err) {
 		header.Set("Connection", "close")
 	}
 	_ = x.write(reply.status, reply.outcome, body)
@@ -103,7 +103,15 @@
 
 // requestRefusal maps errors in the request itself.
 func requestRefusal(err error) (refusal, bool) {
+	var noMemory *BodyMemoryError
 	switch {
+	case errors.As(err, &noMemory):
+		return refusal{
+			status:    http.StatusServiceUnavailable,
+			errorType: "body-not-read",
+			outcome:   encoder.OutcomeNotRun,
+			retryAt:   noMemory.RetryAt,
+		}, true
 	case is[*authenticator.MissingKeyError](err):
 		return refusal{status: http.StatusUnauthorized, errorType: "missing-key"}, true
 	case is[*authenticator.UnknownKeyError](err):
--- a/receiver/refuse_test.go
+++ b/receiver/refuse_test.go
@@ -169,3 +169,37 @@
 	assert.Assert(t, got.outcome() != encoder.OutcomeNotRun, got.body)
 	assert.Assert(t, got.status != http.StatusServiceUnavailable, got.body)
 }
+
+// Guards against bodies that stop before their end and take the memory of the process, so
+// that ordinary callers are refused.
+func TestBodiesThatStopDontKeepOthersOut(t *testing.T) {
+	const mebibyte = 1 << 20
+	r := newRig(t, map[string]http.Handler{"naptar-1": http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(w, "done")
+	})}, func(c *receiver.Config) {
+		c.Settings.MaxBodyBytes, c.Settings.BodyMemory = 2*mebibyte, 6*mebibyte
+	})
+	address := r.receiver.Address()
+	stopped := make([]net.Conn, 0, 8)
+	defer func() {
+		for _, conn := range stopped {
+			_ = conn.Close()
+		}
+	}()
+	for range cap(stopped) {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		stopped = append(stopped, conn)
+		_, _ = io.WriteString(conn, "POST /services/naptar/x HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key-a\r\nContent-Length: 2000000\r\n\r\n")
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = conn.Write(make([]byte, 1_999_999))
+	}
+	for range 20 {
+		got := r.send("POST", "/services/naptar/x", "small", encoder.HeaderRequestID, "mine")
+		assert.Equal(t, got.status, http.StatusOK, "%s", got.body)
+	}
+	time.Sleep(600 * time.Millisecond)
+	got := r.send("POST", "/services/naptar/x", strings.Repeat("x", 2_000_000), encoder.HeaderRequestID, "large")
+	assert.Equal(t, got.status, http.StatusOK, "%s", got.body)
+}
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -23,6 +23,10 @@
 	AvailabilityZone string
 	// MaxBodyBytes bounds the size of a request body.
 	MaxBodyBytes int64
+	// BodyMemory bounds the memory for headers and bodies of all requests, in bytes, and
+	// Connections the number of callers' connections.
+	BodyMemory  int64
+	Connections int
 	// MaxHeaderBytes bounds the size of a request header.
 	MaxHeaderBytes int
 	// HeaderTimeout bounds the wait for a request header.
@@ -66,6 +70,7 @@
 // Defaults of Settings.
 const (
 	defaultMaxBodyBytes   = 4 << 20
+	defaultBodyMemory     = 64 << 20
 	defaultMaxHeaderBytes = 32 << 10
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultBodyTimeout    = 20 * time.Second
@@ -108,6 +113,7 @@
 
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.MaxBodyBytes, defaultMaxBodyBytes)
+	setDefault(&s.BodyMemory, defaultBodyMemory)
 	setDefault(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
 	setDefault(&s.HeaderTimeout, defaultHeaderTimeout)
 	setDefault(&s.BodyTimeout, defaultBodyTimeout)
