summarizer: count requests and granted units by organisation

Operators could see who uses how much of a quota only in the leader's metrics. The losses command now prints it from the logs, with the causes of refusals, and quota and key are causes of their own. The accountant's unused accessor is removed.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -4,7 +4,6 @@
 package accountant
 
 import (
-	"maps"
 	"sync"
 	"time"
 
@@ -271,23 +270,3 @@
 	}
 	return at
 }
-
-// Usage is how much of its quota an organisation used since this member leads.
-type Usage struct {
-	Quota matcher.Quota
-	// Granted is the number of units granted, and Denied the number of requests that were
-	// not covered at once.
-	Granted int64
-	Denied  int64
-}
-
-// Usage returns the usage of each organisation with a quota, by name.
-func (a *Accountant) Usage() map[string]Usage {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	usage := make(map[string]Usage, len(a.accounts))
-	for name, current := range maps.All(a.accounts) {
-		usage[name] = Usage{Quota: current.quota, Granted: current.granted.Count(), Denied: current.denied.Count()}
-	}
-	return usage
-}
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -264,13 +264,16 @@
 		if i >= len(wants) {
 			return
 		}
-		units := 0.0
-		for _, cost := range wants[i].Costs {
+		units, granted := 0.0, grant.Spare
+		for at, cost := range wants[i].Costs {
 			units += cost
+			if at < grant.Covered {
+				granted += cost
+			}
 		}
 		c.settings.Log.Info("quota granted", zap.String("organisation", grant.Organisation), zap.String("leader", leader),
 			zap.Int("requests", len(wants[i].Costs)), zap.Float64("units", units), zap.Int("covered", grant.Covered),
-			zap.Float64("spare", grant.Spare), zap.Duration("due", grant.DueAt.Sub(now)),
+			zap.Float64("spare", grant.Spare), zap.Float64("granted", granted), zap.Duration("due", grant.DueAt.Sub(now)),
 			zap.Duration("expires", grant.ExpiresAt.Sub(now)), zap.Duration("took", now.Sub(sentAt)))
 	}
 }
--- a/cmd/losses.go
+++ b/cmd/losses.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -60,12 +61,7 @@
 }
 
 func writeLosses(table *tabwriter.Writer, summary *summarizer.Summary) error {
-	_, err := fmt.Fprint(table, "MODEL\tADAPTERS\tREQUESTS\tLATE\tFAILED")
-	for _, cause := range summarizer.Causes() {
-		if err == nil {
-			_, err = fmt.Fprintf(table, "\tREFUSED: %s", cause)
-		}
-	}
+	_, err := fmt.Fprint(table, "MODEL\tADAPTERS\tREQUESTS\tLATE\tFAILED"+causeColumns())
 	for _, losses := range summary.Losses {
 		if err == nil {
 			_, err = fmt.Fprintf(table, "\n%s\t%t\t%d\t%d\t%d", losses.Model, losses.Adapters, losses.Requests, losses.Late, losses.Failed)
@@ -76,6 +72,9 @@
 			}
 		}
 	}
+	if err == nil && len(summary.Organisations) > 0 {
+		err = writeOrganisations(table, summary.Organisations)
+	}
 	if err == nil {
 		_, err = fmt.Fprintln(table, "\n\nMODEL\tSHORT FROM\tFOR\tREFUSED\tORDERED AFTER\tSERVED AFTER\tIDLE ENGINES")
 	}
@@ -88,6 +87,30 @@
 	return err
 }
 
+// causeColumns returns the columns for the causes of refusals.
+func causeColumns() string {
+	var columns strings.Builder
+	for _, cause := range summarizer.Causes() {
+		columns.WriteString("\tREFUSED: " + string(cause))
+	}
+	return columns.String()
+}
+
+func writeOrganisations(table *tabwriter.Writer, organisations []*summarizer.OrganisationLosses) error {
+	_, err := fmt.Fprint(table, "\n\nORGANISATION\tREQUESTS\tGRANTED UNITS\tFAILED"+causeColumns())
+	for _, losses := range organisations {
+		if err == nil {
+			_, err = fmt.Fprintf(table, "\n%s\t%d\t%.0f\t%d", losses.Organisation, losses.Requests, losses.GrantedUnits, losses.Failed)
+		}
+		for _, cause := range summarizer.Causes() {
+			if err == nil {
+				_, err = fmt.Fprintf(table, "\t%d", losses.Refused[cause])
+			}
+		}
+	}
+	return err
+}
+
 // sinceOrDash returns the time between two times, or a dash if the second is zero.
 func sinceOrDash(start, at time.Time) string {
 	if at.IsZero() {
--- a/delegator/ring.go
+++ b/delegator/ring.go
@@ -72,13 +72,13 @@
 	r.avoided[address] = until
 }
 
-// candidates returns the entries that may admit requests for a model, in order of
+// candidates returns the entries that may admit requests for a subject, in order of
 // preference and without avoided ones.
-func (r *ring) candidates(model string, now time.Time) []string {
+func (r *ring) candidates(subject string, now time.Time) []string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	candidates := make([]string, 0, maxCandidates)
-	for _, address := range r.rank(model) {
+	for _, address := range r.rank(subject) {
 		if len(candidates) < maxCandidates && !now.Before(r.avoided[address]) {
 			candidates = append(candidates, address)
 		}
@@ -86,23 +86,23 @@
 	return candidates
 }
 
-// maxRankedEntries is how many entries are ranked for a model. If that many are avoided
+// maxRankedEntries is how many entries are ranked for a subject. If that many are avoided
 // at once, there is no candidate.
 const maxRankedEntries = 2 * maxCandidates
 
-// rank returns the first entries of a model. The mutex must be held.
-func (r *ring) rank(model string) []string {
-	if ranked, ok := r.ranked[model]; ok {
+// rank returns the first entries of a subject. The mutex must be held.
+func (r *ring) rank(subject string) []string {
+	if ranked, ok := r.ranked[subject]; ok {
 		return ranked
 	}
 	scores := make(map[string]float64, len(r.entries))
 	for _, address := range r.entries {
-		scores[address] = score(xxhash.Sum64String(address+" "+model), r.capacities[address])
+		scores[address] = score(xxhash.Sum64String(address+" "+subject), r.capacities[address])
 	}
 	ordered := slices.Clone(r.entries)
 	slices.SortStableFunc(ordered, func(a, b string) int { return cmp.Compare(scores[b], scores[a]) })
 	ordered = slices.Clip(ordered[:min(len(ordered), maxRankedEntries)])
-	r.ranked[model] = ordered
+	r.ranked[subject] = ordered
 	return ordered
 }
 
--- a/summarizer/line.go
+++ b/summarizer/line.go
@@ -21,6 +21,10 @@
 	action     int
 	took       time.Duration
 	firstEvent time.Duration
+	// organisation is the one whose key the request had, or whose quota was granted; granted
+	// are the units of the grant.
+	organisation string
+	granted      float64
 }
 
 // wireLine is the JSON form of a log line.
@@ -36,6 +40,9 @@
 	Action     int       `json:"action"`
 	Took       float64   `json:"took"`
 	FirstEvent float64   `json:"first-event"`
+	// Organisation and Granted are those of requests and grants of quotas.
+	Organisation string  `json:"organisation"`
+	Granted      float64 `json:"granted"`
 }
 
 // Messages of the log lines that count.
@@ -43,6 +50,7 @@
 	messageRequest = "request"
 	messageOrder   = "order"
 	messageDrain   = "copy is drained"
+	messageQuota   = "quota granted"
 )
 
 // decode reads a log line. It returns false for lines that don't count.
@@ -56,7 +64,7 @@
 		return line{}, false
 	}
 	switch wire.Message {
-	case messageRequest, messageOrder, messageDrain:
+	case messageRequest, messageOrder, messageDrain, messageQuota:
 	default:
 		return line{}, false
 	}
@@ -64,6 +72,7 @@
 		at: wire.At, message: wire.Message, model: wire.Model, adapter: wire.Adapter, result: wire.Result,
 		cause: causeOf(wire.Error), upstream: wire.Upstream, loads: wire.For, action: wire.Action,
 		took: seconds(wire.Took), firstEvent: seconds(wire.FirstEvent),
+		organisation: wire.Organisation, granted: wire.Granted,
 	}, true
 }
 
@@ -80,6 +89,10 @@
 		return CauseConfiguration
 	case strings.HasPrefix(message, "retry budget"):
 		return CauseBudget
+	case strings.HasPrefix(message, "the quota of"), strings.HasPrefix(message, "no leader grants units"):
+		return CauseQuota
+	case strings.HasPrefix(message, "the key"):
+		return CauseKey
 	default:
 		return CauseOther
 	}
--- a/summarizer/scan.go
+++ b/summarizer/scan.go
@@ -10,6 +10,8 @@
 type scan struct {
 	settings Settings
 	losses   map[lossKey]*Losses
+	// organisations are by name.
+	organisations map[string]*OrganisationLosses
 	// seconds are by model and second of arrival.
 	seconds map[string]map[int64]*second
 	// inFlight counts the seconds of requests by second and engine.
@@ -35,14 +37,15 @@
 
 func newScan(settings Settings) *scan {
 	return &scan{
-		settings: settings,
-		losses:   map[lossKey]*Losses{},
-		seconds:  map[string]map[int64]*second{},
-		inFlight: map[int64]map[string]float64{},
-		engines:  map[string]bool{},
-		orders:   map[string][]time.Time{},
-		loads:    map[copyKey][]time.Time{},
-		answers:  map[copyKey][]time.Time{},
+		settings:      settings,
+		losses:        map[lossKey]*Losses{},
+		organisations: map[string]*OrganisationLosses{},
+		seconds:       map[string]map[int64]*second{},
+		inFlight:      map[int64]map[string]float64{},
+		engines:       map[string]bool{},
+		orders:        map[string][]time.Time{},
+		loads:         map[copyKey][]time.Time{},
+		answers:       map[copyKey][]time.Time{},
 	}
 }
 
@@ -54,6 +57,9 @@
 )
 
 func (s *scan) add(l line) {
+	if l.organisation != "" {
+		s.addOrganisation(l)
+	}
 	switch {
 	case l.message == messageDrain:
 		s.orders[l.loads] = append(s.orders[l.loads], l.at)
@@ -91,6 +97,28 @@
 	}
 }
 
+// addOrganisation counts a request of an organisation, or a grant of units.
+func (s *scan) addOrganisation(l line) {
+	losses := s.organisations[l.organisation]
+	if losses == nil {
+		losses = &OrganisationLosses{Organisation: l.organisation, Refused: map[Cause]int{}}
+		s.organisations[l.organisation] = losses
+	}
+	switch {
+	case l.message == messageQuota:
+		losses.GrantedUnits += l.granted
+	case l.message != messageRequest:
+	case l.result == resultRefused:
+		losses.Requests++
+		losses.Refused[l.cause]++
+	case l.result != resultWhole:
+		losses.Requests++
+		losses.Failed++
+	default:
+		losses.Requests++
+	}
+}
+
 func (s *scan) secondOf(model string, at int64) *second {
 	if s.seconds[model] == nil {
 		s.seconds[model] = map[int64]*second{}
--- a/summarizer/summarizer.go
+++ b/summarizer/summarizer.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"cmp"
 	"io"
+	"maps"
 	"slices"
 	"time"
 )
@@ -23,13 +24,17 @@
 	CauseConfiguration Cause = "configuration"
 	// CauseBudget requests needed a retry that the retry budget does not cover.
 	CauseBudget Cause = "budget"
+	// CauseQuota requests were beyond the quota of their organisation, or nobody could tell.
+	CauseQuota Cause = "quota"
+	// CauseKey requests had no key in force, or one that could not be confirmed.
+	CauseKey Cause = "key"
 	// CauseOther is any other reason.
 	CauseOther Cause = "other"
 )
 
 // Causes lists all causes in the order of a table.
 func Causes() []Cause {
-	return []Cause{CauseTarget, CauseHolder, CauseConfiguration, CauseBudget, CauseOther}
+	return []Cause{CauseTarget, CauseHolder, CauseConfiguration, CauseBudget, CauseQuota, CauseKey, CauseOther}
 }
 
 // Losses counts the requests for one model, or for its adapters.
@@ -53,6 +58,17 @@
 	return lost
 }
 
+// OrganisationLosses counts the requests with the keys of one organisation.
+type OrganisationLosses struct {
+	Organisation string
+	Requests     int
+	Failed       int
+	Refused      map[Cause]int
+	// GrantedUnits is how many units of its quota entries were granted. Some of them are
+	// never used.
+	GrantedUnits float64
+}
+
 // Shortage is a time in which many requests for a model were refused.
 type Shortage struct {
 	Model      string
@@ -70,6 +86,8 @@
 type Summary struct {
 	// Losses are in descending order of lost requests.
 	Losses []*Losses
+	// Organisations are in alphabetical order.
+	Organisations []*OrganisationLosses
 	// Shortages are in order of their start.
 	Shortages []Shortage
 }
@@ -128,6 +146,9 @@
 	slices.SortFunc(summary.Losses, func(a, b *Losses) int {
 		return cmp.Or(cmp.Compare(b.Lost(), a.Lost()), cmp.Compare(a.Model, b.Model))
 	})
+	for _, name := range slices.Sorted(maps.Keys(s.organisations)) {
+		summary.Organisations = append(summary.Organisations, s.organisations[name])
+	}
 	for model, seconds := range s.seconds {
 		summary.Shortages = append(summary.Shortages, s.shortages(model, seconds)...)
 	}
--- a/summarizer/summarizer_test.go
+++ b/summarizer/summarizer_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// Guards against requests of an organisation that are not counted because they name no model,
+// and against refusals for the quota that look like others.
+func TestOrganisationsAreCountedByCause(t *testing.T) {
+	logs := logged(0, `"msg":"quota granted","organisation":"maple","requests":2,"granted":1500`) +
+		logged(0, `"msg":"quota granted","organisation":"maple","requests":1,"granted":500.5`) +
+		logged(0, `"msg":"quota changed","organisation":"maple"`) +
+		logged(0, `"msg":"request","organisation":"maple","result":"whole"`) +
+		logged(0, `"msg":"request","organisation":"maple","result":"refused","error":"the quota of maple doesn't cover 900 more units"`) +
+		logged(0, `"msg":"request","organisation":"maple","result":"refused","error":"no leader grants units of the quota"`) +
+		logged(0, `"msg":"request","organisation":"birch","result":"refused","error":"the key belongs to no organisation"`) +
+		logged(0, `"msg":"request","organisation":"birch","result":"failed"`)
+	summary, err := summarizer.Read(strings.NewReader(logs), summarizer.Settings{Target: time.Second})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, summary.Organisations, []*summarizer.OrganisationLosses{
+		{Organisation: "birch", Requests: 2, Failed: 1, Refused: map[summarizer.Cause]int{summarizer.CauseKey: 1}},
+		{Organisation: "maple", Requests: 3, Refused: map[summarizer.Cause]int{summarizer.CauseQuota: 2}, GrantedUnits: 2000.5},
+	})
+}
+
 func TestShortageLastsUntilRequestsAreServedAgain(t *testing.T) {
 	var logs strings.Builder
 	for second := range 8 {
