--- a/prover/crash_test.go
+++ b/prover/crash_test.go
@@ -36,7 +36,7 @@
 	c.platformServer = &platformServer{
 		id: id, service: "engines", models: models, state: "ready", software: "v1", born: 7, runs: map[string]int{},
 		runsByOrganisation: map[string][]time.Time{},
-		address: listener.Addr().String(), eventInterval: 20 * time.Millisecond,
+		address:            listener.Addr().String(), eventInterval: 20 * time.Millisecond,
 	}
 	s.servers = append(s.servers, c.platformServer)
 	c.listen(listener)
