--- a/broadcaster/broadcaster.go
+++ b/broadcaster/broadcaster.go
@@ -80,6 +80,11 @@
 	Crashes() []quarantiner.Crash
 	// Merge adds those that another entry knows.
 	Merge(crashes []quarantiner.Crash)
+	// RosterChanges, Rosters and MergeRosters do the same for the requests at work at these
+	// upstreams.
+	RosterChanges() []quarantiner.Roster
+	Rosters() []quarantiner.Roster
+	MergeRosters(rosters []quarantiner.Roster)
 }
 
 // noCrashes is used if crashes are not shared.
@@ -89,6 +94,10 @@
 func (noCrashes) Crashes() []quarantiner.Crash { return nil }
 func (noCrashes) Merge([]quarantiner.Crash)    {}
 
+func (noCrashes) RosterChanges() []quarantiner.Roster { return nil }
+func (noCrashes) Rosters() []quarantiner.Roster       { return nil }
+func (noCrashes) MergeRosters([]quarantiner.Roster)   {}
+
 // Broadcaster sends notes to other entries and receives theirs.
 type Broadcaster struct {
 	wire.UnimplementedPeerServer
@@ -257,17 +266,18 @@
 
 // addCrashes adds the changed crashes, or all of them, to notes, which may be nil.
 func (b *Broadcaster) addCrashes(notes *wire.EntryNotes, all bool) *wire.EntryNotes {
-	crashes := b.settings.Crashes.Changes()
+	crashes, rosters := b.settings.Crashes.Changes(), b.settings.Crashes.RosterChanges()
 	if all {
-		crashes = b.settings.Crashes.Crashes()
+		crashes, rosters = b.settings.Crashes.Crashes(), b.settings.Crashes.Rosters()
 	}
-	if len(crashes) == 0 {
+	if len(crashes) == 0 && len(rosters) == 0 {
 		return notes
 	}
 	if notes == nil {
 		notes = &wire.EntryNotes{Entry: b.settings.Entry}
 	}
 	notes.Crashes = encoder.EncodeCrashes(crashes, time.Now())
+	notes.Rosters = encoder.EncodeRosters(rosters, time.Now())
 	return notes
 }
 
@@ -306,11 +316,11 @@
 		if extra := targeted[address]; p.interestOnly || len(extra) > 0 {
 			outgoing = &wire.EntryNotes{Entry: notes.GetEntry(), Loads: extra, Whole: notes.GetWhole()}
 			if !p.interestOnly {
-				outgoing.Crashes = shared.GetCrashes()
+				outgoing.Crashes, outgoing.Rosters = shared.GetCrashes(), shared.GetRosters()
 				outgoing.Loads = append(outgoing.Loads, shared.GetLoads()...)
 			}
 		}
-		if len(outgoing.GetLoads()) > 0 || len(outgoing.GetCrashes()) > 0 || outgoing.GetWhole() {
+		if len(outgoing.GetLoads()) > 0 || hasCrashes(outgoing) || outgoing.GetWhole() {
 			p.enqueue(outgoing)
 			queued++
 		}
@@ -319,13 +329,20 @@
 	return queued
 }
 
+// hasCrashes reports whether notes contain crashes or rosters.
+func hasCrashes(notes *wire.EntryNotes) bool {
+	return len(notes.GetCrashes()) > 0 || len(notes.GetRosters()) > 0
+}
+
 // partition separates the loads for all regular peers from those for interested
 // entries, which are returned by address.
 func (b *Broadcaster) partition(notes *wire.EntryNotes) (shared *wire.EntryNotes, targeted map[string][]*wire.EntryLoad) {
 	if b.settings.InterestedEntries == nil {
 		return notes, nil
 	}
-	shared = &wire.EntryNotes{Entry: notes.GetEntry(), Whole: notes.GetWhole(), Crashes: notes.GetCrashes()}
+	shared = &wire.EntryNotes{
+		Entry: notes.GetEntry(), Whole: notes.GetWhole(), Crashes: notes.GetCrashes(), Rosters: notes.GetRosters(),
+	}
 	targeted = map[string][]*wire.EntryLoad{}
 	for _, load := range notes.GetLoads() {
 		interested := b.settings.InterestedEntries(load.GetUpstream())
@@ -393,11 +410,16 @@
 // sendCrashes sends all crashes at the start of a stream, for an entry that has been
 // restarted or cut off.
 func (b *Broadcaster) sendCrashes(call grpc.ClientStreamingClient[wire.EntryNotes, wire.NotesReply]) error {
-	crashes := b.settings.Crashes.Crashes()
-	if len(crashes) == 0 {
+	now := time.Now()
+	notes := &wire.EntryNotes{
+		Entry:   b.settings.Entry,
+		Crashes: encoder.EncodeCrashes(b.settings.Crashes.Crashes(), now),
+		Rosters: encoder.EncodeRosters(b.settings.Crashes.Rosters(), now),
+	}
+	if !hasCrashes(notes) {
 		return nil
 	}
-	return call.Send(&wire.EntryNotes{Entry: b.settings.Entry, Crashes: encoder.EncodeCrashes(crashes, time.Now())})
+	return call.Send(notes)
 }
 
 // Notes merges the loads and crashes received from another entry.
@@ -414,6 +436,9 @@
 		if len(notes.GetCrashes()) > 0 {
 			b.settings.Crashes.Merge(encoder.DecodeCrashes(notes.GetCrashes(), time.Now()))
 		}
+		if len(notes.GetRosters()) > 0 {
+			b.settings.Crashes.MergeRosters(encoder.DecodeRosters(notes.GetRosters(), time.Now()))
+		}
 		b.settings.Wake()
 	}
 }
--- a/broadcaster/crashes_test.go
+++ b/broadcaster/crashes_test.go
@@ -48,3 +48,20 @@
 	awaitCrashes(t, receiver, 2)
 	assert.Assert(t, time.Since(started) < 3*time.Second)
 }
+
+// What was at work at crashed upstreams must reach all entries, also those that join late.
+func TestRostersReachOtherEntries(t *testing.T) {
+	first, observer := newEntryWithQuarantine(t, "a")
+	second, _ := newEntryWithQuarantine(t, "b")
+	third, receiver := newEntryWithQuarantine(t, "c")
+	roster := func(upstream string) quarantiner.Roster {
+		return quarantiner.Roster{Upstream: upstream, Suspects: []quarantiner.Suspect{{ID: 7, Events: 3}}, At: time.Now()}
+	}
+	observer.MergeRosters([]quarantiner.Roster{roster("u1")})
+	first.sender.SetPeers([]string{second.address})
+	second.sender.SetPeers([]string{third.address})
+	observer.MergeRosters([]quarantiner.Roster{roster("u2")})
+	for end := time.Now().Add(20 * time.Second); len(receiver.Rosters()) < 2; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d rosters known", len(receiver.Rosters()))
+	}
+}
--- a/encoder/crash_test.go
+++ b/encoder/crash_test.go
@@ -44,3 +44,27 @@
 		})
 	}
 }
+
+func TestRostersAreDecodedAtTheirAge(t *testing.T) {
+	sent := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	received := sent.Add(time.Hour)
+	rosters := []quarantiner.Roster{
+		{Upstream: "u1@1", Suspects: []quarantiner.Suspect{{ID: 1, Events: 3}, {ID: math.MaxUint64, Events: 40, Outlived: math.MaxInt32}}, At: sent.Add(-1500 * time.Millisecond)},
+		{Upstream: "u2@1", At: sent},
+	}
+	got := encoder.DecodeRosters(encoder.EncodeRosters(rosters, sent), received)
+	for i := range rosters {
+		rosters[i].At = rosters[i].At.Add(time.Hour)
+	}
+	assert.DeepEqual(t, got, rosters)
+}
+
+// Messages whose lists differ in length, or with numbers out of range, must not end an entry.
+func TestMalformedRostersAreDecoded(t *testing.T) {
+	message := &wire.CrashRoster{Upstream: "u1", AgeMs: -5, Suspects: []uint64{1, 2}, Events: []uint32{math.MaxUint32}}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	got := encoder.DecodeRosters([]*wire.CrashRoster{message, nil}, now)
+	assert.DeepEqual(t, got[0], quarantiner.Roster{
+		Upstream: "u1", Suspects: []quarantiner.Suspect{{ID: 1, Events: math.MaxInt32}, {ID: 2}}, At: now,
+	})
+}
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -33,6 +33,26 @@
 	return listener.Addr().String()
 }
 
+// serveCrashingUnframed is serveCrashing with an answer that has neither a length nor chunks.
+func (r *rig) serveCrashingUnframed(text string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		r.runs.Add(1)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_ = server.Close()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: yes\r\nConnection: close\r\n\r\n"+text)
+		_ = conn.Close()
+	})
+	go func() { _ = server.Serve(listener) }()
+	r.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
 // crashInterval is longer than the time within which crashes count as one.
 const crashInterval = 150 * time.Millisecond
 
@@ -212,3 +232,61 @@
 		time.Sleep(crashInterval)
 	}
 }
+
+// A prompt part that crashes each upstream only after the answer has begun must not be sent
+// to one upstream after the other.
+func TestPartThatCrashesUpstreamsWithinAnswersIsRefused(t *testing.T) {
+	cases := map[string]func(r *rig) string{
+		"after the first event":        func(r *rig) string { return r.serveCrashing(eventText(1, 1)) },
+		"after eight events":           func(r *rig) string { return r.serveCrashing(eventText(1, 8)) },
+		"inside an event":              func(r *rig) string { return r.serveCrashing(eventText(1, 2) + "id: 3\nda") },
+		"without length and chunks":    func(r *rig) string { return r.serveCrashingUnframed(eventText(1, 2)) },
+		"before the header":            (*rig).serveEnding,
+		"before the first whole event": func(r *rig) string { return r.serveCrashing("id: 1\nda") },
+	}
+	for name, upstream := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming}, events(1, 5, true), events(1, 5, true))
+			for range 5 {
+				r.admission.upstreams = append([]string{upstream(r)}, r.admission.upstreams...)
+			}
+			for range 5 {
+				r.askParts("shared crashing own")
+				time.Sleep(crashInterval)
+			}
+			assert.Assert(t, r.runs.Load() <= 3, "%d upstreams crashed", r.runs.Load())
+			r.admission.upstreams = r.admission.upstreams[5-r.runs.Load():]
+			assert.Equal(t, r.askParts("shared crashing own").status, http.StatusServiceUnavailable)
+			assert.Equal(t, r.askParts("shared sound own").body, eventText(1, 5))
+		})
+	}
+}
+
+// A request that comes again and crashes each upstream within its answer must not be sent to
+// one upstream after the other.
+func TestRequestThatCrashesUpstreamsWithinAnswersIsRefused(t *testing.T) {
+	routes := map[string]matcher.Route{
+		"stream":            {Kind: matcher.Streaming},
+		"stream, resumable": {Kind: matcher.Streaming, Resumable: true, MaxAttempts: 3},
+	}
+	for name, route := range routes {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, route)
+			for range 9 {
+				r.admission.upstreams = append(r.admission.upstreams, r.serveCrashing(eventText(1, 2)))
+			}
+			for i := range 9 {
+				r.ask(http.MethodPost, "/x/1", "body", map[string]string{"Id": "r" + strconv.Itoa(i)})
+				time.Sleep(crashInterval)
+			}
+			assert.Assert(t, r.runs.Load() <= 3+3, "%d upstreams crashed", r.runs.Load())
+		})
+	}
+}
+
+// A stream without length and chunks whose upstream crashes must not look complete.
+func TestUnframedStreamThatEndsWithItsUpstreamIsBrokenOff(t *testing.T) {
+	r := newRig(t, matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}, events(1, 5, true))
+	r.admission.upstreams = append([]string{r.serveCrashingUnframed(eventText(1, 2))}, r.admission.upstreams...)
+	assert.Equal(t, r.ask(http.MethodPost, "/x/1", "", nil).body, eventText(1, 5))
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -59,6 +59,8 @@
 	subject quarantiner.Subject
 	// headerArrived is true if the header of an answer to the last send has arrived.
 	headerArrived bool
+	// arrivedEvents is the number of events of the answer to the last send.
+	arrivedEvents int
 	// disallowed is true if the grant had lapsed when it was to be used, so that the
 	// request was not sent.
 	disallowed bool
@@ -385,7 +387,7 @@
 // send makes one attempt at the upstream that was granted.
 func (x *exchange) send(ctx context.Context) error {
 	x.attempts.sends++
-	x.disallowed, x.headerArrived = false, false
+	x.disallowed, x.headerArrived, x.arrivedEvents = false, false, 0
 	x.crashes.Begin()
 	x.grant.Started = time.Now()
 	choice := x.grant.Choice
@@ -473,7 +475,7 @@
 	}
 	x.attempts.runs++
 	x.settle(router.OutcomeFailed)
-	x.checkCrash(ctx)
+	x.checkCrash(ctx, quarantiner.StageWaiting)
 	return &LostError{Cause: err}
 }
 
--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -40,15 +40,17 @@
 	return shared
 }
 
-// checkCrash finds out whether the upstream has crashed before the first piece of its
-// answer. One that is leaving may have stopped.
-func (x *exchange) checkCrash(ctx context.Context) {
+// checkCrash reports whether the upstream has crashed before the end of its answer. One that
+// is leaving may have stopped.
+func (x *exchange) checkCrash(ctx context.Context, stage quarantiner.Stage) bool {
 	choice := x.grant.Choice
 	broken := quarantiner.Break{
-		Upstream: choice.Incarnation, Address: choice.Address, Begun: x.headerArrived, Repeated: x.crashes.Repeated(),
+		Upstream: choice.Incarnation, Address: choice.Address, Stage: stage, Events: x.arrivedEvents,
+		Repeated: x.crashes.Repeated(),
 	}
 	if x.Upstreams.Leaving(choice) || !x.pass.Broken(ctx, broken) {
-		return
+		return false
 	}
-	x.crashes.Crash(x.headerArrived)
+	x.crashes.Crash(stage)
+	return true
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 	"burdocklink/router"
 )
@@ -36,38 +37,52 @@
 		return fault
 	}
 	events := newEventReader(response.Body)
-	for reads := 0; ; reads++ {
+	stage := quarantiner.StageBeginning
+	for {
 		arrived, err := events.next()
-		if reads == 1 && (err == nil || err == io.EOF) {
-			x.pass.Answered()
-		}
-		if err == io.EOF && reads == 0 && !framed(response) {
+		if err == io.EOF && stage == quarantiner.StageBeginning && !framed(response) {
 			err = &EmptyStreamError{}
 		}
 		if err == io.EOF {
-			return x.completeStream(response)
+			return x.endStream(ctx, response)
 		}
-		if err != nil && reads == 0 {
-			x.checkCrash(ctx)
+		if err != nil {
+			x.checkCrash(ctx, stage)
+			return x.handleStreamError(err)
 		}
-		if err == nil {
-			err = x.relayEvents(response, arrived)
+		if stage == quarantiner.StageAnswering {
+			x.pass.Answered()
 		}
-		if err != nil {
+		stage = quarantiner.StageAnswering
+		if err := x.relayEvents(response, arrived); err != nil {
 			return x.handleStreamError(err)
 		}
 	}
 }
 
+// endStream completes a stream that ended between two events. If its end can't be told from
+// the end of the connection, a crash of the upstream has broken it off.
+func (x *exchange) endStream(ctx context.Context, response *http.Response) error {
+	if !framed(response) && x.checkCrash(ctx, quarantiner.StageAnswering) {
+		return x.handleStreamError(io.ErrUnexpectedEOF)
+	}
+	x.pass.Completed()
+	return x.completeStream(response)
+}
+
 // framed reports whether the end of an answer can be told from the end of its
 // connection.
 func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.ProtoMajor > 1
 }
 
 // relayEvents writes complete events and flushes them.
 func (x *exchange) relayEvents(response *http.Response, arrived []byte) error {
-	err := forEachEvent(arrived, func(event []byte) error { return x.relayEvent(response, event) })
+	err := forEachEvent(arrived, func(event []byte) error {
+		x.arrivedEvents++
+		x.pass.Lasted(x.arrivedEvents)
+		return x.relayEvent(response, event)
+	})
 	if err != nil {
 		return err
 	}
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 	"burdocklink/router"
 )
@@ -20,13 +21,18 @@
 	reader := &limitedReader{source: io.LimitReader(response.Body, maxAnswerBytes+1), total: &x.buffered, own: &x.ownBytes}
 	body, err := io.ReadAll(reader)
 	_ = response.Body.Close()
+	if err == nil && !framed(response) && x.checkCrash(ctx, quarantiner.StageBeginning) {
+		// the end of the connection is no end of the answer then
+		err = io.ErrUnexpectedEOF
+	} else if err != nil {
+		x.checkCrash(ctx, quarantiner.StageBeginning)
+	}
 	if err != nil {
-		x.checkCrash(ctx)
 		x.settle(router.OutcomeFailed)
 		return &LostError{Cause: err}
 	}
 	if response.StatusCode < http.StatusMultipleChoices {
-		x.pass.Answered()
+		x.pass.Completed()
 	}
 	if len(body) > maxAnswerBytes {
 		x.settle(router.OutcomeFailed)
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -50,6 +50,7 @@
 
 func (g *Gossiper) mergeCrashes(remote *wire.PeerDigest, now time.Time) {
 	g.settings.Quarantine.Merge(encoder.DecodeCrashes(remote.GetCrashes(), now))
+	g.settings.Quarantine.MergeRosters(encoder.DecodeRosters(remote.GetRosters(), now))
 }
 
 // enqueueOffer passes the peer's confirmation, and its catalog if newer, to the
@@ -96,6 +97,7 @@
 		Confirmed:      confirmation.Revision,
 		ConfirmedAgeMs: -1,
 		Crashes:        encoder.EncodeCrashes(g.settings.Quarantine.Crashes(), now),
+		Rosters:        encoder.EncodeRosters(g.settings.Quarantine.Rosters(), now),
 	}
 	if !confirmation.At.IsZero() {
 		digest.ConfirmedAgeMs = now.Sub(confirmation.At).Milliseconds()
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -8,6 +8,8 @@
 
 // evidence is what the crashes say about requests that repeat each other.
 type evidence struct {
+	// crashes are those that no conviction of another cause explains.
+	crashes []*knownCrash
 	// requests maps the fingerprints that are suspects to the crashes under them.
 	requests map[string]requestEvidence
 	// causes maps upstreams that crashed to the quarantined request that was at work.
@@ -65,14 +67,34 @@
 // evidenceOf returns what the crashes say about requests.
 func (t *Table) evidenceOf() *evidence {
 	if t.evidence == nil {
-		t.evidence = newEvidence(t.crashes)
+		t.evidence = newEvidence(unexplained(t.crashes, t.convictions()))
 	}
 	return t.evidence
 }
 
+// unexplained returns the crashes without those of upstreams that other requests crashed.
+func unexplained(crashes []*knownCrash, convictions []conviction) []*knownCrash {
+	if len(convictions) == 0 {
+		return crashes
+	}
+	return slices.DeleteFunc(slices.Clone(crashes), func(crash *knownCrash) bool {
+		explained := false
+		for _, c := range convictions {
+			if !slices.Contains(c.upstreams, crash.Upstream) {
+				continue
+			}
+			if c.appliesTo(crash.hashes) {
+				return false
+			}
+			explained = true
+		}
+		return explained
+	})
+}
+
 // newEvidence draws evidence from crashes in ascending order of time.
 func newEvidence(crashes []*knownCrash) *evidence {
-	e := &evidence{requests: map[string]requestEvidence{}, causes: map[string]string{}}
+	e := &evidence{crashes: crashes, requests: map[string]requestEvidence{}, causes: map[string]string{}}
 	atWork := map[string][]string{} // by upstream
 	for _, crash := range crashes {
 		if crash.Fingerprint != "" {
@@ -123,7 +145,7 @@
 	var last time.Time
 	var byParts partsEvidence
 	ids, requests := subject.ids(), t.evidenceOf()
-	for _, crash := range t.crashes {
+	for _, crash := range requests.crashes {
 		common := intersection(crash.suspects, ids)
 		if len(common) == 0 {
 			continue
@@ -145,9 +167,30 @@
 	if request := requests.requests[subject.Fingerprint]; request.quarantined() {
 		found.probeAt = later(found.probeAt, request.probeAt())
 	}
+	t.applyConvictions(subject, &found)
 	return found
 }
 
+// applyConvictions adds what the rosters say about a request.
+func (t *Table) applyConvictions(subject Subject, found *assessment) {
+	convictions := t.convictions()
+	if len(convictions) == 0 {
+		return
+	}
+	ids, hashes := subject.ids(), subject.hashes()
+	for _, c := range convictions {
+		if !c.appliesTo(hashes) {
+			continue
+		}
+		found.probeAt = later(found.probeAt, c.probeAt())
+		for i, hash := range hashes {
+			if slices.Contains(c.ids, hash) {
+				found.suspects = union(found.suspects, ids[i:i+1])
+			}
+		}
+	}
+}
+
 // partsEvidence describes the crashes that have no suspected parts besides those of one
 // request, so that a request with all of them contains the cause.
 type partsEvidence struct {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
 	"net"
 	"sync"
 	"syscall"
@@ -37,12 +38,16 @@
 	settings Settings
 	crashes  metrics.Counter
 	refusals metrics.Counter
+	// convictions counts the conclusions from rosters.
+	convictions metrics.Counter
 
 	mutex sync.Mutex
 	table *Table
 	peers []string
-	// changed contains the crashes that other entries have not been sent.
-	changed map[string]Crash
+	// changed contains the crashes that other entries have not been sent, changedRosters the
+	// upstreams of such rosters.
+	changed        map[string]Crash
+	changedRosters map[string]bool
 	// wake is closed when requests that wait may be decided anew.
 	wake chan struct{}
 }
@@ -62,9 +67,14 @@
 		settings: settings,
 		crashes:  metrics.GetOrRegisterCounter("quarantine-crashes", settings.Metrics),
 		refusals: metrics.GetOrRegisterCounter("quarantine-refusals", settings.Metrics),
-		table:    NewTable(),
-		changed:  map[string]Crash{},
-		wake:     make(chan struct{}),
+
+		convictions: metrics.GetOrRegisterCounter("quarantine-convictions", settings.Metrics),
+
+		table:   NewTable(),
+		changed: map[string]Crash{},
+		wake:    make(chan struct{}),
+
+		changedRosters: map[string]bool{},
 	}
 }
 
@@ -165,13 +175,63 @@
 	if len(q.changed) < maxCrashes {
 		q.changed[crash.key()] = crash
 	}
-	close(q.wake)
-	q.wake = make(chan struct{})
+	q.wakeWaiting()
 	q.settings.Log.Info("upstream crashed under a request", zap.String("upstream", crash.Upstream),
 		zap.Duration("age", now.Sub(crash.At)), zap.String("fingerprint", crash.Fingerprint),
 		zap.Strings("parts", crash.Parts), zap.Strings("suspects", crash.Suspects()))
 }
 
+// wakeWaiting lets waiting requests be decided anew. The caller holds the mutex.
+func (q *Quarantiner) wakeWaiting() {
+	close(q.wake)
+	q.wake = make(chan struct{})
+}
+
+// MergeRosters adds the rosters of another entry.
+func (q *Quarantiner) MergeRosters(observed []Roster) {
+	now := time.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, roster := range observed {
+		if q.table.MergeRoster(roster, now) {
+			q.publishRoster(roster.Upstream, now)
+		}
+	}
+}
+
+// publishRoster queues the roster of an upstream for other entries, logs new conclusions and
+// wakes waiting requests. The caller holds the mutex.
+func (q *Quarantiner) publishRoster(upstream string, now time.Time) {
+	if len(q.changedRosters) < maxRosters {
+		q.changedRosters[upstream] = true
+	}
+	for _, c := range q.table.newConvictions() {
+		q.convictions.Inc(1)
+		q.settings.Log.Info("requests quarantined", zap.Uint64s("ids", c.ids), zap.Int("crashes", c.crashes),
+			zap.Strings("upstreams", c.upstreams), zap.Duration("age", now.Sub(c.last)), zap.Time("retry-at", c.probeAt()))
+	}
+	q.wakeWaiting()
+}
+
+// RosterChanges returns the rosters that have changed since the last call.
+func (q *Quarantiner) RosterChanges() []Roster {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	changes := make([]Roster, 0, len(q.changedRosters))
+	for upstream := range q.changedRosters {
+		changes = append(changes, q.table.RostersOf(upstream)...)
+	}
+	clear(q.changedRosters)
+	return changes
+}
+
+// Rosters returns all rosters that are known.
+func (q *Quarantiner) Rosters() []Roster {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.table.Rosters(time.Now())
+}
+
 // Changes returns the crashes that have changed since the last call.
 func (q *Quarantiner) Changes() []Crash {
 	q.mutex.Lock()
@@ -206,8 +266,8 @@
 	return q.table.Permits(p.subject, p.trial, time.Now())
 }
 
-// Answered records that an upstream has answered the request for some time without
-// crashing, so neither it nor any of its parts is the cause of a crash.
+// Answered records that an upstream has begun to answer the request and has not crashed when
+// it began.
 func (p *Pass) Answered() {
 	q, now := p.quarantiner, time.Now()
 	q.mutex.Lock()
@@ -217,13 +277,50 @@
 	}
 }
 
-// Break is the end of a connection before the first piece of an answer.
+// Completed records that an upstream has answered the request to its end, so neither it nor
+// any of its parts is the cause of a crash.
+func (p *Pass) Completed() {
+	p.Answered()
+	p.lasted(wholeAnswer)
+}
+
+// Lasted records that an answer to the request has come to a number of events.
+func (p *Pass) Lasted(events int) {
+	if bits.OnesCount(uint(events)) == 1 {
+		p.lasted(events)
+	}
+}
+
+func (p *Pass) lasted(events int) {
+	q, now := p.quarantiner, time.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, upstream := range q.table.Lasted(p.subject, events, now) {
+		q.publishRoster(upstream, now)
+	}
+}
+
+// Stage is how far an upstream had come with an answer.
+type Stage int
+
+const (
+	// StageWaiting is before the header of the answer. The request may still have waited in
+	// the upstream's queue.
+	StageWaiting Stage = iota
+	// StageBeginning is between the header and the first piece of the answer.
+	StageBeginning
+	// StageAnswering is after the first piece. All other answers of the upstream may be in
+	// this stage too.
+	StageAnswering
+)
+
+// Break is the end of a connection before the end of an answer.
 type Break struct {
 	// Upstream is the incarnation, Address its IP and port.
 	Upstream, Address string
-	// Begun is set if the upstream had begun to answer. Otherwise the request may still
-	// have waited in its queue, so the parts of the prompt are not suspected.
-	Begun bool
+	Stage             Stage
+	// Events is the number of events of the answer.
+	Events int
 	// Repeated is set if the request was sent after another upstream had crashed under it.
 	Repeated bool
 }
@@ -231,19 +328,47 @@
 // Broken records that an upstream has crashed under the request, if it no longer listens.
 // It reports whether that is so.
 func (p *Pass) Broken(ctx context.Context, broken Break) bool {
+	if len(p.subject.ids()) == 0 || !p.quarantiner.hasCrashed(ctx, broken) {
+		return false
+	}
+	now := time.Now()
+	p.quarantiner.addToRoster(broken, p.subject, now)
 	crash := Crash{
-		Upstream: broken.Upstream, Fingerprint: p.subject.Fingerprint, Repeated: broken.Repeated, At: time.Now(),
+		Upstream: broken.Upstream, Fingerprint: p.subject.Fingerprint, Repeated: broken.Repeated, At: now,
 	}
-	if broken.Begun {
+	if broken.Stage == StageBeginning {
 		crash.Parts = p.subject.Parts
 	}
-	if len(crash.ids()) == 0 || !p.quarantiner.isDown(ctx, broken.Address) {
-		return false
+	if broken.Stage != StageAnswering && len(crash.ids()) > 0 {
+		p.quarantiner.observe(crash, now)
 	}
-	p.quarantiner.observe(crash, time.Now())
 	return true
 }
 
+// addToRoster records that a request was at work at an upstream that crashed.
+func (q *Quarantiner) addToRoster(broken Break, subject Subject, now time.Time) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.settings.Log.Info("upstream crashed while answering", zap.String("upstream", broken.Upstream),
+		zap.Int("events", broken.Events), zap.String("fingerprint", subject.Fingerprint), zap.Strings("parts", subject.Parts))
+	observed := Roster{Upstream: broken.Upstream, At: now}
+	for _, id := range subject.hashes() {
+		observed.Suspects = append(observed.Suspects, Suspect{ID: id, Events: broken.Events})
+	}
+	if q.table.MergeRoster(observed, now) {
+		q.publishRoster(broken.Upstream, now)
+	}
+}
+
+// hasCrashed reports whether an upstream is known to have crashed just now or refuses
+// connections.
+func (q *Quarantiner) hasCrashed(ctx context.Context, broken Break) bool {
+	q.mutex.Lock()
+	crashed := q.table.CrashedAt(broken.Upstream, time.Now())
+	q.mutex.Unlock()
+	return crashed || q.isDown(ctx, broken.Address)
+}
+
 // isDown reports whether connections to an address are refused. A connection that
 // hangs or is established does not show that an upstream crashed.
 func (q *Quarantiner) isDown(ctx context.Context, address string) bool {
@@ -266,6 +391,5 @@
 	defer q.mutex.Unlock()
 	q.table.EndTrial(p.trial)
 	p.trial = Trial{}
-	close(q.wake)
-	q.wake = make(chan struct{})
+	q.wakeWaiting()
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -43,7 +43,7 @@
 			q := quarantiner.New(quarantiner.Settings{Dial: dialer(c.err)})
 			pass, err := q.Admit(t.Context(), ofParts(c.parts...), time.Now().Add(time.Second))
 			assert.NilError(t, err)
-			assert.Equal(t, pass.Broken(t.Context(), quarantiner.Break{Upstream: "u1", Address: "address", Begun: true}), c.crashed)
+			assert.Equal(t, pass.Broken(t.Context(), quarantiner.Break{Upstream: "u1", Address: "address", Stage: quarantiner.StageBeginning}), c.crashed)
 			assert.Equal(t, len(q.Crashes()) == 1, c.crashed)
 		})
 	}
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -110,6 +110,8 @@
 	Crash
 	key      string
 	suspects []string
+	// hashes are the short forms of the fingerprint and the parts.
+	hashes []uint64
 }
 
 // suspectedRequest returns the fingerprint if it is a suspect, or else "".
@@ -160,8 +162,9 @@
 	crashes []*knownCrash
 	// seen contains the crashes that were known before.
 	seen seenKeys
-	// evidence is drawn from crashes; nil after a change of them.
+	// evidence is drawn from crashes and rosters; nil after a change of them.
 	evidence *evidence
+	rosters  rosterTable
 	// expireAt is when crashes are checked for their age again.
 	expireAt time.Time
 	// trials are the suspects of requests that are being sent.
@@ -174,13 +177,17 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{answered: map[string]bool{}, seen: seenKeys{recent: map[uint64]bool{}}}
+	return &Table{
+		answered: map[string]bool{}, seen: seenKeys{recent: map[uint64]bool{}},
+		rosters: rosterTable{answered: map[uint64]int{}, seen: seenKeys{recent: map[uint64]bool{}}},
+	}
 }
 
 // Decide returns whether a request may be sent. A Trial must be ended with EndTrial.
 // Probes reports whether this entry is the one that probes suspects.
 func (t *Table) Decide(subject Subject, probes func(suspects []string) bool, now time.Time) Verdict {
 	t.expire(now)
+	t.expireRosters(now)
 	found := t.assess(subject)
 	switch {
 	case len(found.suspects) == 0:
@@ -208,8 +215,8 @@
 	t.trials = slices.DeleteFunc(t.trials, func(part string) bool { return slices.Contains(trial.Suspects, part) })
 }
 
-// Answered records that an upstream answers a request and has not crashed. It returns the
-// crashes that have changed.
+// Answered records that an upstream has begun to answer a request and has not crashed when it
+// began. It returns the crashes that have changed.
 func (t *Table) Answered(subject Subject, now time.Time) []Crash {
 	t.rotate(now)
 	ids := subject.ids()
@@ -289,6 +296,7 @@
 		},
 		key:      observed.key(),
 		suspects: observed.ids(),
+		hashes:   Subject{Fingerprint: observed.Fingerprint, Parts: observed.Parts}.hashes(),
 	}
 }
 
@@ -410,11 +418,11 @@
 	if now.Before(t.rotateAt) {
 		return
 	}
-	t.answeredBefore = t.answered
+	t.answeredBefore, t.rosters.answeredBefore = t.answered, t.rosters.answered
 	if !now.Before(t.rotateAt.Add(recentAnswer)) {
-		t.answeredBefore = nil
+		t.answeredBefore, t.rosters.answeredBefore = nil, nil
 	}
-	t.answered = map[string]bool{}
+	t.answered, t.rosters.answered = map[string]bool{}, map[uint64]int{}
 	t.rotateAt = now.Add(recentAnswer)
 }
 
--- a/receiver/crash_test.go
+++ b/receiver/crash_test.go
@@ -125,3 +125,55 @@
 		})
 	}
 }
+
+// restartedEngine crashes within its answer to a prompt with the word crashing, after the
+// first two events, and is back at once.
+type restartedEngine struct {
+	engine
+	crashes *atomic.Int32
+}
+
+func (e *restartedEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	if !strings.Contains(string(body), "crashing") {
+		e.engine.ServeHTTP(w, r)
+		return
+	}
+	e.crashes.Add(1)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for id := 1; id <= 2; id++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"id\":\"%s\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"}}]}\n\n", id, r.Header.Get(encoder.HeaderRequestID))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// A prompt that crashes engines within its answers must not be sent to one engine after the
+// other.
+func TestPromptThatCrashesEnginesWithinAnswersIsRefused(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			t.Parallel()
+			var crashes atomic.Int32
+			engines := map[string]http.Handler{}
+			for i := range 12 {
+				engines[fmt.Sprintf("engine-%d", i)] = &restartedEngine{crashes: &crashes}
+			}
+			r := newRig(t, engines, refuseConnections)
+			crashing := strings.Replace(chat(stream, 8), "torta", "crashing", 1)
+			for range 3 {
+				r.send("POST", encoder.PathChat, crashing)
+				assert.Assert(t, crashes.Load() <= 3+3, "%d engines crashed", crashes.Load())
+				// an engine crashes once within this time
+				time.Sleep(2100 * time.Millisecond)
+			}
+			got := r.send("POST", encoder.PathChat, crashing)
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			assert.Equal(t, got.outcome(), encoder.OutcomeNotRun)
+			sound := r.send("POST", encoder.PathChat, chat(stream, 8))
+			assert.Equal(t, sound.status, http.StatusOK, sound.body)
+		})
+	}
+}
--- a/receiver/engine_stream.go
+++ b/receiver/engine_stream.go
@@ -16,6 +16,7 @@
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
 	"burdocklink/linker"
+	"burdocklink/quarantiner"
 	"burdocklink/relayer"
 	"burdocklink/router"
 )
@@ -170,7 +171,7 @@
 	}
 	source, err := o.openStream(ctx, call)
 	var interrupted *dispatcher.InterruptedError
-	if ctx.Err() != nil || !errors.As(err, &interrupted) || o.checkCrash(ctx, o.grant.Choice, false) {
+	if ctx.Err() != nil || !errors.As(err, &interrupted) || o.checkCrash(ctx, o.grant.Choice, quarantiner.StageWaiting, 0) {
 		return source, err
 	}
 	return o.restartStream(ctx, call)
@@ -301,7 +302,9 @@
 		return
 	}
 	o.grant.Done(admitter.Result{Ended: time.Now(), Tokens: o.streamTokens, Outcome: outcome})
-	if outcome != router.OutcomeFinished {
+	if outcome == router.OutcomeFinished {
+		o.pass.Completed()
+	} else {
 		o.canceller.cancel(o.grant.Choice.Address, o.attemptID)
 	}
 	o.attemptID = ""
@@ -328,7 +331,7 @@
 	}
 	event, err := s.Stream.Next()
 	if err != nil {
-		s.opener.checkFirstEvent()
+		s.opener.checkBreak()
 		return event, err
 	}
 	s.opener.recordEvent()
@@ -339,17 +342,19 @@
 	return event, nil
 }
 
-// checkFirstEvent finds out whether the engine has crashed after it began to answer and
-// before the first event.
-func (o *streamOpener) checkFirstEvent() {
+// checkBreak finds out whether the engine has crashed after it began to answer.
+func (o *streamOpener) checkBreak() {
+	stage := quarantiner.StageAnswering
 	if o.tokens == 0 && o.streamTokens == 0 {
-		o.checkCrash(o.ctx, o.grant.Choice, true)
+		stage = quarantiner.StageBeginning
 	}
+	o.checkCrash(o.ctx, o.grant.Choice, stage, o.streamTokens)
 }
 
 func (o *streamOpener) recordEvent() {
 	o.streamTokens++
 	o.tokens++
+	o.pass.Lasted(o.streamTokens)
 	if o.tokens == 1 && o.softwareDiffers() {
 		o.origin = o.grant.Choice.Origin()
 	}
--- a/receiver/guard.go
+++ b/receiver/guard.go
@@ -74,15 +74,15 @@
 	}
 }
 
-// checkCrash reports whether the upstream has crashed before the first piece of its
-// answer. One that is leaving may have stopped.
-func (g *guard) checkCrash(ctx context.Context, choice router.Choice, begun bool) bool {
+// checkCrash reports whether the upstream has crashed before the end of its answer. One that
+// is leaving may have stopped.
+func (g *guard) checkCrash(ctx context.Context, choice router.Choice, stage quarantiner.Stage, events int) bool {
 	broken := quarantiner.Break{
-		Upstream: choice.Incarnation, Address: choice.Address, Begun: begun, Repeated: g.sends.Repeated(),
+		Upstream: choice.Incarnation, Address: choice.Address, Stage: stage, Events: events, Repeated: g.sends.Repeated(),
 	}
 	if g.Upstreams.Leaving(choice) || !g.pass.Broken(ctx, broken) {
 		return false
 	}
-	g.sends.Crash(begun)
+	g.sends.Crash(stage)
 	return true
 }
--- a/receiver/non_idempotent.go
+++ b/receiver/non_idempotent.go
@@ -12,6 +12,7 @@
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
 	"burdocklink/linker"
+	"burdocklink/quarantiner"
 	"burdocklink/reporter"
 	"burdocklink/router"
 )
@@ -100,7 +101,7 @@
 	grant.Done(admitter.Result{Ended: time.Now(), Outcome: dispatchOutcome(answer, err)})
 	g.acquit(answer, err)
 	if err != nil && !is[*dispatcher.NotSentError](err) && ctx.Err() == nil {
-		g.checkCrash(ctx, grant.Choice, false)
+		g.checkCrash(ctx, grant.Choice, quarantiner.StageWaiting, 0)
 	}
 	var notSent *dispatcher.NotSentError
 	switch {
--- a/receiver/service.go
+++ b/receiver/service.go
@@ -13,6 +13,7 @@
 	"burdocklink/dispatcher"
 	"burdocklink/encoder"
 	"burdocklink/linker"
+	"burdocklink/quarantiner"
 	"burdocklink/router"
 )
 
@@ -147,7 +148,7 @@
 func (g *guard) tryIdempotent(request unaryRequest, grant *admitter.Grant) (dispatcher.Answer, error) {
 	call := g.call(request, grant)
 	answer, err := g.Dispatcher.Do(g.ctx, call)
-	if is[*dispatcher.InterruptedError](err) && g.ctx.Err() == nil && !g.checkCrash(g.ctx, grant.Choice, false) {
+	if is[*dispatcher.InterruptedError](err) && g.ctx.Err() == nil && !g.checkCrash(g.ctx, grant.Choice, quarantiner.StageWaiting, 0) {
 		g.mayHaveRun = true
 		call.NewConnection = true
 		answer, err = g.Dispatcher.Do(g.ctx, call)
@@ -164,7 +165,7 @@
 // acquit records that an upstream has answered the request with success.
 func (g *guard) acquit(answer dispatcher.Answer, err error) {
 	if err == nil && answer.Status < http.StatusMultipleChoices {
-		g.pass.Answered()
+		g.pass.Completed()
 	}
 }
 
