--- a/conductor/config.go
+++ b/conductor/config.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,6 +30,9 @@
 	// be added to that of its peers. A member without other peers forms a group on
 	// its own.
 	Peers []Member
+	// Founders are the names of the members that form a group; none means Peers and this
+	// member. Others wait to be added to it.
+	Founders []string
 	// JoinOnly is set if the member must not form a group: it waits to be added to
 	// that of its peers.
 	JoinOnly bool
@@ -139,6 +143,11 @@
 	return others
 }
 
+// isFounder reports whether a member with the name may form a group.
+func (c *Config) isFounder(name string) bool {
+	return len(c.Founders) == 0 || slices.Contains(c.Founders, name)
+}
+
 func (c *Config) setDefaults() {
 	if c.Timing == (Timing{}) {
 		c.Timing = DefaultTiming()
--- a/conductor/export_test.go
+++ b/conductor/export_test.go
@@ -8,3 +8,6 @@
 
 // Disk returns the identity of the member's data folder.
 func (c *Conductor) Disk() string { return c.self.Disk }
+
+// GroupName returns the group that the member belongs to, or "".
+func (c *Conductor) GroupName() string { return c.groupName() }
--- a/conductor/formation.go
+++ b/conductor/formation.go
@@ -159,7 +159,7 @@
 // foundingMembers asks all peers for their identities and returns the members of a
 // new group. It returns false if this member must not create one.
 func (c *Conductor) foundingMembers() ([]replicator.Member, bool) {
-	if c.config.JoinOnly {
+	if c.config.JoinOnly || !c.config.isFounder(c.config.Name) {
 		return nil, false
 	}
 	members := []replicator.Member{c.selfMember()}
--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -71,6 +71,17 @@
 
 // newCluster starts members with the given names, which know each other.
 func newCluster(t testing.TB, configure func(*conductor.Config), names ...string) *cluster {
+	t.Helper()
+	g := newStoppedCluster(t, configure, names...)
+	for _, p := range g.processes {
+		g.start(p)
+	}
+	return g
+}
+
+// newStoppedCluster returns members with the given names, which know each other and have not
+// started.
+func newStoppedCluster(t testing.TB, configure func(*conductor.Config), names ...string) *cluster {
 	t.Helper()
 	g := &cluster{t: t, processes: map[string]*process{}}
 	root := t.TempDir()
@@ -95,7 +106,7 @@
 		if configure != nil {
 			configure(&p.config)
 		}
-		g.start(p)
+		p.down = true
 	}
 	t.Cleanup(g.stop)
 	return g
--- a/provisioner/control.go
+++ b/provisioner/control.go
@@ -64,6 +64,7 @@
 		Folder:    settings.Folder,
 		Peers:     membersAt(settings.SeedLinks()),
 		Voters:    votersTolerating(settings.ToleratedLosses),
+		Founders:  settings.SeedLinks(),
 		JoinOnly:  !settings.Bootstrap,
 		LostAfter: lostAfter,
 		Timing: conductor.Timing{
