--- a/conductor/config.go
+++ b/conductor/config.go
@@ -34,7 +34,7 @@
 	// member. Others wait to be added to it.
 	Founders []string
 	// JoinOnly is set if the member must not form a group: it waits to be added to
-	// that of its peers.
+	// that of its peers. One whose folder was created without it may still do so.
 	JoinOnly bool
 	// Voters is the number of voters that the group is formed with and that repair
 	// maintains; zero means the number of peers including this member. Further
@@ -143,9 +143,16 @@
 	return others
 }
 
-// isFounder reports whether a member with the name may form a group.
-func (c *Config) isFounder(name string) bool {
-	return len(c.Founders) == 0 || slices.Contains(c.Founders, name)
+// founders returns the members that form a group, or none if this member is not one.
+func (c *Config) founders() []Member {
+	members := append([]Member{{Name: c.Name, Address: c.Address}}, c.others()...)
+	if len(c.Founders) > 0 {
+		members = slices.DeleteFunc(members, func(m Member) bool { return !slices.Contains(c.Founders, m.Name) })
+	}
+	if c.JoinOnly || !slices.ContainsFunc(members, func(m Member) bool { return m.Name == c.Name }) {
+		return nil
+	}
+	return members
 }
 
 func (c *Config) setDefaults() {
--- a/conductor/formation.go
+++ b/conductor/formation.go
@@ -27,6 +27,7 @@
 // open loads the folder and creates the core.
 func (c *Conductor) open() error {
 	loaded := recorder.Loaded{Disk: randomID()}
+	c.founders = c.config.founders()
 	if c.config.Folder != "" {
 		opened, stored, err := c.openFolder()
 		if err != nil {
@@ -34,6 +35,7 @@
 		}
 		// what the folder held before may include the group's only copy
 		c.config.JoinOnly = c.config.JoinOnly || stored.SetAside
+		c.founders = foundersOf(stored, c.config)
 		if stored.CutBytes > 0 {
 			c.config.Log.Warn("truncated incomplete write at end of log", zap.Int("bytes", stored.CutBytes))
 		}
@@ -58,6 +60,9 @@
 // there are other members from which this one can get it again.
 func (c *Conductor) openFolder() (*recorder.Recorder, recorder.Loaded, error) {
 	settings := recorder.Settings{Folder: c.config.Folder, Files: c.config.Files}
+	for _, founder := range c.founders {
+		settings.Founders = append(settings.Founders, recorder.Founder{Name: founder.Name, Address: founder.Address})
+	}
 	opened, stored, err := recorder.Open(settings)
 	var damage *recorder.CorruptionError
 	if !errors.As(err, &damage) || (len(c.config.others()) == 0 && !c.config.JoinOnly) {
@@ -71,6 +76,20 @@
 	return recorder.Open(settings)
 }
 
+// foundersOf returns the members that form a group with this one, or none if it must not. A
+// folder that was created at the first start and never held a group shows that this start has
+// not ended, whatever the settings say now.
+func foundersOf(stored recorder.Loaded, config Config) []Member {
+	if len(stored.Founders) == 0 {
+		return config.founders()
+	}
+	var founders []Member
+	for _, founder := range stored.Founders {
+		founders = append(founders, Member{Name: founder.Name, Address: founder.Address})
+	}
+	return founders
+}
+
 // releaseFolder closes the folder after a failure to open the member.
 func (c *Conductor) releaseFolder() {
 	if c.recorder == nil {
@@ -138,8 +157,8 @@
 	c.finishStep()
 }
 
-// runFormation creates a group if this member is the first of the peers, all of
-// them respond and none has a group.
+// runFormation creates a group if this member is the first founder that may, all founders
+// respond and none has a group.
 func (c *Conductor) runFormation() {
 	for c.groupName() == "" {
 		if members, ok := c.foundingMembers(); ok {
@@ -156,24 +175,31 @@
 	}
 }
 
-// foundingMembers asks all peers for their identities and returns the members of a
+// mayFound reports whether this member may form a group.
+func (c *Conductor) mayFound() bool { return len(c.founders) > 0 && c.groupName() == "" }
+
+// foundingMembers asks all founders for their identities and returns the members of a
 // new group. It returns false if this member must not create one.
 func (c *Conductor) foundingMembers() ([]replicator.Member, bool) {
-	if c.config.JoinOnly || !c.config.isFounder(c.config.Name) {
+	if !c.mayFound() {
 		return nil, false
 	}
-	members := []replicator.Member{c.selfMember()}
-	for _, peer := range c.config.others() {
-		if peer.Name < c.config.Name {
+	var members []replicator.Member
+	neverInGroup := map[replicator.Identity]bool{c.self: true}
+	for _, founder := range c.founders {
+		if founder.Name == c.config.Name {
+			members = append(members, c.selfMember())
+			continue
+		}
+		introduced, err := c.messenger.Introduce(context.Background(), founder.Address)
+		if err != nil || introduced.Group != "" || introduced.ID.Name != founder.Name {
 			return nil, false
 		}
-	}
-	for _, peer := range c.config.others() {
-		introduced, err := c.messenger.Introduce(context.Background(), peer.Address)
-		if err != nil || introduced.Group != "" || introduced.ID.Name != peer.Name {
+		if introduced.MayFound && founder.Name < c.config.Name {
 			return nil, false
 		}
-		members = append(members, replicator.Member{ID: introduced.ID, Address: peer.Address, Role: replicator.Voter})
+		neverInGroup[introduced.ID] = introduced.MayFound
+		members = append(members, replicator.Member{ID: introduced.ID, Address: founder.Address, Role: replicator.Voter})
 	}
 	slices.SortFunc(members, func(a, b replicator.Member) int { return strings.Compare(a.ID.Name, b.ID.Name) })
 	for i := range members {
@@ -181,7 +207,23 @@
 			members[i].Role = replicator.Learner
 		}
 	}
-	return members, true
+	return members, !mayHaveCommitted(members, neverInGroup)
+}
+
+// mayHaveCommitted reports whether a group of these members may have committed an entry that
+// none of them knows any more. That takes a quorum of voters whose disks were lost since.
+func mayHaveCommitted(members []replicator.Member, neverInGroup map[replicator.Identity]bool) bool {
+	voters, lost := 0, 0
+	for _, member := range members {
+		if member.Role != replicator.Voter {
+			continue
+		}
+		voters++
+		if !neverInGroup[member.ID] {
+			lost++
+		}
+	}
+	return lost > voters/2
 }
 
 // targetVoters returns how many voters the group should have.
--- a/conductor/founding_test.go
+++ b/conductor/founding_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -55,3 +56,41 @@
 	}
 	return groups
 }
+
+// The first start must end also if members are killed during it and come back with settings
+// that no longer say that it is the first one.
+func TestStartEndsThoughMembersAreRestarted(t *testing.T) {
+	cases := map[string]struct {
+		restarted []string
+		diskLost  bool
+	}{
+		"first by name":                {restarted: []string{"a"}},
+		"another one":                  {restarted: []string{"b"}},
+		"two":                          {restarted: []string{"a", "c"}},
+		"all":                          {restarted: []string{"a", "b", "c"}},
+		"first by name, disk lost too": {restarted: []string{"a"}, diskLost: true},
+	}
+	for name, c := range cases {
+		for _, delay := range []time.Duration{0, 30 * time.Millisecond, 250 * time.Millisecond} {
+			t.Run(name+" after "+delay.String(), func(t *testing.T) {
+				g := newFoundingCluster(t, []string{"a", "b", "c"}, "a", "b", "c")
+				time.Sleep(delay)
+				for _, restarted := range c.restarted {
+					g.kill(g.processes[restarted])
+				}
+				for _, restarted := range c.restarted {
+					p := g.processes[restarted]
+					p.config.JoinOnly = true
+					if c.diskLost {
+						p.config.Folder = filepath.Join(t.TempDir(), "lost")
+					}
+					g.start(p)
+				}
+				g.eventually("one group with a leader", func() bool {
+					return g.leader() != nil && len(g.groups()) == 1 && len(g.groups()[""]) == 0
+				})
+				g.commit()
+			})
+		}
+	}
+}
--- a/conductor/member.go
+++ b/conductor/member.go
@@ -33,6 +33,8 @@
 	status    atomic.Pointer[Status]
 	group     atomic.Pointer[string]
 	commits   metrics.Counter
+	// founders are the members that form a group with this one; none if it must not.
+	founders []Member
 	// knownPeers are members known from other sources than the group.
 	knownPeers *knownPeers
 
@@ -97,6 +99,7 @@
 		Deliver:        c.deliver,
 		Group:          c.groupName,
 		Members:        c.groupMembers,
+		MayFound:       c.mayFound,
 		OnIntroduction: c.knownPeers.recordAnnouncement,
 		Log:            config.Log,
 		Metrics:        config.Metrics,
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -32,6 +32,9 @@
 	Group func() string
 	// Members returns the known members of the group.
 	Members func() []replicator.Member
+	// MayFound returns whether this member may form a group, since its disk has never held
+	// one; nil if it may not.
+	MayFound func() bool
 	// OnIntroduction is called with the identity and address of a member that
 	// introduces itself.
 	OnIntroduction func(replicator.Member)
@@ -45,6 +48,8 @@
 	Group string
 	// Members are the members of the group that are known to the member.
 	Members []replicator.Member
+	// MayFound is set if the member may form a group: its disk has never held one.
+	MayFound bool
 }
 
 // Messenger sends and receives messages.
@@ -71,6 +76,9 @@
 	if settings.Members == nil {
 		settings.Members = func() []replicator.Member { return nil }
 	}
+	if settings.MayFound == nil {
+		settings.MayFound = func() bool { return false }
+	}
 	if settings.OnIntroduction == nil {
 		settings.OnIntroduction = func(replicator.Member) {}
 	}
@@ -195,6 +203,8 @@
 		ID:      encoder.DecodeIdentity(reply.GetId()),
 		Group:   reply.GetGroup(),
 		Members: encoder.DecodeMembers(reply.GetMembers()),
+
+		MayFound: reply.GetMayFound(),
 	}, nil
 }
 
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -32,6 +32,8 @@
 		Id:      encoder.EncodeIdentity(m.settings.Self),
 		Group:   m.settings.Group(),
 		Members: encoder.EncodeMembers(m.settings.Members()),
+
+		MayFound: m.settings.MayFound(),
 	}, nil
 }
 
--- a/prover/start_test.go
+++ b/prover/start_test.go
@@ -1,6 +1,7 @@
 package prover_test
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 	"testing"
@@ -30,3 +31,26 @@
 	time.Sleep(2 * time.Second)
 	assert.Equal(t, s.groupsCreated(), 1)
 }
+
+// The first start must end also if a control process is killed during it and comes back with
+// settings that no longer say that it is the first one.
+func TestFirstStartEndsThoughAProcessIsRestarted(t *testing.T) {
+	for _, delay := range []time.Duration{30 * time.Millisecond, 250 * time.Millisecond} {
+		for killed := range 3 {
+			t.Run("core-"+strconv.Itoa(killed+1)+" after "+delay.String(), func(t *testing.T) {
+				s := newPlatformSite(t)
+				for i := range 3 {
+					s.startNode("control", "core-"+strconv.Itoa(i+1), s.coreHost(i), true)
+				}
+				time.Sleep(delay)
+				name := "core-" + strconv.Itoa(killed+1)
+				s.nodes[name].kill()
+				time.Sleep(300 * time.Millisecond)
+				s.configure("control", name, s.coreHost(killed), false)
+				s.nodes[name].launch(t)
+				eventually(t, "a configuration is acknowledged", func() bool { return s.putConfiguration(3, "calendar") == http.StatusOK })
+				assert.Equal(t, s.groupsCreated(), 1)
+			})
+		}
+	}
+}
--- a/recorder/load.go
+++ b/recorder/load.go
@@ -18,7 +18,10 @@
 		return Loaded{}, err
 	}
 	loaded := Loaded{SetAside: slices.Contains(names, setAside)}
-	if loaded.Disk, err = r.loadIdentity(names); err != nil {
+	if loaded.SetAside {
+		r.founders = nil
+	}
+	if loaded.Disk, loaded.Founders, err = r.loadIdentity(names); err != nil {
 		return Loaded{}, err
 	}
 	if loaded.Snapshot, err = r.loadSnapshot(names); err != nil {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -28,12 +28,20 @@
 	// SegmentBytes is the size at which a new segment is started; zero means
 	// DefaultSegmentBytes.
 	SegmentBytes int64
+	// Founders are stored with the identity of a new folder.
+	Founders []Founder
 }
 
+// Founder is a member that may form a group.
+type Founder struct{ Name, Address string }
+
 // Loaded is the state stored in a folder.
 type Loaded struct {
 	// Disk is the random identity of the folder.
-	Disk      string
+	Disk string
+	// Founders are those that the folder was created with. There are none after content was
+	// set aside, which may have belonged to a group.
+	Founders  []Founder
 	HardState replicator.HardState
 	Snapshot  replicator.Snapshot
 	// Entries follow the snapshot without a gap.
@@ -51,6 +59,7 @@
 	files        FileSystem
 	lock         io.Closer
 	segmentBytes int64
+	founders     []Founder
 	segments     []segment
 	file         File
 	size         int64
@@ -87,7 +96,7 @@
 }
 
 func newRecorder(settings Settings) *Recorder {
-	r := &Recorder{folder: settings.Folder, files: settings.Files, segmentBytes: settings.SegmentBytes}
+	r := &Recorder{folder: settings.Folder, files: settings.Files, segmentBytes: settings.SegmentBytes, founders: settings.Founders}
 	if r.files == nil {
 		r.files = systemFiles{}
 	}
--- a/recorder/snapshot.go
+++ b/recorder/snapshot.go
@@ -96,35 +96,59 @@
 	return encoder.DecodeSnapshot(content)
 }
 
-// loadIdentity reads the folder's identity, or creates one for a new folder.
-func (r *Recorder) loadIdentity(names []string) (string, error) {
+// loadIdentity reads the folder's identity and founders, or creates an identity for a new
+// folder.
+func (r *Recorder) loadIdentity(names []string) (string, []Founder, error) {
 	if slices.Contains(names, identityName) {
 		return r.readIdentity()
 	}
 	for _, name := range names {
 		if strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapshotPrefix) {
-			return "", &CorruptionError{File: identityName, Reason: "it is missing beside a log"}
+			return "", nil, &CorruptionError{File: identityName, Reason: "it is missing beside a log"}
 		}
 	}
 	random := make([]byte, identityBytes)
 	if _, err := rand.Read(random); err != nil {
-		return "", &StorageError{Action: "make disk identity", Cause: err}
+		return "", nil, &StorageError{Action: "make disk identity", Cause: err}
 	}
 	id := hex.EncodeToString(random)
-	if err := r.storeFile(partialIdentity, identityName, encodeFrame([]byte(id), 0, 0)); err != nil {
-		return "", &StorageError{Action: "store disk identity", Cause: err}
+	if err := r.storeFile(partialIdentity, identityName, encodeFrame(encodeIdentity(id, r.founders), 0, 0)); err != nil {
+		return "", nil, &StorageError{Action: "store disk identity", Cause: err}
 	}
-	return id, nil
+	return id, r.founders, nil
 }
 
-func (r *Recorder) readIdentity() (string, error) {
+func (r *Recorder) readIdentity() (string, []Founder, error) {
 	data, err := r.files.Read(r.path(identityName))
 	if err != nil {
-		return "", &StorageError{Action: "read disk identity", Cause: err}
+		return "", nil, &StorageError{Action: "read disk identity", Cause: err}
 	}
-	id, _, ok := decodeFrame(data, 0)
+	content, _, ok := decodeFrame(data, 0)
 	if !ok {
-		return "", &CorruptionError{File: identityName, Reason: "it does not match its checksum"}
+		return "", nil, &CorruptionError{File: identityName, Reason: "it does not match its checksum"}
 	}
-	return string(id), nil
+	id, founders := decodeIdentity(content)
+	return id, founders, nil
+}
+
+// encodeIdentity encodes an identity as a line, followed by one with the name and the address
+// of each founder.
+func encodeIdentity(id string, founders []Founder) []byte {
+	lines := []string{id}
+	for _, founder := range founders {
+		lines = append(lines, founder.Name+" "+founder.Address)
+	}
+	return []byte(strings.Join(lines, "\n"))
+}
+
+// decodeIdentity skips lines without an address.
+func decodeIdentity(content []byte) (string, []Founder) {
+	id, rest, _ := strings.Cut(string(content), "\n")
+	var founders []Founder
+	for line := range strings.Lines(rest) {
+		if name, address, found := strings.Cut(strings.TrimSuffix(line, "\n"), " "); found {
+			founders = append(founders, Founder{Name: name, Address: address})
+		}
+	}
+	return id, founders
 }
