--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -207,6 +207,9 @@
 // further attempt is allowed.
 func (x *exchange) forward(ctx context.Context) error {
 	for {
+		if x.attempts.runs == 0 && x.outlivesProcess() {
+			return &DrainingError{}
+		}
 		if err := x.untilDraining(ctx, x.waitForUpstream); err != nil {
 			return err
 		}
@@ -214,6 +217,10 @@
 			x.returnGrant()
 			continue
 		}
+		if x.attempts.runs == 0 && x.outlivesProcess() {
+			x.returnGrant()
+			return &DrainingError{}
+		}
 		err := x.send(ctx)
 		if err == nil {
 			return nil
@@ -494,5 +501,6 @@
 
 // settle ends the current grant.
 func (x *exchange) settle(outcome router.Outcome) {
+	x.recordRunTime(outcome)
 	x.grant.Done(admitter.Result{Ended: time.Now(), Tokens: x.tokens(), Outcome: outcome})
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -134,6 +134,10 @@
 	server   *http.Server
 	listener *listener.Listener
 	draining atomic.Bool
+	// stopsAt is when requests in flight are cut off; nil while the process is not
+	// about to stop.
+	stopsAt  atomic.Pointer[time.Time]
+	runTimes runTimes
 	// bodies is the memory for headers and bodies of requests.
 	bodies   *budgeter.Budget
 	buffered bufferedBytes
@@ -226,8 +230,10 @@
 
 // Stop fails readiness, keeps the listener open for Linger so that the load balancer
 // notices, and lets requests at an upstream end until the deadline. Requests that still
-// wait for an upstream are refused, because they would be cut off later.
+// wait for an upstream are refused, because they would be cut off later, as are requests that
+// are not likely to be answered by the deadline.
 func (f *Forwarder) Stop(deadline time.Time) error {
+	f.stopsAt.Store(&deadline)
 	f.draining.Store(true)
 	if wait := min(f.Linger, time.Until(deadline)); wait > 0 {
 		time.Sleep(wait)
