--- a/forwarder/buffer_test.go
+++ b/forwarder/buffer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -65,3 +66,39 @@
 	}
 	assert.Equal(t, r.ask(http.MethodGet, "/x/short", "", nil).body, "short")
 }
+
+// Streams of faulty upstreams that send bytes without an end of an event must not take more
+// memory than the entry has for answers.
+func TestBytesOfUnfinishedEventsAreLimited(t *testing.T) {
+	const streams, fitting, kilobyte = 40, 34, 1 << 10
+	release := make(chan struct{})
+	endless := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "yes")
+		_, _ = w.Write([]byte("id: 1\ndata: " + strings.Repeat("x", 1000*kilobyte)))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}
+	handlers := make([]http.HandlerFunc, streams)
+	for i := range handlers {
+		handlers[i] = endless
+	}
+	handlers = append(handlers, events(1, 5, true))
+	r := newRig(t, matcher.Route{Kind: matcher.Streaming, Timeout: 20 * time.Second}, handlers...)
+	replies := make(chan reply, streams)
+	var done sync.WaitGroup
+	for i := range streams {
+		done.Go(func() { replies <- r.ask(http.MethodPost, "/x/"+strconv.Itoa(i), "", nil) })
+	}
+	// those that fit are still received while the others fail
+	for range streams - fitting {
+		select {
+		case got := <-replies:
+			assert.Equal(t, got.status, http.StatusBadGateway)
+		case <-time.After(10 * time.Second):
+			t.Fatal("unfinished events are held without a limit")
+		}
+	}
+	close(release)
+	done.Wait()
+	assert.Equal(t, r.askParts("own").body, eventText(1, 5))
+}
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -13,26 +13,27 @@
 // bytes are not changed.
 type eventReader struct {
 	source io.Reader
-	// pending are the bytes read but not yet returned.
+	// held counts pending.
+	held ownBuffer
+	// pending are the bytes read but not yet returned. They contain no complete event.
 	pending []byte
 	buffer  []byte
 	err     error
 }
 
-func newEventReader(from io.Reader) *eventReader {
-	return &eventReader{source: from, buffer: make([]byte, 4<<10)}
+func newEventReader(from io.Reader, held ownBuffer) *eventReader {
+	return &eventReader{source: from, held: held, buffer: make([]byte, 4<<10)}
 }
 
+// longestEventEnd is the number of bytes that can end an event.
+const longestEventEnd = 3
+
 // next returns all complete events received so far, at least one. The bytes are valid
-// until the next call. It returns io.EOF at the end of the stream, and a
-// *PartialEventError if the stream ends within an event or an event is too large.
+// until the next call. It returns io.EOF at the end of the stream, a *PartialEventError if
+// the stream ends within an event or an event is too large, and a *BufferLimitError if the
+// entry holds too many bytes.
 func (r *eventReader) next() ([]byte, error) {
 	for {
-		if end := lastEventEnd(r.pending); end > 0 {
-			whole := r.pending[:end]
-			r.pending = r.pending[end:]
-			return whole, nil
-		}
 		if r.err != nil {
 			return nil, r.endError()
 		}
@@ -40,8 +41,18 @@
 			return nil, &PartialEventError{}
 		}
 		n, err := r.source.Read(r.buffer)
-		r.pending = append(bytes.Clone(r.pending), r.buffer[:n]...)
 		r.err = err
+		searched := max(0, len(r.pending)-longestEventEnd+1)
+		r.pending = append(r.pending, r.buffer[:n]...)
+		if err := r.held.hold(n); err != nil {
+			return nil, err
+		}
+		if end := lastEventEnd(r.pending[searched:]); end > 0 {
+			whole := r.pending[:searched+end]
+			r.pending = r.pending[searched+end:]
+			r.held.release(len(whole))
+			return whole, nil
+		}
 	}
 }
 
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -36,7 +36,7 @@
 		x.settle(router.OutcomeFailed)
 		return fault
 	}
-	events := newEventReader(response.Body)
+	events := newEventReader(response.Body, x.ownBuffer())
 	stage := quarantiner.StageBeginning
 	for {
 		arrived, err := events.next()
--- a/forwarder/whole.go
+++ b/forwarder/whole.go
@@ -18,7 +18,7 @@
 // forwardWhole reads the whole answer before any of it is written to the caller, so that
 // a truncated answer never looks complete.
 func (x *exchange) forwardWhole(ctx context.Context, response *http.Response, info AnswerInfo) error {
-	reader := &limitedReader{source: io.LimitReader(response.Body, maxAnswerBytes+1), total: &x.buffered, own: &x.ownBytes}
+	reader := &limitedReader{source: io.LimitReader(response.Body, maxAnswerBytes+1), buffer: x.ownBuffer()}
 	body, err := io.ReadAll(reader)
 	_ = response.Body.Close()
 	if err == nil && !framed(response) && x.checkCrash(ctx, quarantiner.StageBeginning) {
