--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -7,9 +7,9 @@
 	// Reserve is the most retries that can be saved up. It keeps a quiet period
 	// from paying for a retry storm.
 	Reserve float64
-	// StartsEmpty is set if no retries are available at the start. A process may have spent
-	// its reserve before it was restarted, any number of times.
-	StartsEmpty bool
+	// Initial is the number of retries available at the start; zero means the whole
+	// reserve. A process may have spent its reserve before it was restarted.
+	Initial float64
 }
 
 // DefaultBudget returns the default settings.
@@ -29,13 +29,13 @@
 	tokens   float64
 }
 
-// NewBudget returns a budget with its whole reserve, unless it starts empty.
+// NewBudget returns a budget with its initial retries available.
 func NewBudget(settings BudgetSettings) *Budget {
-	budget := &Budget{settings: settings, tokens: settings.Reserve}
-	if settings.StartsEmpty {
-		budget.tokens = 0
+	first := settings.Reserve
+	if settings.Initial > 0 {
+		first = min(first, settings.Initial)
 	}
-	return budget
+	return &Budget{settings: settings, tokens: first}
 }
 
 // Resize sets the reserve.
--- a/provisioner/retries.go
+++ b/provisioner/retries.go
@@ -31,12 +31,18 @@
 	return max(1, retryFraction*s.bounds.RetrySlack/float64(s.entries))
 }
 
+// initial returns the number of retries available at the start. All entries may be
+// restarted within one window after they have spent their shares; initial divides
+// the remaining part of the fleet's budget among them.
+func (s *retryShare) initial() float64 {
+	return min(s.reserve(), max(1, (1-retryFraction)*s.bounds.RetrySlack/float64(s.entries)))
+}
+
 func (s *retryShare) budgetSettings() limiter.BudgetSettings {
 	return limiter.BudgetSettings{
 		Fraction: retryFraction * s.bounds.RetryRatio,
 		Reserve:  s.reserve(),
-		// each start would add to what the fleet may retry in a window
-		StartsEmpty: true,
+		Initial:  s.initial(),
 	}
 }
 
