--- a/forwarder/quarantine.go
+++ b/forwarder/quarantine.go
@@ -41,8 +41,11 @@
 }
 
 // checkCrash reports whether the upstream has crashed before the end of its answer. One that
-// is leaving may have stopped.
+// is leaving may have stopped, and a request whose caller has left shows nothing.
 func (x *exchange) checkCrash(ctx context.Context, stage quarantiner.Stage) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	choice := x.grant.Choice
 	broken := quarantiner.Break{
 		Upstream: choice.Incarnation, Address: choice.Address, Stage: stage, Events: x.arrivedEvents,
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -38,7 +38,7 @@
 	}
 	events := newEventReader(response.Body, x.ownBuffer())
 	stage := quarantiner.StageBeginning
-	for {
+	for reads := 0; ; reads++ {
 		arrived, err := events.next()
 		if err == io.EOF && stage == quarantiner.StageBeginning && !framed(response) {
 			err = &EmptyStreamError{}
@@ -50,7 +50,7 @@
 			x.checkCrash(ctx, stage)
 			return x.handleStreamError(err)
 		}
-		if stage == quarantiner.StageAnswering {
+		if reads == 1 {
 			x.pass.Answered()
 		}
 		stage = quarantiner.StageAnswering
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -255,7 +255,9 @@
 type Pass struct {
 	quarantiner *Quarantiner
 	subject     Subject
-	trial       Trial
+	// hashes are the short forms of the subject's IDs.
+	hashes []uint64
+	trial  Trial
 }
 
 // Valid reports whether the request may still be sent.
@@ -284,9 +286,10 @@
 	p.lasted(wholeAnswer)
 }
 
-// Lasted records that an answer to the request has come to a number of events.
+// Lasted records that an answer to the request has come to a number of events. It must be
+// called for each event.
 func (p *Pass) Lasted(events int) {
-	if bits.OnesCount(uint(events)) == 1 {
+	if events > maxEventsApart && bits.OnesCount(uint(events)) == 1 {
 		p.lasted(events)
 	}
 }
@@ -295,7 +298,10 @@
 	q, now := p.quarantiner, time.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for _, upstream := range q.table.Lasted(p.subject, events, now) {
+	if p.hashes == nil {
+		p.hashes = p.subject.hashes()
+	}
+	for _, upstream := range q.table.lasted(p.hashes, events, now) {
 		q.publishRoster(upstream, now)
 	}
 }
--- a/quarantiner/roster.go
+++ b/quarantiner/roster.go
@@ -223,8 +223,11 @@
 // Lasted records that an answer to a request has come to a number of events. It returns the
 // upstreams whose rosters have changed.
 func (t *Table) Lasted(subject Subject, events int, now time.Time) []string {
+	return t.lasted(subject.hashes(), events, now)
+}
+
+func (t *Table) lasted(ids []uint64, events int, now time.Time) []string {
 	t.rotate(now)
-	ids := subject.hashes()
 	for _, id := range ids {
 		if len(t.rosters.answered) < maxRecentAnswers {
 			t.rosters.answered[id] = max(t.rosters.answered[id], events)
