--- a/quarantiner/roster_test.go
+++ b/quarantiner/roster_test.go
@@ -460,14 +460,7 @@
 // the many answers that end with them stay allowed; crashes without cause must refuse
 // nothing.
 func TestAnswersThatCrashUpstreams(t *testing.T) {
-	cases := map[string]struct {
-		delay        time.Duration
-		share        float64
-		killInterval time.Duration
-		// upstreams is the least number of them: crashes of all of them at almost the same
-		// time say little.
-		upstreams int
-	}{
+	checkAnswerHistories(t, *answerHistories, map[string]answerCase{
 		"soon after the beginning": {delay: 80 * time.Millisecond, share: 0.05},
 		"after some events":        {delay: 500 * time.Millisecond, share: 0.05},
 		"late in the answer":       {delay: 5 * time.Second, share: 0.05},
@@ -475,11 +468,34 @@
 		"often":                    {delay: 300 * time.Millisecond, share: 0.1, upstreams: 8},
 		"beside other crashes":     {delay: 300 * time.Millisecond, share: 0.05, killInterval: time.Second},
 		"other crashes only":       {killInterval: time.Second},
-	}
+	})
+}
+
+// The same must hold where all upstreams crash at almost the same time, or so often that hardly
+// any answer ends.
+func TestUpstreamsThatAllCrashAtAlmostTheSameTime(t *testing.T) {
+	checkAnswerHistories(t, 20, map[string]answerCase{
+		"often, few upstreams":     {delay: 300 * time.Millisecond, share: 0.1},
+		"very often":               {delay: 300 * time.Millisecond, share: 0.3},
+		"other crashes very often": {killInterval: 300 * time.Millisecond},
+	})
+}
+
+// answerCase describes answer histories.
+type answerCase struct {
+	delay        time.Duration
+	share        float64
+	killInterval time.Duration
+	// upstreams is the least number of them.
+	upstreams int
+}
+
+func checkAnswerHistories(t *testing.T, seeds uint64, cases map[string]answerCase) {
+	t.Helper()
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			sound, unserved, caused, worst := 0, 0, 0, 0
-			for seed := range *answerHistories {
+			for seed := range seeds {
 				random := rand.New(rand.NewPCG(seed, 2))
 				h := &answerHistory{
 					t: t, random: random, delay: int(c.delay / step), crashingShare: c.share, killInterval: int(c.killInterval / step),
