--- /dev/null
+++ b/review/standin-2/servers.go
@@ -0,0 +1,286 @@
+//go:build review2
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// platformList is a stand-in of the platform's list of servers.
+type platformList struct {
+	address string
+	mutex   sync.Mutex
+	items   func() []map[string]any
+}
+
+func startList(address string, items func() []map[string]any) (*platformList, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l := &platformList{address: address, items: items}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, map[string]any{"instances": l.items(), "nextToken": nil})
+	})
+	go func() { _ = http.Serve(listener, mux) }()
+	return l, nil
+}
+
+func writeJSON(w http.ResponseWriter, status int, content any) {
+	text, _ := json.Marshal(content)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
+
+// run is one request that a server began to work on.
+type run struct {
+	id, path, server string
+	at               time.Time
+}
+
+// server is a stand-in of a server: a model server if it has models, else a plain one.
+type server struct {
+	*record
+	id, service, address, version string
+	zone                          string
+	slots                         int
+	born                          int64
+	// eventGap is the time between two events, events their number if the request does not
+	// bound it.
+	eventGap time.Duration
+	events   int
+	// workTime is how long a plain request takes.
+	workTime time.Duration
+
+	mutex sync.Mutex
+	// endless makes reports bytes that are no answer and come without end.
+	endless  bool
+	models   map[string]bool
+	sequence int
+	fence    int
+	busy     bool
+	running  int
+	runs     []run
+}
+
+func (s *server) start() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.born = time.Now().UnixMilli()
+	s.zone = "bp-a"
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Burdocklink-Instance-Id", s.id)
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /api/report", s.report)
+	mux.HandleFunc("POST /api/order", s.order)
+	mux.HandleFunc("/", s.serve)
+	go func() { _ = (&http.Server{Handler: mux, MaxHeaderBytes: 256 << 10}).Serve(listener) }()
+	return nil
+}
+
+// held returns the models as they stand in reports and in the list.
+func (s *server) held() []map[string]any {
+	held := []map[string]any{}
+	for name := range s.models {
+		held = append(held, map[string]any{"name": name, "version": 1, "adapters": []string{}})
+	}
+	return held
+}
+
+// item is the server's entry in the platform's list.
+func (s *server) item() map[string]any {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	item := map[string]any{
+		"id": s.id, "service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots,
+		"state": "ready", "coldRemainingMs": 0, "born": s.born,
+	}
+	if s.models != nil {
+		item["stage"], item["models"] = "colocated", s.held()
+	}
+	return item
+}
+
+func (s *server) expected(w http.ResponseWriter, r *http.Request) bool {
+	if want := r.Header.Get("Burdocklink-Expect-Instance"); want != "" && want != s.id {
+		w.Header().Set("Burdocklink-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return false
+	}
+	return true
+}
+
+func (s *server) report(w http.ResponseWriter, r *http.Request) {
+	if !s.expected(w, r) {
+		return
+	}
+	s.mutex.Lock()
+	endless := s.endless
+	s.mutex.Unlock()
+	if endless {
+		s.writeEndlessly(w, r)
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	writeJSON(w, http.StatusOK, map[string]any{
+		"stage": "colocated", "models": s.held(), "busy": s.busy, "sequence": s.sequence, "queued": 0, "running": s.running,
+		"kvUsed": 0, "kvTotal": 156371, "handles": 0, "born": s.born, "pending": []string{},
+		"cachedModels": map[string]any{"inMemory": []string{}, "onDisk": []string{}}, "state": "ready",
+	})
+}
+
+func (s *server) order(w http.ResponseWriter, r *http.Request) {
+	if !s.expected(w, r) {
+		return
+	}
+	var order struct {
+		Operation, Model, Adapter, Holder string
+		FencingToken                      int
+		Expect                            *int
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Holder == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case order.FencingToken < s.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case s.busy || order.Expect != nil && *order.Expect != s.sequence:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		s.fence = order.FencingToken
+		s.sequence++
+		s.busy = true
+		time.AfterFunc(time.Second, func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.busy = false
+			if order.Operation == "load" {
+				s.models[order.Model] = true
+			} else {
+				delete(s.models, order.Model)
+			}
+		})
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// serve runs a request.
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Burdocklink-Request-Id")
+	w.Header().Set("Burdocklink-Request-Id", id)
+	if !s.expected(w, r) {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	s.mutex.Lock()
+	model, _, _ := strings.Cut(r.Header.Get("Burdocklink-Model"), "/")
+	if s.models != nil && !s.models[model] {
+		s.mutex.Unlock()
+		w.Header().Set("Burdocklink-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.running++
+	s.runs = append(s.runs, run{id: id, path: r.URL.Path, server: s.id, at: time.Now()})
+	s.mutex.Unlock()
+	defer func() {
+		s.mutex.Lock()
+		s.running--
+		s.mutex.Unlock()
+	}()
+	w.Header().Set("Burdocklink-Server-Signature", "3e1b.07."+s.id)
+	if s.models == nil {
+		time.Sleep(s.workTime)
+		_, _ = io.WriteString(w, "done "+id+" at "+s.id)
+		return
+	}
+	s.stream(w, r, id)
+}
+
+func (s *server) stream(w http.ResponseWriter, r *http.Request, id string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Burdocklink-Weight-Versions", "1")
+	w.WriteHeader(http.StatusOK)
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	for event := first; event <= s.events; event++ {
+		if event > first {
+			time.Sleep(s.eventGap)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %s\n\n", event, id, s.id, s.version); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+}
+
+// ran returns the runs of a request.
+func (s *system) ran(id string) []run {
+	var found []run
+	for _, each := range s.servers {
+		each.mutex.Lock()
+		for _, one := range each.runs {
+			if one.id == id {
+				found = append(found, one)
+			}
+		}
+		each.mutex.Unlock()
+	}
+	return found
+}
+
+// writeEndlessly writes bytes until the caller closes, 64 MB at most.
+func (s *server) writeEndlessly(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	block := bytes.Repeat([]byte("x"), 64<<10)
+	for written := 0; written < 64<<20 && r.Context().Err() == nil; written += len(block) {
+		endlessLink.take(len(block))
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// link bounds the bytes a second of all endless answers together.
+type link struct {
+	mutex sync.Mutex
+	free  time.Time
+}
+
+// endlessLink is the control machine's link of 1,000 Mbit/s.
+var endlessLink link
+
+func (l *link) take(size int) {
+	l.mutex.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(size) * 8 * time.Nanosecond)
+	wait := time.Until(l.free)
+	l.mutex.Unlock()
+	time.Sleep(wait)
+}
