--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -28,10 +28,19 @@
 // ask sends one request on a new connection and reads the answer. Fields are lines of the
 // header as they stand on the wire.
 func ask(address, method, path, host string, fields []string, body string, timeout time.Duration) tried {
+	return askFrom(nil, address, method, path, host, fields, body, timeout)
+}
+
+// askFrom is ask from a source address; nil for any.
+func askFrom(source *net.TCPAddr, address, method, path, host string, fields []string, body string, timeout time.Duration) tried {
 	t := tried{id: newID()}
 	started := time.Now()
 	defer func() { t.took = time.Since(started) }()
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	dialer := net.Dialer{Timeout: time.Second}
+	if source != nil {
+		dialer.LocalAddr = source
+	}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		t.err = err
 		return t
--- a/review/standin-2/lost_origins.go
+++ b/review/standin-2/lost_origins.go
@@ -14,7 +14,7 @@
 
 // lostOrigins lets streams break off between client and entry while servers of two software
 // versions serve, and takes each up again at the other entry. Before, one stream is served
-// whose request ID holds a byte that is not UTF-8.
+// whose request ID holds a byte that is not UTF-8. Only that differs without the trouble.
 func lostOrigins(r *record) (int, error) {
 	s, err := newDeployment(r, 2, 3, 4)
 	if err != nil {
