--- /dev/null
+++ b/review/standin-2/crashing_part.go
@@ -0,0 +1,119 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// crashPart is the ID of the part that ends each server that begins to write an answer on it.
+const crashPart = "fffffff1"
+
+// crashingPart lets one request a second with a part that crashes servers come beside sound
+// ones. All prompts have as many parts.
+func crashingPart(r *record) (int, error) {
+	const engines, soundPerSecond, span = 12, 80, 60 * time.Second
+	parts := 300
+	if number, err := strconv.Atoi(os.Getenv("PARTS")); err == nil {
+		parts = number
+	}
+	s, err := newDeployment(r, 2, 3, engines)
+	if err != nil {
+		return failed, err
+	}
+	defer s.stop()
+	for _, each := range s.servers[:engines] {
+		each.events, each.eventGap, each.downTime = 60, 100*time.Millisecond, 3*time.Second
+		each.crashPart = crashPart
+	}
+	if err := s.start(configuration(7)); err != nil {
+		return failed, err
+	}
+	time.Sleep(4 * time.Second)
+	r.printf("prompts of %d parts; %d sound requests a second, one a second with the part %s", parts, soundPerSecond, crashPart)
+	var group sync.WaitGroup
+	var sound, whole atomic.Int64
+	var mutex sync.Mutex
+	sentAt := map[string]time.Time{}
+	started := time.Now()
+	for tick := 0; time.Since(started) < span; tick++ {
+		m := s.entries()[rand.IntN(2)]
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			got := drafted(m, prompt(parts, ""), 15*time.Second)
+			sound.Add(1)
+			if got.status == 200 && got.err == nil && strings.Contains(got.body, "id: 60\n") {
+				whole.Add(1)
+			}
+		}()
+		if tick%soundPerSecond == soundPerSecond-1 {
+			m := s.entries()[rand.IntN(2)]
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				at := time.Now()
+				part := crashPart
+				if !troubled() {
+					part = "fffffff2"
+				}
+				got := drafted(m, prompt(parts, part), 15*time.Second)
+				mutex.Lock()
+				sentAt[got.id] = at
+				mutex.Unlock()
+			}()
+		}
+		time.Sleep(time.Until(started.Add(time.Duration(tick+1) * time.Second / soundPerSecond)))
+	}
+	group.Wait()
+	var crashes []time.Time
+	reached, late := 0, 0
+	for _, each := range s.servers[:engines] {
+		each.mutex.Lock()
+		crashes = append(crashes, each.crashes...)
+		each.mutex.Unlock()
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	for id, at := range sentAt {
+		if len(s.ran(id)) == 0 {
+			continue
+		}
+		reached++
+		if len(crashes) >= 5 && at.After(crashes[4].Add(3*time.Second)) {
+			late++
+		}
+	}
+	r.printf("%d requests with the part sent, %d of them reached servers, %d later than contactMs (3 s) after the fifth crash; servers crashed %d times; %d of %d sound requests were served whole",
+		len(sentAt), reached, late, len(crashes), whole.Load(), sound.Load())
+	if troubled() && late > 3 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// prompt returns a prompt of a number of parts: a first one that all share, the given one if
+// there is one, and others.
+func prompt(parts int, odd string) string {
+	ids := []string{"a1b2c3:100"}
+	if odd != "" {
+		ids = append(ids, odd+":10")
+	}
+	for len(ids) < parts {
+		ids = append(ids, fmt.Sprintf("%x:10", 0x10000000+rand.IntN(0x60000000)))
+	}
+	return strings.Join(ids, ",")
+}
+
+func drafted(m *machine, prefix string, timeout time.Duration) tried {
+	return ask(m.front(), "POST", "/draft/1", host, []string{
+		"Burdocklink-Model: daka510000", "Burdocklink-Token-Count: 900,180", "Burdocklink-Prompt-Prefix: " + prefix,
+	}, "{}", timeout)
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,9 +18,9 @@
 var cases = map[string]func(*record) (int, error){
 	"unreadable-name": unreadableName,
 	"empty-parts":     emptyParts,
-	"half-bodies":     halfBodies,
 	"other-writer":    otherWriter,
 	"cut-entry":       cutEntry,
+	"crashing-part":   crashingPart,
 }
 
 func main() {
--- a/review/standin-2/servers.go
+++ b/review/standin-2/servers.go
@@ -6,8 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,12 +77,19 @@
 
 	mutex    sync.Mutex
 	draining bool
-	models   map[string]bool
-	sequence int
-	fence    int
-	busy     bool
-	running  int
-	runs     []run
+	// http serves; crashPart is the ID of a prompt part that ends this server, downTime how
+	// long it is down then, and crashes when it ended. disk are the models on its disk.
+	http      *http.Server
+	crashPart string
+	downTime  time.Duration
+	crashes   []time.Time
+	disk      map[string]bool
+	models    map[string]bool
+	sequence  int
+	fence     int
+	busy      bool
+	running   int
+	runs      []run
 }
 
 func (s *server) start() error {
@@ -87,8 +97,10 @@
 	if err != nil {
 		return err
 	}
+	s.mutex.Lock()
 	s.born = time.Now().UnixMilli()
 	s.zone = "bp-a"
+	s.mutex.Unlock()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Burdocklink-Instance-Id", s.id)
@@ -97,10 +109,44 @@
 	mux.HandleFunc("GET /api/report", s.report)
 	mux.HandleFunc("POST /api/order", s.order)
 	mux.HandleFunc("/", s.serve)
-	go func() { _ = (&http.Server{Handler: mux, MaxHeaderBytes: 256 << 10}).Serve(listener) }()
+	serving := &http.Server{Handler: mux, MaxHeaderBytes: 256 << 10, ErrorLog: log.New(io.Discard, "", 0)}
+	s.mutex.Lock()
+	s.http = serving
+	s.mutex.Unlock()
+	go func() { _ = serving.Serve(listener) }()
 	return nil
 }
 
+// crash ends the server: it closes all its connections, refuses new ones and starts again
+// later, empty but for its disk.
+func (s *server) crash() {
+	s.mutex.Lock()
+	serving := s.http
+	s.http = nil
+	if serving != nil {
+		s.crashes = append(s.crashes, time.Now())
+	}
+	s.mutex.Unlock()
+	if serving == nil {
+		return
+	}
+	_ = serving.Close()
+	time.AfterFunc(s.downTime, func() {
+		s.mutex.Lock()
+		if s.disk == nil {
+			s.disk = map[string]bool{}
+		}
+		for name := range s.models {
+			s.disk[name] = true
+		}
+		s.models, s.sequence, s.fence, s.busy = map[string]bool{}, 0, 0, false
+		s.mutex.Unlock()
+		if err := s.start(); err != nil {
+			s.printf("%s did not start again: %v", s.id, err)
+		}
+	})
+}
+
 // held returns the models as they stand in reports and in the list.
 func (s *server) held() []map[string]any {
 	held := []map[string]any{}
@@ -145,7 +191,7 @@
 	writeJSON(w, http.StatusOK, map[string]any{
 		"stage": "colocated", "models": s.held(), "busy": s.busy, "sequence": s.sequence, "queued": 0, "running": s.running,
 		"kvUsed": 0, "kvTotal": 156371, "handles": 0, "born": s.born, "pending": []string{},
-		"cachedModels": map[string]any{"inMemory": []string{}, "onDisk": []string{}}, "state": "ready",
+		"cachedModels": map[string]any{"inMemory": []string{}, "onDisk": slices.Collect(maps.Keys(s.disk))}, "state": "ready",
 	})
 }
 
@@ -173,9 +219,16 @@
 		s.fence = order.FencingToken
 		s.sequence++
 		s.busy = true
-		time.AfterFunc(time.Second, func() {
+		born, loadTime := s.born, time.Second
+		if s.disk[order.Model] {
+			loadTime = 1300 * time.Millisecond
+		}
+		time.AfterFunc(loadTime, func() {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
+			if s.born != born {
+				return
+			}
 			s.busy = false
 			if order.Operation == "load" {
 				s.models[order.Model] = true
@@ -224,6 +277,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Burdocklink-Weight-Versions", "1")
 	w.WriteHeader(http.StatusOK)
+	crashing := s.crashPart != "" && strings.Contains(r.Header.Get("Burdocklink-Prompt-Prefix"), s.crashPart+":")
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -236,6 +290,11 @@
 			return
 		}
 		w.(http.Flusher).Flush()
+		if crashing {
+			time.Sleep(20 * time.Millisecond)
+			s.crash()
+			return
+		}
 		if r.Context().Err() != nil {
 			return
 		}
