--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,8 +19,8 @@
 	"unreadable-name": unreadableName,
 	"empty-parts":     emptyParts,
 	"other-writer":    otherWriter,
-	"cut-entry":       cutEntry,
-	"crashing-part":   crashingPart,
+	"many-parts":      manyParts,
+	"bursts":          bursts,
 }
 
 func main() {
