--- a/review/standin-2/empty_parts.go
+++ b/review/standin-2/empty_parts.go
@@ -6,13 +6,24 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
+// fullMemory is a process whose machine kills it when it takes more memory than there is, and
+// starts it again.
+type fullMemory struct {
+	*machine
+	ends atomic.Int64
+	peak atomic.Int64
+}
+
 // emptyParts sends requests of legal size whose prompts have very many parts without tokens,
-// one after the other on a few connections, and watches the memory of the entry.
+// one after the other on a few connections, to two entries. As DEPLOY.md tells, a process that
+// uses more than memoryMb is killed, and started again after a short delay.
 func emptyParts(r *record) (int, error) {
-	s, err := newDeployment(r, 1, 3, 4)
+	s, err := newDeployment(r, 2, 3, 4)
 	if err != nil {
 		return failed, err
 	}
@@ -24,55 +35,94 @@
 		return failed, err
 	}
 	time.Sleep(2 * time.Second)
-	m := s.entries()[0]
-	const requests, clients, parts = 1600, 8, 3900
-	now, _ := m.memory()
-	r.printf("%s uses %.0f MB of %d MB", m.name, now, m.memoryMB)
-	work := make(chan int)
+	const clients, parts, wantedEnds, span = 8, 3900, 3, 90 * time.Second
+	until := time.Now().Add(span)
+	var done atomic.Bool
 	var group sync.WaitGroup
-	var mutex sync.Mutex
-	counts, headerBytes, sent := map[int]int{}, 0, 0
-	for range clients {
+	var number, served, otherwise, headerBytes, failures, ordinary atomic.Int64
+	var watched []*fullMemory
+	for _, m := range s.entries() {
+		w := &fullMemory{machine: m}
+		watched = append(watched, w)
+		for range clients {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for !done.Load() {
+					// all parts but the first are the same
+					first := 0x1000 + number.Add(1)
+					prefix := fmt.Sprintf("%x:0", first) + strings.Repeat(",1:0", parts)
+					if !troubled() {
+						prefix = fmt.Sprintf("%x:300,1:200,2:100", first)
+					}
+					headerBytes.Store(int64(len(prefix) + 300))
+					if draft(m, "daka510000", prefix).status == 200 {
+						served.Add(1)
+					} else {
+						otherwise.Add(1)
+						time.Sleep(200 * time.Millisecond)
+					}
+				}
+			}()
+		}
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			for number := range work {
-				// all parts but the first are the same
-				prefix := fmt.Sprintf("%x:0", 0x1000+number) + strings.Repeat(",1:0", parts)
-				if !troubled() {
-					prefix = fmt.Sprintf("%x:300,1:200,2:100", 0x1000+number)
+			for !done.Load() {
+				got := draft(m, "daka510000", "a1:300,b2:300")
+				ordinary.Add(1)
+				if got.status != 200 || got.err != nil {
+					failures.Add(1)
 				}
-				got := draft(m, "daka510000", prefix)
-				mutex.Lock()
-				counts[got.status]++
-				sent++
-				headerBytes = max(headerBytes, len(prefix)+300)
-				if sent%200 == 0 {
-					now, peak := m.memory()
-					r.printf("after %d requests (answers by status %v): %s uses %.0f MB, at its peak %.0f MB, of %d MB", sent, counts, m.name, now, peak, m.memoryMB)
-				}
-				mutex.Unlock()
+				time.Sleep(100 * time.Millisecond)
 			}
 		}()
 	}
-	started := time.Now()
-	for number := range requests {
-		if !m.running() || time.Since(started) > 70*time.Second {
-			break
+	for !done.Load() {
+		enough := true
+		for _, w := range watched {
+			if err := s.keepWithin(w); err != nil {
+				return failed, err
+			}
+			enough = enough && w.ends.Load() >= wantedEnds
 		}
-		work <- number
+		done.Store(enough || time.Now().After(until))
+		time.Sleep(100 * time.Millisecond)
 	}
-	close(work)
 	group.Wait()
-	if !m.running() {
-		r.printf("%s: its process has ended", m.name)
-		return broken, nil
+	twice := 0
+	for _, w := range watched {
+		now, _ := w.memory()
+		r.printf("%s: its process ended %d times over its memory (%d MB), used %d MB at most, uses %.0f MB at the end", w.name, w.ends.Load(), w.memoryMB, w.peak.Load(), now)
+		if w.ends.Load() >= wantedEnds {
+			twice++
+		}
 	}
-	time.Sleep(5 * time.Second)
-	now, peak := m.memory()
-	r.printf("headers of up to about %d bytes (limit 16384); 5 s after the last request %s uses %.0f MB, at its peak %.0f MB, of %d MB", headerBytes, m.name, now, peak, m.memoryMB)
-	if now > float64(m.memoryMB) {
+	r.printf("%d requests of %d clients with headers of up to about %d bytes (limit 16384): %d served, %d not; of %d ordinary streams %d failed",
+		number.Load(), 2*clients, headerBytes.Load(), served.Load(), otherwise.Load(), ordinary.Load(), failures.Load())
+	if twice >= 2 {
 		return broken, nil
 	}
 	return held, nil
 }
+
+// keepWithin kills a process that uses more than the memory of its machine, and starts it
+// again.
+func (s *system) keepWithin(w *fullMemory) error {
+	if !w.running() {
+		return fmt.Errorf("%s: its process has ended by itself", w.name)
+	}
+	now, _ := w.memory()
+	w.peak.Store(max(w.peak.Load(), int64(now)))
+	if now <= float64(w.memoryMB) {
+		return nil
+	}
+	w.ends.Add(1)
+	s.printf("%s uses %.0f MB of %d MB: its process is killed and started again", w.name, now, w.memoryMB)
+	if err := w.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-w.ended
+	time.Sleep(300 * time.Millisecond)
+	return s.startProcess(w.machine, false)
+}
