--- a/review/standin-2/crashing_part.go
+++ b/review/standin-2/crashing_part.go
@@ -66,7 +66,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			got := drafted(m, prompt(parts, ""), 15*time.Second)
+			got := drafted(m, parts, "", 15*time.Second)
 			sound.Add(1)
 			if got.status == 200 && got.err == nil && strings.Contains(got.body, "id: 60\n") {
 				whole.Add(1)
@@ -83,7 +83,7 @@
 						part = "fffffff2"
 					}
 					at := time.Now()
-					got := drafted(s.entries()[rand.IntN(2)], prompt(parts, part), 15*time.Second)
+					got := drafted(s.entries()[rand.IntN(2)], parts, part, 15*time.Second)
 					mutex.Lock()
 					sentAt[got.id] = at
 					mutex.Unlock()
@@ -119,20 +119,30 @@
 }
 
 // prompt returns a prompt of a number of parts: a first one that all share, the given one if
-// there is one, and others.
+// there is one, others that are drawn from those of all requests, and a last one of its own.
 func prompt(parts int, odd string) string {
-	ids := []string{"a1b2c3:100"}
+	ids := []string{fmt.Sprintf("a1b2c3:%d", firstTokens)}
 	if odd != "" {
-		ids = append(ids, odd+":10")
+		ids = append(ids, fmt.Sprintf("%s:%d", odd, partTokens))
 	}
-	for len(ids) < parts {
-		ids = append(ids, fmt.Sprintf("%x:10", 0x10000000+rand.IntN(0x60000000)))
+	// distinct ones in a row from a random place of the common parts
+	common := max(20, 4*parts)
+	for at := rand.IntN(common); len(ids) < parts-1; at++ {
+		ids = append(ids, fmt.Sprintf("%x:%d", 0x10000000+at%common*0x1003, partTokens))
 	}
-	return strings.Join(ids, ",")
+	return strings.Join(append(ids, fmt.Sprintf("%x:%d", 0x80000000+rand.IntN(0x60000000), partTokens)), ",")
 }
 
-func drafted(m *machine, prefix string, timeout time.Duration) tried {
+// firstTokens are those of the part that all prompts share, partTokens those of each other part.
+const (
+	firstTokens = 100
+	partTokens  = 2
+)
+
+// drafted asks for a stream on a prompt of a number of parts.
+func drafted(m *machine, parts int, odd string, timeout time.Duration) tried {
 	return ask(m.front(), "POST", "/draft/1", host, []string{
-		"Burdocklink-Model: daka510000", "Burdocklink-Token-Count: 900,180", "Burdocklink-Prompt-Prefix: " + prefix,
+		"Burdocklink-Model: daka510000", fmt.Sprintf("Burdocklink-Token-Count: %d,180", firstTokens+(parts-1)*partTokens),
+		"Burdocklink-Prompt-Prefix: " + prompt(parts, odd),
 	}, "{}", timeout)
 }
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -36,7 +36,7 @@
 		for _, each := range s.servers {
 			items = append(items, each.item())
 		}
-		return append(items, s.odd...)
+		return items
 	})
 	if err != nil {
 		return nil, err
--- a/review/standin-2/empty_parts.go
+++ b/review/standin-2/empty_parts.go
@@ -49,14 +49,17 @@
 			go func() {
 				defer group.Done()
 				for !done.Load() {
-					// all parts but the first are the same
+					// all parts but the first are the same; the tokens of a prompt stand in its last part
 					first := 0x1000 + number.Add(1)
-					prefix := fmt.Sprintf("%x:0", first) + strings.Repeat(",1:0", parts)
+					prefix := fmt.Sprintf("%x:0", first) + strings.Repeat(",1:0", parts-2) + ",2:60"
 					if !troubled() {
-						prefix = fmt.Sprintf("%x:300,1:200,2:100", first)
+						prefix = fmt.Sprintf("%x:30,1:20,2:10", first)
 					}
 					headerBytes.Store(int64(len(prefix) + 300))
-					if draft(m, "daka510000", prefix).status == 200 {
+					got := ask(m.front(), "POST", "/draft/1", host, []string{
+						"Burdocklink-Model: daka510000", "Burdocklink-Token-Count: 60,15", "Burdocklink-Prompt-Prefix: " + prefix,
+					}, "{}", 5*time.Second)
+					if got.status == 200 {
 						served.Add(1)
 					} else {
 						otherwise.Add(1)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,7 +18,7 @@
 var cases = map[string]func(*record) (int, error){
 	"unreadable-name": unreadableName,
 	"empty-parts":     emptyParts,
-	"other-writer":    otherWriter,
+	"lost-origins":    lostOrigins,
 	"many-parts":      manyParts,
 	"bursts":          bursts,
 }
--- a/review/standin-2/servers.go
+++ b/review/standin-2/servers.go
@@ -94,12 +94,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Burdocklink-Instance-Id", s.id)
-		w.WriteHeader(http.StatusOK)
+		if s.leaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 	})
 	mux.HandleFunc("GET /api/report", s.report)
 	mux.HandleFunc("POST /api/order", s.order)
 	mux.HandleFunc("/", s.serve)
-	serving := &http.Server{Handler: mux, MaxHeaderBytes: 256 << 10, ErrorLog: log.New(io.Discard, "", 0)}
+	serving := &http.Server{Handler: s.announced(mux), MaxHeaderBytes: 256 << 10, ErrorLog: log.New(io.Discard, "", 0)}
 	s.mutex.Lock()
 	s.http = serving
 	s.mutex.Unlock()
@@ -107,6 +109,22 @@
 	return nil
 }
 
+func (s *server) leaving() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.draining
+}
+
+// announced says in all answers of a server that leaves that it does.
+func (s *server) announced(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving() {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // crash ends the server: it closes all its connections, refuses new ones and starts again
 // later, empty but for its disk.
 func (s *server) crash() {
@@ -209,7 +227,7 @@
 		s.fence = order.FencingToken
 		s.sequence++
 		s.busy = true
-		born, loadTime := s.born, time.Second
+		born, loadTime := s.born, 6400*time.Millisecond
 		if s.disk[order.Model] {
 			loadTime = 1300 * time.Millisecond
 		}
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -78,8 +78,6 @@
 	// bounds replace those of every machine.
 	bounds map[string]any
 	mutex  sync.Mutex
-	// odd are entries of another writer at the end of the platform's list.
-	odd []map[string]any
 }
 
 // entries returns the machines that take requests.
