--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -85,7 +84,7 @@
 // Dispatcher makes calls.
 type Dispatcher struct {
 	settings Settings
-	dialer   *net.Dialer
+	dial     dialFunc
 	shared   *http.Transport
 	unpooled *http.Transport
 	pool     *pool
@@ -94,13 +93,13 @@
 // New returns a Dispatcher.
 func New(settings Settings) *Dispatcher {
 	settings = settings.withDefaults()
-	dialer := linker.Dialer(settings.DialTimeout)
-	shared := newTransport(dialer.DialContext)
+	dial := dialAnswerConn(linker.Dialer(settings.DialTimeout).DialContext)
+	shared := newTransport(dial)
 	shared.MaxIdleConnsPerHost = settings.MaxIdleConnections
 	shared.IdleConnTimeout = settings.IdleTimeout
-	unpooled := newTransport(dialer.DialContext)
+	unpooled := newTransport(dial)
 	unpooled.DisableKeepAlives = true
-	return &Dispatcher{settings: settings, dialer: dialer, shared: shared, unpooled: unpooled,
+	return &Dispatcher{settings: settings, dial: dial, shared: shared, unpooled: unpooled,
 		pool: &pool{idle: map[string][]*pooledConn{}}}
 }
 
@@ -206,7 +205,7 @@
 	return request, nil
 }
 
-func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+func newTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -41,6 +41,18 @@
 // Unwrap returns the cause.
 func (e *InterruptedError) Unwrap() error { return e.Cause }
 
+// ResetError reports that a connection failed while a call was written, so that the end of
+// what arrived on it is not the end of the answer.
+type ResetError struct{ Cause error }
+
+// Error describes the failure.
+func (e *ResetError) Error() string {
+	return "the connection failed while the call was written: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ResetError) Unwrap() error { return e.Cause }
+
 // StalledError reports that a connection made no progress for too long.
 type StalledError struct{}
 
--- a/dispatcher/open.go
+++ b/dispatcher/open.go
@@ -24,7 +24,7 @@
 		watch.close()
 		return nil, err
 	}
-	conn, err := d.dialer.DialContext(watch.ctx, "tcp", call.Address)
+	conn, err := d.dial(watch.ctx, "tcp", call.Address)
 	if err != nil {
 		watch.close()
 		return nil, &NotSentError{Address: call.Address, Cause: err}
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -123,7 +124,7 @@
 		}
 		_ = pooled.Close()
 	}
-	conn, err := d.dialer.DialContext(ctx, "tcp", address)
+	conn, err := d.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, false, err
 	}
@@ -203,11 +204,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/forwarder/broken_test.go
@@ -0,0 +1,78 @@
+package forwarder_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/matcher"
+)
+
+// longBody exceeds the buffers of a connection, so that writing it blocks until the upstream
+// reads or the connection ends.
+var longBody = strings.Repeat("x", 8<<20)
+
+// raw writes an answer byte by byte and then ends the connection.
+func raw(answer string, end func(*net.TCPConn)) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+		end(conn.(*net.TCPConn))
+		_ = conn.Close()
+	}
+}
+
+func reset(conn *net.TCPConn) { _ = conn.SetLinger(0) }
+
+func closeInOrder(conn *net.TCPConn) {
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// allowLongBodies raises the limit of request bodies.
+func (r *rig) allowLongBodies() {
+	configuration := *r.table.Load().Configuration
+	configuration.Limits.BodyBytes = int64(len(longBody))
+	r.table.Store(matcher.NewTable(&configuration))
+}
+
+// Guards against a part of an answer that reaches the caller as the whole: the upstream answers
+// without a length before it has read a long body, and resets the connection.
+func TestAnswerWithoutLengthThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: u1\r\n\r\n"
+	cases := map[string]struct {
+		kind     matcher.Kind
+		answer   string
+		end      func(*net.TCPConn)
+		complete bool
+	}{
+		"whole, reset":           {matcher.NonIdempotent, "a part", reset, false},
+		"whole, closed in order": {matcher.NonIdempotent, "all of it", closeInOrder, true},
+		"stream, reset":          {matcher.Streaming, eventText(1, 2), reset, false},
+		"stream, closed":         {matcher.Streaming, eventText(1, 2), closeInOrder, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for range 10 {
+				r := newRig(t, matcher.Route{Kind: c.kind}, raw(head+c.answer, c.end))
+				r.allowLongBodies()
+				got := r.ask(http.MethodPost, "/x/1", longBody, nil)
+				if !c.complete {
+					broken := got.status == http.StatusBadGateway || (got.status == http.StatusOK && got.err != nil)
+					assert.Assert(t, broken, "%d %q", got.status, got.body)
+					continue
+				}
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK)
+				assert.Equal(t, got.body, c.answer)
+			}
+		})
+	}
+}
