--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -85,8 +85,8 @@
 type Dispatcher struct {
 	settings Settings
 	dial     dialFunc
-	shared   *http.Transport
-	unpooled *http.Transport
+	shared   *Transport
+	unpooled *Transport
 	pool     *pool
 }
 
@@ -205,14 +205,14 @@
 	return request, nil
 }
 
-func newTransport(dial dialFunc) *http.Transport {
-	return &http.Transport{
+func newTransport(dial dialFunc) *Transport {
+	return &Transport{&http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         readBufferBytes,
 		WriteBufferSize:        writeBufferBytes,
-	}
+	}}
 }
 
 func (s Settings) withDefaults() Settings {
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -59,6 +59,15 @@
 // Error describes the failure.
 func (e *StalledError) Error() string { return "the connection went silent" }
 
+// InvalidStatusError reports an answer with a status that HTTP does not define, or that no call
+// allows.
+type InvalidStatusError struct{ Status int }
+
+// Error describes the failure.
+func (e *InvalidStatusError) Error() string {
+	return "the answer has the invalid status " + strconv.Itoa(e.Status)
+}
+
 // AnswerTooLargeError reports that an answer has more bytes than the limit.
 type AnswerTooLargeError struct{ Limit int64 }
 
--- /dev/null
+++ b/dispatcher/head.go
@@ -0,0 +1,53 @@
+package dispatcher
+
+import (
+	"bufio"
+	"net/http"
+)
+
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
+// readHead reads the head of an answer, which may be informational. An answer whose head
+// violates HTTP is an error.
+func readHead(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// checkHead returns an error if the head of an answer violates HTTP, although net/http reads it.
+func checkHead(response *http.Response) error {
+	status := response.StatusCode
+	// no call asks for another protocol
+	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return &InvalidStatusError{Status: status}
+	}
+	return nil
+}
+
+// isInformational reports whether another answer follows one with this status.
+func isInformational(status int) bool { return status < http.StatusOK }
+
+// Transport is an http.Transport that fails for an answer whose head violates HTTP.
+type Transport struct{ *http.Transport }
+
+// RoundTrip makes one call.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		_ = response.Body.Close()
+		// the connection may be unused by now, but what arrives next on it is no answer
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return response, nil
+}
--- a/dispatcher/open.go
+++ b/dispatcher/open.go
@@ -81,11 +81,11 @@
 	}
 	reader := bufio.NewReaderSize(c, readBufferBytes)
 	for {
-		response, err := http.ReadResponse(reader, request)
+		response, err := readHead(reader, request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if !isInformational(response.StatusCode) {
 			c.remaining = math.MaxInt64
 			return response, nil
 		}
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -293,11 +293,11 @@
 func (c *pooledConn) readHeader(request *http.Request, ownsAnswer func(http.Header) bool) (*http.Response, error) {
 	for range maxAnswerHeaders {
 		c.remaining = maxHeaderBytes
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := readHead(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if isInformational(response.StatusCode) {
 			continue
 		}
 		if ownsAnswer == nil || ownsAnswer(response.Header) {
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -1,9 +1,11 @@
 package forwarder_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -76,3 +78,26 @@
 		})
 	}
 }
+
+// embeddedAnswer looks like an answer of its own, also to the request.
+const embeddedAnswer = "HTTP/1.1 200 OK\r\nSigned: u1\r\nContent-Length: 15\r\n\r\nid: 1\ndata: 1\n\n"
+
+// withStatus returns an answer with a status, whose body is embeddedAnswer.
+func withStatus(status string) string {
+	return "HTTP/1.1 " + status + " Trouble\r\nSigned: u1\r\nContent-Length: " + strconv.Itoa(len(embeddedAnswer)) + "\r\n\r\n" + embeddedAnswer
+}
+
+// Guards against an answer with an invalid status that reaches the caller, or whose body does.
+func TestAnswerWithInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, kind := range []matcher.Kind{matcher.NonIdempotent, matcher.Streaming} {
+		for _, status := range []string{"000", "020", "101", "600", "999"} {
+			t.Run(fmt.Sprint(kind, " ", status), func(t *testing.T) {
+				r := newRig(t, matcher.Route{Kind: kind}, raw(withStatus(status), closeInOrder))
+				got := r.ask(http.MethodPost, "/x/1", "", nil)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusBadGateway)
+				assert.Equal(t, got.body, "")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/receiver/broken_test.go
@@ -0,0 +1,71 @@
+package receiver_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"burdocklink/encoder"
+)
+
+// rawUpstream answers each request with the same bytes and then closes the connection.
+type rawUpstream struct{ answer string }
+
+// ServeHTTP writes the answer.
+func (u *rawUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, u.answer)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+}
+
+// askAll makes one request of each kind to an entry whose upstreams answer with the same bytes.
+func askAll(t *testing.T, answer string, check func(t *testing.T, got reply)) {
+	t.Helper()
+	upstream := &rawUpstream{answer: answer}
+	asks := map[string]func(r *rig) reply{
+		"idempotent":          func(r *rig) reply { return r.send("GET", "/services/naptar/slots", "") },
+		"non-idempotent":      func(r *rig) reply { return r.send("POST", bookPath, "slot") },
+		"with a key":          func(r *rig) reply { return r.book("slot", "k") },
+		"completion":          func(r *rig) reply { return r.send("POST", encoder.PathChat, chat(false, 1)) },
+		"streamed completion": func(r *rig) reply { return r.send("POST", encoder.PathChat, chat(true, 1)) },
+		"unrepeated completion": func(r *rig) reply {
+			return r.send("POST", encoder.PathChat, chat(false, 1), encoder.HeaderClass, "registry")
+		},
+	}
+	for name, ask := range asks {
+		t.Run(name, func(t *testing.T) {
+			check(t, ask(newRig(t, map[string]http.Handler{"naptar-1": upstream, "engine-1": upstream})))
+		})
+	}
+}
+
+// checkOutcomeUnknown requires that the caller is told that its request may have run, and gets
+// nothing of the answer.
+func checkOutcomeUnknown(t *testing.T, got reply) {
+	t.Helper()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+	assert.Equal(t, got.outcome(), encoder.OutcomeUnknown)
+	assert.Equal(t, got.header.Get("Odd"), "")
+}
+
+// Guards against an answer with an invalid status that reaches the caller, or whose body does.
+func TestAnswerWithInvalidStatusIsNotPassedOn(t *testing.T) {
+	const body = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+	for _, status := range []string{"000", "101", "600"} {
+		t.Run(status, func(t *testing.T) {
+			text := "HTTP/1.1 " + status + " Trouble\r\nOdd: 1\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+			askAll(t, text, checkOutcomeUnknown)
+		})
+	}
+}
