--- a/dispatcher/conn.go
+++ b/dispatcher/conn.go
@@ -12,7 +12,8 @@
 )
 
 // answerConn is a connection to an upstream. Its reads return io.EOF only if the upstream
-// closed the connection in order.
+// closed the connection in order, and fail in the head of an answer that has an invalid field
+// name.
 //
 // The kernel reports a reset to one system call only. If that is a write, reads return the
 // data received before the reset and then io.EOF, as after an orderly end.
@@ -22,20 +23,30 @@
 	// failed.
 	writing  sync.Mutex
 	writeErr error
+	// scanning guards head.
+	scanning sync.Mutex
+	head     headScanner
 }
 
-// dialFunc opens connections, as net.Dialer.DialContext does.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// answerDialer opens connections of the type answerConn.
+type answerDialer struct{ *net.Dialer }
 
-// dialAnswerConn opens an answerConn.
-func dialAnswerConn(dial dialFunc) dialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &answerConn{Conn: conn}, nil
+// open opens a connection.
+func (d answerDialer) open(ctx context.Context, address string) (*answerConn, error) {
+	conn, err := d.Dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
 	}
+	return &answerConn{Conn: conn}, nil
+}
+
+// DialContext opens a connection for an http.Transport.
+func (d answerDialer) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	conn, err := d.open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
 }
 
 // Write writes data.
@@ -50,15 +61,32 @@
 }
 
 // Read reads data. At the end of a connection that did not end in order, the error is a
-// *ResetError.
+// *ResetError. It is an *InvalidFieldError if the data has an invalid field name in a head.
 func (c *answerConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if invalid := c.scan(buffer[:n]); invalid != nil {
+		return 0, invalid
+	}
 	if err == io.EOF {
 		err = c.endError()
 	}
 	return n, err
 }
 
+// beginHead expects the head of an answer next.
+func (c *answerConn) beginHead() {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	c.head = headScanner{}
+}
+
+// scan checks the field names in data that arrived.
+func (c *answerConn) scan(data []byte) error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	return c.head.scan(data)
+}
+
 // endError returns io.EOF if the upstream closed the connection in order. It ends writes: an
 // upstream that has ended its answer has no use for the rest of a request.
 func (c *answerConn) endError() error {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -84,7 +85,7 @@
 // Dispatcher makes calls.
 type Dispatcher struct {
 	settings Settings
-	dial     dialFunc
+	dialer   answerDialer
 	shared   *Transport
 	unpooled *Transport
 	pool     *pool
@@ -93,13 +94,13 @@
 // New returns a Dispatcher.
 func New(settings Settings) *Dispatcher {
 	settings = settings.withDefaults()
-	dial := dialAnswerConn(linker.Dialer(settings.DialTimeout).DialContext)
-	shared := newTransport(dial)
+	dialer := answerDialer{linker.Dialer(settings.DialTimeout)}
+	shared := newTransport(dialer.DialContext)
 	shared.MaxIdleConnsPerHost = settings.MaxIdleConnections
 	shared.IdleConnTimeout = settings.IdleTimeout
-	unpooled := newTransport(dial)
+	unpooled := newTransport(dialer.DialContext)
 	unpooled.DisableKeepAlives = true
-	return &Dispatcher{settings: settings, dial: dial, shared: shared, unpooled: unpooled,
+	return &Dispatcher{settings: settings, dialer: dialer, shared: shared, unpooled: unpooled,
 		pool: &pool{idle: map[string][]*pooledConn{}}}
 }
 
@@ -205,7 +206,7 @@
 	return request, nil
 }
 
-func newTransport(dial dialFunc) *Transport {
+func newTransport(dial func(context.Context, string, string) (net.Conn, error)) *Transport {
 	return &Transport{&http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -68,6 +68,18 @@
 	return "the answer has the invalid status " + strconv.Itoa(e.Status)
 }
 
+// InvalidFieldError reports a field in the head of an answer whose name is not a token. Such a
+// field may be the one that delimits the body.
+type InvalidFieldError struct {
+	// Name is the name up to its first invalid byte.
+	Name string
+}
+
+// Error describes the failure.
+func (e *InvalidFieldError) Error() string {
+	return "the answer has a field with an invalid name: " + strconv.Quote(e.Name)
+}
+
 // AnswerTooLargeError reports that an answer has more bytes than the limit.
 type AnswerTooLargeError struct{ Limit int64 }
 
--- a/dispatcher/head.go
+++ b/dispatcher/head.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // maxStatus is the highest status of HTTP.
@@ -37,9 +39,15 @@
 // Transport is an http.Transport that fails for an answer whose head violates HTTP.
 type Transport struct{ *http.Transport }
 
+// NewTransport returns a transport that opens a connection for each call.
+func NewTransport() *Transport {
+	return &Transport{&http.Transport{DialContext: answerDialer{&net.Dialer{}}.DialContext, DisableKeepAlives: true}}
+}
+
 // RoundTrip makes one call.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(request)
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: beginHead})
+	response, err := t.Transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
@@ -51,3 +59,10 @@
 	}
 	return response, nil
 }
+
+// beginHead expects an answer on a connection that was chosen for a call.
+func beginHead(chosen httptrace.GotConnInfo) {
+	if conn, ok := chosen.Conn.(interface{ beginHead() }); ok {
+		conn.beginHead()
+	}
+}
--- a/dispatcher/head_test.go
+++ b/dispatcher/head_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,3 +63,135 @@
 		})
 	}
 }
+
+// Guards against an answer of which net/http reads a field other than the upstream meant it: a
+// length or an encoding with such a name does not count, and the body that is read is another.
+func TestAnswerWithInvalidFieldNameIsNoAnswer(t *testing.T) {
+	fields := map[string]string{
+		"blank before the colon":     "Odd : 1",
+		"blanks before the colon":    "Odd  : 1",
+		"blank inside":               "O dd: 1",
+		"only a blank":               " : 1",
+		"length":                     "Content-Length : 5",
+		"encoding":                   "Transfer-Encoding : chunked",
+		"connection":                 "Connection : close",
+		"tab before the colon":       "Odd\t: 1",
+		"tab inside":                 "O\tdd: 1",
+		"NUL":                        "O\x00dd: 1",
+		"escape":                     "O\x1bdd: 1",
+		"carriage return":            "O\rdd: 1",
+		"delete":                     "O\x7fdd: 1",
+		"separator":                  "O(d)d: 1",
+		"not ASCII":                  "Ödd: 1",
+		"empty":                      ": 1",
+		"no colon":                   "Odd",
+		"blank at the start":         " Odd: 1",
+		"tab at the start":           "\tOdd: 1",
+		"blank at the start, length": " Content-Length: 5",
+	}
+	const sound = "Even: 1\r\n"
+	places := map[string]func(field string) string{
+		"first": func(field string) string { return field + "\r\n" + sound },
+		"last":  func(field string) string { return sound + field + "\r\n" },
+	}
+	for name, field := range fields {
+		for place, join := range places {
+			t.Run(name+", "+place, func(t *testing.T) {
+				text := "HTTP/1.1 200 OK\r\n" + join(field) + "\r\n5\r\nwrong\r\n0\r\n\r\n"
+				answerEach(t, text, func(t *testing.T, answer Answer, err error) {
+					var interrupted *InterruptedError
+					assert.Assert(t, errors.As(err, &interrupted), "error %v, header %q, body %q", err, answer.Header, answer.Body)
+				})
+			})
+		}
+	}
+}
+
+// An answer must not fail for what its body holds, for odd but valid fields, or for what an
+// earlier answer on the connection held.
+func TestAnswersWithValidFieldsArePassedOn(t *testing.T) {
+	const body = "not a head: 1\r\n\r\nHTTP/1.1 000\r\n a : b\r\n\r\n"
+	long := strings.Repeat("x", 10*readBufferBytes)
+	heads := map[string]string{
+		"no field":       "",
+		"all characters": "A!#$%&'*+-.^_`|~09z: 1\r\n",
+		"odd values":     "A:\r\nB:  c d \t\r\nC: d: e\r\nD: \xff\r\n",
+		"long":           "A: " + long + "\r\n" + long[:readBufferBytes] + ": 1\r\n",
+		"line feeds":     "A: 1\nB: 2\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			answer := "HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+			upstream := newScriptedUpstream(t, func(conn net.Conn, reader *bufio.Reader, u *scriptedUpstream) {
+				for {
+					if _, _, err := u.readRequest(reader); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n"+head+"\r\n"+answer)
+				}
+			})
+			d := New(Settings{})
+			defer d.Close()
+			for way, callOnce := range waysToCall() {
+				t.Run(way, func(t *testing.T) {
+					for range 3 {
+						answer, err := callOnce(d, t.Context(), upstream.call(http.MethodPost))
+						assert.NilError(t, err)
+						assert.Equal(t, string(answer.Body), body)
+					}
+				})
+			}
+		})
+	}
+}
+
+// Guards against a head that is not checked because it arrives with an answer to another call.
+func TestInvalidFieldNameAfterAnswerToAnotherCallIsNoAnswer(t *testing.T) {
+	const invalid = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length : 5\r\n\r\nwrong"
+	pauses := map[string]time.Duration{"at once": 0, "later": 20 * time.Millisecond}
+	for name, pause := range pauses {
+		t.Run(name, func(t *testing.T) {
+			upstream := newScriptedUpstream(t, func(conn net.Conn, reader *bufio.Reader, u *scriptedUpstream) {
+				if _, _, err := u.readRequest(reader); err != nil {
+					return
+				}
+				if pause == 0 {
+					_, _ = io.WriteString(conn, answerText("other", "not a head: 1\r\n\r\n")+invalid)
+					return
+				}
+				_, _ = io.WriteString(conn, answerText("other", "not a head: 1\r\n\r\n"))
+				time.Sleep(pause)
+				_, _ = io.WriteString(conn, invalid)
+			})
+			d := New(Settings{})
+			defer d.Close()
+			call := upstream.call(http.MethodPost)
+			call.OwnsAnswer = func(header http.Header) bool { return header.Get("Id") == "own" }
+			_, err := send(t, d, call)
+			var field *InvalidFieldError
+			assert.Assert(t, errors.As(err, &field), "%v", err)
+			assert.Equal(t, field.Name, "Content-Length ")
+		})
+	}
+}
+
+func TestHeadScannerFindsTheEndOfTheHeadHoweverItArrives(t *testing.T) {
+	heads := map[string]string{
+		"no field":            "HTTP/1.1 200 OK\r\n\r\n",
+		"no reason":           "HTTP/1.1 200\r\nA: 1\r\n\r\n",
+		"many blanks":         "HTTP/1.1   200 OK\r\nA: 1\r\n\r\n",
+		"line feeds":          "HTTP/1.1 200 OK\nA: 1\n\n",
+		"informational first": "HTTP/1.1  100\r\n\r\nHTTP/1.1 103 Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 100\r\nA: 1\r\n\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			for split := range len(head) {
+				var scanner headScanner
+				assert.NilError(t, scanner.scan([]byte(head[:split])))
+				assert.Assert(t, scanner.part != partBody, "ends before byte %d", split)
+				assert.NilError(t, scanner.scan([]byte(head[split:]+" a : b")))
+				assert.Equal(t, scanner.part, partBody)
+			}
+		})
+	}
+}
--- a/dispatcher/once.go
+++ b/dispatcher/once.go
@@ -10,7 +10,7 @@
 // error is a *NotSentError only if no byte was written. After any other failure the
 // call may have run.
 func (d *Dispatcher) Once(ctx context.Context, call Call) (Answer, error) {
-	dialer := &singleDialer{connect: dialAnswerConn((&net.Dialer{Timeout: d.settings.DialTimeout}).DialContext)}
+	dialer := &singleDialer{dialer: answerDialer{&net.Dialer{Timeout: d.settings.DialTimeout}}}
 	transport := newTransport(dialer.dial)
 	transport.DisableKeepAlives = true
 	defer transport.CloseIdleConnections()
@@ -31,7 +31,7 @@
 // rejects writes, so that a late writer in the transport cannot send a call already
 // reported as not sent.
 type singleDialer struct {
-	connect dialFunc
+	dialer answerDialer
 
 	mu      sync.Mutex
 	dialled bool
@@ -43,7 +43,7 @@
 	if !d.claimDial() {
 		return nil, &SecondDialError{}
 	}
-	conn, err := d.connect(ctx, network, address)
+	conn, err := d.dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/dispatcher/open.go
+++ b/dispatcher/open.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"math"
-	"net"
 	"net/http"
 )
 
@@ -24,12 +23,12 @@
 		watch.close()
 		return nil, err
 	}
-	conn, err := d.dial(watch.ctx, "tcp", call.Address)
+	conn, err := d.dialer.open(watch.ctx, call.Address)
 	if err != nil {
 		watch.close()
 		return nil, &NotSentError{Address: call.Address, Cause: err}
 	}
-	dedicated := &dedicatedConn{Conn: conn, remaining: maxHeaderBytes}
+	dedicated := &dedicatedConn{answerConn: conn, remaining: maxHeaderBytes}
 	dedicated.stopCancel = context.AfterFunc(watch.ctx, dedicated.abort)
 	watch.arm()
 	response, err := dedicated.roundTrip(request)
@@ -51,7 +50,7 @@
 
 // dedicatedConn is a connection that carries one call.
 type dedicatedConn struct {
-	net.Conn
+	*answerConn
 	// remaining is how many more bytes may be read.
 	remaining  int64
 	stopCancel func() bool
@@ -59,7 +58,7 @@
 
 // Read reads up to the remaining bytes.
 func (c *dedicatedConn) Read(buffer []byte) (int, error) {
-	return readLimited(c.Conn, &c.remaining, buffer)
+	return readLimited(c.answerConn, &c.remaining, buffer)
 }
 
 // readLimited reads at most the remaining bytes.
--- a/dispatcher/pool.go
+++ b/dispatcher/pool.go
@@ -6,13 +6,11 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -49,7 +47,7 @@
 
 // pooledConn is a connection that carries one exchange after another.
 type pooledConn struct {
-	net.Conn
+	*answerConn
 	address string
 	reader  *bufio.Reader
 	// remaining is how many more bytes may be read.
@@ -124,18 +122,18 @@
 		}
 		_ = pooled.Close()
 	}
-	conn, err := d.dial(ctx, "tcp", address)
+	conn, err := d.dialer.open(ctx, address)
 	if err != nil {
 		return nil, false, err
 	}
-	pooled := &pooledConn{Conn: conn, address: address}
+	pooled := &pooledConn{answerConn: conn, address: address}
 	pooled.reader = bufio.NewReaderSize(pooled, readBufferBytes)
 	return pooled, false, nil
 }
 
 // Read reads up to the remaining bytes.
 func (c *pooledConn) Read(buffer []byte) (int, error) {
-	return readLimited(c.Conn, &c.remaining, buffer)
+	return readLimited(c.answerConn, &c.remaining, buffer)
 }
 
 // get returns the most recently used connection, since it is the most likely to be
@@ -204,11 +202,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := conn.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -244,6 +238,7 @@
 // roundTrip writes the request and reads the header of its response.
 func (c *pooledConn) roundTrip(ctx context.Context, request *http.Request, call Call, pool *pool) (*http.Response, error) {
 	stopCancel := context.AfterFunc(ctx, c.abort)
+	c.beginHead()
 	writer := &requestWriter{conn: c, request: request, done: make(chan struct{})}
 	if len(call.Body) <= maxInlineBody {
 		writer.run()
@@ -308,10 +303,22 @@
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
+		if err := c.beginNextHead(); err != nil {
+			return nil, err
+		}
 	}
 	return nil, &ForeignAnswersError{}
 }
 
+// beginNextHead expects the head of another answer, a part of which may have arrived together
+// with the answer before.
+func (c *pooledConn) beginNextHead() error {
+	c.beginHead()
+	// what is buffered can always be peeked at
+	arrived, _ := c.reader.Peek(c.reader.Buffered())
+	return c.scan(arrived)
+}
+
 func (c *pooledConn) abort() { _ = c.Close() }
 
 // requestWriter writes one request.
@@ -326,7 +333,7 @@
 
 func (w *requestWriter) run() {
 	defer close(w.done)
-	counter := &countingWriter{writer: w.conn.Conn}
+	counter := &countingWriter{writer: w.conn.answerConn}
 	buffered := bufio.NewWriterSize(counter, writeBufferBytes)
 	w.err = w.request.Write(buffered)
 	if w.err == nil {
--- a/dispatcher/pool_test.go
+++ b/dispatcher/pool_test.go
@@ -322,7 +322,7 @@
 	defer func() { _ = server.Close() }()
 	start := time.Now()
 	p := &pool{idle: map[string][]*pooledConn{}}
-	conn := &pooledConn{Conn: client, address: "a", reader: bufio.NewReader(client), expiresAt: start.Add(time.Second)}
+	conn := &pooledConn{answerConn: &answerConn{Conn: client}, address: "a", reader: bufio.NewReader(client), expiresAt: start.Add(time.Second)}
 	p.put(conn, start)
 	assert.Assert(t, p.get("a", "", start.Add(2*time.Second)) == nil)
 }
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -1,7 +1,6 @@
 package forwarder_test
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -89,9 +88,10 @@
 
 // Guards against an answer with an invalid status that reaches the caller, or whose body does.
 func TestAnswerWithInvalidStatusIsNotPassedOn(t *testing.T) {
-	for _, kind := range []matcher.Kind{matcher.NonIdempotent, matcher.Streaming} {
+	kinds := map[string]matcher.Kind{"whole": matcher.NonIdempotent, "stream": matcher.Streaming}
+	for name, kind := range kinds {
 		for _, status := range []string{"000", "020", "101", "600", "999"} {
-			t.Run(fmt.Sprint(kind, " ", status), func(t *testing.T) {
+			t.Run(name+" "+status, func(t *testing.T) {
 				r := newRig(t, matcher.Route{Kind: kind}, raw(withStatus(status), closeInOrder))
 				got := r.ask(http.MethodPost, "/x/1", "", nil)
 				assert.NilError(t, got.err)
@@ -101,3 +101,35 @@
 		}
 	}
 }
+
+// Guards against an answer of which a field with an invalid name is passed on, or is not used to
+// delimit the body.
+func TestAnswerWithInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	fields := map[string]string{
+		"blank before the colon": "Odd : 1",
+		"blank inside":           "O dd: 1",
+		"blank at the start":     " Odd: 1",
+		"control byte":           "O\x01dd: 1",
+		"length":                 "Content-Length : 15",
+		"encoding":               "Transfer-Encoding : chunked",
+	}
+	answers := map[string]struct {
+		kind matcher.Kind
+		body string
+	}{
+		"whole":  {matcher.NonIdempotent, "5\r\nwrong\r\n0\r\n\r\n"},
+		"stream": {matcher.Streaming, eventText(1, 1)},
+	}
+	for answer, c := range answers {
+		for name, field := range fields {
+			t.Run(answer+", "+name, func(t *testing.T) {
+				text := "HTTP/1.1 200 OK\r\nSigned: u1\r\n" + field + "\r\n\r\n" + c.body
+				r := newRig(t, matcher.Route{Kind: c.kind}, raw(text, closeInOrder))
+				got := r.ask(http.MethodPost, "/x/1", "", nil)
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusBadGateway)
+				assert.Equal(t, got.body, "")
+			})
+		}
+	}
+}
--- a/receiver/broken_test.go
+++ b/receiver/broken_test.go
@@ -69,3 +69,18 @@
 		})
 	}
 }
+
+// Guards against an answer of which a field with an invalid name is passed on, or is not used to
+// delimit the body.
+func TestAnswerWithInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	fields := map[string]string{
+		"blank before the colon": "Content-Length : 5",
+		"blank at the start":     "Odd: 1\r\n Odder: 1",
+		"control byte":           "O\x01dd: 1",
+	}
+	for name, field := range fields {
+		t.Run(name, func(t *testing.T) {
+			askAll(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nwrong", checkOutcomeUnknown)
+		})
+	}
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"burdocklink/dispatcher"
 	"burdocklink/orderer"
 )
 
@@ -117,7 +118,7 @@
 // one may have gone silent, and that follows no redirects.
 func newClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: dispatcher.NewTransport(),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/sender/sender_test.go
+++ b/sender/sender_test.go
@@ -1,6 +1,8 @@
 package sender_test
 
 import (
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +14,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"burdocklink/dispatcher"
 	"burdocklink/encoder"
 	"burdocklink/faker"
 	"burdocklink/orderer"
@@ -149,6 +152,26 @@
 	assert.Equal(t, nextSettled(t, s).Outcome, orderer.OutcomeDone)
 }
 
+// Guards against an order that is settled by a reply whose length has a name that does not
+// count.
+func TestReplyWithInvalidFieldNameDoesNotSettleOrder(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\n"+`{"id":7,"state":"done"}`)
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	s := startSender(t)
+	s.Drive([]sender.Task{{Order: loadOrder(7, "i", time.Minute), Address: server.Listener.Addr().String()}})
+	unresponsive, ok := nextEvent(t, s).(sender.Unresponsive)
+	assert.Assert(t, ok)
+	var invalid *dispatcher.InvalidFieldError
+	assert.Assert(t, errors.As(unresponsive.Cause, &invalid), "%v", unresponsive.Cause)
+}
+
 // Connections of this upstream go silent after their first call, so that each reused one
 // would cost a timeout.
 func TestConnectionsAreNotReused(t *testing.T) {
--- a/watcher/fetch_test.go
+++ b/watcher/fetch_test.go
@@ -40,3 +40,27 @@
 		})
 	}
 }
+
+func TestListWithInvalidHeadIsNotUsed(t *testing.T) {
+	heads := map[string]string{
+		"status":     "HTTP/1.1 000 Trouble\r\n",
+		"field name": "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n",
+		"joined":     "HTTP/1.1 200 OK\r\nOdd: 1\r\n Content-Length: 5\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, head+"\r\n[]")
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			w := New(Settings{Platform: server.URL, Store: server.URL, Log: zap.NewNop()})
+			_, err := w.fetchVMs(t.Context())
+			assert.ErrorType(t, err, &ListError{})
+		})
+	}
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -13,6 +13,7 @@
 	"burdocklink/applier"
 	"burdocklink/cataloger"
 	"burdocklink/conductor"
+	"burdocklink/dispatcher"
 	"burdocklink/registrar"
 )
 
@@ -64,7 +65,7 @@
 // newClient returns a client that opens a new connection for each request, so that a
 // connection that has gone silent can't block the next poll.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Transport: dispatcher.NewTransport()}
 }
 
 // String names the service.
