--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -133,3 +133,72 @@
 		}
 	}
 }
+
+// Guards against an error of the next upstream in the middle of a stream that broke off, or
+// a stream that ends as if it were complete.
+func TestFailedContinuationIsNotPartOfTheStream(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nSigned: u2\r\n"
+	errorText := "error: overloaded\n\n"
+	next := map[string]http.HandlerFunc{
+		"error":                          respond(500, errorText),
+		"error as events":                respond(500, eventText(3, 4)),
+		"error without a length":         raw("HTTP/1.1 500 Oops\r\nSigned: u2\r\n\r\n"+errorText, closeInOrder),
+		"error, reset":                   raw("HTTP/1.1 500 Oops\r\nSigned: u2\r\n\r\n"+errorText, reset),
+		"client error":                   respond(404, errorText),
+		"redirect":                       respond(302, errorText),
+		"no content":                     respond(204, ""),
+		"partial content":                respond(206, eventText(3, 4)),
+		"not run":                        notRun,
+		"refused, not stated as not run": respond(503, errorText),
+		"unsigned":                       raw("HTTP/1.1 200 OK\r\n\r\n"+eventText(3, 4), closeInOrder),
+		"invalid status":                 raw(withStatus("000"), closeInOrder),
+		"invalid field name":             raw("HTTP/1.1 200 OK\r\nSigned : u2\r\n\r\n"+eventText(3, 4), closeInOrder),
+		"head cut":                       raw("HTTP/1.1 200 OK\r\nSigned: u2\r\nContent-Length: 0\r", closeInOrder),
+		"no answer":                      raw("", closeInOrder),
+		"no head":                        raw(eventText(3, 4), closeInOrder),
+		"empty, without a length":        raw(signed+"\r\n", closeInOrder),
+		"empty, cut":                     raw(signed+"Content-Length: 9\r\n\r\n", closeInOrder),
+		"head within the stream":         raw(signed+"\r\nHTTP/1.1 500 Oops\r\nContent-Length: 5\r\n\r\noops!", closeInOrder),
+		"error text with success":        respond(200, errorText),
+		"error text with success, cut":   raw(signed+"\r\n"+errorText[:9], closeInOrder),
+		"error text after an event":      raw(signed+"\r\nid: 2\ndata: 2\n\n"+errorText, closeInOrder),
+	}
+	for name, handle := range next {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}, events(1, 2, false), handle)
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, eventText(1, 2))
+			assert.Assert(t, got.err != nil, "the stream ended as if complete")
+		})
+	}
+}
+
+// A stream that goes on at another upstream may hold what has no place of its own, and may have
+// nothing left but its end.
+func TestContinuationsAreRelayed(t *testing.T) {
+	const signed = "HTTP/1.1 200 OK\r\nSigned: u2\r\n"
+	next := map[string]struct {
+		handle http.HandlerFunc
+		rest   string
+	}{
+		"only its end":        {respond(200, ""), ""},
+		"only its end, again": {respond(200, eventText(1, 2)), ""},
+		"without a length":    {raw(signed+"\r\n"+eventText(3, 4), closeInOrder), eventText(3, 4)},
+		"comments":            {respond(200, ": busy\n\n"+eventText(3, 3)+":\n\n"), ": busy\n\n" + eventText(3, 3) + ":\n\n"},
+		"unnumbered events after a numbered one": {
+			respond(200, eventText(3, 3)+"event: ping\nretry: 5\ndata: {}\n\n"+eventText(4, 4)),
+			eventText(3, 3) + "event: ping\nretry: 5\ndata: {}\n\n" + eventText(4, 4),
+		},
+		"further fields in a numbered event": {respond(200, "version: 2\nid: 3\ndata: 3\n\n"), "version: 2\nid: 3\ndata: 3\n\n"},
+	}
+	for name, c := range next {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, matcher.Route{Kind: matcher.Streaming, Resumable: true, MaxAttempts: 2}, events(1, 2, false), c.handle)
+			got := r.ask(http.MethodPost, "/x/1", "", nil)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, eventText(1, 2)+c.rest)
+		})
+	}
+}
--- a/forwarder/errors.go
+++ b/forwarder/errors.go
@@ -109,6 +109,15 @@
 	return "event " + strconv.FormatUint(e.Got, 10) + " came in place of " + strconv.FormatUint(e.Want, 10)
 }
 
+// UnnumberedEventError is returned if something without an ID has no known place in a stream that
+// goes on after an event, such as the text of an error.
+type UnnumberedEventError struct{ After uint64 }
+
+// Error returns the ID of the event before.
+func (e *UnnumberedEventError) Error() string {
+	return "event without an ID came in a stream that goes on after event " + strconv.FormatUint(e.After, 10)
+}
+
 // StatusError is returned if an upstream answered with an unusable status.
 type StatusError struct{ Status int }
 
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -114,3 +115,29 @@
 	}
 	return 0, false
 }
+
+// eventFields are the fields of an event without an ID.
+var eventFields = []string{"data", "event", "retry"}
+
+// isEvent reports whether all lines are comments or fields of an event without an ID.
+func isEvent(event []byte) bool {
+	return eachLine(event, func(line []byte) bool {
+		field, _, _ := bytes.Cut(line, []byte(":"))
+		return len(field) == 0 || slices.Contains(eventFields, string(field))
+	})
+}
+
+// isComment reports whether all lines are comments.
+func isComment(event []byte) bool {
+	return eachLine(event, func(line []byte) bool { return len(line) == 0 || line[0] == ':' })
+}
+
+// eachLine reports whether a condition holds for each line.
+func eachLine(event []byte, holds func(line []byte) bool) bool {
+	for line := range bytes.Lines(event) {
+		if !holds(bytes.TrimRight(line, "\r\n")) {
+			return false
+		}
+	}
+	return true
+}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -67,6 +67,9 @@
 	// lastEventID is the ID of the last event that the caller has, initialEventID the
 	// one that its request named. Zero means none.
 	lastEventID, initialEventID uint64
+	// continuing is true if the answer to the last send goes on with a stream, and placed once
+	// an event of it had an ID.
+	continuing, placed bool
 	// origin is the upstream that began the stream; zero if none has.
 	origin router.Origin
 	events int
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -36,6 +36,7 @@
 		x.settle(router.OutcomeFailed)
 		return fault
 	}
+	x.continuing, x.placed = x.lastEventID > 0, false
 	events := newEventReader(response.Body, x.ownBuffer())
 	stage := quarantiner.StageBeginning
 	for reads := 0; ; reads++ {
@@ -116,6 +117,10 @@
 // relayEvent writes an event unless the caller already has it.
 func (x *exchange) relayEvent(response *http.Response, event []byte) error {
 	id, numbered := eventID(event)
+	if !numbered && !x.mayRelayUnnumbered(event) {
+		return &UnnumberedEventError{After: x.lastEventID}
+	}
+	x.placed = x.placed || numbered
 	if numbered && x.lastEventID > 0 {
 		if id <= x.lastEventID {
 			return nil
@@ -135,6 +140,12 @@
 	return nil
 }
 
+// mayRelayUnnumbered reports whether an event without an ID may be relayed. In a stream that goes on,
+// it must follow an event of the same answer whose place is known.
+func (x *exchange) mayRelayUnnumbered(event []byte) bool {
+	return !x.continuing || isComment(event) || (x.placed && isEvent(event))
+}
+
 // completeStream finishes the caller's answer after the end of the stream.
 func (x *exchange) completeStream(response *http.Response) error {
 	x.startAnswer(response)
