--- a/dispatcher/head_test.go
+++ b/dispatcher/head_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,3 +196,47 @@
 		})
 	}
 }
+
+// Guards against an answer that is made of the part of a head that arrived.
+func TestAnswerThatEndsWithinItsHeadIsNoAnswer(t *testing.T) {
+	heads := map[string]string{
+		"length":              "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Type: text/plain\r\n\r\n",
+		"no body":             "HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 0\r\n\r\n",
+		"chunks":              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"until close":         "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"line feeds":          "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"no content":          "HTTP/1.1 204 No Content\r\nA: 1\r\n\r\n",
+		"informational first": "HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	}
+	ends := map[string]func(conn *net.TCPConn){
+		"closed": func(*net.TCPConn) {},
+		"reset": func(conn *net.TCPConn) {
+			// what was written has arrived before the reset
+			time.Sleep(time.Millisecond)
+			_ = conn.SetLinger(0)
+		},
+	}
+	var answer atomic.Pointer[string]
+	for endName, end := range ends {
+		upstream := newScriptedUpstream(t, func(conn net.Conn, reader *bufio.Reader, u *scriptedUpstream) {
+			if _, _, err := u.readRequest(reader); err == nil {
+				_, _ = io.WriteString(conn, *answer.Load())
+				end(conn.(*net.TCPConn))
+			}
+		})
+		for name, head := range heads {
+			for way, callOnce := range waysToCall() {
+				t.Run(endName+", "+name+", "+way, func(t *testing.T) {
+					d := New(Settings{})
+					defer d.Close()
+					for cut := range len(head) {
+						part := head[:cut]
+						answer.Store(&part)
+						got, err := callOnce(d, t.Context(), upstream.call(http.MethodPost))
+						assert.Assert(t, err != nil, "%q: status %d, body %q", part, got.Status, got.Body)
+					}
+				})
+			}
+		}
+	}
+}
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -202,3 +202,34 @@
 		})
 	}
 }
+
+// Guards against an answer with success that is made of the part of a head that arrived.
+func TestAnswerThatEndsWithinItsHeadIsNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: u1\r\nContent-Type: text/event-stream\r\nContent-Length: 15\r\n\r\n"
+	kinds := map[string]matcher.Kind{"whole": matcher.NonIdempotent, "stream": matcher.Streaming}
+	cuts := map[string]int{
+		"in the status":            len("HTTP/1.1 20"),
+		"after the status line":    len("HTTP/1.1 200 OK\r\n"),
+		"after the signature":      len("HTTP/1.1 200 OK\r\nSigned: u1\r\n"),
+		"in the length":            len(head) - len("5\r\n\r\n"),
+		"after the length":         len(head) - len("\r\n\r\n"),
+		"in the line break":        len(head) - len("\n\r\n"),
+		"before the empty line":    len(head) - len("\r\n"),
+		"in the empty line":        len(head) - len("\n"),
+		"at the start of the body": len(head),
+	}
+	ends := map[string]func(*net.TCPConn){"closed": closeInOrder, "reset": reset}
+	for name, kind := range kinds {
+		for place, cut := range cuts {
+			for end, endConn := range ends {
+				t.Run(name+", "+place+", "+end, func(t *testing.T) {
+					r := newRig(t, matcher.Route{Kind: kind}, raw(head[:cut], endConn))
+					got := r.ask(http.MethodPost, "/x/1", "", nil)
+					assert.NilError(t, got.err)
+					assert.Equal(t, got.status, http.StatusBadGateway)
+					assert.Equal(t, got.body, "")
+				})
+			}
+		}
+	}
+}
--- a/receiver/broken_test.go
+++ b/receiver/broken_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -84,3 +86,43 @@
 		})
 	}
 }
+
+// Guards against an error of the next engine in the middle of a stream that broke off, or a stream
+// that ends as if it were complete.
+func TestFailedContinuationIsNotPartOfTheStream(t *testing.T) {
+	const errorText = "error: overloaded\n\n"
+	next := map[string]string{
+		"error":                   "HTTP/1.1 500 Oops\r\nContent-Length: 19\r\n\r\n" + errorText,
+		"error without a length":  "HTTP/1.1 500 Oops\r\n\r\n" + errorText,
+		"client error":            "HTTP/1.1 400 Oops\r\nContent-Length: 19\r\n\r\n" + errorText,
+		"invalid status":          "HTTP/1.1 000 Oops\r\n\r\nHTTP/1.1 200 OK\r\n\r\ndata: [DONE]\n\n",
+		"invalid field name":      "HTTP/1.1 200 OK\r\nA b: c\r\n\r\ndata: [DONE]\n\n",
+		"head cut":                "HTTP/1.1 200 OK\r\nContent-Length: 0\r",
+		"no answer":               "",
+		"empty":                   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"end without the rest":    "HTTP/1.1 200 OK\r\n\r\ndata: [DONE]\n\n",
+		"error text with success": "HTTP/1.1 200 OK\r\n\r\n" + errorText,
+		"error as an event":       "HTTP/1.1 200 OK\r\n\r\ndata: overloaded\n\n",
+		"head within the stream":  "HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 500 Oops\r\nContent-Length: 5\r\n\r\noops!",
+	}
+	for name, answer := range next {
+		t.Run(name, func(t *testing.T) {
+			var begun atomic.Bool
+			healthy, broken := &engine{cutAt: cutAfter(3, 1)}, &rawUpstream{answer: answer}
+			breaking := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if begun.CompareAndSwap(false, true) {
+					healthy.ServeHTTP(w, r)
+					return
+				}
+				broken.ServeHTTP(w, r)
+			})
+			r := newRig(t, map[string]http.Handler{"engine-1": breaking, "engine-2": breaking})
+			got := r.send("POST", encoder.PathChat, chat(true, 8))
+			assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+			body, _, ended := readStream(got.body)
+			assert.Equal(t, body, text(3))
+			assert.Assert(t, !ended)
+			assert.Assert(t, !strings.Contains(got.body, "overloaded") && !strings.Contains(got.body, "Oops"), got.body)
+		})
+	}
+}
