--- a/conductor/group_test.go
+++ b/conductor/group_test.go
@@ -120,6 +120,12 @@
 		p.listener, err = net.Listen("tcp", p.config.Address)
 		assert.NilError(g.t, err)
 	}
+	g.serve(p, member)
+}
+
+// serve starts a member at the listener of its process.
+func (g *cluster) serve(p *process, member *conductor.Conductor) {
+	g.t.Helper()
 	p.mutex.Lock()
 	p.Conductor = member
 	p.mutex.Unlock()
