--- a/dispatcher/head.go
+++ b/dispatcher/head.go
@@ -60,9 +60,10 @@
 	return response, nil
 }
 
-// beginHead expects an answer on a connection that was chosen for a call.
+// beginHead expects an answer on a connection that may have carried others. One of another type
+// carries a single call, and expects an answer from the start.
 func beginHead(chosen httptrace.GotConnInfo) {
-	if conn, ok := chosen.Conn.(interface{ beginHead() }); ok {
+	if conn, ok := chosen.Conn.(*answerConn); ok {
 		conn.beginHead()
 	}
 }
