--- a/dispatcher/errors.go
+++ b/dispatcher/errors.go
@@ -68,6 +68,14 @@
 	return "the answer has the invalid status " + strconv.Itoa(e.Status)
 }
 
+// InvalidVersionError reports an answer of another version of HTTP than that of the call.
+type InvalidVersionError struct{ Version string }
+
+// Error describes the failure.
+func (e *InvalidVersionError) Error() string {
+	return "the answer has the invalid version " + strconv.Quote(e.Version)
+}
+
 // InvalidFieldError reports a field in the head of an answer whose name is not a token. Such a
 // field may be the one that delimits the body.
 type InvalidFieldError struct {
--- a/dispatcher/head.go
+++ b/dispatcher/head.go
@@ -7,8 +7,12 @@
 	"net/http/httptrace"
 )
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
+const (
+	// majorVersion is the major version of HTTP that upstreams speak.
+	majorVersion = 1
+	// maxStatus is the highest status of HTTP.
+	maxStatus = 599
+)
 
 // readHead reads the head of an answer, which may be informational. An answer whose head
 // violates HTTP is an error.
@@ -25,6 +29,9 @@
 
 // checkHead returns an error if the head of an answer violates HTTP, although net/http reads it.
 func checkHead(response *http.Response) error {
+	if response.ProtoMajor != majorVersion {
+		return &InvalidVersionError{Version: response.Proto}
+	}
 	status := response.StatusCode
 	// no call asks for another protocol
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
--- a/dispatcher/head_test.go
+++ b/dispatcher/head_test.go
@@ -240,3 +240,15 @@
 		}
 	}
 }
+
+// Guards against an answer that is read as one of HTTP/1.1 though it names another protocol.
+func TestAnswerOfAnotherVersionIsNoAnswer(t *testing.T) {
+	versions := map[string]bool{"HTTP/1.1": true, "HTTP/1.0": true, "HTTP/0.9": false, "HTTP/2.0": false, "HTTP/9.9": false}
+	for version, valid := range versions {
+		t.Run(version, func(t *testing.T) {
+			answerEach(t, version+" 200 OK\r\n\r\na part", func(t *testing.T, answer Answer, err error) {
+				assert.Equal(t, err == nil, valid, "error %v, body %q", err, answer.Body)
+			})
+		})
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -74,7 +74,7 @@
 // framed reports whether the end of an answer can be told from the end of its
 // connection.
 func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.ProtoMajor > 1
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
 // relayEvents writes complete events and flushes them.
