--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -574,6 +574,8 @@
 		"resumed":                  {resumable, "3", []http.HandlerFunc{events(1, 5, true)}, 200, eventText(4, 5)},
 		"starts too late, retried": {resumable, "3", []http.HandlerFunc{events(5, 6, true), events(1, 6, true)}, 200, eventText(4, 6)},
 		"starts too early":         {resumable, "3", []http.HandlerFunc{respond(200, eventText(1, 5))}, 200, eventText(4, 5)},
+		"error text":               {resumable, "3", []http.HandlerFunc{respond(200, "error: overloaded\n\n")}, 502, ""},
+		"error text, retried":      {resumable, "3", []http.HandlerFunc{respond(200, "error: overloaded\n\n"), events(1, 5, true)}, 200, eventText(4, 5)},
 		"not resumable":            {plain, "3", []http.HandlerFunc{respond(200, eventText(1, 5))}, 200, eventText(1, 5)},
 		"last event not a number":  {resumable, "x", []http.HandlerFunc{events(2, 5, true)}, 200, eventText(2, 5)},
 	}
