--- a/dispatcher/reset_test.go
+++ b/dispatcher/reset_test.go
@@ -92,24 +92,31 @@
 			time.Sleep(200 * time.Millisecond)
 		},
 	}
+	ways := waysToCall()
+	// a stream's request is written before its answer is read
+	delete(ways, "open stream")
 	for name, end := range ends {
-		t.Run(name, func(t *testing.T) {
-			upstream := newScriptedUpstream(t, func(conn net.Conn, reader *bufio.Reader, _ *scriptedUpstream) {
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nall of it")
-				end(conn.(*net.TCPConn))
-			})
-			d := New(Settings{})
-			defer d.Close()
-			call := upstream.call(http.MethodPost)
-			call.Body = make([]byte, longBodyBytes)
-			for range 5 {
-				body, err := send(t, d, call)
-				assert.NilError(t, err)
-				assert.Equal(t, body, "all of it")
+		upstream := newScriptedUpstream(t, func(conn net.Conn, reader *bufio.Reader, _ *scriptedUpstream) {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
 			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nall of it")
+			end(conn.(*net.TCPConn))
 		})
+		call := upstream.call(http.MethodPost)
+		call.Body = make([]byte, longBodyBytes)
+		for way, callOnce := range ways {
+			t.Run(name+", "+way, func(t *testing.T) {
+				d := New(Settings{})
+				defer d.Close()
+				for range 5 {
+					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+					answer, err := callOnce(d, ctx, call)
+					cancel()
+					assert.NilError(t, err)
+					assert.Equal(t, string(answer.Body), "all of it")
+				}
+			})
+		}
 	}
 }
