--- a/review/standin-3/servers.go
+++ b/review/standin-3/servers.go
@@ -33,8 +33,9 @@
 	loadTime   time.Duration
 	// holdsOrders is true while orders get no answer and are not carried out yet.
 	holdsOrders bool
-	// overloads are the orders to load more than there is room for.
+	// overloads are the orders to load more than there is room for, after which it has crashed.
 	overloads    int
+	crashed      bool
 	ran, refused int
 	// cacheTokens is the memory of an engine for prompts and answers; zero for no bound.
 	cacheTokens int
@@ -59,7 +60,7 @@
 	mux.HandleFunc("POST /api/order", each.answerOrder)
 	mux.HandleFunc("GET /healthz", each.answerHealth)
 	mux.HandleFunc("/", each.answer)
-	if err := s.serve(each.address, mux); err != nil {
+	if err := s.serve(each.address, each.unlessCrashed(mux)); err != nil {
 		return nil, err
 	}
 	s.mutex.Lock()
@@ -68,6 +69,19 @@
 	return each, nil
 }
 
+// unlessCrashed closes each connection once the server has crashed.
+func (v *server) unlessCrashed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v.mutex.Lock()
+		crashed := v.crashed
+		v.mutex.Unlock()
+		if crashed {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (v *server) held() []map[string]any {
 	held := []map[string]any{}
 	for name, adapters := range v.models {
@@ -190,7 +204,8 @@
 	}
 	if v.capacityMb > 0 && total > v.capacityMb {
 		v.overloads++
-		v.add("server %s is ordered to load %s: %.0f MB of weights where %.0f MB fit", v.id, model, total, v.capacityMb)
+		v.crashed = true
+		v.add("server %s is ordered to load %s: %.0f MB of weights where %.0f MB fit; it crashes", v.id, model, total, v.capacityMb)
 	}
 	v.busy = true
 	time.AfterFunc(v.loadTime, func() {
