Show that one unreadable entry of the list stops all service

Cause: the list is divided by counting quotes and brackets over the whole of it, so that an entry which breaks off inside a text makes all of it unreadable.

--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -46,6 +46,8 @@
 	servers  []*server
 	mutex    sync.Mutex
 	closers  []io.Closer
+	// oddItem is the first entry of the platform's list, as it is written; empty for none.
+	oddItem string
 }
 
 // node is a process of the project.
@@ -226,13 +228,17 @@
 func (s *system) startCloud() error {
 	return s.serve(s.address(cloudIP, 0), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.mutex.Lock()
-		items := make([]map[string]any, 0, len(s.servers))
+		var items []string
+		if s.oddItem != "" {
+			items = append(items, s.oddItem)
+		}
 		for _, each := range s.servers {
-			items = append(items, each.item())
+			item, _ := json.Marshal(each.item())
+			items = append(items, string(item))
 		}
 		s.mutex.Unlock()
 		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(map[string]any{"instances": items, "nextToken": nil})
+		fmt.Fprintf(w, `{"instances":[%s],"nextToken":null}`, strings.Join(items, ","))
 	}))
 }
 
