Show that broken answers in HTTP/1.0 reach callers as whole

Cause: an answer of HTTP/1.0 in chunks is read without its chunks, to the end of the connection, and that end is taken for the answer's.

--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -34,7 +34,9 @@
 	status int
 	body   string
 	signed bool
-	err    error
+	// id is that of the request, server the one that the answer names.
+	id, server string
+	err        error
 }
 
 // send sends a request to an entry over a new connection and reads the whole answer.
@@ -69,7 +71,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, body: string(body), signed: response.Header.Get("Burdocklink-Server-Signature") != "", err: err}
+	return answer{status: response.StatusCode, body: string(body), signed: response.Header.Get("Burdocklink-Server-Signature") != "", id: q.id, server: response.Header.Get("Server-Id"), err: err}
 }
 
 // ordinary is a request of an ordinary caller to a stream of a model.
--- a/review/standin-3/servers.go
+++ b/review/standin-3/servers.go
@@ -34,9 +34,12 @@
 	// holdsOrders is true while orders get no answer and are not carried out yet.
 	holdsOrders bool
 	// overloads are the orders to load more than there is room for, after which it has crashed.
-	overloads    int
-	crashed      bool
-	ran, refused int
+	overloads int
+	crashed   bool
+	// one in spoilEvery answers is spoiled, zero for none; spoilVersion is the version in it.
+	spoilEvery, spoiled int
+	spoilVersion        string
+	ran, refused        int
 	// cacheTokens is the memory of an engine for prompts and answers; zero for no bound.
 	cacheTokens int
 }
@@ -247,7 +250,26 @@
 	}
 	v.mutex.Lock()
 	v.ran++
+	spoils := v.spoilEvery > 0 && v.ran%v.spoilEvery == 0
+	if spoils {
+		v.spoiled++
+	}
+	breakOff := v.spoiled%2 == 0
 	v.mutex.Unlock()
+	if spoils && v.models == nil {
+		text := id + " by " + v.id
+		v.spoil(w, id, "text/plain", []string{text[:len(text)/2], text[len(text)/2:]}, breakOff)
+		return
+	}
+	if spoils {
+		var events []string
+		for i := range v.events {
+			events = append(events, event(i, id))
+		}
+		v.spoil(w, id, "text/event-stream", events, breakOff)
+		return
+	}
+	w.Header().Set("Server-Id", v.id)
 	w.Header().Set("Burdocklink-Server-Signature", "signed."+v.id+"."+id)
 	w.Header().Set("Burdocklink-Weight-Versions", "1")
 	if v.models == nil {
@@ -258,11 +280,16 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range v.events {
 		time.Sleep(v.work)
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, id)
+		fmt.Fprint(w, event(i, id))
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// event is one event of a stream.
+func event(number int, id string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", number+1, id)
+}
+
 // serves reports whether an engine holds what a request names.
 func (v *server) serves(name string) bool {
 	model, adapter, _ := strings.Cut(name, "/")
