--- a/review/standin-3/names.go
+++ b/review/standin-3/names.go
@@ -52,7 +52,9 @@
 		return false, err
 	}
 	time.Sleep(2 * configApplyTime)
-	return s.judgeRoutes(), nil
+	broken := s.judgeRoutes()
+	s.tellRuns()
+	return broken, nil
 }
 
 // sendNames sends the requests of the caller that does not behave, each of which it gives up
--- a/review/standin-3/unreadable.go
+++ b/review/standin-3/unreadable.go
@@ -55,6 +55,7 @@
 	}
 	group.Wait()
 	s.add("callers for %v: %v", unreadableTime, calls)
+	s.tellRuns()
 	for _, n := range s.entries {
 		if lines := n.grep("platform list read status changed"); len(lines) > 0 {
 			s.add("%s: %s", n.name, lines[len(lines)-1])
